Workspace: HTTP layer, settings tree, registers, claims, routing and lifecycle

The library's state machines are free of I/O, so that the daemon, the specification and the hollow fleet drive one code.

--- /dev/null
+++ b/crates/heronbend-http/src/stream_body.rs
@@ -0,0 +1,98 @@
+//! A response body that a task feeds through a bounded channel.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use futures_lite::{AsyncBufRead, AsyncRead, Stream};
+use http_types::Body;
+use smol::channel::{bounded, Receiver, Sender};
+
+/// Parts that may wait in the channel before the feeding task is held back.
+const CAPACITY: usize = 64;
+
+/// The feeding side of a streamed body. Dropping it ends the body properly.
+#[derive(Debug, Clone)]
+pub struct BodySender(Sender<io::Result<Vec<u8>>>);
+
+/// The reader has gone: the client closed the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the client is gone")]
+pub struct ClientGone;
+
+impl BodySender {
+    /// Sends the next part; waits while the channel is full.
+    pub async fn send(&self, part: Vec<u8>) -> Result<(), ClientGone> {
+        self.0.send(Ok(part)).await.map_err(|_| ClientGone)
+    }
+
+    /// Ends the body as cut: the connection is closed without its terminator.
+    pub async fn abort(&self, reason: &str) {
+        let _ = self.0.send(Err(io::Error::other(reason.to_owned()))).await;
+    }
+
+    /// Whether the client is known to have gone.
+    pub fn is_client_gone(&self) -> bool {
+        self.0.is_closed()
+    }
+}
+
+/// Makes a body of unknown length and the sender that feeds it.
+pub fn stream_body() -> (BodySender, Body) {
+    let (sender, receiver) = bounded(CAPACITY);
+    let reader = ChannelReader {
+        receiver: Box::pin(receiver),
+        part: Vec::new(),
+        position: 0,
+    };
+    (BodySender(sender), Body::from_reader(reader, None))
+}
+
+struct ChannelReader {
+    receiver: Pin<Box<Receiver<io::Result<Vec<u8>>>>>,
+    part: Vec<u8>,
+    position: usize,
+}
+
+impl AsyncBufRead for ChannelReader {
+    fn poll_fill_buf(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        while this.position == this.part.len() {
+            match this.receiver.as_mut().poll_next(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(None) => return Poll::Ready(Ok(&[])),
+                Poll::Ready(Some(Err(error))) => return Poll::Ready(Err(error)),
+                Poll::Ready(Some(Ok(part))) => {
+                    this.part = part;
+                    this.position = 0;
+                }
+            }
+        }
+        Poll::Ready(Ok(&this.part[this.position..]))
+    }
+
+    fn consume(self: Pin<&mut Self>, amount: usize) {
+        self.get_mut().position += amount;
+    }
+}
+
+impl AsyncRead for ChannelReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        target: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let available = match self.as_mut().poll_fill_buf(context) {
+            Poll::Pending => return Poll::Pending,
+            Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+            Poll::Ready(Ok(bytes)) => bytes,
+        };
+        let count = available.len().min(target.len());
+        target[..count].copy_from_slice(&available[..count]);
+        self.consume(count);
+        Poll::Ready(Ok(count))
+    }
+}
--- /dev/null
+++ b/crates/heronbend/src/lib.rs
@@ -0,0 +1,30 @@
+//! Coordination parts of heronbend, a rollout service for reinforcement learning.
+//!
+//! Each module is one duty, kept free of I/O: state machines take the current time and an input and
+//! return effects. The daemon drives them with threads and sockets, the specification explores
+//! them exhaustively, and the emulator runs hundreds of them in one process. It is the same code in
+//! all three, so what is checked is what ships.
+//!
+//! - [`settings`]: the tree operators edit, validated and compiled.
+//! - [`membership`]: which daemons are alive, and rumours spread among them.
+//! - [`register`]: replicated registers on shard replica sets; the core protocol.
+//! - [`request`]: at-most-once claims of not-repeatable requests.
+//! - [`rollout`]: steps, samples and sealed batches.
+//! - [`weights`]: rolling a weight version out to engines.
+//! - [`lifecycle`]: live and leaving back ends.
+//! - [`routing`]: which back end serves a request.
+//! - [`admission`]: caller limits and the retry budget.
+
+pub mod admission;
+pub mod identity;
+pub mod lifecycle;
+pub mod membership;
+pub mod register;
+pub mod request;
+pub mod rollout;
+pub mod routing;
+pub mod settings;
+pub mod weights;
+
+/// Time since an arbitrary start that is the same for all inputs of one state machine.
+pub type Moment = std::time::Duration;
--- /dev/null
+++ b/crates/heronbend/src/register/tests.rs
@@ -0,0 +1,174 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use assert_matches::assert_matches;
+
+use super::*;
+use crate::identity::NodeId;
+
+/// A counter that remembers who has counted, so that a change is idempotent.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct Authors(BTreeSet<u64>);
+
+impl Cell for Authors {
+    type Change = u64;
+    type Response = usize;
+
+    fn apply(current: Option<&Self>, change: &u64) -> Applied<Self, usize> {
+        let mut value = current.cloned().unwrap_or_default();
+        value.0.insert(*change);
+        let response = value.0.len();
+        Applied { value, response }
+    }
+}
+
+struct Cluster {
+    replicas: BTreeMap<NodeId, Replica<Authors>>,
+    config: ShardConfig,
+}
+
+fn key() -> Key {
+    Key("k".into())
+}
+
+fn node(index: u64) -> NodeId {
+    NodeId::new(&format!("node-{index}"), 1)
+}
+
+impl Cluster {
+    fn new() -> Self {
+        let members: BTreeSet<_> = (0..3).map(node).collect();
+        let config = ShardConfig {
+            epoch: 1,
+            transition: 0,
+            members: members.clone(),
+        };
+        let mut replicas = BTreeMap::new();
+        for index in 0..5 {
+            let mut replica = Replica::new(node(index));
+            replica.handle(ReplicaRequest::Configure { config: config.clone() });
+            replicas.insert(node(index), replica);
+        }
+        Self { replicas, config }
+    }
+
+    /// Runs a proposal against the members in `reached`.
+    fn propose(&mut self, author: u64, round: u64, reached: &[NodeId]) -> Progress<Authors, usize> {
+        let ballot = Ballot { round, proposer: author };
+        let (mut proposal, mut request) =
+            Proposal::<Authors>::start(key(), author, self.config.clone(), ballot);
+        loop {
+            let mut next = Progress::Waiting;
+            for member in reached {
+                let reply = self.replicas.get_mut(member).unwrap().handle(request.clone());
+                match proposal.on_reply(member, reply) {
+                    Progress::Waiting => {}
+                    Progress::Broadcast(request) => next = Progress::Broadcast(request),
+                    end => return end,
+                }
+            }
+            match next {
+                Progress::Broadcast(accept) => request = accept,
+                end => return end,
+            }
+        }
+    }
+
+    fn transition(&mut self, members: &[NodeId], identifier: u64, reached: &[NodeId]) -> Option<ShardConfig> {
+        let members = members.iter().cloned().collect();
+        let (mut transition, seal) =
+            Transition::<Authors>::start(self.config.clone(), members, identifier);
+        let mut stage = None;
+        for member in reached {
+            let reply = self.replicas.get_mut(member).unwrap().handle(seal.clone());
+            if let TransitionStep::Stage(request) = transition.on_reply(member, reply) {
+                stage = Some(request);
+            }
+        }
+        let stage = stage?;
+        let targets: Vec<_> = transition.target().members.iter().cloned().collect();
+        for member in targets {
+            let reply = self.replicas.get_mut(&member).unwrap().handle(stage.clone());
+            if let TransitionStep::Commit(config) = transition.on_reply(&member, reply) {
+                return Some(config);
+            }
+        }
+        None
+    }
+
+    fn configure(&mut self, config: ShardConfig) {
+        for replica in self.replicas.values_mut() {
+            replica.handle(ReplicaRequest::Configure { config: config.clone() });
+        }
+        self.config = config;
+    }
+}
+
+#[test]
+fn a_change_survives_in_any_majority() {
+    let mut cluster = Cluster::new();
+    assert_eq!(cluster.propose(1, 1, &[node(0), node(1)]), Progress::Done(1));
+    assert_eq!(cluster.propose(2, 2, &[node(1), node(2)]), Progress::Done(2));
+    assert_eq!(cluster.propose(3, 3, &[node(0), node(2)]), Progress::Done(3));
+}
+
+#[test]
+fn a_minority_decides_nothing() {
+    let mut cluster = Cluster::new();
+    assert_eq!(cluster.propose(1, 1, &[node(0)]), Progress::Waiting);
+}
+
+#[test]
+fn a_lower_ballot_is_interrupted_and_told_the_higher_round() {
+    let mut cluster = Cluster::new();
+    let all = [node(0), node(1), node(2)];
+    assert_eq!(cluster.propose(1, 7, &all), Progress::Done(1));
+    assert_eq!(cluster.propose(2, 3, &all), Progress::Interrupted { above: 7 });
+}
+
+#[test]
+fn an_epoch_change_carries_the_state_over_and_ends_the_old_epoch() {
+    let mut cluster = Cluster::new();
+    let old_members = [node(0), node(1), node(2)];
+    assert_eq!(cluster.propose(1, 1, &old_members), Progress::Done(1));
+    let new_members = [node(2), node(3), node(4)];
+    let config = cluster.transition(&new_members, 99, &[node(1), node(2)]).unwrap();
+    assert_matches!(cluster.propose(2, 2, &old_members), Progress::Interrupted { .. });
+    cluster.configure(config);
+    assert_eq!(cluster.propose(2, 3, &[node(3), node(4)]), Progress::Done(2));
+}
+
+#[test]
+fn state_of_a_transition_that_lost_is_not_activated() {
+    let mut cluster = Cluster::new();
+    let members = [node(2), node(3), node(4)];
+    let loser = cluster.transition(&members, 7, &[node(0), node(1)]).unwrap();
+    let winner = ShardConfig { transition: 8, ..loser };
+    cluster.configure(winner);
+    assert!(cluster.replicas.values().all(|replica| replica.active_epoch().is_none()));
+}
+
+#[test]
+fn a_restarted_replica_is_no_member() {
+    let mut cluster = Cluster::new();
+    let restarted = NodeId::new("node-0", 2);
+    let mut replica: Replica<Authors> = Replica::new(restarted);
+    replica.handle(ReplicaRequest::Configure { config: cluster.config.clone() });
+    assert_eq!(replica.active_epoch(), None);
+    assert_eq!(cluster.propose(1, 1, &[node(1), node(2)]), Progress::Done(1));
+}
+
+#[test]
+fn members_are_spread_over_zones() {
+    let candidates: Vec<_> = (0..9)
+        .map(|index| (node(index), format!("zone-{}", index % 3)))
+        .collect();
+    for shard in 0..32 {
+        let members = shard_map::choose_members(ShardId(shard), &candidates);
+        let zones: BTreeSet<_> = candidates
+            .iter()
+            .filter(|(node, _)| members.contains(node))
+            .map(|(_, zone)| zone)
+            .collect();
+        assert_eq!(zones.len(), 3);
+    }
+}
