Rollout, weights and membership state machines

Two faults were found by their tests before anything used the code. A hedge counted copies in place of slots, so that hedging stopped early. A daemon that woke from a long silence stayed dead to all others: nobody told it what was said of it, so it never refuted. Now a datagram from a member believed dead makes the receiver send that belief along.

--- /dev/null
+++ b/crates/heronbend/src/membership/detector.rs
@@ -0,0 +1,431 @@
+//! The failure detector, without I/O.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::SeedableRng;
+
+use super::messages::{Gossip, Head, Liveness, Member, Probe, Rumour};
+use super::rumours::RumourQueue;
+use crate::identity::{NodeId, NodeName};
+use crate::lifecycle::StatedPhase;
+use crate::Moment;
+
+/// Time constants of the detector.
+#[derive(Debug, Clone, Copy)]
+pub struct DetectorConfig {
+    /// Time between two probes.
+    pub period: Duration,
+    /// Time a direct probe may take before helpers are asked.
+    pub direct_timeout: Duration,
+    /// Time a suspect has to refute.
+    pub suspicion: Duration,
+    /// Helpers asked to probe in this daemon's place.
+    pub helpers: usize,
+    /// Time after which a dead member is forgotten.
+    pub forget_after: Duration,
+}
+
+impl Default for DetectorConfig {
+    fn default() -> Self {
+        Self {
+            period: Duration::from_millis(1000),
+            direct_timeout: Duration::from_millis(300),
+            suspicion: Duration::from_millis(4000),
+            helpers: 3,
+            forget_after: Duration::from_secs(600),
+        }
+    }
+}
+
+/// What the driver is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Send a datagram.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// The datagram.
+        gossip: Box<Gossip>,
+    },
+    /// A member's state has changed.
+    Changed(MemberChange),
+    /// A back end's phase was heard of.
+    Backend(StatedPhase),
+    /// A peer holds newer control data.
+    Behind {
+        /// The peer.
+        peer: SocketAddr,
+        /// What it holds.
+        head: Head,
+    },
+}
+
+/// A change of what is believed of a member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberChange {
+    /// The member as it is known now.
+    pub member: Member,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    member: Member,
+    since: Moment,
+}
+
+#[derive(Debug, Clone)]
+struct OpenProbe {
+    sequence: u64,
+    target: NodeName,
+    sent: Moment,
+    helpers_asked: bool,
+}
+
+/// A ping made on behalf of another daemon.
+#[derive(Debug, Clone)]
+struct Relay {
+    asker: SocketAddr,
+    asker_sequence: u64,
+    sent: Moment,
+}
+
+/// One daemon's view of all others.
+#[derive(Debug)]
+pub struct Detector {
+    config: DetectorConfig,
+    me: Member,
+    head: Head,
+    members: BTreeMap<NodeName, Known>,
+    order: Vec<NodeName>,
+    probe: Option<OpenProbe>,
+    relays: BTreeMap<u64, Relay>,
+    next_sequence: u64,
+    next_probe: Moment,
+    rumours: RumourQueue,
+    random: SmallRng,
+}
+
+impl Detector {
+    /// A detector for `me`, which knows nobody yet.
+    pub fn new(config: DetectorConfig, me: Member, seed: u64) -> Self {
+        let mut rumours = RumourQueue::default();
+        rumours.push(Rumour::Member(me.clone()));
+        Self {
+            config,
+            me,
+            head: Head::default(),
+            members: BTreeMap::new(),
+            order: Vec::new(),
+            probe: None,
+            relays: BTreeMap::new(),
+            next_sequence: 1,
+            next_probe: Moment::ZERO,
+            rumours,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// This daemon as it makes itself known.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Everybody else, dead ones included.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().map(|known| &known.member)
+    }
+
+    /// Whether this very run of a daemon is not known to be dead or to have left.
+    pub fn may_be_alive(&self, node: &NodeId) -> bool {
+        if *node == self.me.id {
+            return true;
+        }
+        match self.members.get(&node.name) {
+            Some(known) if known.member.id == *node => known.member.liveness <= Liveness::Suspect,
+            Some(known) => known.member.id.incarnation < node.incarnation,
+            None => true,
+        }
+    }
+
+    /// Number of rumours that are still being spread.
+    pub fn pending_rumours(&self) -> usize {
+        self.rumours.len()
+    }
+
+    /// Sets the control data that is made known to peers.
+    pub fn set_head(&mut self, head: Head) {
+        self.head = head;
+    }
+
+    /// Spreads a back end's phase.
+    pub fn spread_backend(&mut self, stated: StatedPhase) {
+        self.rumours.push(Rumour::Backend(stated));
+    }
+
+    /// Takes in a member from another source, such as the platform's list.
+    pub fn learn(&mut self, now: Moment, member: Member) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.merge(now, member, &mut effects);
+        effects
+    }
+
+    /// Announces that this daemon stops.
+    pub fn leave(&mut self, now: Moment) -> Vec<Effect> {
+        self.me.liveness = Liveness::Left;
+        self.rumours.push(Rumour::Member(self.me.clone()));
+        let mut targets = self.probe_targets();
+        targets.shuffle(&mut self.random);
+        targets.truncate(self.config.helpers.max(1) * 2);
+        let _ = now;
+        targets.into_iter().map(|target| self.ping(&target)).collect()
+    }
+
+    /// Advances time: probes, suspicions, and forgetting.
+    pub fn tick(&mut self, now: Moment) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.ask_helpers(now, &mut effects);
+        if now >= self.next_probe {
+            self.close_probe(now, &mut effects);
+            self.open_probe(now, &mut effects);
+            self.next_probe = now + self.config.period;
+        }
+        self.declare_dead(now, &mut effects);
+        let expired = self.config.period * 2;
+        self.relays.retain(|_, relay| now < relay.sent + expired);
+        effects
+    }
+
+    /// Takes in a datagram that came from `source`.
+    pub fn receive(&mut self, now: Moment, source: SocketAddr, gossip: Gossip) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let Gossip {
+            from,
+            probe,
+            head,
+            rumours,
+        } = gossip;
+        if from.id.name == self.me.id.name {
+            return effects;
+        }
+        let peer = from.address;
+        self.merge(now, from.clone(), &mut effects);
+        self.tell_what_is_said_of(&from);
+        for rumour in rumours {
+            match rumour {
+                Rumour::Member(member) => self.merge(now, member, &mut effects),
+                Rumour::Backend(stated) => effects.push(Effect::Backend(stated)),
+            }
+        }
+        if self.is_behind(head) {
+            effects.push(Effect::Behind { peer, head });
+        }
+        match probe {
+            Probe::Ping { sequence } => {
+                effects.push(self.send(source, Probe::Ack { sequence }));
+            }
+            Probe::Ack { sequence } => self.on_ack(sequence, &mut effects),
+            Probe::PingRequest { sequence, target } => {
+                self.relay(now, source, sequence, &target, &mut effects);
+            }
+        }
+        effects
+    }
+
+    fn is_behind(&self, head: Head) -> bool {
+        head.settings_revision > self.head.settings_revision
+            || head.shard_epochs > self.head.shard_epochs
+    }
+
+    fn on_ack(&mut self, sequence: u64, effects: &mut Vec<Effect>) {
+        if let Some(relay) = self.relays.remove(&sequence) {
+            let ack = Probe::Ack {
+                sequence: relay.asker_sequence,
+            };
+            effects.push(self.send(relay.asker, ack));
+        } else if self.probe.as_ref().is_some_and(|probe| probe.sequence == sequence) {
+            self.probe = None;
+        }
+    }
+
+    fn relay(
+        &mut self,
+        now: Moment,
+        asker: SocketAddr,
+        asker_sequence: u64,
+        target: &NodeName,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(known) = self.members.get(target) else {
+            return;
+        };
+        let address = known.member.address;
+        let sequence = self.take_sequence();
+        let relay = Relay {
+            asker,
+            asker_sequence,
+            sent: now,
+        };
+        self.relays.insert(sequence, relay);
+        effects.push(self.send(address, Probe::Ping { sequence }));
+    }
+
+    /// Merges knowledge of a member, refuting what is wrongly said of this daemon.
+    fn merge(&mut self, now: Moment, member: Member, effects: &mut Vec<Effect>) {
+        if member.id.name == self.me.id.name {
+            self.refute(&member);
+            return;
+        }
+        if let Some(known) = self.members.get(&member.id.name) {
+            if !member.supersedes(&known.member) {
+                return;
+            }
+        } else if member.liveness >= Liveness::Left {
+            return;
+        }
+        self.rumours.push(Rumour::Member(member.clone()));
+        let known = Known {
+            member: member.clone(),
+            since: now,
+        };
+        self.members.insert(member.id.name.clone(), known);
+        effects.push(Effect::Changed(MemberChange { member }));
+    }
+
+    /// A sender that is wrongly believed dead must hear of it to refute it.
+    fn tell_what_is_said_of(&mut self, sender: &Member) {
+        if let Some(known) = self.members.get(&sender.id.name) {
+            if known.member.liveness > sender.liveness {
+                self.rumours.push(Rumour::Member(known.member.clone()));
+            }
+        }
+    }
+
+    fn refute(&mut self, said: &Member) {
+        let wrong = said.id == self.me.id && said.liveness > self.me.liveness;
+        if wrong && said.refutation >= self.me.refutation {
+            self.me.refutation = said.refutation + 1;
+            self.rumours.push(Rumour::Member(self.me.clone()));
+        }
+    }
+
+    fn probe_targets(&self) -> Vec<NodeName> {
+        self.members
+            .values()
+            .filter(|known| known.member.liveness <= Liveness::Suspect)
+            .map(|known| known.member.id.name.clone())
+            .collect()
+    }
+
+    fn open_probe(&mut self, now: Moment, effects: &mut Vec<Effect>) {
+        if self.order.is_empty() {
+            self.order = self.probe_targets();
+            self.order.shuffle(&mut self.random);
+        }
+        while let Some(target) = self.order.pop() {
+            let alive = self
+                .members
+                .get(&target)
+                .is_some_and(|known| known.member.liveness <= Liveness::Suspect);
+            if !alive {
+                continue;
+            }
+            effects.push(self.ping(&target));
+            self.probe = Some(OpenProbe {
+                sequence: self.next_sequence - 1,
+                target,
+                sent: now,
+                helpers_asked: false,
+            });
+            return;
+        }
+    }
+
+    fn ask_helpers(&mut self, now: Moment, effects: &mut Vec<Effect>) {
+        let Some(probe) = &mut self.probe else {
+            return;
+        };
+        if probe.helpers_asked || now < probe.sent + self.config.direct_timeout {
+            return;
+        }
+        probe.helpers_asked = true;
+        let (sequence, target) = (probe.sequence, probe.target.clone());
+        let mut helpers: Vec<SocketAddr> = self
+            .members
+            .values()
+            .filter(|known| known.member.liveness == Liveness::Alive)
+            .filter(|known| known.member.id.name != target)
+            .map(|known| known.member.address)
+            .collect();
+        helpers.shuffle(&mut self.random);
+        helpers.truncate(self.config.helpers);
+        for helper in helpers {
+            let request = Probe::PingRequest {
+                sequence,
+                target: target.clone(),
+            };
+            effects.push(self.send(helper, request));
+        }
+    }
+
+    /// A probe that is still open when the next is due makes its target a suspect.
+    fn close_probe(&mut self, now: Moment, effects: &mut Vec<Effect>) {
+        let Some(probe) = self.probe.take() else {
+            return;
+        };
+        let Some(known) = self.members.get(&probe.target) else {
+            return;
+        };
+        if known.member.liveness == Liveness::Alive {
+            let mut member = known.member.clone();
+            member.liveness = Liveness::Suspect;
+            self.merge(now, member, effects);
+        }
+    }
+
+    fn declare_dead(&mut self, now: Moment, effects: &mut Vec<Effect>) {
+        let overdue: Vec<Member> = self
+            .members
+            .values()
+            .filter(|known| known.member.liveness == Liveness::Suspect)
+            .filter(|known| now >= known.since + self.config.suspicion)
+            .map(|known| known.member.clone())
+            .collect();
+        for mut member in overdue {
+            member.liveness = Liveness::Dead;
+            self.merge(now, member, effects);
+        }
+        let forget_after = self.config.forget_after;
+        self.members.retain(|_, known| {
+            known.member.liveness <= Liveness::Suspect || now < known.since + forget_after
+        });
+    }
+
+    fn ping(&mut self, target: &NodeName) -> Effect {
+        let sequence = self.take_sequence();
+        let address = self.members[target].member.address;
+        self.send(address, Probe::Ping { sequence })
+    }
+
+    fn take_sequence(&mut self) -> u64 {
+        self.next_sequence += 1;
+        self.next_sequence - 1
+    }
+
+    fn send(&mut self, to: SocketAddr, probe: Probe) -> Effect {
+        let rumours = self.rumours.take(self.members.len() + 1);
+        let gossip = Gossip {
+            from: self.me.clone(),
+            probe,
+            head: self.head,
+            rumours,
+        };
+        Effect::Send {
+            to,
+            gossip: Box::new(gossip),
+        }
+    }
+}
--- /dev/null
+++ b/crates/heronbend/src/membership/tests.rs
@@ -0,0 +1,172 @@
+use std::collections::{BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::*;
+use crate::identity::{Incarnation, NodeId};
+use crate::lifecycle::{BackendName, Phase, StatedPhase};
+use crate::Moment;
+
+const TICK: Duration = Duration::from_millis(50);
+
+fn address(index: usize) -> SocketAddr {
+    ([127, 0, 0, 1], 1000 + index as u16).into()
+}
+
+fn member(index: usize, incarnation: u64) -> Member {
+    Member {
+        id: NodeId::new(&format!("node-{index}"), incarnation),
+        address: address(index),
+        http_address: address(index),
+        zone: "shawinigan".into(),
+        region: "mauricie".into(),
+        refutation: 0,
+        liveness: Liveness::Alive,
+    }
+}
+
+/// Daemons on a network without delay; those in `silent` neither send nor receive.
+struct Network {
+    now: Moment,
+    detectors: Vec<Detector>,
+    silent: BTreeSet<usize>,
+    backends: Vec<BTreeSet<String>>,
+    behind: Vec<bool>,
+}
+
+impl Network {
+    fn new(count: usize) -> Self {
+        let mut detectors: Vec<_> = (0..count)
+            .map(|index| Detector::new(DetectorConfig::default(), member(index, 1), index as u64))
+            .collect();
+        for detector in &mut detectors {
+            detector.learn(Moment::ZERO, member(0, 1));
+        }
+        Self {
+            now: Moment::ZERO,
+            detectors,
+            silent: BTreeSet::new(),
+            backends: vec![BTreeSet::new(); count],
+            behind: vec![false; count],
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            let mut queue = VecDeque::new();
+            for index in 0..self.detectors.len() {
+                if !self.silent.contains(&index) {
+                    let effects = self.detectors[index].tick(self.now);
+                    queue.extend(effects.into_iter().map(|effect| (index, effect)));
+                }
+            }
+            while let Some((index, effect)) = queue.pop_front() {
+                let more = self.apply(index, effect);
+                queue.extend(more);
+            }
+        }
+    }
+
+    fn apply(&mut self, index: usize, effect: Effect) -> Vec<(usize, Effect)> {
+        match effect {
+            Effect::Send { to, gossip } => {
+                let target = usize::from(to.port() - 1000);
+                if self.silent.contains(&target) {
+                    return Vec::new();
+                }
+                let effects = self.detectors[target].receive(self.now, address(index), *gossip);
+                effects.into_iter().map(|effect| (target, effect)).collect()
+            }
+            Effect::Backend(stated) => {
+                if self.backends[index].insert(stated.name.0.clone()) {
+                    self.detectors[index].spread_backend(stated);
+                }
+                Vec::new()
+            }
+            Effect::Behind { .. } => {
+                self.behind[index] = true;
+                Vec::new()
+            }
+            Effect::Changed(_) => Vec::new(),
+        }
+    }
+
+    fn liveness(&self, observer: usize, subject: usize) -> Option<Liveness> {
+        let name = &member(subject, 1).id.name;
+        let found = self.detectors[observer].members().find(|member| member.id.name == *name);
+        found.map(|member| member.liveness)
+    }
+}
+
+#[test]
+fn everybody_learns_of_everybody_through_one_seed() {
+    let mut network = Network::new(20);
+    network.run(Duration::from_secs(30));
+    for detector in &network.detectors {
+        assert_eq!(detector.members().count(), 19);
+    }
+}
+
+#[test]
+fn a_silent_daemon_is_declared_dead_everywhere_and_may_come_back() {
+    let mut network = Network::new(8);
+    network.run(Duration::from_secs(15));
+    network.silent.insert(3);
+    network.run(Duration::from_secs(40));
+    for observer in (0..8).filter(|observer| *observer != 3) {
+        assert_eq!(network.liveness(observer, 3), Some(Liveness::Dead));
+    }
+    assert!(!network.detectors[0].may_be_alive(&NodeId::new("node-3", 1)));
+    network.silent.clear();
+    network.run(Duration::from_secs(60));
+    for observer in (0..8).filter(|observer| *observer != 3) {
+        assert_eq!(network.liveness(observer, 3), Some(Liveness::Alive), "at {observer}");
+    }
+}
+
+#[test]
+fn a_new_run_supersedes_the_old_and_the_old_is_dead() {
+    let mut detector = Detector::new(DetectorConfig::default(), member(0, 1), 1);
+    detector.learn(Moment::ZERO, member(1, 5));
+    detector.learn(Moment::ZERO, member(1, 4));
+    let known: Vec<_> = detector.members().map(|member| member.id.incarnation).collect();
+    assert_eq!(known, [Incarnation(5)]);
+    assert!(!detector.may_be_alive(&NodeId::new("node-1", 4)));
+    assert!(detector.may_be_alive(&NodeId::new("node-1", 5)));
+}
+
+#[test]
+fn rumours_of_back_ends_and_newer_settings_reach_everybody() {
+    let mut network = Network::new(20);
+    network.run(Duration::from_secs(30));
+    let stated = StatedPhase {
+        name: BackendName("engine".into()),
+        incarnation: Incarnation(1),
+        phase: Phase::Leaving,
+    };
+    network.detectors[7].spread_backend(stated);
+    let head = Head { settings_revision: 4, shard_epochs: 0 };
+    network.detectors[7].set_head(head);
+    network.run(Duration::from_secs(30));
+    let reached = network.backends.iter().filter(|known| !known.is_empty()).count();
+    assert!(reached >= 19, "{reached} of 20");
+    assert!(network.behind.iter().any(|behind| *behind));
+}
+
+#[test]
+fn a_datagram_stays_within_one_packet() {
+    let mut detector = Detector::new(DetectorConfig::default(), member(0, 1), 1);
+    for index in 1..200 {
+        detector.learn(Moment::ZERO, member(index, 1));
+    }
+    let largest = (1..100)
+        .flat_map(|second| detector.tick(Duration::from_secs(second)))
+        .filter_map(|effect| match effect {
+            Effect::Send { gossip, .. } => Some(musli::wire::to_vec(&*gossip).unwrap().len()),
+            _ => None,
+        })
+        .max();
+    assert!(largest.is_some_and(|bytes| bytes < 1400), "{largest:?}");
+}
--- /dev/null
+++ b/crates/heronbend/src/rollout/coordinator.rs
@@ -0,0 +1,297 @@
+//! Which sample to draw next, without I/O.
+//!
+//! Samples of one prompt have similar lengths, and a few run far longer than the rest. Drawing the
+//! longest-expected first keeps them off the end of the step; near the end, idle places draw a
+//! second copy of samples still under way, and the first copy to finish fills the slot.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::sample::Sample;
+use super::slots::{SlotIndex, SlotSet};
+use crate::Moment;
+
+/// Wait before a slot whose draw failed is drawn again.
+const REDRAW_DELAY: Duration = Duration::from_millis(50);
+
+/// Number of one attempt to draw a sample, unique in its step and daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct DrawId(pub u64);
+
+/// The order in which waiting slots are drawn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DrawOrder {
+    /// In the order of the step.
+    FirstInFirstOut,
+    /// One sample of each prompt first, then prompts by the longest sample seen of them.
+    LongestExpectedFirst,
+}
+
+/// How a step is drawn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepPlan {
+    /// Number of prompts.
+    pub prompts: u32,
+    /// Samples of each prompt.
+    pub samples_per_prompt: u32,
+    /// Order of drawing.
+    pub order: DrawOrder,
+    /// Most copies of one sample that are drawn at once; 1 for no hedging.
+    pub max_copies: u32,
+    /// Share of the slots, in thousandths, that may be unfilled when hedging begins.
+    pub hedge_below_milli: u32,
+}
+
+impl StepPlan {
+    /// Number of slots.
+    pub fn slots(&self) -> u32 {
+        self.prompts * self.samples_per_prompt
+    }
+
+    /// The prompt of a slot.
+    pub fn prompt_of(&self, slot: SlotIndex) -> u32 {
+        slot.0 / self.samples_per_prompt
+    }
+}
+
+/// What the driver is to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// Draw the sample of a slot.
+    Draw {
+        /// The attempt.
+        draw: DrawId,
+        /// The slot.
+        slot: SlotIndex,
+    },
+    /// Give an attempt up: another copy was faster.
+    Cancel {
+        /// The attempt.
+        draw: DrawId,
+    },
+}
+
+/// What can be handed over now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Composition {
+    /// These samples make a batch.
+    Ready(Vec<Sample>),
+    /// More samples have to be drawn first.
+    NotYet,
+    /// Every slot has been delivered.
+    Exhausted,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Draw {
+    slot: SlotIndex,
+    started: Moment,
+}
+
+/// Draws one step.
+///
+/// Invariant: each slot is in exactly one state: waiting, being drawn, ready or delivered.
+#[derive(Debug, Clone)]
+pub struct StepCoordinator {
+    plan: StepPlan,
+    delivered: SlotSet,
+    ready: VecDeque<Sample>,
+    waiting: VecDeque<(Moment, SlotIndex)>,
+    drawing: BTreeMap<DrawId, Draw>,
+    longest_seen: BTreeMap<u32, u32>,
+    next_draw: u64,
+    wasted_tokens: u64,
+}
+
+impl StepCoordinator {
+    /// A coordinator for the slots that are not yet delivered.
+    pub fn new(plan: StepPlan, delivered: SlotSet) -> Self {
+        let mut slots: Vec<SlotIndex> = (0..plan.slots()).map(SlotIndex).collect();
+        if plan.order == DrawOrder::LongestExpectedFirst {
+            slots.sort_by_key(|slot| slot.0 % plan.samples_per_prompt);
+        }
+        let waiting = slots
+            .into_iter()
+            .filter(|slot| !delivered.contains(*slot))
+            .map(|slot| (Moment::ZERO, slot))
+            .collect();
+        Self {
+            plan,
+            delivered,
+            ready: VecDeque::new(),
+            waiting,
+            drawing: BTreeMap::new(),
+            longest_seen: BTreeMap::new(),
+            next_draw: 0,
+            wasted_tokens: 0,
+        }
+    }
+
+    /// Draws to start now, given how many more the engines can take.
+    pub fn schedule(&mut self, now: Moment, places: usize) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        while effects.len() < places {
+            let Some(slot) = self.next_waiting(now).or_else(|| self.next_hedge()) else {
+                break;
+            };
+            effects.push(self.start(now, slot));
+        }
+        effects
+    }
+
+    /// A draw has produced its sample.
+    pub fn on_drawn(&mut self, draw: DrawId, sample: Sample) -> Vec<Effect> {
+        let Some(Draw { slot, .. }) = self.drawing.remove(&draw) else {
+            self.wasted_tokens += u64::from(sample.tokens());
+            return Vec::new();
+        };
+        let longest = self.longest_seen.entry(self.plan.prompt_of(slot)).or_default();
+        *longest = (*longest).max(sample.tokens());
+        self.ready.push_back(sample);
+        self.cancel_copies(slot)
+    }
+
+    /// A draw has failed; its slot is drawn again unless another copy is under way.
+    pub fn on_failed(&mut self, now: Moment, draw: DrawId) {
+        if let Some(Draw { slot, .. }) = self.drawing.remove(&draw) {
+            if !self.drawing.values().any(|other| other.slot == slot) {
+                self.waiting.push_back((now + REDRAW_DELAY, slot));
+            }
+        }
+    }
+
+    /// The samples for the next batch, none older than `floor`. They stay ready until
+    /// [`StepCoordinator::on_sealed`]; samples that are too old are put up for drawing again.
+    pub fn compose(&mut self, now: Moment, floor: u64, batch_size: usize) -> Composition {
+        let (fresh, stale): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.ready)
+            .into_iter()
+            .partition(|sample| sample.is_within(floor));
+        self.ready = fresh;
+        for sample in stale {
+            self.wasted_tokens += u64::from(sample.tokens());
+            self.waiting.push_front((now, sample.slot));
+        }
+        let undelivered = (self.plan.slots() - self.delivered.len()) as usize;
+        if undelivered == 0 {
+            return Composition::Exhausted;
+        }
+        let wanted = batch_size.min(undelivered);
+        if self.ready.len() < wanted {
+            return Composition::NotYet;
+        }
+        Composition::Ready(self.ready.iter().take(wanted).cloned().collect())
+    }
+
+    /// A batch was sealed; its slots are delivered, whoever drew them.
+    pub fn on_sealed(&mut self, samples: &[Sample]) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for sample in samples {
+            self.delivered.insert(sample.slot);
+            effects.extend(self.cancel_copies(sample.slot));
+        }
+        let delivered = &self.delivered;
+        self.ready.retain(|sample| !delivered.contains(sample.slot));
+        self.waiting.retain(|(_, slot)| !delivered.contains(*slot));
+        effects
+    }
+
+    /// Samples were taken out of the open batch; their slots are drawn again.
+    pub fn on_withheld(&mut self, now: Moment, slots: impl Iterator<Item = SlotIndex>) {
+        for slot in slots {
+            self.delivered.remove(slot);
+            self.waiting.push_front((now, slot));
+        }
+    }
+
+    /// Whether every slot is delivered.
+    pub fn is_exhausted(&self) -> bool {
+        self.delivered.len() == self.plan.slots()
+    }
+
+    /// Samples that are drawn and not yet sealed.
+    pub fn ready(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// Draws under way.
+    pub fn drawing(&self) -> usize {
+        self.drawing.len()
+    }
+
+    /// Tokens of whole samples that were drawn in vain.
+    pub fn wasted_tokens(&self) -> u64 {
+        self.wasted_tokens
+    }
+
+    fn start(&mut self, now: Moment, slot: SlotIndex) -> Effect {
+        let draw = DrawId(self.next_draw);
+        self.next_draw += 1;
+        self.drawing.insert(draw, Draw { slot, started: now });
+        Effect::Draw { draw, slot }
+    }
+
+    fn next_waiting(&mut self, now: Moment) -> Option<SlotIndex> {
+        let mut due = self
+            .waiting
+            .iter()
+            .enumerate()
+            .filter(|(_, (from, _))| *from <= now);
+        let position = match self.plan.order {
+            DrawOrder::FirstInFirstOut => due.next(),
+            DrawOrder::LongestExpectedFirst => due
+                .max_by_key(|(index, (_, slot))| (self.expected(*slot), std::cmp::Reverse(*index))),
+        };
+        let (position, _) = position?;
+        self.waiting.remove(position).map(|(_, slot)| slot)
+    }
+
+    /// Expected length of a slot's sample; a prompt of which nothing is known comes first, since its
+    /// first sample is what tells the length of the others.
+    fn expected(&self, slot: SlotIndex) -> u32 {
+        let prompt = self.plan.prompt_of(slot);
+        let is_first_of_prompt = slot.0 % self.plan.samples_per_prompt == 0;
+        match self.longest_seen.get(&prompt) {
+            Some(longest) => *longest,
+            None if is_first_of_prompt => u32::MAX,
+            None => 0,
+        }
+    }
+
+    /// The slot that has been drawn for longest with copies to spare, once few are unfilled.
+    fn next_hedge(&self) -> Option<SlotIndex> {
+        if self.plan.max_copies < 2 || !self.waiting.is_empty() {
+            return None;
+        }
+        let mut copies: BTreeMap<SlotIndex, (u32, Moment)> = BTreeMap::new();
+        for draw in self.drawing.values() {
+            let entry = copies.entry(draw.slot).or_insert((0, draw.started));
+            entry.0 += 1;
+            entry.1 = entry.1.min(draw.started);
+        }
+        let threshold = u64::from(self.plan.slots()) * u64::from(self.plan.hedge_below_milli);
+        if copies.len() as u64 * 1000 > threshold {
+            return None;
+        }
+        copies
+            .into_iter()
+            .filter(|(_, (count, _))| *count < self.plan.max_copies)
+            .min_by_key(|(slot, (count, started))| (*count, *started, *slot))
+            .map(|(slot, _)| slot)
+    }
+
+    fn cancel_copies(&mut self, slot: SlotIndex) -> Vec<Effect> {
+        let copies: Vec<DrawId> = self
+            .drawing
+            .iter()
+            .filter(|(_, draw)| draw.slot == slot)
+            .map(|(draw, _)| *draw)
+            .collect();
+        for draw in &copies {
+            self.drawing.remove(draw);
+        }
+        copies.into_iter().map(|draw| Effect::Cancel { draw }).collect()
+    }
+}
--- /dev/null
+++ b/crates/heronbend/src/rollout/tests.rs
@@ -0,0 +1,184 @@
+use assert_matches::assert_matches;
+
+use super::sample::append_segment;
+use super::*;
+use crate::identity::{Incarnation, NodeId};
+use crate::lifecycle::BackendName;
+use crate::register::Cell;
+use crate::Moment;
+
+fn segment(version: u64, start: u32, end: u32) -> Segment {
+    Segment {
+        version,
+        start,
+        end,
+        engine: BackendName("engine".into()),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn sample(slot: u32, version: u64, tokens: u32) -> Sample {
+    Sample {
+        slot: SlotIndex(slot),
+        text: String::new(),
+        segments: vec![segment(version, 0, tokens)],
+        finish_reason: FinishReason::Stop,
+        reward_milli: 0,
+    }
+}
+
+fn plan(prompts: u32, samples_per_prompt: u32) -> StepPlan {
+    StepPlan {
+        prompts,
+        samples_per_prompt,
+        order: DrawOrder::LongestExpectedFirst,
+        max_copies: 1,
+        hedge_below_milli: 0,
+    }
+}
+
+fn drawn_slots(effects: &[Effect]) -> Vec<u32> {
+    let slot = |effect: &Effect| match effect {
+        Effect::Draw { slot, .. } => Some(slot.0),
+        Effect::Cancel { .. } => None,
+    };
+    effects.iter().filter_map(slot).collect()
+}
+
+fn batch(number: u32, samples: Vec<Sample>) -> SealedBatch {
+    SealedBatch { number, samples }
+}
+
+struct Record(Option<StepRecord>);
+
+impl Record {
+    fn change(&mut self, change: StepChange) -> StepResponse {
+        let applied = StepRecord::apply(self.0.as_ref(), &change);
+        self.0 = Some(applied.value);
+        applied.response
+    }
+
+    fn begin(&mut self, name: &str, slots: u32) -> StepResponse {
+        let coordinator = NodeId::new(name, 1);
+        self.change(StepChange::Begin { coordinator, slots })
+    }
+
+    fn seal(&mut self, term: u64, batch: SealedBatch) -> StepResponse {
+        self.change(StepChange::Seal { term, batch })
+    }
+}
+
+#[test]
+fn segments_follow_on_and_a_swap_opens_a_new_one() {
+    let mut segments = Vec::new();
+    assert!(append_segment(&mut segments, segment(1, 0, 4)));
+    assert!(append_segment(&mut segments, segment(1, 4, 6)));
+    assert!(append_segment(&mut segments, segment(2, 6, 8)));
+    assert!(!append_segment(&mut segments, segment(2, 9, 10)));
+    assert_eq!(segments, [segment(1, 0, 6), segment(2, 6, 8)]);
+}
+
+#[test]
+fn the_age_of_a_sample_is_that_of_its_oldest_segment() {
+    let mut mixed = sample(0, 5, 3);
+    mixed.segments.push(segment(4, 3, 6));
+    assert_eq!(mixed.oldest_version(), Some(4));
+    assert!(!mixed.is_within(5));
+}
+
+#[test]
+fn the_first_composition_of_a_batch_stands_and_no_slot_is_sealed_twice() {
+    let mut record = Record(None);
+    record.begin("a", 3);
+    let first = batch(0, vec![sample(0, 1, 1)]);
+    assert_eq!(record.seal(1, first.clone()), StepResponse::Sealed(first.clone()));
+    let rival = batch(0, vec![sample(1, 1, 1)]);
+    assert_eq!(record.seal(1, rival), StepResponse::Sealed(first));
+    let doubled = record.seal(1, batch(1, vec![sample(0, 1, 1)]));
+    assert_eq!(doubled, StepResponse::Refused(StepRefusal::AlreadyDelivered));
+    let skipped = record.seal(1, batch(2, vec![sample(2, 1, 1)]));
+    assert_eq!(skipped, StepResponse::Refused(StepRefusal::OutOfOrder { next: 1 }));
+}
+
+#[test]
+fn a_coordinator_that_was_replaced_is_fenced() {
+    let mut record = Record(None);
+    assert_matches!(record.begin("a", 2), StepResponse::Begun(step) if step.term == 1);
+    assert_matches!(record.begin("b", 2), StepResponse::Begun(step) if step.term == 2);
+    let late = record.seal(1, batch(0, vec![sample(0, 1, 1)]));
+    assert_matches!(late, StepResponse::Refused(StepRefusal::Fenced { .. }));
+    assert_matches!(record.begin("b", 3), StepResponse::Refused(StepRefusal::Mismatch { slots: 2 }));
+}
+
+#[test]
+fn a_higher_floor_withholds_what_went_stale_for_drawing_again() {
+    let mut record = Record(None);
+    record.begin("a", 2);
+    record.seal(1, batch(0, vec![sample(0, 1, 1), sample(1, 2, 1)]));
+    let withheld = record.change(StepChange::Withhold { term: 1, number: 0, floor: 2 });
+    assert_matches!(withheld, StepResponse::Sealed(batch) if batch.samples.len() == 1);
+    let early = record.change(StepChange::Complete { number: 0, expires: 0 });
+    assert_eq!(early, StepResponse::Refused(StepRefusal::Unfinished));
+    assert_matches!(record.seal(1, batch(1, vec![sample(0, 2, 1)])), StepResponse::Sealed(_));
+    let complete = StepChange::Complete { number: 1, expires: 0 };
+    assert_eq!(record.change(complete.clone()), StepResponse::Completed);
+    assert_eq!(record.change(complete), StepResponse::Completed);
+    assert_eq!(record.begin("b", 2), StepResponse::Refused(StepRefusal::Complete));
+}
+
+#[test]
+fn one_sample_of_each_prompt_is_drawn_first_and_then_the_longest_prompts() {
+    let mut coordinator = StepCoordinator::new(plan(3, 2), SlotSet::new());
+    let first = coordinator.schedule(Moment::ZERO, 3);
+    assert_eq!(drawn_slots(&first), [0, 2, 4]);
+    for (draw, (slot, tokens)) in [(0, 10), (2, 90), (4, 50)].into_iter().enumerate() {
+        coordinator.on_drawn(DrawId(draw as u64), sample(slot, 1, tokens));
+    }
+    assert_eq!(drawn_slots(&coordinator.schedule(Moment::ZERO, 3)), [3, 5, 1]);
+}
+
+#[test]
+fn a_hedge_fills_the_slot_once_and_the_slower_copy_is_cancelled() {
+    let hedged = StepPlan { max_copies: 2, hedge_below_milli: 1000, ..plan(1, 2) };
+    let mut coordinator = StepCoordinator::new(hedged, SlotSet::new());
+    let effects = coordinator.schedule(Moment::ZERO, 4);
+    assert_eq!(drawn_slots(&effects), [0, 1, 0, 1]);
+    let cancelled = coordinator.on_drawn(DrawId(2), sample(0, 1, 7));
+    assert_eq!(cancelled, [Effect::Cancel { draw: DrawId(0) }]);
+    assert_eq!(coordinator.on_drawn(DrawId(0), sample(0, 1, 7)), []);
+    assert_eq!((coordinator.ready(), coordinator.wasted_tokens()), (1, 7));
+}
+
+#[test]
+fn samples_below_the_floor_are_not_composed_but_drawn_again() {
+    let mut coordinator = StepCoordinator::new(plan(2, 1), SlotSet::new());
+    coordinator.schedule(Moment::ZERO, 2);
+    coordinator.on_drawn(DrawId(0), sample(0, 1, 1));
+    coordinator.on_drawn(DrawId(1), sample(1, 2, 1));
+    assert_eq!(coordinator.compose(Moment::ZERO, 2, 2), Composition::NotYet);
+    assert_eq!(drawn_slots(&coordinator.schedule(Moment::ZERO, 2)), [0]);
+    coordinator.on_drawn(DrawId(2), sample(0, 2, 1));
+    let composed = coordinator.compose(Moment::ZERO, 2, 2);
+    assert_matches!(&composed, Composition::Ready(samples) if samples.len() == 2);
+    let Composition::Ready(samples) = composed else { return };
+    coordinator.on_sealed(&samples);
+    assert_eq!(coordinator.compose(Moment::ZERO, 2, 2), Composition::Exhausted);
+}
+
+#[test]
+fn a_failed_draw_is_tried_again() {
+    let mut coordinator = StepCoordinator::new(plan(1, 1), SlotSet::new());
+    coordinator.schedule(Moment::ZERO, 1);
+    coordinator.on_failed(Moment::ZERO, DrawId(0));
+    assert!(coordinator.schedule(Moment::ZERO, 1).is_empty());
+    let later = Moment::from_secs(1);
+    assert_eq!(drawn_slots(&coordinator.schedule(later, 1)), [0]);
+}
+
+#[test]
+fn a_new_coordinator_draws_only_what_is_not_delivered() {
+    let mut delivered = SlotSet::new();
+    delivered.insert(SlotIndex(0));
+    let mut coordinator = StepCoordinator::new(plan(2, 1), delivered);
+    assert_eq!(drawn_slots(&coordinator.schedule(Moment::ZERO, 9)), [1]);
+}
--- /dev/null
+++ b/crates/heronbend/src/weights/tests.rs
@@ -0,0 +1,70 @@
+use std::time::Duration;
+
+use super::*;
+use crate::identity::{Incarnation, NodeId};
+use crate::lifecycle::BackendName;
+use crate::register::Cell;
+use crate::Moment;
+
+fn name(index: usize) -> BackendName {
+    BackendName(format!("engine-{index}"))
+}
+
+fn rollout(engines: usize) -> VersionRollout {
+    let mut rollout = VersionRollout::new(0.5);
+    for index in 0..engines {
+        rollout.observe(&name(index), Incarnation(1), Some(1));
+    }
+    rollout
+}
+
+#[test]
+fn waves_keep_the_serving_floor() {
+    let mut rollout = rollout(5);
+    rollout.publish(2);
+    let wave = rollout.tick(Moment::ZERO);
+    assert_eq!(wave.len(), 2);
+    assert!(rollout.tick(Moment::ZERO).is_empty());
+    rollout.on_result(Moment::ZERO, &wave[0], OrderResult::Loaded);
+    assert_eq!(rollout.tick(Moment::ZERO).len(), 1);
+}
+
+#[test]
+fn a_failed_load_is_ordered_again_later_and_does_not_count_as_loaded() {
+    let mut rollout = rollout(1);
+    rollout.publish(2);
+    let wave = rollout.tick(Moment::ZERO);
+    rollout.on_result(Moment::ZERO, &wave[0], OrderResult::Failed);
+    assert_eq!(rollout.up_to_date(), 0);
+    assert!(rollout.tick(Moment::ZERO).is_empty());
+    assert_eq!(rollout.tick(Duration::from_secs(1)), wave);
+}
+
+#[test]
+fn an_older_version_is_not_rolled_out_after_a_newer() {
+    let mut rollout = rollout(1);
+    rollout.publish(3);
+    rollout.publish(2);
+    assert_eq!(rollout.tick(Moment::ZERO)[0].version, 3);
+}
+
+#[test]
+fn a_restarted_engine_is_ordered_at_once() {
+    let mut rollout = rollout(1);
+    rollout.publish(2);
+    rollout.tick(Moment::ZERO);
+    rollout.observe(&name(0), Incarnation(2), None);
+    assert_eq!(rollout.tick(Moment::ZERO).len(), 1);
+}
+
+#[test]
+fn each_new_holder_gets_a_higher_token() {
+    let ask = |current: Option<&Fence>, holder: u64| {
+        let holder = NodeId::new("daemon", holder);
+        Fence::apply(current, &FenceChange { holder }).value
+    };
+    let first = ask(None, 1);
+    let same = ask(Some(&first), 1);
+    let second = ask(Some(&same), 2);
+    assert_eq!((first.token, same.token, second.token), (1, 1, 2));
+}
