--- /dev/null
+++ b/crates/heronbend-emulator/src/service.rs
@@ -0,0 +1,80 @@
+//! Running one stand-in: an HTTP listener on one thread.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use heronbend::identity::Incarnation;
+use heronbend_http::http_types::{Request, Response, StatusCode};
+use heronbend_http::{error_response, read_body, Connections, Outcome, ServerLimits};
+use serde::de::DeserializeOwned;
+use smol::net::TcpListener;
+use smol::LocalExecutor;
+
+/// Largest body that a stand-in reads, in bytes.
+pub const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// An executor shared by the tasks of one thread.
+pub type Executor = Rc<LocalExecutor<'static>>;
+
+/// Serves requests until the process is ended. `start` runs first, on the same thread.
+pub fn serve<H, F>(
+    listen: SocketAddr,
+    start: impl FnOnce(&Executor, SocketAddr) -> anyhow::Result<H>,
+) -> anyhow::Result<()>
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response> + 'static,
+{
+    let executor: Executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let handler = start(&executor, address)?;
+        let limits = ServerLimits {
+            max_body_bytes: MAX_BODY_BYTES,
+            ..ServerLimits::default()
+        };
+        Connections::default()
+            .serve(executor.clone(), listener, limits, handler)
+            .await?;
+        Ok(())
+    }))
+}
+
+/// Reads a JSON body, or gives the answer that says why it could not be read.
+pub async fn read_json<T: DeserializeOwned>(request: &mut Request) -> Result<T, Response> {
+    let bytes = read_body(request, MAX_BODY_BYTES, BODY_TIMEOUT)
+        .await
+        .map_err(|error| error.response())?;
+    serde_json::from_slice(&bytes).map_err(|error| bad_request("invalid_json", &error.to_string()))
+}
+
+/// A refusal with status 400.
+pub fn bad_request(code: &str, message: &str) -> Response {
+    error_response(StatusCode::BadRequest, code, message, Outcome::NotRun)
+}
+
+/// A refusal with status 404.
+pub fn not_found(path: &str) -> Response {
+    let message = format!("there is nothing at {path}");
+    error_response(StatusCode::NotFound, "not_found", message, Outcome::NotRun)
+}
+
+/// An incarnation for a process that starts now.
+pub fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since_epoch.map_or(0, |elapsed| elapsed.as_millis());
+    Incarnation(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
+/// A query parameter of a request.
+pub fn query_value(request: &Request, name: &str) -> Option<String> {
+    request
+        .url()
+        .query_pairs()
+        .find(|(key, _)| key == name)
+        .map(|(_, value)| value.into_owned())
+}
--- a/crates/heronbend-http/src/stream_body.rs
+++ b/crates/heronbend-http/src/stream_body.rs
@@ -6,7 +6,7 @@
 
 use futures_lite::{AsyncBufRead, AsyncRead, Stream};
 use http_types::Body;
-use smol::channel::{bounded, Receiver, Sender};
+use smol::channel::{bounded, Receiver, Sender, TrySendError};
 
 /// Parts that may wait in the channel before the feeding task is held back.
 const CAPACITY: usize = 64;
@@ -20,12 +20,37 @@
 #[error("the client is gone")]
 pub struct ClientGone;
 
+/// What became of a part that was sent without waiting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendState {
+    /// It is on its way.
+    Sent,
+    /// The client reads too slowly; try again later.
+    Full,
+    /// The client has closed the connection.
+    ClientGone,
+}
+
 impl BodySender {
     /// Sends the next part; waits while the channel is full.
     pub async fn send(&self, part: Vec<u8>) -> Result<(), ClientGone> {
         self.0.send(Ok(part)).await.map_err(|_| ClientGone)
     }
 
+    /// Sends the next part unless that would wait.
+    pub fn try_send(&self, part: Vec<u8>) -> SendState {
+        match self.0.try_send(Ok(part)) {
+            Ok(()) => SendState::Sent,
+            Err(TrySendError::Full(_)) => SendState::Full,
+            Err(TrySendError::Closed(_)) => SendState::ClientGone,
+        }
+    }
+
+    /// Like [`BodySender::abort`], unless that would wait.
+    pub fn try_abort(&self, reason: &str) {
+        let _ = self.0.try_send(Err(io::Error::other(reason.to_owned())));
+    }
+
     /// Ends the body as cut: the connection is closed without its terminator.
     pub async fn abort(&self, reason: &str) {
         let _ = self.0.send(Err(io::Error::other(reason.to_owned()))).await;
--- a/crates/heronbend/src/lib.rs
+++ b/crates/heronbend/src/lib.rs
@@ -14,8 +14,10 @@
 //! - [`lifecycle`]: live and leaving back ends.
 //! - [`routing`]: which back end serves a request.
 //! - [`admission`]: caller limits and the retry budget.
+//! - [`external`]: message types of the outside systems.
 
 pub mod admission;
+pub mod external;
 pub mod identity;
 pub mod lifecycle;
 pub mod membership;
--- a/crates/heronbend/src/rollout/sample.rs
+++ b/crates/heronbend/src/rollout/sample.rs
@@ -43,6 +43,8 @@
 pub struct Sample {
     /// Its place in the step.
     pub slot: SlotIndex,
+    /// Seed of the sampling.
+    pub seed: u64,
     /// The generated text.
     pub text: String,
     /// What produced it, in order and without gaps.
--- a/crates/heronbend/src/rollout/tests.rs
+++ b/crates/heronbend/src/rollout/tests.rs
@@ -20,6 +20,7 @@
 fn sample(slot: u32, version: u64, tokens: u32) -> Sample {
     Sample {
         slot: SlotIndex(slot),
+        seed: 0,
         text: String::new(),
         segments: vec![segment(version, 0, tokens)],
         finish_reason: FinishReason::Stop,
