--- /dev/null
+++ b/crates/heronbend-daemon/src/cli/drain.rs
@@ -0,0 +1,30 @@
+//! `heronbend drain`.
+
+use std::process::ExitCode;
+
+use clap::Args;
+
+use super::Target;
+use crate::admin::DrainRequest;
+
+/// Flags of `drain`.
+#[derive(Args)]
+pub struct DrainArguments {
+    /// Name of a back end, or of the daemon asked.
+    node: String,
+    #[command(flatten)]
+    target: Target,
+}
+
+/// Drains a node.
+pub fn run(arguments: &DrainArguments) -> anyhow::Result<ExitCode> {
+    let order = DrainRequest { node: arguments.node.clone() };
+    let (status, bytes) = arguments.target.post("/admin/drain", &order)?;
+    anyhow::ensure!(
+        status.is_success(),
+        "the daemon answered {status}: {}",
+        String::from_utf8_lossy(&bytes)
+    );
+    println!("{} is draining", arguments.node);
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/heronbend-daemon/src/duties/backends.rs
@@ -0,0 +1,257 @@
+//! Knows the back ends: the platform's list, their own reports, operators and rumours.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use heronbend::external::engine::EngineStatus;
+use heronbend::external::platform::{Machine, MachineKind};
+use heronbend::identity::NodeId;
+use heronbend::lifecycle::{
+    Backend, BackendName, Lifecycle, Phase, Signal, SignalSource, StatedPhase,
+};
+use heronbend::membership::{Liveness, Member};
+use heronbend::routing::LoadReport;
+use heronbend_http::http_types::{Method, Request, Url};
+use heronbend_http::Client;
+use smol::Timer;
+
+use super::Executor;
+use crate::platform_client::PlatformClient;
+use crate::shared::{BackendTable, BackendsInput, KnownBackend, MembershipInput, Shared};
+
+const LIST_INTERVAL: Duration = Duration::from_millis(500);
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1000);
+const MAX_REPORT_BYTES: usize = 1 << 16;
+const REGISTER_INTERVAL: Duration = Duration::from_secs(1);
+
+#[derive(Default)]
+struct State {
+    lifecycle: Lifecycle,
+    listed: BTreeMap<BackendName, Backend>,
+    reports: BTreeMap<BackendName, EngineStatus>,
+    generation: u64,
+}
+
+/// An event of the back-ends duty.
+enum Event {
+    Input(BackendsInput),
+    Report(BackendName, EngineStatus),
+}
+
+/// Runs until the process ends.
+pub async fn run(shared: Arc<Shared>, executor: Executor) {
+    let platform = PlatformClient::new(shared.identity.platform);
+    let (events, inbox) = smol::channel::bounded(1024);
+    executor.spawn(keep_registered(shared.clone(), platform.clone())).detach();
+    executor.spawn(keep_listing(shared.clone(), platform)).detach();
+    executor.spawn(keep_asking(shared.clone(), executor.clone(), events.clone())).detach();
+    let forwarding = shared.clone();
+    executor
+        .spawn(async move {
+            while let Ok(input) = forwarding.backends_ring.receiver.recv().await {
+                let _ = events.send(Event::Input(input)).await;
+            }
+        })
+        .detach();
+    let mut state = State::default();
+    while let Ok(event) = inbox.recv().await {
+        if state.take(&shared, event) {
+            state.publish(&shared);
+        }
+    }
+}
+
+impl State {
+    /// Takes an event in; whether the table has changed.
+    fn take(&mut self, shared: &Shared, event: Event) -> bool {
+        match event {
+            Event::Input(BackendsInput::Listed(backends, phases)) => {
+                let mut changed = false;
+                for stated in phases {
+                    changed |= self.observe(shared, SignalSource::MachineList, stated);
+                }
+                let listed: BTreeMap<_, _> =
+                    backends.into_iter().map(|backend| (backend.name.clone(), backend)).collect();
+                changed |= listed != self.listed;
+                self.listed = listed;
+                changed
+            }
+            Event::Input(BackendsInput::Signal(Signal { source, stated })) => {
+                self.observe(shared, source, stated)
+            }
+            Event::Report(name, status) => {
+                let stated = StatedPhase {
+                    name: name.clone(),
+                    incarnation: status.incarnation,
+                    phase: status.phase,
+                };
+                self.observe(shared, SignalSource::BackendReport, stated);
+                self.reports.insert(name, status);
+                true
+            }
+        }
+    }
+
+    fn observe(&mut self, shared: &Shared, source: SignalSource, stated: StatedPhase) -> bool {
+        let Some(change) = self.lifecycle.observe(shared.now(), Signal { source, stated }) else {
+            return false;
+        };
+        let stated = change.stated;
+        log::info!(
+            "event=backend_phase backend={} phase={:?} source={:?}",
+            stated.name,
+            stated.phase,
+            change.source
+        );
+        if source != SignalSource::MachineList && stated.phase >= Phase::Leaving {
+            let rumour = MembershipInput::SpreadBackend(stated);
+            let _ = shared.membership.sender.try_send(rumour);
+        }
+        true
+    }
+
+    fn publish(&mut self, shared: &Shared) {
+        self.generation += 1;
+        let backends: Vec<_> = self.listed.values().map(|backend| self.known(backend)).collect();
+        let live = backends.iter().filter(|known| known.phase == Phase::Live).count();
+        shared.metrics.backends_live.set(live as i64);
+        shared.backends.store(Arc::new(BackendTable { generation: self.generation, backends }));
+    }
+
+    fn known(&self, backend: &Backend) -> KnownBackend {
+        let report = self
+            .reports
+            .get(&backend.name)
+            .filter(|report| report.incarnation == backend.incarnation);
+        KnownBackend {
+            backend: backend.clone(),
+            phase: self.lifecycle.phase(&backend.name, backend.incarnation),
+            report: report.map_or_else(LoadReport::default, |report| LoadReport {
+                running: report.running,
+                waiting: report.waiting,
+                version: report.version,
+            }),
+            model: report.map(|report| report.model.clone()).unwrap_or_default(),
+        }
+    }
+}
+
+/// Reads the list of machines again and again. While the platform is down the last list stands.
+async fn keep_listing(shared: Arc<Shared>, platform: PlatformClient) {
+    let mut known_version = None;
+    loop {
+        match platform.machines().await {
+            Ok(list) if known_version != Some(list.version) => {
+                known_version = Some(list.version);
+                learn_list(&shared, list.machines);
+            }
+            Ok(_) => {}
+            Err(error) => log::debug!("event=list_failed error={error}"),
+        }
+        Timer::after(LIST_INTERVAL).await;
+    }
+}
+
+fn learn_list(shared: &Shared, machines: Vec<Machine>) {
+    let mut backends = Vec::new();
+    let mut phases = Vec::new();
+    for machine in machines {
+        if machine.kind == MachineKind::Daemon {
+            learn_daemon(shared, machine);
+            continue;
+        }
+        let name = BackendName(machine.name);
+        phases.push(StatedPhase {
+            name: name.clone(),
+            incarnation: machine.incarnation,
+            phase: machine.phase,
+        });
+        backends.push(Backend {
+            name,
+            incarnation: machine.incarnation,
+            pool: machine.pool,
+            address: machine.address,
+            zone: machine.zone,
+        });
+    }
+    let input = BackendsInput::Listed(backends, phases);
+    let _ = shared.backends_ring.sender.try_send(input);
+}
+
+fn learn_daemon(shared: &Shared, machine: Machine) {
+    let Some(address) = machine.peer_address else {
+        return;
+    };
+    if machine.phase != Phase::Live {
+        return;
+    }
+    let member = Member {
+        id: NodeId::new(&machine.name, machine.incarnation.0),
+        address,
+        http_address: machine.address,
+        zone: machine.zone,
+        region: machine.region,
+        refutation: 0,
+        liveness: Liveness::Alive,
+    };
+    let _ = shared.membership.sender.try_send(MembershipInput::Learn(member));
+}
+
+/// Asks every listed back end for its status, all at once, at an interval.
+async fn keep_asking(
+    shared: Arc<Shared>,
+    executor: Executor,
+    events: smol::channel::Sender<Event>,
+) {
+    let client = Client::new();
+    loop {
+        Timer::after(REPORT_INTERVAL).await;
+        let table = shared.backends.load_full();
+        for known in &table.backends {
+            let backend = known.backend.clone();
+            let (client, events) = (client.clone(), events.clone());
+            executor
+                .spawn(async move {
+                    if let Some(status) = ask(&client, &backend).await {
+                        let _ = events.try_send(Event::Report(backend.name, status));
+                    }
+                })
+                .detach();
+        }
+    }
+}
+
+async fn ask(client: &Client, backend: &Backend) -> Option<EngineStatus> {
+    let url = Url::parse(&format!("http://{}/status", backend.address)).ok()?;
+    let request = Request::new(Method::Get, url);
+    let (status, bytes) =
+        client.fetch(backend.address, request, REPORT_TIMEOUT, MAX_REPORT_BYTES).await.ok()?;
+    if !status.is_success() {
+        return None;
+    }
+    serde_json::from_slice(&bytes).ok()
+}
+
+/// Keeps this daemon's own entry in the list of machines.
+async fn keep_registered(shared: Arc<Shared>, platform: PlatformClient) {
+    let identity = &shared.identity;
+    loop {
+        let machine = Machine {
+            name: identity.node.name.0.clone(),
+            kind: MachineKind::Daemon,
+            incarnation: identity.node.incarnation,
+            pool: String::new(),
+            address: identity.http_address,
+            peer_address: Some(identity.peer_address),
+            zone: identity.zone.clone(),
+            region: identity.region.clone(),
+            phase: if shared.is_draining() { Phase::Leaving } else { Phase::Live },
+        };
+        if let Err(error) = platform.register(&machine).await {
+            log::debug!("event=registration_failed error={error}");
+        }
+        Timer::after(REGISTER_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/heronbend-daemon/src/duties/membership.rs
@@ -0,0 +1,128 @@
+//! Drives the failure detector over UDP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use heronbend::lifecycle::{Signal, SignalSource};
+use heronbend::membership::{Detector, DetectorConfig, Effect, Gossip, Liveness};
+use smol::net::UdpSocket;
+use smol::Timer;
+
+use super::register::RegisterCall;
+use crate::shared::{BackendsInput, MembershipInput, Shared};
+
+const TICK: Duration = Duration::from_millis(50);
+const MAX_DATAGRAM_BYTES: usize = 2048;
+
+enum Event {
+    Tick,
+    Datagram(SocketAddr, Gossip),
+    Input(MembershipInput),
+    Nothing,
+}
+
+/// Runs until the process ends.
+pub async fn run(shared: Arc<Shared>, socket: UdpSocket) {
+    let seed = shared.unique_number();
+    let me = shared.identity.member();
+    let mut detector = Detector::new(DetectorConfig::default(), me, seed);
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut next_tick = Timer::interval(TICK);
+    loop {
+        let event = {
+            let tick = async {
+                futures_lite::StreamExt::next(&mut next_tick).await;
+                Event::Tick
+            };
+            let input = async {
+                match shared.membership.receiver.recv().await {
+                    Ok(input) => Event::Input(input),
+                    Err(_) => Event::Nothing,
+                }
+            };
+            let datagram = async {
+                match socket.recv_from(&mut buffer).await {
+                    Ok((length, source)) => decode(&buffer[..length], source),
+                    Err(_) => Event::Nothing,
+                }
+            };
+            tick.or(input).or(datagram).await
+        };
+        let now = shared.now();
+        detector.set_head(shared.head());
+        let effects = match event {
+            Event::Tick => {
+                shared.tick();
+                detector.tick(now)
+            }
+            Event::Datagram(_, gossip) if shared.failpoints.drops_from(&gossip.from.id.name) => {
+                continue;
+            }
+            Event::Datagram(source, gossip) => detector.receive(now, source, gossip),
+            Event::Input(MembershipInput::Learn(member)) => detector.learn(now, member),
+            Event::Input(MembershipInput::SpreadBackend(stated)) => {
+                detector.spread_backend(stated);
+                Vec::new()
+            }
+            Event::Input(MembershipInput::Leave) => detector.leave(now),
+            Event::Nothing => continue,
+        };
+        apply(&shared, &detector, &socket, effects).await;
+    }
+}
+
+fn decode(bytes: &[u8], source: SocketAddr) -> Event {
+    match musli::wire::from_slice(bytes) {
+        Ok(gossip) => Event::Datagram(source, gossip),
+        Err(error) => {
+            log::debug!("event=datagram_unreadable source={source} error={error}");
+            Event::Nothing
+        }
+    }
+}
+
+async fn apply(shared: &Shared, detector: &Detector, socket: &UdpSocket, effects: Vec<Effect>) {
+    let mut changed = false;
+    for effect in effects {
+        match effect {
+            Effect::Send { to, gossip } => send(shared, socket, to, &gossip).await,
+            Effect::Changed(change) => {
+                let member = change.member;
+                log::info!(
+                    "event=member_changed member={} liveness={:?}",
+                    member.id,
+                    member.liveness
+                );
+                changed = true;
+            }
+            Effect::Backend(stated) => {
+                let source = SignalSource::Peer;
+                let signal = BackendsInput::Signal(Signal { source, stated });
+                let _ = shared.backends_ring.sender.try_send(signal);
+            }
+            Effect::Behind { peer, .. } => {
+                let _ = shared.register.sender.try_send(RegisterCall::FetchControl { peer });
+            }
+        }
+    }
+    if changed {
+        let members: Vec<_> = detector.members().cloned().collect();
+        let alive = members.iter().filter(|member| member.liveness == Liveness::Alive).count();
+        shared.metrics.members_alive.set(alive as i64 + 1);
+        shared.members.store(Arc::new(members));
+    }
+}
+
+async fn send(shared: &Shared, socket: &UdpSocket, to: SocketAddr, gossip: &Gossip) {
+    let members = shared.members.load();
+    let peer = members.iter().find(|member| member.address == to);
+    if peer.is_some_and(|peer| shared.failpoints.drops_to(&peer.id.name)) {
+        return;
+    }
+    if let Ok(bytes) = musli::wire::to_vec(gossip) {
+        shared.metrics.peer_bytes_sent.inc_by(bytes.len() as u64);
+        let _ = socket.send_to(&bytes, to).await;
+    }
+}
--- /dev/null
+++ b/crates/heronbend-daemon/src/duties/settings.rs
@@ -0,0 +1,266 @@
+//! Keeps settings in force: reads, watches, takes over from peers, and accepts edits.
+//!
+//! Few daemons watch the store: the first [`READERS_PER_REGION`] alive of each region. The others
+//! learn of a new revision by gossip and fetch it from a peer.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use heronbend::external::platform::{Versioned, SETTINGS_OBJECT};
+use heronbend::membership::Liveness;
+use heronbend::settings::{EditConflict, NodeEdit, Policy, SettingsObject};
+use serde::{Deserialize, Serialize};
+use smol::channel::{bounded, Sender};
+use smol::Timer;
+use thiserror::Error;
+
+use super::register::RegisterCall;
+use super::Executor;
+use crate::platform_client::{PlatformClient, PlatformError};
+use crate::shared::{SettingsInForce, Shared};
+
+/// Daemons of a region that watch the store.
+const READERS_PER_REGION: usize = 2;
+const RETRY_DELAY: Duration = Duration::from_millis(250);
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(100);
+const EDIT_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// An edit as an operator sends it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct EditRequest {
+    /// Identifier chosen by the operator's tool; sending it again is harmless.
+    pub id: String,
+    /// The changes.
+    pub edits: Vec<NodeEdit>,
+}
+
+/// Why an edit was not accepted, or is not known to be.
+#[derive(Debug, Clone, Error, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EditError {
+    /// The edit contradicts the settings; nothing was changed.
+    #[error(transparent)]
+    Conflict(EditConflict),
+    /// The store could not be reached; nothing was changed.
+    #[error("the store cannot be reached; nothing was changed")]
+    StoreDown,
+    /// The store may have taken the edit: send it again under the same identifier.
+    #[error("whether the store took the edit is unknown; send it again under the same identifier")]
+    Unknown,
+}
+
+/// An input of the settings duty.
+#[derive(Debug)]
+pub enum SettingsCall {
+    /// A peer's settings.
+    Offer(SettingsObject),
+    /// An operator's edit; the answer is the revision.
+    Edit {
+        /// The edit.
+        request: EditRequest,
+        /// Where the result goes.
+        reply: Sender<Result<u64, EditError>>,
+    },
+}
+
+/// Runs until the process ends.
+pub async fn run(shared: Arc<Shared>, executor: Executor, seeds: Vec<SocketAddr>) {
+    let platform = PlatformClient::new(shared.identity.platform);
+    executor.spawn(keep_watching(shared.clone(), platform.clone())).detach();
+    executor.spawn(keep_confirmed(shared.clone(), platform.clone(), seeds)).detach();
+    while let Ok(call) = shared.settings_ring.receiver.recv().await {
+        match call {
+            SettingsCall::Offer(object) => adopt(&shared, object),
+            SettingsCall::Edit { request, reply } => {
+                let (shared, platform) = (shared.clone(), platform.clone());
+                executor
+                    .spawn(async move {
+                        let result = accept_edit(&shared, &platform, &request).await;
+                        let _ = reply.try_send(result);
+                    })
+                    .detach();
+            }
+        }
+    }
+}
+
+/// Asks the settings duty to make an edit. For any thread.
+pub async fn edit_settings(shared: &Shared, request: EditRequest) -> Result<u64, EditError> {
+    let (reply, result) = bounded(1);
+    let call = SettingsCall::Edit { request, reply };
+    if shared.settings_ring.sender.try_send(call).is_err() {
+        return Err(EditError::StoreDown);
+    }
+    result.recv().await.unwrap_or(Err(EditError::Unknown))
+}
+
+/// Puts a newer revision in force. An older one, or one that is not valid, is not taken over.
+fn adopt(shared: &Shared, object: SettingsObject) {
+    let known = shared.settings.load();
+    let is_newer = known.as_ref().is_none_or(|known| object.revision > known.object.revision);
+    if !is_newer || object.revision == 0 {
+        return;
+    }
+    if let Err(findings) = object.tree.validate("store") {
+        log::error!(
+            "event=settings_invalid revision={} findings={:?}",
+            object.revision,
+            findings.0
+        );
+        return;
+    }
+    let policy = Policy::compile(&object.tree, object.revision);
+    log::info!("event=settings_in_force revision={}", object.revision);
+    shared.metrics.settings_revision.set(object.revision as i64);
+    shared.settings.store(Some(Arc::new(SettingsInForce { object, policy })));
+}
+
+/// Reads the store's settings and puts them in force; the object's version.
+async fn read_store(shared: &Shared, platform: &PlatformClient) -> Result<u64, PlatformError> {
+    shared.metrics.store_reads.inc();
+    let stored: Option<Versioned<SettingsObject>> = platform.read(SETTINGS_OBJECT).await?;
+    let version = stored.as_ref().map_or(0, |stored| stored.version);
+    if let Some(stored) = stored {
+        adopt(shared, stored.value);
+    }
+    Ok(version)
+}
+
+fn is_reader(shared: &Shared) -> bool {
+    let identity = &shared.identity;
+    shared
+        .alive_nodes()
+        .iter()
+        .filter(|(_, _, region)| *region == identity.region)
+        .take(READERS_PER_REGION)
+        .any(|(name, _, _)| *name == identity.node.name)
+}
+
+async fn keep_watching(shared: Arc<Shared>, platform: PlatformClient) {
+    let mut version = None;
+    loop {
+        if !is_reader(&shared) && shared.settings.load().is_some() {
+            version = None;
+            Timer::after(RETRY_DELAY).await;
+            continue;
+        }
+        let result = match version {
+            None => read_store(&shared, &platform).await.map(Some),
+            Some(0) => {
+                Timer::after(RETRY_DELAY).await;
+                Ok(None)
+            }
+            Some(after) => watch_store(&shared, &platform, after).await.map(Some),
+        };
+        match result {
+            Ok(next) => version = next,
+            Err(error) => {
+                log::debug!("event=settings_watch_failed error={error}");
+                Timer::after(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn watch_store(
+    shared: &Shared,
+    platform: &PlatformClient,
+    after: u64,
+) -> Result<u64, PlatformError> {
+    shared.metrics.store_reads.inc();
+    let changed: Option<Versioned<SettingsObject>> = platform.watch(SETTINGS_OBJECT, after).await?;
+    let Some(changed) = changed else {
+        return Ok(after);
+    };
+    adopt(shared, changed.value);
+    Ok(changed.version)
+}
+
+/// After a pause, and at the start with the store down, confirms the settings: by the store, or by
+/// the newest revision that a majority of the known daemons hold.
+async fn keep_confirmed(shared: Arc<Shared>, platform: PlatformClient, seeds: Vec<SocketAddr>) {
+    loop {
+        Timer::after(CONFIRM_INTERVAL).await;
+        let is_confirmed = shared.settings_confirmed.load(Ordering::Acquire);
+        if is_confirmed && shared.settings.load().is_some() {
+            continue;
+        }
+        let confirmed = match read_store(&shared, &platform).await {
+            Ok(_) => true,
+            Err(_) => survey_peers(&shared, &seeds).await,
+        };
+        if confirmed && !is_confirmed {
+            shared.settings_confirmed.store(true, Ordering::Release);
+            log::info!("event=settings_confirmed revision={}", shared.head().settings_revision);
+        }
+    }
+}
+
+/// Takes over the newest settings of the known daemons; whether a majority of them replied.
+async fn survey_peers(shared: &Shared, seeds: &[SocketAddr]) -> bool {
+    let mut peers: Vec<SocketAddr> = shared
+        .members
+        .load()
+        .iter()
+        .filter(|member| member.liveness <= Liveness::Suspect)
+        .map(|member| member.address)
+        .chain(seeds.iter().copied())
+        .collect();
+    peers.sort();
+    peers.dedup();
+    let known = peers.len() + 1;
+    let (reply, result) = bounded(1);
+    let call = RegisterCall::Survey { peers, reply };
+    if shared.register.sender.try_send(call).is_err() {
+        return false;
+    }
+    let replied = result.recv().await.unwrap_or(0);
+    replied > 0 && replied + 1 > known / 2
+}
+
+/// Makes an edit by compare-and-swap, and resolves a lost answer by reading back.
+async fn accept_edit(
+    shared: &Shared,
+    platform: &PlatformClient,
+    request: &EditRequest,
+) -> Result<u64, EditError> {
+    let deadline = Instant::now() + EDIT_TIMEOUT;
+    let mut may_be_taken = false;
+    while Instant::now() < deadline {
+        shared.metrics.store_reads.inc();
+        let stored = match platform.read::<SettingsObject>(SETTINGS_OBJECT).await {
+            Ok(stored) => stored,
+            Err(_) => {
+                Timer::after(RETRY_DELAY).await;
+                continue;
+            }
+        };
+        let (version, object) = match stored {
+            Some(stored) => (stored.version, stored.value),
+            None => (0, SettingsObject::default()),
+        };
+        if let Some(edit) = object.edits.iter().find(|edit| edit.id == request.id) {
+            let revision = edit.revision;
+            adopt(shared, object);
+            return Ok(revision);
+        }
+        let next =
+            object.apply(&request.id, &request.edits, "edit").map_err(EditError::Conflict)?;
+        match platform.write(SETTINGS_OBJECT, version, &next).await {
+            Ok(()) => {
+                let revision = next.revision;
+                adopt(shared, next);
+                return Ok(revision);
+            }
+            Err(PlatformError::Conflict) => {}
+            Err(error) => {
+                log::info!("event=edit_unanswered id={} error={error}", request.id);
+                may_be_taken |= matches!(error, PlatformError::NoAnswer(_));
+                Timer::after(RETRY_DELAY).await;
+            }
+        }
+    }
+    Err(if may_be_taken { EditError::Unknown } else { EditError::StoreDown })
+}
--- /dev/null
+++ b/crates/heronbend-daemon/src/duties/weights.rs
@@ -0,0 +1,182 @@
+//! Rolls weight versions out: watches the weight store and sends fenced orders.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use heronbend::external::engine::{Order, OrderAction, OrderDone, CODE_FENCED};
+use heronbend::lifecycle::{Backend, Phase};
+use heronbend::record::{fence_key, RecordChange, RecordResponse};
+use heronbend::weights::{FenceChange, LoadOrder, OrderResult, VersionRollout};
+use heronbend_http::http_types::{Method, Request, StatusCode, Url};
+use heronbend_http::{Client, ErrorBody};
+use smol::Timer;
+
+use super::register::change_register;
+use super::Executor;
+use crate::platform_client::PlatformClient;
+use crate::shared::Shared;
+
+const TICK: Duration = Duration::from_millis(50);
+/// Ticks between two looks into the weight store.
+const TICKS_PER_LOOK: u64 = 4;
+const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
+const MAX_ANSWER_BYTES: usize = 1 << 16;
+
+/// The rollout of one model, while this daemon paces it.
+struct Pacing {
+    fence: u64,
+    rollout: VersionRollout,
+}
+
+type Pacings = Rc<RefCell<BTreeMap<String, Pacing>>>;
+
+/// Runs until the process ends.
+pub async fn run(shared: Arc<Shared>, executor: Executor) {
+    let platform = PlatformClient::new(shared.identity.platform);
+    let client = Client::new();
+    let pacings = Pacings::default();
+    let mut ticks = 0_u64;
+    loop {
+        Timer::after(TICK).await;
+        ticks += 1;
+        if !shared.is_first_alive() || shared.is_draining() {
+            pacings.borrow_mut().clear();
+            continue;
+        }
+        let Some(settings) = shared.settings.load_full() else {
+            continue;
+        };
+        for model in settings.policy.models.values() {
+            let floor = settings.policy.pools[&model.pool].serving_floor;
+            if !ensure_fence(&shared, &pacings, &model.name, floor).await {
+                continue;
+            }
+            if ticks % TICKS_PER_LOOK == 0 {
+                if let Ok(versions) = platform.versions(&model.name).await {
+                    with(&pacings, &model.name, |pacing| {
+                        if let Some(latest) = versions.latest {
+                            pacing.rollout.publish(latest);
+                        }
+                    });
+                }
+            }
+            for (order, backend, fence) in due_orders(&shared, &pacings, &model.name, floor) {
+                let task = send_order(
+                    shared.clone(),
+                    client.clone(),
+                    pacings.clone(),
+                    model.name.clone(),
+                    order,
+                    backend,
+                    fence,
+                );
+                executor.spawn(task).detach();
+            }
+        }
+    }
+}
+
+fn with(pacings: &Pacings, model: &str, change: impl FnOnce(&mut Pacing)) {
+    if let Some(pacing) = pacings.borrow_mut().get_mut(model) {
+        change(pacing);
+    }
+}
+
+/// Gets a fencing token for a model, unless this daemon holds one already.
+async fn ensure_fence(shared: &Shared, pacings: &Pacings, model: &str, floor: f64) -> bool {
+    if pacings.borrow().contains_key(model) {
+        return true;
+    }
+    let holder = shared.identity.node.clone();
+    let change = RecordChange::Fence(FenceChange { holder });
+    match change_register(shared, fence_key(model), change).await {
+        Ok(RecordResponse::Fence(fence)) => {
+            log::info!("event=fence_acquired model={model} token={}", fence.token);
+            let pacing = Pacing { fence: fence.token, rollout: VersionRollout::new(floor) };
+            pacings.borrow_mut().insert(model.to_owned(), pacing);
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Feeds the rollout what engines state, and gives the orders that are due.
+fn due_orders(
+    shared: &Shared,
+    pacings: &Pacings,
+    model: &str,
+    floor: f64,
+) -> Vec<(LoadOrder, Backend, u64)> {
+    let table = shared.backends.load_full();
+    let engines: BTreeMap<_, _> = table
+        .backends
+        .iter()
+        .filter(|known| known.model == model && known.phase == Phase::Live)
+        .map(|known| (&known.backend.name, known))
+        .collect();
+    let mut due = Vec::new();
+    with(pacings, model, |pacing| {
+        pacing.rollout.set_serving_floor(floor);
+        for (name, known) in &engines {
+            let incarnation = known.backend.incarnation;
+            pacing.rollout.observe(name, incarnation, known.report.version);
+        }
+        pacing.rollout.retain(|name| engines.contains_key(name));
+        for order in pacing.rollout.tick(shared.now()) {
+            let backend = engines[&order.engine].backend.clone();
+            due.push((order, backend, pacing.fence));
+        }
+    });
+    due
+}
+
+async fn send_order(
+    shared: Arc<Shared>,
+    client: Client,
+    pacings: Pacings,
+    model: String,
+    order: LoadOrder,
+    backend: Backend,
+    fence: u64,
+) {
+    shared.metrics.weight_orders.inc();
+    let result = order_engine(&client, &backend, &order, fence).await;
+    let engine = &order.engine;
+    log::info!("event=order_ended engine={engine} version={} result={result:?}", order.version);
+    if result == OrderResult::Fenced {
+        // Another daemon paces this model; a new token is asked for if this one still should.
+        pacings.borrow_mut().remove(&model);
+        return;
+    }
+    with(&pacings, &model, |pacing| pacing.rollout.on_result(shared.now(), &order, result));
+}
+
+async fn order_engine(
+    client: &Client,
+    backend: &Backend,
+    order: &LoadOrder,
+    fence: u64,
+) -> OrderResult {
+    let body = Order { fence, action: OrderAction::LoadVersion { version: order.version } };
+    let url = Url::parse(&format!("http://{}/orders", backend.address));
+    let (Ok(url), Ok(body)) = (url, serde_json::to_vec(&body)) else {
+        return OrderResult::Failed;
+    };
+    let mut request = Request::new(Method::Post, url);
+    request.set_body(body);
+    let answer = client.fetch(backend.address, request, ORDER_TIMEOUT, MAX_ANSWER_BYTES).await;
+    match answer {
+        Ok((StatusCode::Ok, bytes)) => match serde_json::from_slice::<OrderDone>(&bytes) {
+            Ok(done) if done.version == Some(order.version) => OrderResult::Loaded,
+            _ => OrderResult::Failed,
+        },
+        Ok((StatusCode::Conflict, bytes)) => match serde_json::from_slice::<ErrorBody>(&bytes) {
+            Ok(body) if body.error.code == CODE_FENCED => OrderResult::Fenced,
+            _ => OrderResult::Failed,
+        },
+        _ => OrderResult::Failed,
+    }
+}
--- a/crates/heronbend-emulator/src/application.rs
+++ b/crates/heronbend-emulator/src/application.rs
@@ -204,12 +204,8 @@
             Timer::after(self.service_time).await;
         }
         self.running.set(self.running.get() - 1);
-        let answer = ApplicationAnswer {
-            path,
-            nonce,
-            received: body.len(),
-            server: self.name.clone(),
-        };
+        let answer =
+            ApplicationAnswer { path, nonce, received: body.len(), server: self.name.clone() };
         let mut response = json_response(StatusCode::Ok, &answer);
         response.insert_header(ATTEMPT_HEADER, attempt.as_str());
         response
--- a/crates/heronbend-emulator/src/engine/batch.rs
+++ b/crates/heronbend-emulator/src/engine/batch.rs
@@ -123,7 +123,8 @@
         let prefill = self.admit(runs);
         let mut index = 0;
         while index < self.running.len() {
-            let advance = advance(&mut self.running[index], version, &self.engine, self.incarnation);
+            let advance =
+                advance(&mut self.running[index], version, &self.engine, self.incarnation);
             match advance {
                 Advance::Continue => index += 1,
                 Advance::Finished => runs.push(self.running.swap_remove(index).note(true)),
@@ -187,10 +188,7 @@
     }
     let chunk = GenerateChunk {
         id: sequence.attempt.clone(),
-        choices: [ChunkChoice {
-            text,
-            finish_reason: is_last.then_some(sequence.finish_reason),
-        }],
+        choices: [ChunkChoice { text, finish_reason: is_last.then_some(sequence.finish_reason) }],
         stamp: ChunkStamp {
             version,
             offset: sequence.position,
--- a/crates/heronbend-emulator/src/engine/mod.rs
+++ b/crates/heronbend-emulator/src/engine/mod.rs
@@ -29,7 +29,9 @@
 use crate::application::LEAVING_GRACE;
 use crate::ledger::Ledger;
 use crate::registration::{get_json, keep_registered};
-use crate::service::{bad_request, new_incarnation, not_found, query_value, read_json, serve, Executor};
+use crate::service::{
+    bad_request, new_incarnation, not_found, query_value, read_json, serve, Executor,
+};
 use batch::{Batch, Sequence};
 
 /// How late the engine reports its load.
@@ -92,10 +94,7 @@
 
 impl Default for EngineFaults {
     fn default() -> Self {
-        Self {
-            failing_loads: 0,
-            slowdown: one(),
-        }
+        Self { failing_loads: 0, slowdown: one() }
     }
 }
 
--- a/crates/heronbend-emulator/src/engine/prefix_cache.rs
+++ b/crates/heronbend-emulator/src/engine/prefix_cache.rs
@@ -67,11 +67,7 @@
         if self.next_sequence % GAP_EVERY == 0 {
             return;
         }
-        let event = CacheEvent {
-            sequence: self.next_sequence,
-            prefix,
-            added,
-        };
+        let event = CacheEvent { sequence: self.next_sequence, prefix, added };
         self.events.push_back((Instant::now(), event));
         if self.events.len() > KEPT_EVENTS {
             self.events.pop_front();
--- a/crates/heronbend-emulator/src/load/request.rs
+++ b/crates/heronbend-emulator/src/load/request.rs
@@ -92,9 +92,11 @@
                 self.exchange(identifier, daemon, request).await;
             }
             Kind::Forbidden => self.look_up_forbidden(identifier, daemon).await,
-            Kind::Alert => self.send_alert(identifier, daemon).await,
+            Kind::Alert => self.send_alert(identifier, identifier, daemon).await,
             Kind::AlertTwice => {
-                zip(self.send_alert(identifier, daemon), self.send_alert(identifier, other)).await;
+                let twin = format!("{identifier}-twin");
+                let first = self.send_alert(identifier, identifier, daemon);
+                zip(first, self.send_alert(&twin, identifier, other)).await;
             }
             Kind::Completion => self.complete(identifier, daemon).await,
             Kind::Stream => self.stream(identifier, daemon, false).await,
@@ -135,30 +137,35 @@
         }
     }
 
-    async fn send_alert(&self, identifier: &str, daemon: SocketAddr) {
+    /// The key is the nonce as well: two requests with one key get one answer.
+    async fn send_alert(&self, identifier: &str, key: &str, daemon: SocketAddr) {
         let mut request = lookup("/alerts", TOWN_TOKEN, identifier, daemon);
         request.set_method(Method::Post);
-        request.insert_header("idempotency-key", identifier);
-        request.set_body(format!("{{\"alert\":\"{identifier}\"}}"));
+        request.insert_header("idempotency-key", key);
+        request.insert_header(NONCE_HEADER, key);
+        request.set_body(format!("{{\"alert\":\"{key}\"}}"));
         self.exchange(identifier, daemon, request).await;
     }
 
     /// Sends a request for an application answer and checks that it is the request's own.
     async fn exchange(&self, identifier: &str, daemon: SocketAddr, request: Request) -> bool {
         let path = request.url().path().to_owned();
+        let nonce = request.header(NONCE_HEADER).map(|values| values.as_str().to_owned());
+        let nonce = nonce.unwrap_or_default();
         let answer = self.client.fetch(daemon, request, TIMEOUT, MAX_ANSWER_BYTES).await;
         let mut seen = self.observations.borrow_mut();
         seen.requests += 1;
         let (status, bytes) = match &answer {
             Ok((status, bytes)) if status.is_success() => (status, bytes),
             _ => {
-                let caller = if path.starts_with("/calibration") { "forecast" } else { "municipality" };
+                let caller =
+                    if path.starts_with("/calibration") { "forecast" } else { "municipality" };
                 note_failure(&mut seen, caller, identifier, &answer);
                 return false;
             }
         };
         let own = serde_json::from_slice::<ApplicationAnswer>(bytes)
-            .is_ok_and(|answer| answer.nonce == identifier && answer.path == path);
+            .is_ok_and(|answer| answer.nonce == nonce && answer.path == path);
         if own {
             seen.whole += 1;
         } else {
--- a/crates/heronbend-emulator/src/load/verdict.rs
+++ b/crates/heronbend-emulator/src/load/verdict.rs
@@ -163,11 +163,7 @@
             ("answers_lost", if with_faults { 0 } else { self.answers_lost }),
             ("answers_unknown", if with_faults { 0 } else { self.answers_unknown }),
         ];
-        counts
-            .into_iter()
-            .filter(|(_, count)| *count > 0)
-            .map(|(name, _)| name)
-            .collect()
+        counts.into_iter().filter(|(_, count)| *count > 0).map(|(name, _)| name).collect()
     }
 }
 
--- a/crates/heronbend-emulator/src/platform.rs
+++ b/crates/heronbend-emulator/src/platform.rs
@@ -87,7 +87,12 @@
     })
 }
 
-async fn handle(state: Shared, mut request: Request, lag: Duration, load_time: Duration) -> Response {
+async fn handle(
+    state: Shared,
+    mut request: Request,
+    lag: Duration,
+    load_time: Duration,
+) -> Response {
     let path = request.url().path().to_owned();
     if path == "/control" {
         return match read_json::<Fault>(&mut request).await {
@@ -201,9 +206,7 @@
         return error_response(StatusCode::Conflict, "conflict", message, Outcome::NotRun);
     }
     let version = current + 1;
-    state
-        .objects
-        .insert(name.to_owned(), Versioned { version, value });
+    state.objects.insert(name.to_owned(), Versioned { version, value });
     json_response(StatusCode::Ok, &serde_json::json!({ "version": version }))
 }
 
@@ -231,11 +234,8 @@
             let now = Instant::now();
             let mut state = state.borrow_mut();
             state.machines.retain(|_, listed| listed.seen + MACHINE_EXPIRY > now);
-            let machines: Vec<Machine> = state
-                .machines
-                .values()
-                .map(|listed| listed.machine.clone())
-                .collect();
+            let machines: Vec<Machine> =
+                state.machines.values().map(|listed| listed.machine.clone()).collect();
             let last = state.shown.last().map(|(_, list)| list);
             if last.is_none_or(|list| list.machines != machines) {
                 let version = last.map_or(0, |list| list.version) + 1;
--- a/crates/heronbend-emulator/src/service.rs
+++ b/crates/heronbend-emulator/src/service.rs
@@ -33,22 +33,16 @@
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let handler = start(&executor, address)?;
-        let limits = ServerLimits {
-            max_body_bytes: MAX_BODY_BYTES,
-            ..ServerLimits::default()
-        };
-        Connections::default()
-            .serve(executor.clone(), listener, limits, handler)
-            .await?;
+        let limits = ServerLimits { max_body_bytes: MAX_BODY_BYTES, ..ServerLimits::default() };
+        Connections::default().serve(executor.clone(), listener, limits, handler).await?;
         Ok(())
     }))
 }
 
 /// Reads a JSON body, or gives the answer that says why it could not be read.
 pub async fn read_json<T: DeserializeOwned>(request: &mut Request) -> Result<T, Response> {
-    let bytes = read_body(request, MAX_BODY_BYTES, BODY_TIMEOUT)
-        .await
-        .map_err(|error| error.response())?;
+    let bytes =
+        read_body(request, MAX_BODY_BYTES, BODY_TIMEOUT).await.map_err(|error| error.response())?;
     serde_json::from_slice(&bytes).map_err(|error| bad_request("invalid_json", &error.to_string()))
 }
 
@@ -72,9 +66,5 @@
 
 /// A query parameter of a request.
 pub fn query_value(request: &Request, name: &str) -> Option<String> {
-    request
-        .url()
-        .query_pairs()
-        .find(|(key, _)| key == name)
-        .map(|(_, value)| value.into_owned())
+    request.url().query_pairs().find(|(key, _)| key == name).map(|(_, value)| value.into_owned())
 }
--- a/crates/heronbend-emulator/src/trainer.rs
+++ b/crates/heronbend-emulator/src/trainer.rs
@@ -255,9 +255,8 @@
             let oldest = sample.oldest_version().unwrap_or(0);
             report.staleness_sum += version.saturating_sub(oldest);
             let prompt = prompts.get((sample.slot.0 / self.arguments.samples) as usize);
-            let genuine = prompt.is_some_and(|prompt| {
-                is_genuine(sample, prompt, self.arguments.max_tokens)
-            });
+            let genuine =
+                prompt.is_some_and(|prompt| is_genuine(sample, prompt, self.arguments.max_tokens));
             report.wrong_version += u64::from(!genuine);
             report.wrong_reward += u64::from(sample.reward_milli != reward_milli(&sample.text));
         }
--- a/crates/heronbend-http/src/client.rs
+++ b/crates/heronbend-http/src/client.rs
@@ -100,23 +100,13 @@
             None => connect(address).await?,
         };
         let mut encoder = async_h1::client::Encoder::new(request);
-        futures_lite::io::copy(&mut encoder, &mut stream)
-            .await
-            .map_err(ClientError::Exchange)?;
+        futures_lite::io::copy(&mut encoder, &mut stream).await.map_err(ClientError::Exchange)?;
         stream.read_response_head().await.map_err(ClientError::Head)?;
         let mut response = async_h1::client::decode(stream.clone())
             .await
             .map_err(|error| ClientError::Exchange(io::Error::other(error)))?;
         let body = response.take_body();
-        Ok(Reply {
-            response,
-            body,
-            home: Home {
-                pool: self.pool.clone(),
-                address,
-                stream,
-            },
-        })
+        Ok(Reply { response, body, home: Home { pool: self.pool.clone(), address, stream } })
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<GuardedStream> {
@@ -200,10 +190,7 @@
         let mut pool = pool.borrow_mut();
         let idle = pool.entry(address).or_default();
         if idle.len() < MAX_IDLE_PER_ADDRESS {
-            idle.push(IdleConnection {
-                stream,
-                since: Instant::now(),
-            });
+            idle.push(IdleConnection { stream, since: Instant::now() });
         }
     }
 
@@ -211,10 +198,7 @@
     pub async fn read_all(mut self, max_bytes: usize) -> Result<Vec<u8>, ClientError> {
         let mut bytes = Vec::new();
         let mut limited = (&mut self.body).take(max_bytes as u64 + 1);
-        limited
-            .read_to_end(&mut bytes)
-            .await
-            .map_err(ClientError::Exchange)?;
+        limited.read_to_end(&mut bytes).await.map_err(ClientError::Exchange)?;
         if bytes.len() > max_bytes {
             return Err(ClientError::TooLarge(max_bytes));
         }
--- a/crates/heronbend-http/src/error.rs
+++ b/crates/heronbend-http/src/error.rs
@@ -62,11 +62,7 @@
     outcome: Outcome,
 ) -> Response {
     let body = ErrorBody {
-        error: ErrorDetail {
-            code: code.to_owned(),
-            message: message.into(),
-            outcome,
-        },
+        error: ErrorDetail { code: code.to_owned(), message: message.into(), outcome },
     };
     let mut response = json_response(status, &body);
     response.insert_header(OUTCOME_HEADER, outcome.as_str());
--- a/crates/heronbend-http/src/guard.rs
+++ b/crates/heronbend-http/src/guard.rs
@@ -295,10 +295,7 @@
     if let Some(offset) = expectation {
         bytes[offset..offset + EXPECT_PLACEHOLDER.len()].copy_from_slice(EXPECT_PLACEHOLDER);
     }
-    Ok(Head {
-        framing,
-        expects_continue: expectation.is_some(),
-    })
+    Ok(Head { framing, expects_continue: expectation.is_some() })
 }
 
 fn parse_response_head(bytes: &mut [u8]) -> Result<Head, HeadError> {
@@ -311,10 +308,7 @@
         None if bodiless => BodyFraming::Length(0),
         None => return Err(HeadError::Malformed("the answer does not state its length")),
     };
-    Ok(Head {
-        framing,
-        expects_continue: false,
-    })
+    Ok(Head { framing, expects_continue: false })
 }
 
 fn check_parsed(parsed: httparse::Result<usize>) -> Result<(), HeadError> {
@@ -328,9 +322,7 @@
 }
 
 fn check_host(headers: &[httparse::Header<'_>]) -> Result<(), HeadError> {
-    let mut hosts = headers
-        .iter()
-        .filter(|header| header.name.eq_ignore_ascii_case("host"));
+    let mut hosts = headers.iter().filter(|header| header.name.eq_ignore_ascii_case("host"));
     match (hosts.next(), hosts.next()) {
         (None, _) => Err(HeadError::Malformed("the Host header is missing")),
         (Some(_), Some(_)) => Err(HeadError::Malformed("there are several Host headers")),
--- a/crates/heronbend-http/src/server.rs
+++ b/crates/heronbend-http/src/server.rs
@@ -27,10 +27,7 @@
 
 impl Default for ServerLimits {
     fn default() -> Self {
-        Self {
-            max_body_bytes: 4 * 1024 * 1024,
-            head_timeout: Duration::from_secs(75),
-        }
+        Self { max_body_bytes: 4 * 1024 * 1024, head_timeout: Duration::from_secs(75) }
     }
 }
 
@@ -285,12 +282,9 @@
         let message = self.to_string();
         match self {
             Self::TooLarge(limit) => body_too_large(*limit),
-            Self::Slow => error_response(
-                StatusCode::RequestTimeout,
-                "body_timeout",
-                message,
-                Outcome::NotRun,
-            ),
+            Self::Slow => {
+                error_response(StatusCode::RequestTimeout, "body_timeout", message, Outcome::NotRun)
+            }
             Self::Cut(_) => {
                 error_response(StatusCode::BadRequest, "body_cut", message, Outcome::NotRun)
             }
@@ -310,10 +304,7 @@
     }
     let read = async {
         let mut bytes = Vec::new();
-        body.take(max_bytes + 1)
-            .read_to_end(&mut bytes)
-            .await
-            .map_err(BodyError::Cut)?;
+        body.take(max_bytes + 1).read_to_end(&mut bytes).await.map_err(BodyError::Cut)?;
         if bytes.len() as u64 > max_bytes {
             return Err(BodyError::TooLarge(max_bytes));
         }
--- a/crates/heronbend-http/src/stream_body.rs
+++ b/crates/heronbend-http/src/stream_body.rs
@@ -65,11 +65,7 @@
 /// Makes a body of unknown length and the sender that feeds it.
 pub fn stream_body() -> (BodySender, Body) {
     let (sender, receiver) = bounded(CAPACITY);
-    let reader = ChannelReader {
-        receiver: Box::pin(receiver),
-        part: Vec::new(),
-        position: 0,
-    };
+    let reader = ChannelReader { receiver: Box::pin(receiver), part: Vec::new(), position: 0 };
     (BodySender(sender), Body::from_reader(reader, None))
 }
 
@@ -80,10 +76,7 @@
 }
 
 impl AsyncBufRead for ChannelReader {
-    fn poll_fill_buf(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<&[u8]>> {
+    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let this = self.get_mut();
         while this.position == this.part.len() {
             match this.receiver.as_mut().poll_next(context) {
--- a/crates/heronbend/src/admission/caller_limits.rs
+++ b/crates/heronbend/src/admission/caller_limits.rs
@@ -26,10 +26,7 @@
             return None;
         }
         *count += 1;
-        Some(CallerPermit {
-            limits: self.clone(),
-            caller: caller.to_owned(),
-        })
+        Some(CallerPermit { limits: self.clone(), caller: caller.to_owned() })
     }
 }
 
--- a/crates/heronbend/src/identity.rs
+++ b/crates/heronbend/src/identity.rs
@@ -59,10 +59,7 @@
 impl NodeId {
     /// A node of this name and incarnation.
     pub fn new(name: &str, incarnation: u64) -> Self {
-        Self {
-            name: NodeName(name.to_owned()),
-            incarnation: Incarnation(incarnation),
-        }
+        Self { name: NodeName(name.to_owned()), incarnation: Incarnation(incarnation) }
     }
 }
 
--- a/crates/heronbend/src/lib.rs
+++ b/crates/heronbend/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! - [`settings`]: the tree operators edit, validated and compiled.
 //! - [`membership`]: which daemons are alive, and rumours spread among them.
+//! - [`record`]: what the daemon keeps in registers.
 //! - [`register`]: replicated registers on shard replica sets; the core protocol.
 //! - [`request`]: at-most-once claims of not-repeatable requests.
 //! - [`rollout`]: steps, samples and sealed batches.
@@ -21,6 +22,7 @@
 pub mod identity;
 pub mod lifecycle;
 pub mod membership;
+pub mod record;
 pub mod register;
 pub mod request;
 pub mod rollout;
--- a/crates/heronbend/src/lifecycle/state.rs
+++ b/crates/heronbend/src/lifecycle/state.rs
@@ -118,17 +118,12 @@
         let Signal { source, stated } = signal;
         if let Some(entry) = self.entries.get(&stated.name) {
             let newer_run = stated.incarnation > entry.incarnation;
-            let later_phase =
-                stated.incarnation == entry.incarnation && stated.phase > entry.phase;
+            let later_phase = stated.incarnation == entry.incarnation && stated.phase > entry.phase;
             if !newer_run && !later_phase {
                 return None;
             }
         }
-        let entry = Entry {
-            incarnation: stated.incarnation,
-            phase: stated.phase,
-            since: now,
-        };
+        let entry = Entry { incarnation: stated.incarnation, phase: stated.phase, since: now };
         self.entries.insert(stated.name.clone(), entry);
         Some(LifecycleChange { stated, source })
     }
@@ -148,7 +143,6 @@
 
     /// Forgets back ends that have been gone since before `cutoff`.
     pub fn forget_gone_before(&mut self, cutoff: Moment) {
-        self.entries
-            .retain(|_, entry| entry.phase != Phase::Gone || entry.since >= cutoff);
+        self.entries.retain(|_, entry| entry.phase != Phase::Gone || entry.since >= cutoff);
     }
 }
--- a/crates/heronbend/src/membership/detector.rs
+++ b/crates/heronbend/src/membership/detector.rs
@@ -202,12 +202,7 @@
     /// Takes in a datagram that came from `source`.
     pub fn receive(&mut self, now: Moment, source: SocketAddr, gossip: Gossip) -> Vec<Effect> {
         let mut effects = Vec::new();
-        let Gossip {
-            from,
-            probe,
-            head,
-            rumours,
-        } = gossip;
+        let Gossip { from, probe, head, rumours } = gossip;
         if from.id.name == self.me.id.name {
             return effects;
         }
@@ -242,9 +237,7 @@
 
     fn on_ack(&mut self, sequence: u64, effects: &mut Vec<Effect>) {
         if let Some(relay) = self.relays.remove(&sequence) {
-            let ack = Probe::Ack {
-                sequence: relay.asker_sequence,
-            };
+            let ack = Probe::Ack { sequence: relay.asker_sequence };
             effects.push(self.send(relay.asker, ack));
         } else if self.probe.as_ref().is_some_and(|probe| probe.sequence == sequence) {
             self.probe = None;
@@ -264,11 +257,7 @@
         };
         let address = known.member.address;
         let sequence = self.take_sequence();
-        let relay = Relay {
-            asker,
-            asker_sequence,
-            sent: now,
-        };
+        let relay = Relay { asker, asker_sequence, sent: now };
         self.relays.insert(sequence, relay);
         effects.push(self.send(address, Probe::Ping { sequence }));
     }
@@ -287,10 +276,7 @@
             return;
         }
         self.rumours.push(Rumour::Member(member.clone()));
-        let known = Known {
-            member: member.clone(),
-            since: now,
-        };
+        let known = Known { member: member.clone(), since: now };
         self.members.insert(member.id.name.clone(), known);
         effects.push(Effect::Changed(MemberChange { member }));
     }
@@ -363,10 +349,7 @@
         helpers.shuffle(&mut self.random);
         helpers.truncate(self.config.helpers);
         for helper in helpers {
-            let request = Probe::PingRequest {
-                sequence,
-                target: target.clone(),
-            };
+            let request = Probe::PingRequest { sequence, target: target.clone() };
             effects.push(self.send(helper, request));
         }
     }
@@ -417,15 +400,7 @@
 
     fn send(&mut self, to: SocketAddr, probe: Probe) -> Effect {
         let rumours = self.rumours.take(self.members.len() + 1);
-        let gossip = Gossip {
-            from: self.me.clone(),
-            probe,
-            head: self.head,
-            rumours,
-        };
-        Effect::Send {
-            to,
-            gossip: Box::new(gossip),
-        }
+        let gossip = Gossip { from: self.me.clone(), probe, head: self.head, rumours };
+        Effect::Send { to, gossip: Box::new(gossip) }
     }
 }
--- a/crates/heronbend/src/membership/messages.rs
+++ b/crates/heronbend/src/membership/messages.rs
@@ -52,9 +52,7 @@
 }
 
 /// Newest control data that a daemon holds; a peer that lags fetches it.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, Encode, Decode,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct Head {
     /// Revision of the settings.
     pub settings_revision: u64,
--- a/crates/heronbend/src/membership/rumours.rs
+++ b/crates/heronbend/src/membership/rumours.rs
@@ -37,11 +37,7 @@
             Rumour::Backend(stated) => Subject::Backend(stated.name.0.clone()),
         };
         let bytes = musli::wire::to_vec(&rumour).map_or(MAX_RUMOUR_BYTES, |bytes| bytes.len());
-        let pending = Pending {
-            rumour,
-            bytes,
-            sent: 0,
-        };
+        let pending = Pending { rumour, bytes, sent: 0 };
         self.pending.insert(subject, pending);
     }
 
@@ -49,11 +45,8 @@
     pub(super) fn take(&mut self, members: usize) -> Vec<Rumour> {
         let doublings = usize::BITS - members.leading_zeros() + 1;
         let max_sends = SENDS_PER_DOUBLING * doublings;
-        let mut order: Vec<(u32, Subject)> = self
-            .pending
-            .iter()
-            .map(|(subject, pending)| (pending.sent, subject.clone()))
-            .collect();
+        let mut order: Vec<(u32, Subject)> =
+            self.pending.iter().map(|(subject, pending)| (pending.sent, subject.clone())).collect();
         order.sort();
         let mut bytes = 0;
         let mut taken = Vec::new();
--- a/crates/heronbend/src/register/messages.rs
+++ b/crates/heronbend/src/register/messages.rs
@@ -17,7 +17,19 @@
 
 /// Orders rounds; the proposer makes it unique.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Encode,
+    Decode,
 )]
 pub struct Ballot {
     /// Number of the round.
@@ -39,10 +51,7 @@
 
 impl<V> Default for Slot<V> {
     fn default() -> Self {
-        Self {
-            promised: Ballot::default(),
-            accepted: None,
-        }
+        Self { promised: Ballot::default(), accepted: None }
     }
 }
 
--- a/crates/heronbend/src/register/proposal.rs
+++ b/crates/heronbend/src/register/proposal.rs
@@ -27,13 +27,8 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Stage<V, R> {
-    Preparing {
-        promises: BTreeMap<NodeId, Option<(Ballot, V)>>,
-    },
-    Accepting {
-        accepted: BTreeSet<NodeId>,
-        response: R,
-    },
+    Preparing { promises: BTreeMap<NodeId, Option<(Ballot, V)>> },
+    Accepting { accepted: BTreeSet<NodeId>, response: R },
     Ended,
 }
 
@@ -59,19 +54,13 @@
         config: ShardConfig,
         ballot: Ballot,
     ) -> (Self, ReplicaRequest<V>) {
-        let request = ReplicaRequest::Prepare {
-            epoch: config.epoch,
-            key: key.clone(),
-            ballot,
-        };
+        let request = ReplicaRequest::Prepare { epoch: config.epoch, key: key.clone(), ballot };
         let proposal = Self {
             key,
             change,
             config,
             ballot,
-            stage: Stage::Preparing {
-                promises: BTreeMap::new(),
-            },
+            stage: Stage::Preparing { promises: BTreeMap::new() },
             rejections: BTreeSet::new(),
             highest_seen: ballot.round,
         };
@@ -98,10 +87,9 @@
                 self.on_promise(from, accepted)
             }
             ReplicaReply::Accepted { ballot } if ballot == self.ballot => self.on_accepted(from),
-            ReplicaReply::Rejected {
-                ballot: Some(ballot),
-                reason,
-            } if ballot == self.ballot => self.on_rejected(from, &reason),
+            ReplicaReply::Rejected { ballot: Some(ballot), reason } if ballot == self.ballot => {
+                self.on_rejected(from, &reason)
+            }
             _ => Progress::Waiting,
         }
     }
@@ -118,16 +106,10 @@
         if promises.len() < self.config.majority() {
             return Progress::Waiting;
         }
-        let latest = promises
-            .values()
-            .flatten()
-            .max_by_key(|(ballot, _)| *ballot)
-            .map(|(_, value)| value);
+        let latest =
+            promises.values().flatten().max_by_key(|(ballot, _)| *ballot).map(|(_, value)| value);
         let applied = V::apply(latest, &self.change);
-        self.stage = Stage::Accepting {
-            accepted: BTreeSet::new(),
-            response: applied.response,
-        };
+        self.stage = Stage::Accepting { accepted: BTreeSet::new(), response: applied.response };
         Progress::Broadcast(ReplicaRequest::Accept {
             epoch: self.config.epoch,
             key: self.key.clone(),
@@ -159,8 +141,6 @@
             return Progress::Waiting;
         }
         self.stage = Stage::Ended;
-        Progress::Interrupted {
-            above: self.highest_seen,
-        }
+        Progress::Interrupted { above: self.highest_seen }
     }
 }
--- a/crates/heronbend/src/register/replica.rs
+++ b/crates/heronbend/src/register/replica.rs
@@ -49,12 +49,7 @@
 impl<V: Clone> Replica<V> {
     /// A replica that has just started and knows nothing.
     pub fn new(node: NodeId) -> Self {
-        Self {
-            node,
-            standing: Standing::Outside,
-            slots: BTreeMap::new(),
-            staged: BTreeMap::new(),
-        }
+        Self { node, standing: Standing::Outside, slots: BTreeMap::new(), staged: BTreeMap::new() }
     }
 
     /// The epoch in which this replica votes.
@@ -95,18 +90,13 @@
     pub fn handle(&mut self, request: ReplicaRequest<V>) -> ReplicaReply<V> {
         match request {
             ReplicaRequest::Prepare { epoch, key, ballot } => self.prepare(epoch, key, ballot),
-            ReplicaRequest::Accept {
-                epoch,
-                key,
-                ballot,
-                value,
-            } => self.accept(epoch, key, ballot, value),
+            ReplicaRequest::Accept { epoch, key, ballot, value } => {
+                self.accept(epoch, key, ballot, value)
+            }
             ReplicaRequest::Seal { epoch } => self.seal(epoch),
-            ReplicaRequest::Stage {
-                epoch,
-                transition,
-                slots,
-            } => self.stage(epoch, transition, slots),
+            ReplicaRequest::Stage { epoch, transition, slots } => {
+                self.stage(epoch, transition, slots)
+            }
             ReplicaRequest::Configure { config } => self.configure(&config),
         }
     }
@@ -120,10 +110,7 @@
             return reject_ballot(ballot, slot.promised);
         }
         slot.promised = ballot;
-        ReplicaReply::Promised {
-            ballot,
-            accepted: slot.accepted.clone(),
-        }
+        ReplicaReply::Promised { ballot, accepted: slot.accepted.clone() }
     }
 
     fn accept(&mut self, epoch: u64, key: Key, ballot: Ballot, value: V) -> ReplicaReply<V> {
@@ -144,10 +131,7 @@
             return self.reject_epoch(None);
         }
         self.standing = Standing::Sealed { epoch };
-        ReplicaReply::Sealed {
-            epoch,
-            slots: self.slots.clone(),
-        }
+        ReplicaReply::Sealed { epoch, slots: self.slots.clone() }
     }
 
     fn stage(
@@ -188,18 +172,10 @@
     }
 
     fn reject_epoch(&self, ballot: Option<Ballot>) -> ReplicaReply<V> {
-        ReplicaReply::Rejected {
-            ballot,
-            reason: Rejection::Epoch {
-                known: self.standing.epoch(),
-            },
-        }
+        ReplicaReply::Rejected { ballot, reason: Rejection::Epoch { known: self.standing.epoch() } }
     }
 }
 
 fn reject_ballot<V>(ballot: Ballot, promised: Ballot) -> ReplicaReply<V> {
-    ReplicaReply::Rejected {
-        ballot: Some(ballot),
-        reason: Rejection::Ballot { promised },
-    }
+    ReplicaReply::Rejected { ballot: Some(ballot), reason: Rejection::Ballot { promised } }
 }
--- a/crates/heronbend/src/register/tests.rs
+++ b/crates/heronbend/src/register/tests.rs
@@ -37,11 +37,7 @@
 impl Cluster {
     fn new() -> Self {
         let members: BTreeSet<_> = (0..3).map(node).collect();
-        let config = ShardConfig {
-            epoch: 1,
-            transition: 0,
-            members: members.clone(),
-        };
+        let config = ShardConfig { epoch: 1, transition: 0, members: members.clone() };
         let mut replicas = BTreeMap::new();
         for index in 0..5 {
             let mut replica = Replica::new(node(index));
@@ -73,7 +69,12 @@
         }
     }
 
-    fn transition(&mut self, members: &[NodeId], identifier: u64, reached: &[NodeId]) -> Option<ShardConfig> {
+    fn transition(
+        &mut self,
+        members: &[NodeId],
+        identifier: u64,
+        reached: &[NodeId],
+    ) -> Option<ShardConfig> {
         let members = members.iter().cloned().collect();
         let (mut transition, seal) =
             Transition::<Authors>::start(self.config.clone(), members, identifier);
@@ -159,9 +160,8 @@
 
 #[test]
 fn members_are_spread_over_zones() {
-    let candidates: Vec<_> = (0..9)
-        .map(|index| (node(index), format!("zone-{}", index % 3)))
-        .collect();
+    let candidates: Vec<_> =
+        (0..9).map(|index| (node(index), format!("zone-{}", index % 3))).collect();
     for shard in 0..32 {
         let members = shard_map::choose_members(ShardId(shard), &candidates);
         let zones: BTreeSet<_> = candidates
--- a/crates/heronbend/src/register/transition.rs
+++ b/crates/heronbend/src/register/transition.rs
@@ -25,12 +25,8 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Stage<V> {
-    Sealing {
-        states: BTreeMap<NodeId, BTreeMap<Key, Slot<V>>>,
-    },
-    Staging {
-        staged: BTreeSet<NodeId>,
-    },
+    Sealing { states: BTreeMap<NodeId, BTreeMap<Key, Slot<V>>> },
+    Staging { staged: BTreeSet<NodeId> },
     Ended,
 }
 
@@ -52,18 +48,8 @@
         identifier: u64,
     ) -> (Self, ReplicaRequest<V>) {
         let request = ReplicaRequest::Seal { epoch: old.epoch };
-        let new = ShardConfig {
-            epoch: old.epoch + 1,
-            transition: identifier,
-            members,
-        };
-        let transition = Self {
-            old,
-            new,
-            stage: Stage::Sealing {
-                states: BTreeMap::new(),
-            },
-        };
+        let new = ShardConfig { epoch: old.epoch + 1, transition: identifier, members };
+        let transition = Self { old, new, stage: Stage::Sealing { states: BTreeMap::new() } };
         (transition, request)
     }
 
@@ -98,9 +84,7 @@
             return TransitionStep::Waiting;
         }
         let slots = merge(std::mem::take(states));
-        self.stage = Stage::Staging {
-            staged: BTreeSet::new(),
-        };
+        self.stage = Stage::Staging { staged: BTreeSet::new() };
         TransitionStep::Stage(ReplicaRequest::Stage {
             epoch: self.new.epoch,
             transition: self.new.transition,
--- a/crates/heronbend/src/request/claim.rs
+++ b/crates/heronbend/src/request/claim.rs
@@ -105,16 +105,12 @@
 
     fn apply(current: Option<&Self>, change: &ClaimChange) -> Applied<Self, ClaimResponse> {
         match change {
-            ClaimChange::Acquire {
-                attempt,
-                holder,
-                request_digest,
-            } => acquire(current, *attempt, holder, *request_digest),
-            ClaimChange::Settle {
-                attempt,
-                answer,
-                expires,
-            } => settle(current, *attempt, answer, *expires),
+            ClaimChange::Acquire { attempt, holder, request_digest } => {
+                acquire(current, *attempt, holder, *request_digest)
+            }
+            ClaimChange::Settle { attempt, answer, expires } => {
+                settle(current, *attempt, answer, *expires)
+            }
             ClaimChange::Release { attempt } => release(current, *attempt),
         }
     }
@@ -127,15 +123,12 @@
     request_digest: u64,
 ) -> Applied<Claim, ClaimResponse> {
     let response = match current {
-        Some(Claim::Held { request_digest: other, .. } | Claim::Settled { request_digest: other, .. })
-            if *other != request_digest =>
-        {
-            ClaimResponse::Mismatch
-        }
+        Some(
+            Claim::Held { request_digest: other, .. }
+            | Claim::Settled { request_digest: other, .. },
+        ) if *other != request_digest => ClaimResponse::Mismatch,
         Some(Claim::Held { attempt: other, holder, .. }) if *other != attempt => {
-            ClaimResponse::InProgress {
-                holder: holder.clone(),
-            }
+            ClaimResponse::InProgress { holder: holder.clone() }
         }
         Some(Claim::Settled { answer, .. }) => ClaimResponse::Settled(answer.clone()),
         Some(Claim::Released { attempt: other }) if *other == attempt => ClaimResponse::NotHolder,
@@ -143,11 +136,7 @@
     };
     let value = match (current, &response) {
         (Some(kept), response) if *response != ClaimResponse::Granted => kept.clone(),
-        _ => Claim::Held {
-            attempt,
-            holder: holder.clone(),
-            request_digest,
-        },
+        _ => Claim::Held { attempt, holder: holder.clone(), request_digest },
     };
     Applied { value, response }
 }
@@ -177,10 +166,9 @@
 
 fn release(current: Option<&Claim>, attempt: u64) -> Applied<Claim, ClaimResponse> {
     match current {
-        Some(Claim::Held { attempt: held, .. }) if *held == attempt => Applied {
-            value: Claim::Released { attempt },
-            response: ClaimResponse::Done,
-        },
+        Some(Claim::Held { attempt: held, .. }) if *held == attempt => {
+            Applied { value: Claim::Released { attempt }, response: ClaimResponse::Done }
+        }
         Some(Claim::Released { attempt: released }) if *released == attempt => {
             unchanged(current, attempt, ClaimResponse::Done)
         }
--- a/crates/heronbend/src/request/tests.rs
+++ b/crates/heronbend/src/request/tests.rs
@@ -5,19 +5,11 @@
 use crate::register::Cell;
 
 fn acquire(attempt: u64, request_digest: u64) -> ClaimChange {
-    ClaimChange::Acquire {
-        attempt,
-        holder: NodeId::new("daemon", 1),
-        request_digest,
-    }
+    ClaimChange::Acquire { attempt, holder: NodeId::new("daemon", 1), request_digest }
 }
 
 fn settle(attempt: u64) -> ClaimChange {
-    ClaimChange::Settle {
-        attempt,
-        answer: StoredAnswer::Unknown,
-        expires: 9,
-    }
+    ClaimChange::Settle { attempt, answer: StoredAnswer::Unknown, expires: 9 }
 }
 
 fn run(changes: &[ClaimChange]) -> Vec<ClaimResponse> {
--- a/crates/heronbend/src/rollout/coordinator.rs
+++ b/crates/heronbend/src/rollout/coordinator.rs
@@ -166,9 +166,8 @@
     /// The samples for the next batch, none older than `floor`. They stay ready until
     /// [`StepCoordinator::on_sealed`]; samples that are too old are put up for drawing again.
     pub fn compose(&mut self, now: Moment, floor: u64, batch_size: usize) -> Composition {
-        let (fresh, stale): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.ready)
-            .into_iter()
-            .partition(|sample| sample.is_within(floor));
+        let (fresh, stale): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(&mut self.ready).into_iter().partition(|sample| sample.is_within(floor));
         self.ready = fresh;
         for sample in stale {
             self.wasted_tokens += u64::from(sample.tokens());
@@ -234,11 +233,7 @@
     }
 
     fn next_waiting(&mut self, now: Moment) -> Option<SlotIndex> {
-        let mut due = self
-            .waiting
-            .iter()
-            .enumerate()
-            .filter(|(_, (from, _))| *from <= now);
+        let mut due = self.waiting.iter().enumerate().filter(|(_, (from, _))| *from <= now);
         let position = match self.plan.order {
             DrawOrder::FirstInFirstOut => due.next(),
             DrawOrder::LongestExpectedFirst => due
--- a/crates/heronbend/src/rollout/step_record.rs
+++ b/crates/heronbend/src/rollout/step_record.rs
@@ -92,7 +92,18 @@
 
 /// Why a change was refused; the record is unchanged.
 #[derive(
-    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode, Error,
+    Debug,
+    Clone,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Encode,
+    Decode,
+    Error,
 )]
 pub enum StepRefusal {
     /// The step was never begun.
@@ -185,11 +196,7 @@
         match change {
             StepChange::Begin { coordinator, slots } => self.take_over(coordinator, *slots),
             StepChange::Seal { term, batch } => self.seal(*term, batch),
-            StepChange::Withhold {
-                term,
-                number,
-                floor,
-            } => self.withhold(*term, *number, *floor),
+            StepChange::Withhold { term, number, floor } => self.withhold(*term, *number, *floor),
             StepChange::Complete { number, expires } => self.complete(*number, *expires),
         }
     }
@@ -258,9 +265,7 @@
         if term == self.term {
             Ok(())
         } else {
-            Err(StepRefusal::Fenced {
-                coordinator: self.coordinator.clone(),
-            })
+            Err(StepRefusal::Fenced { coordinator: self.coordinator.clone() })
         }
     }
 }
--- a/crates/heronbend/src/rollout/tests.rs
+++ b/crates/heronbend/src/rollout/tests.rs
@@ -108,7 +108,10 @@
     assert_matches!(record.begin("b", 2), StepResponse::Begun(step) if step.term == 2);
     let late = record.seal(1, batch(0, vec![sample(0, 1, 1)]));
     assert_matches!(late, StepResponse::Refused(StepRefusal::Fenced { .. }));
-    assert_matches!(record.begin("b", 3), StepResponse::Refused(StepRefusal::Mismatch { slots: 2 }));
+    assert_matches!(
+        record.begin("b", 3),
+        StepResponse::Refused(StepRefusal::Mismatch { slots: 2 })
+    );
 }
 
 #[test]
--- a/crates/heronbend/src/routing/mod.rs
+++ b/crates/heronbend/src/routing/mod.rs
@@ -14,5 +14,5 @@
 mod tests;
 
 pub use breaker::{Breaker, Verdict};
-pub use router::{LoadReport, Query, Router, RouteRefusal};
+pub use router::{LoadReport, Query, RouteRefusal, Router};
 pub use subset::{choose_subset, rendezvous_score};
--- a/crates/heronbend/src/routing/router.rs
+++ b/crates/heronbend/src/routing/router.rs
@@ -148,9 +148,8 @@
         if open.is_empty() {
             return Err(RouteRefusal::Full);
         }
-        let preferred = query
-            .prefix
-            .and_then(|prefix| preferred_by_prefix(&open, prefix, &self.zone));
+        let preferred =
+            query.prefix.and_then(|prefix| preferred_by_prefix(&open, prefix, &self.zone));
         let chosen = match preferred {
             Some(candidate) => candidate,
             None => lighter_of_two(&open, &mut self.random, &self.zone),
@@ -174,13 +173,7 @@
 
     /// Places left in a pool for this router, at `max_in_flight` a back end.
     pub fn free_places(&self, now: Moment, pool: &str, max_in_flight: usize) -> usize {
-        let query = Query {
-            pool,
-            max_in_flight,
-            prefix: None,
-            min_version: None,
-            exclude: &[],
-        };
+        let query = Query { pool, max_in_flight, prefix: None, min_version: None, exclude: &[] };
         self.candidates
             .values()
             .filter(|candidate| is_eligible(candidate, now, &query))
@@ -215,11 +208,7 @@
         .copied()
 }
 
-fn lighter_of_two<'a>(
-    open: &[&'a Candidate],
-    random: &mut SmallRng,
-    zone: &str,
-) -> &'a Candidate {
+fn lighter_of_two<'a>(open: &[&'a Candidate], random: &mut SmallRng, zone: &str) -> &'a Candidate {
     let first = random.random_range(0..open.len());
     if open.len() == 1 {
         return open[first];
--- a/crates/heronbend/src/routing/tests.rs
+++ b/crates/heronbend/src/routing/tests.rs
@@ -25,13 +25,7 @@
 }
 
 fn query() -> Query<'static> {
-    Query {
-        pool: "bulletin",
-        max_in_flight: LIMIT,
-        prefix: None,
-        min_version: None,
-        exclude: &[],
-    }
+    Query { pool: "bulletin", max_in_flight: LIMIT, prefix: None, min_version: None, exclude: &[] }
 }
 
 #[test]
@@ -83,9 +77,8 @@
     let first = router.choose(Moment::ZERO, &prefix).unwrap();
     let second = router.choose(Moment::ZERO, &prefix).unwrap();
     assert_eq!(first.name, second.name);
-    let names: std::collections::BTreeSet<_> = (0..60)
-        .map(|_| router.choose(Moment::ZERO, &prefix).unwrap().name)
-        .collect();
+    let names: std::collections::BTreeSet<_> =
+        (0..60).map(|_| router.choose(Moment::ZERO, &prefix).unwrap().name).collect();
     assert!(names.len() > 1, "the load bound was never applied");
 }
 
--- a/crates/heronbend/src/settings/finding.rs
+++ b/crates/heronbend/src/settings/finding.rs
@@ -49,10 +49,7 @@
 impl Collector {
     /// A collector for the file of this name.
     pub fn new(file: &str) -> Self {
-        Self {
-            file: file.to_owned(),
-            findings: Vec::new(),
-        }
+        Self { file: file.to_owned(), findings: Vec::new() }
     }
 
     /// Adds a finding.
--- a/crates/heronbend/src/settings/policy.rs
+++ b/crates/heronbend/src/settings/policy.rs
@@ -174,9 +174,7 @@
     /// The caller whose token this is.
     pub fn authenticate(&self, token: &str) -> Option<&CallerPolicy> {
         let digest = token_digest(token);
-        self.callers
-            .values()
-            .find(|caller| caller.token_sha256.eq_ignore_ascii_case(&digest))
+        self.callers.values().find(|caller| caller.token_sha256.eq_ignore_ascii_case(&digest))
     }
 }
 
@@ -187,14 +185,11 @@
 }
 
 fn readers(tree: &Tree, section: Section) -> impl Iterator<Item = Reader<'_>> {
-    tree.entities(section)
-        .map(move |path| Reader::new(tree, path.clone()))
+    tree.entities(section).map(move |path| Reader::new(tree, path.clone()))
 }
 
 fn named<T>(tree: &Tree, section: Section, read: fn(&Reader<'_>) -> T) -> BTreeMap<String, T> {
-    readers(tree, section)
-        .map(|node| (node.name(), read(&node)))
-        .collect()
+    readers(tree, section).map(|node| (node.name(), read(&node))).collect()
 }
 
 /// Reads the resolved fields of one node of a validated tree.
--- a/crates/heronbend/src/settings/revision.rs
+++ b/crates/heronbend/src/settings/revision.rs
@@ -111,9 +111,5 @@
         Some(value) => fields.insert(field.to_owned(), value),
         None => fields.remove(field),
     };
-    NodeEdit {
-        node: node.clone(),
-        base,
-        fields: Some(fields),
-    }
+    NodeEdit { node: node.clone(), base, fields: Some(fields) }
 }
--- a/crates/heronbend/src/settings/schema.rs
+++ b/crates/heronbend/src/settings/schema.rs
@@ -22,13 +22,8 @@
 
 impl Section {
     /// Every section below the root.
-    pub const BELOW_ROOT: [Self; 5] = [
-        Self::Pools,
-        Self::Models,
-        Self::Routes,
-        Self::Callers,
-        Self::Trainers,
-    ];
+    pub const BELOW_ROOT: [Self; 5] =
+        [Self::Pools, Self::Models, Self::Routes, Self::Callers, Self::Trainers];
 
     /// The path segment of this section.
     pub fn name(self) -> &'static str {
@@ -92,22 +87,11 @@
     kind: FieldKind,
     default: Option<&'static str>,
 ) -> FieldSpec {
-    FieldSpec {
-        name,
-        section,
-        kind,
-        default,
-    }
+    FieldSpec { name, section, kind, default }
 }
 
-const POSITIVE: FieldKind = FieldKind::Count {
-    min: 1,
-    max: MAX_COUNT,
-};
-const COUNT: FieldKind = FieldKind::Count {
-    min: 0,
-    max: MAX_COUNT,
-};
+const POSITIVE: FieldKind = FieldKind::Count { min: 1, max: MAX_COUNT };
+const COUNT: FieldKind = FieldKind::Count { min: 0, max: MAX_COUNT };
 
 /// Name of the field that redirects inheritance.
 pub const INHERITS: &str = "inherits";
@@ -158,10 +142,14 @@
 pub fn check_value(kind: FieldKind, value: &RawValue) -> Result<(), String> {
     match (kind, value) {
         (FieldKind::Duration, RawValue::Text(text)) => parse_duration(text).map(drop),
-        (FieldKind::Duration, _) => Err("must be a duration with its unit, such as \"250ms\"".into()),
+        (FieldKind::Duration, _) => {
+            Err("must be a duration with its unit, such as \"250ms\"".into())
+        }
         (FieldKind::Bytes, RawValue::Text(text)) => parse_bytes(text).map(drop),
         (FieldKind::Bytes, _) => Err("must be a size with its unit, such as \"13KB\"".into()),
-        (FieldKind::Count { min, max }, RawValue::Integer(count)) if (min..=max).contains(count) => {
+        (FieldKind::Count { min, max }, RawValue::Integer(count))
+            if (min..=max).contains(count) =>
+        {
             Ok(())
         }
         (FieldKind::Count { min, max }, _) => {
@@ -172,7 +160,9 @@
         (FieldKind::Ratio, _) => Err("must be a number from 0 to 1".into()),
         (FieldKind::Flag, RawValue::Flag(_)) => Ok(()),
         (FieldKind::Flag, _) => Err("must be true or false".into()),
-        (FieldKind::Choice(words), RawValue::Text(text)) if words.contains(&text.as_str()) => Ok(()),
+        (FieldKind::Choice(words), RawValue::Text(text)) if words.contains(&text.as_str()) => {
+            Ok(())
+        }
         (FieldKind::Choice(words), _) => Err(format!("must be one of {}", words.join(", "))),
         (FieldKind::Text | FieldKind::Reference(_) | FieldKind::Node, RawValue::Text(text))
             if !text.is_empty() =>
--- a/crates/heronbend/src/settings/tests.rs
+++ b/crates/heronbend/src/settings/tests.rs
@@ -66,11 +66,8 @@
 max_in_flight = 0
 "#;
     let findings = Tree::from_toml("bad.toml", text).unwrap_err();
-    let places: Vec<_> = findings
-        .0
-        .iter()
-        .map(|finding| (finding.node.as_str(), finding.field.as_str()))
-        .collect();
+    let places: Vec<_> =
+        findings.0.iter().map(|finding| (finding.node.as_str(), finding.field.as_str())).collect();
     for expected in [
         ("/pools/a", "kind"),
         ("/pools/a", "request_timeout"),
@@ -90,17 +87,19 @@
     for spec in FIELDS.iter().filter(|spec| spec.name != "inherits") {
         let resolved = Tree::default().resolve(&NodePath::root(), spec);
         if let Some(resolved) = resolved {
-            assert_matches!(schema::check_value(spec.kind, &resolved.value), Ok(()), "{}", spec.name);
+            assert_matches!(
+                schema::check_value(spec.kind, &resolved.value),
+                Ok(()),
+                "{}",
+                spec.name
+            );
         }
     }
 }
 
 #[test]
 fn edits_of_different_nodes_both_stand_and_of_one_node_conflict() {
-    let object = SettingsObject {
-        tree: tree(),
-        ..Default::default()
-    };
+    let object = SettingsObject { tree: tree(), ..Default::default() };
     let edit = |path: &str, value| {
         let node = NodePath::parse(path).unwrap();
         set_field(&object.tree, &node, "max_in_flight", Some(RawValue::Integer(value)))
@@ -124,16 +123,9 @@
 
 #[test]
 fn an_edit_that_would_break_a_reference_is_refused_with_findings() {
-    let object = SettingsObject {
-        tree: tree(),
-        ..Default::default()
-    };
+    let object = SettingsObject { tree: tree(), ..Default::default() };
     let node = NodePath::parse("/pools/bulletin").unwrap();
-    let removal = NodeEdit {
-        base: object.tree.nodes.get(&node).cloned(),
-        node,
-        fields: None,
-    };
+    let removal = NodeEdit { base: object.tree.nodes.get(&node).cloned(), node, fields: None };
     let refused = object.apply("remove", &[removal], "test");
     assert_matches!(refused, Err(EditConflict::Invalid(findings)) if findings.0[0].field == "pool");
     assert_eq!(object.tree.entities(Section::Pools).count(), 2);
--- a/crates/heronbend/src/settings/tree.rs
+++ b/crates/heronbend/src/settings/tree.rs
@@ -65,9 +65,7 @@
         if first.is_empty() {
             return Some(Section::Root);
         }
-        Section::BELOW_ROOT
-            .into_iter()
-            .find(|section| section.name() == first)
+        Section::BELOW_ROOT.into_iter().find(|section| section.name() == first)
     }
 }
 
@@ -171,10 +169,7 @@
     pub fn resolve(&self, path: &NodePath, spec: &FieldSpec) -> Option<ResolvedValue> {
         let stated = self.ancestry(path).into_iter().find_map(|node| {
             let value = self.nodes.get(&node)?.get(spec.name)?.clone();
-            Some(ResolvedValue {
-                value,
-                from: Some(node),
-            })
+            Some(ResolvedValue { value, from: Some(node) })
         });
         stated.or_else(|| default_value(spec))
     }
@@ -266,7 +261,8 @@
                 (section, names.iter().collect())
             }
             (FieldKind::Node, RawValue::Text(target)) => {
-                let known = NodePath::parse(target).is_ok_and(|node| self.nodes.contains_key(&node));
+                let known =
+                    NodePath::parse(target).is_ok_and(|node| self.nodes.contains_key(&node));
                 if !known {
                     collector.add(path.as_str(), spec.name, format!("there is no node {target:?}"));
                 }
--- a/crates/heronbend/src/weights/fence.rs
+++ b/crates/heronbend/src/weights/fence.rs
@@ -36,9 +36,6 @@
                 holder: change.holder.clone(),
             },
         };
-        Applied {
-            response: value.clone(),
-            value,
-        }
+        Applied { response: value.clone(), value }
     }
 }
--- a/crates/heronbend/src/weights/rollout.rs
+++ b/crates/heronbend/src/weights/rollout.rs
@@ -61,11 +61,7 @@
 impl VersionRollout {
     /// A rollout that keeps `serving_floor`, a share from 0 to 1, of the engines serving.
     pub fn new(serving_floor: f64) -> Self {
-        Self {
-            target: None,
-            serving_floor,
-            engines: BTreeMap::new(),
-        }
+        Self { target: None, serving_floor, engines: BTreeMap::new() }
     }
 
     /// Changes the share of engines that keeps serving.
@@ -93,8 +89,13 @@
         if engine.incarnation != incarnation {
             engine.incarnation = incarnation;
             engine.activity = Activity::Idle;
+            engine.version = version;
+        }
+        // Reports lag: one that is older than the engine's own answer to an order says nothing new.
+        let lags = version.is_some() && version < engine.version;
+        if !lags {
+            engine.version = version;
         }
-        engine.version = version;
     }
 
     /// Keeps only engines that are still there.
@@ -144,10 +145,7 @@
             .take(room)
             .map(|(name, engine)| {
                 engine.activity = Activity::Ordered { since: now };
-                LoadOrder {
-                    engine: name.clone(),
-                    version: target,
-                }
+                LoadOrder { engine: name.clone(), version: target }
             })
             .collect()
     }
