--- a/crates/heronbend-daemon/src/duties/shards.rs
+++ b/crates/heronbend-daemon/src/duties/shards.rs
@@ -34,7 +34,8 @@
         Timer::after(CHECK_INTERVAL).await;
         let is_unknown = duty.shared.shard_map.load().shards.is_empty();
         let places = duty.shared.is_first_alive() && !duty.shared.is_draining();
-        if !is_unknown && !(places && needs_placing(&duty.shared)) {
+        let is_due = is_unknown || (places && needs_placing(&duty.shared));
+        if !is_due {
             continue;
         }
         if let Err(error) = place(&duty, &platform, places).await {
--- a/crates/heronbend-emulator/src/engine/prefix_cache.rs
+++ b/crates/heronbend-emulator/src/engine/prefix_cache.rs
@@ -64,7 +64,7 @@
 
     fn note(&mut self, prefix: u64, added: bool) {
         self.next_sequence += 1;
-        if self.next_sequence % GAP_EVERY == 0 {
+        if self.next_sequence.is_multiple_of(GAP_EVERY) {
             return;
         }
         let event = CacheEvent { sequence: self.next_sequence, prefix, added };
--- a/crates/heronbend-emulator/src/load/mod.rs
+++ b/crates/heronbend-emulator/src/load/mod.rs
@@ -95,7 +95,7 @@
     for worker in workers {
         worker.await;
     }
-    let observations = observations.borrow();
+    let observations = observations.take();
     Verdict::judge(&observations, &arguments.engines, &arguments.apps, &arguments.trainers).await
 }
 
--- a/crates/heronbend-http/src/server.rs
+++ b/crates/heronbend-http/src/server.rs
@@ -105,7 +105,7 @@
                 Err(Refusal::Silent) => return,
                 Err(Refusal::Answer(response)) => {
                     self.refused_heads.set(self.refused_heads.get() + 1);
-                    write_final(&mut stream, response).await;
+                    write_final(&mut stream, *response).await;
                     return;
                 }
             };
@@ -157,7 +157,7 @@
 
 enum Refusal {
     Silent,
-    Answer(Response),
+    Answer(Box<Response>),
 }
 
 impl From<HeadError> for Refusal {
@@ -165,31 +165,31 @@
         let message = error.to_string();
         match error {
             HeadError::Closed | HeadError::Io(_) => Self::Silent,
-            HeadError::Slow => Self::Answer(error_response(
+            HeadError::Slow => Self::Answer(Box::new(error_response(
                 StatusCode::RequestTimeout,
                 "head_timeout",
                 message,
                 Outcome::NotRun,
-            )),
-            HeadError::TooLarge => Self::Answer(error_response(
+            ))),
+            HeadError::TooLarge => Self::Answer(Box::new(error_response(
                 StatusCode::RequestHeaderFieldsTooLarge,
                 "head_too_large",
                 message,
                 Outcome::NotRun,
-            )),
-            HeadError::Malformed(_) => Self::Answer(malformed(&message)),
-            HeadError::Version => Self::Answer(error_response(
+            ))),
+            HeadError::Malformed(_) => Self::Answer(Box::new(malformed(&message))),
+            HeadError::Version => Self::Answer(Box::new(error_response(
                 StatusCode::HttpVersionNotSupported,
                 "http_version",
                 message,
                 Outcome::NotRun,
-            )),
-            HeadError::Method => Self::Answer(error_response(
+            ))),
+            HeadError::Method => Self::Answer(Box::new(error_response(
                 StatusCode::NotImplemented,
                 "unknown_method",
                 message,
                 Outcome::NotRun,
-            )),
+            ))),
         }
     }
 }
@@ -201,7 +201,7 @@
 fn check_size(head: Head, limits: ServerLimits) -> Result<Head, Refusal> {
     match head.framing {
         BodyFraming::Length(length) if length > limits.max_body_bytes => {
-            Err(Refusal::Answer(body_too_large(limits.max_body_bytes)))
+            Err(Refusal::Answer(Box::new(body_too_large(limits.max_body_bytes))))
         }
         _ => Ok(head),
     }
--- a/crates/heronbend/src/register/replica.rs
+++ b/crates/heronbend/src/register/replica.rs
@@ -52,6 +52,11 @@
         Self { node, standing: Standing::Outside, slots: BTreeMap::new(), staged: BTreeMap::new() }
     }
 
+    /// The run of the daemon that holds this replica.
+    pub fn node(&self) -> &NodeId {
+        &self.node
+    }
+
     /// The epoch in which this replica votes.
     pub fn active_epoch(&self) -> Option<u64> {
         match self.standing {
--- a/crates/heronbend/src/rollout/coordinator.rs
+++ b/crates/heronbend/src/rollout/coordinator.rs
@@ -247,7 +247,7 @@
     /// first sample is what tells the length of the others.
     fn expected(&self, slot: SlotIndex) -> u32 {
         let prompt = self.plan.prompt_of(slot);
-        let is_first_of_prompt = slot.0 % self.plan.samples_per_prompt == 0;
+        let is_first_of_prompt = slot.0.is_multiple_of(self.plan.samples_per_prompt);
         match self.longest_seen.get(&prompt) {
             Some(longest) => *longest,
             None if is_first_of_prompt => u32::MAX,
--- a/crates/heronbend/src/routing/subset.rs
+++ b/crates/heronbend/src/routing/subset.rs
@@ -32,7 +32,7 @@
             (backend.zone != zone, std::cmp::Reverse(score), backend)
         })
         .collect();
-    scored.sort_by(|left, right| (left.0, left.1).cmp(&(right.0, right.1)));
+    scored.sort_by_key(|(other_zone, score, _)| (*other_zone, *score));
     scored.truncate(size);
     scored.into_iter().map(|(_, _, backend)| backend).collect()
 }
