A stream that cannot begin is refused with a status

Ruled out: chunks of other attempts (the counter of foreign answers stayed 0). The answer now waits for the first piece, and what fails before it is refused with status and Retry-After.

--- a/crates/heronbend-daemon/src/front/completions.rs
+++ b/crates/heronbend-daemon/src/front/completions.rs
@@ -12,8 +12,11 @@
 use heronbend_http::{json_response, read_body, stream_body, BodySender, ErrorBody, Outcome};
 use serde::{Deserialize, Serialize};
 
+use smol::channel::Sender;
+
 use super::answer::{refuse, Refusal};
 use super::{Admitted, Front};
+use crate::dispatch::DispatchError;
 use crate::generation::{generate, GenerationError, GenerationRequest, NoSink, Piece, PieceSink};
 
 /// A completion request; fields that heronbend does not act on are ignored.
@@ -115,7 +118,7 @@
         let generation = self.generation_request(&admitted, &request, model, chat)?;
         let pool = policy.pools[&model.pool].clone();
         if request.stream {
-            Ok(self.stream(pool, generation, chat, permit))
+            self.stream(pool, generation, chat, permit).await
         } else {
             self.complete_whole(&pool, &generation, chat).await
         }
@@ -185,35 +188,48 @@
         Ok(json_response(StatusCode::Ok, &completion))
     }
 
-    /// Answers with a stream that a task of its own feeds.
-    fn stream(
+    /// Answers with a stream that a task of its own feeds, once its first piece is there: what fails
+    /// before that is refused with a status like any other request.
+    async fn stream(
         self: Rc<Self>,
         pool: PoolPolicy,
         request: GenerationRequest,
         chat: bool,
         permit: CallerPermit,
-    ) -> Response {
+    ) -> Result<Response, Refusal> {
         let (sender, body) = stream_body();
-        let mut response = Response::new(StatusCode::Ok);
-        response.set_body(body);
-        response.insert_header("content-type", "text/event-stream");
+        let (begun, first_piece) = smol::channel::bounded::<DispatchError>(1);
         let front = self.clone();
         self.executor
             .spawn(async move {
-                let mut sink = EventSink { sender: sender.clone(), request: request.clone(), chat };
+                let mut sink = EventSink {
+                    sender: sender.clone(),
+                    begun: Some(begun.clone()),
+                    request: request.clone(),
+                    chat,
+                };
                 let result = generate(&front.dispatcher, &pool, &request, &mut sink).await;
                 match result {
                     Ok(_) => drop(sender.send(b"data: [DONE]\n\n".to_vec()).await),
                     Err(GenerationError::ClientGone) => {}
+                    Err(GenerationError::Dispatch(error)) if sink.begun.is_some() => {
+                        let _ = begun.try_send(error);
+                    }
                     Err(GenerationError::Dispatch(error)) => {
-                        let refusal = Response::from(Refusal::from(error.clone()));
-                        send_error_event(&sender, refusal, error.outcome()).await;
+                        let outcome = error.outcome();
+                        send_error_event(&sender, Refusal::from(error).into(), outcome).await;
                     }
                 }
                 drop(permit);
             })
             .detach();
-        response
+        if let Ok(error) = first_piece.recv().await {
+            return Err(error.into());
+        }
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(body);
+        response.insert_header("content-type", "text/event-stream");
+        Ok(response)
     }
 }
 
@@ -229,6 +245,8 @@
 /// Turns pieces into server-sent events.
 struct EventSink {
     sender: BodySender,
+    /// Closed with the first piece, which is when the answer's status goes out.
+    begun: Option<Sender<DispatchError>>,
     request: GenerationRequest,
     chat: bool,
 }
@@ -252,6 +270,9 @@
         let mut part = b"data: ".to_vec();
         serde_json::to_writer(&mut part, &event).expect("a plain data type can be serialised");
         part.extend(b"\n\n");
+        if let Some(begun) = self.begun.take() {
+            begun.close();
+        }
         self.sender.send(part).await.map_err(|_| GenerationError::ClientGone)
     }
 }
--- a/crates/heronbend-emulator/src/load/generation.rs
+++ b/crates/heronbend-emulator/src/load/generation.rs
@@ -6,7 +6,7 @@
 use heronbend::rollout::sample::append_segment;
 use heronbend::rollout::{FinishReason, Sample, Segment, SlotIndex};
 use heronbend_http::http_types::{Method, Request, StatusCode};
-use heronbend_http::{ClientError, Reply};
+use heronbend_http::{ClientError, ErrorBody, Reply};
 use serde::Deserialize;
 use smol::Timer;
 
@@ -156,7 +156,7 @@
                     continue;
                 }
                 let Ok(event) = serde_json::from_str::<Event>(data) else {
-                    return Ok(Streamed::Unreadable);
+                    return Ok(broken_off(data));
                 };
                 let [choice] = event.choices;
                 sample.text += &choice.text;
@@ -186,6 +186,17 @@
     Refused(StatusCode, Vec<u8>),
 }
 
+/// A stream may end with an error as its last event: that is an answer, if not a whole one.
+fn broken_off(data: &str) -> Streamed {
+    match serde_json::from_str::<ErrorBody>(data) {
+        Ok(body) => {
+            log::info!("event=stream_broken_off error={:?}", body.error);
+            Streamed::Refused(StatusCode::BadGateway, data.as_bytes().to_vec())
+        }
+        Err(_) => Streamed::Unreadable,
+    }
+}
+
 fn empty_sample() -> Sample {
     Sample {
         slot: SlotIndex(0),
