Back ends outlive a list of machines that forgets them

The daemon took the list at its word. A back end that the list no longer names is now kept until it has not answered for 5 s.

--- a/crates/heronbend-daemon/src/duties/backends.rs
+++ b/crates/heronbend-daemon/src/duties/backends.rs
@@ -1,6 +1,6 @@
 //! Knows the back ends: the platform's list, their own reports, operators and rumours.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 };
 use heronbend::membership::{Liveness, Member};
 use heronbend::routing::LoadReport;
+use heronbend::Moment;
 use heronbend_http::http_types::{Method, Request, Url};
 use heronbend_http::Client;
 use smol::Timer;
@@ -24,12 +25,18 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1000);
 const MAX_REPORT_BYTES: usize = 1 << 16;
+/// How long a back end that the list no longer names is kept after its last answer. The list may
+/// forget machines that are well, for one after an outage of the platform.
+const UNLISTED_LIMIT: Duration = Duration::from_secs(5);
 const REGISTER_INTERVAL: Duration = Duration::from_secs(1);
 
 #[derive(Default)]
 struct State {
     lifecycle: Lifecycle,
-    listed: BTreeMap<BackendName, Backend>,
+    backends: BTreeMap<BackendName, Backend>,
+    /// Back ends that the newest list does not name.
+    unlisted: BTreeSet<BackendName>,
+    answered: BTreeMap<BackendName, Moment>,
     reports: BTreeMap<BackendName, EngineStatus>,
     generation: u64,
 }
@@ -38,6 +45,8 @@
 enum Event {
     Input(BackendsInput),
     Report(BackendName, EngineStatus),
+    /// Time has passed.
+    Tick,
 }
 
 /// Runs until the process ends.
@@ -72,11 +81,7 @@
                 for stated in phases {
                     changed |= self.observe(shared, SignalSource::MachineList, stated);
                 }
-                let listed: BTreeMap<_, _> =
-                    backends.into_iter().map(|backend| (backend.name.clone(), backend)).collect();
-                changed |= listed != self.listed;
-                self.listed = listed;
-                changed
+                changed | self.take_list(backends)
             }
             Event::Input(BackendsInput::Signal(Signal { source, stated })) => {
                 self.observe(shared, source, stated)
@@ -88,12 +93,43 @@
                     phase: status.phase,
                 };
                 self.observe(shared, SignalSource::BackendReport, stated);
+                self.answered.insert(name.clone(), shared.now());
                 self.reports.insert(name, status);
                 true
             }
+            Event::Tick => self.drop_silent_unlisted(shared.now()),
         }
     }
 
+    /// Takes a list over; what it does not name stays until it no longer answers.
+    fn take_list(&mut self, listed: Vec<Backend>) -> bool {
+        self.unlisted = self.backends.keys().cloned().collect();
+        let mut changed = false;
+        for backend in listed {
+            self.unlisted.remove(&backend.name);
+            let known = self.backends.insert(backend.name.clone(), backend.clone());
+            changed |= known != Some(backend);
+        }
+        changed
+    }
+
+    fn drop_silent_unlisted(&mut self, now: Moment) -> bool {
+        let answered = &self.answered;
+        let silent = |name: &BackendName| {
+            answered.get(name).is_none_or(|answer| now >= *answer + UNLISTED_LIMIT)
+        };
+        let dropped: Vec<BackendName> =
+            self.unlisted.iter().filter(|name| silent(name)).cloned().collect();
+        for name in &dropped {
+            log::info!("event=backend_dropped backend={name}");
+            self.unlisted.remove(name);
+            self.backends.remove(name);
+            self.reports.remove(name);
+            self.answered.remove(name);
+        }
+        !dropped.is_empty()
+    }
+
     fn observe(&mut self, shared: &Shared, source: SignalSource, stated: StatedPhase) -> bool {
         let Some(change) = self.lifecycle.observe(shared.now(), Signal { source, stated }) else {
             return false;
@@ -114,7 +150,7 @@
 
     fn publish(&mut self, shared: &Shared) {
         self.generation += 1;
-        let backends: Vec<_> = self.listed.values().map(|backend| self.known(backend)).collect();
+        let backends: Vec<_> = self.backends.values().map(|backend| self.known(backend)).collect();
         let live = backends.iter().filter(|known| known.phase == Phase::Live).count();
         shared.metrics.backends_live.set(live as i64);
         shared.backends.store(Arc::new(BackendTable { generation: self.generation, backends }));
@@ -208,6 +244,7 @@
     let client = Client::new();
     loop {
         Timer::after(REPORT_INTERVAL).await;
+        let _ = events.try_send(Event::Tick);
         let table = shared.backends.load_full();
         for known in &table.backends {
             let backend = known.backend.clone();
--- a/crates/heronbend-emulator/src/platform.rs
+++ b/crates/heronbend-emulator/src/platform.rs
@@ -52,6 +52,8 @@
         /// By this many milliseconds.
         millis: u64,
     },
+    /// Shows an empty list of machines.
+    ForgetMachines,
     /// Carries writes out, and closes the connection without an answer.
     LoseAnswers,
 }
@@ -108,7 +110,7 @@
     match fault {
         Fault::Down => return unavailable(),
         Fault::Slow { millis } => drop(Timer::after(Duration::from_millis(millis)).await),
-        Fault::None | Fault::LoseAnswers => {}
+        Fault::None | Fault::LoseAnswers | Fault::ForgetMachines => {}
     }
     let is_write = request.method() != Method::Get;
     let response = dispatch(&state, request, &path, lag, load_time).await;
@@ -250,6 +252,9 @@
 
 fn show_list(state: &Shared, lag: Duration) -> Response {
     let state = state.borrow();
+    if state.fault == Fault::ForgetMachines {
+        return json_response(StatusCode::Ok, &MachineList::default());
+    }
     let now = Instant::now();
     let old_enough = state.shown.iter().rev().find(|(since, _)| *since + lag <= now);
     let list = old_enough.map(|(_, list)| list.clone()).unwrap_or_default();
--- a/crates/heronbend-emulator/tests/faults.rs
+++ b/crates/heronbend-emulator/tests/faults.rs
@@ -59,6 +59,17 @@
     cluster.wait_steps(2);
 }
 
+#[test]
+fn a_list_that_forgets_machines_does_not_stop_the_work() {
+    let mut cluster = Cluster::start();
+    cluster.start_trainer(1);
+    cluster.wait_steps(1);
+    cluster.set_platform_fault(r#"{"fault":"forget_machines"}"#);
+    let verdict = cluster.start_load(5, false, 9).finish();
+    assert_eq!(verdict["refusal_codes"]["no_back_end"], serde_json::Value::Null);
+    assert_eq!(verdict["refusal_codes"]["not_run"], serde_json::Value::Null);
+}
+
 #[test]
 fn a_rolling_restart_cuts_nothing_off() {
     let mut cluster = Cluster::start();
