--- a/crates/heronbend-daemon/src/serve.rs
+++ b/crates/heronbend-daemon/src/serve.rs
@@ -113,6 +113,10 @@
 pub fn run(arguments: ServeArguments) -> anyhow::Result<()> {
     let arguments = arguments.completed()?;
     arguments.check()?;
+    // Each connection takes a descriptor; the soft limit is often far below the hard one.
+    if let Err(error) = rlimit::increase_nofile_limit(u64::MAX) {
+        log::warn!("event=descriptor_limit_not_raised error={error}");
+    }
     let unset = SocketAddr::from(([127, 0, 0, 1], 0));
     let http = listen(arguments.listen.unwrap_or(unset))?;
     let peer = listen(arguments.peer_listen.unwrap_or(unset))?;
