--- a/crates/heronbend-daemon/src/duties/rollout.rs
+++ b/crates/heronbend-daemon/src/duties/rollout.rs
@@ -32,8 +32,9 @@
 /// Longest time that a fetch waits for its batch.
 const FETCH_WAIT: Duration = Duration::from_secs(5);
 const FETCH_POLL: Duration = Duration::from_millis(2);
-/// Most copies of one sample at once, and the share of unfilled slots at which copying begins.
-const MAX_COPIES: u32 = 2;
+/// Copies of one sample at once, 1 for no hedging, and the share of unfilled slots at which copying
+/// would begin. The rollout experiment speaks against hedging: see docs/DESIGN.md.
+const MAX_COPIES: u32 = 1;
 const HEDGE_BELOW_MILLI: u32 = 50;
 /// A step without a fetch for this long is given up by this daemon; another may take it over.
 const ABANDON_AFTER: Duration = Duration::from_secs(600);
--- /dev/null
+++ b/crates/heronbend-emulator/src/experiment/rollout.rs
@@ -0,0 +1,574 @@
+//! Scheduling of rollouts on virtual time, with the daemon's own coordinator and router.
+//!
+//! One trainer, 8,192 samples a step in groups of 16. Engines batch continuously: a token takes
+//! longer in a larger batch. Lengths are log-normal between prompts and within a prompt, cut at
+//! 16,384 tokens: a median of 900 and a tail some ten times that, in keeping with the published
+//! descriptions of reasoning rollouts (APRIL, 2025; RollPacker, 2025; Seer, 2025). Training takes a
+//! fixed time; versions follow from it. Engines crash and slow down.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use heronbend::identity::Incarnation;
+use heronbend::lifecycle::{Backend, BackendName, Phase};
+use heronbend::rollout::{
+    Composition, DrawId, DrawOrder, Effect, FinishReason, Sample, Segment, SlotIndex, SlotSet,
+    StepCoordinator, StepPlan,
+};
+use heronbend::routing::{Query, Router, Verdict};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, LogNormal};
+
+use super::report::{Arm, Report};
+
+const ENGINES: usize = 32;
+const MAX_BATCH: usize = 64;
+const PROMPTS: u32 = 512;
+const SAMPLES_PER_PROMPT: u32 = 16;
+const STEPS: u64 = 6;
+const MAX_TOKENS: u32 = 16_384;
+const LOG_MEDIAN: f64 = 6.8;
+const PROMPT_SIGMA: f64 = 0.8;
+const SAMPLE_SIGMA: f64 = 0.35;
+/// Time of an iteration, and what each sequence of the batch adds, in seconds.
+const ITERATION: f64 = 0.012;
+const PER_SEQUENCE: f64 = 0.0004;
+const TRAINING: f64 = 200.0;
+const POOL: &str = "pool";
+/// Engines of which one crashes, and one runs slower, in every step.
+const SLOWDOWN: f64 = 2.0;
+/// More than the coordinator's own delay before it draws a failed slot again.
+const REDRAW_AFTER: f64 = 0.1;
+
+/// One way of scheduling.
+#[derive(Debug, Clone, Copy)]
+struct Policy {
+    name: &'static str,
+    order: DrawOrder,
+    max_copies: u32,
+    /// The next step is posted when the one before it is trained on (false) or when the version
+    /// before it is out, so that it fills places that the tail leaves idle (true).
+    draws_ahead: bool,
+    /// The next step is posted once this one is whole, and so drawn while it is trained on.
+    overlaps_training: bool,
+    /// A swap of weights restarts samples under way.
+    restarts_on_swap: bool,
+    /// Samples move from loaded engines to idle ones at the tail.
+    migrates: bool,
+    /// The coordinator is told the true lengths.
+    knows_lengths: bool,
+}
+
+const BASELINE: Policy = Policy {
+    name: "fifo, next step once whole",
+    order: DrawOrder::FirstInFirstOut,
+    max_copies: 1,
+    draws_ahead: false,
+    overlaps_training: true,
+    restarts_on_swap: false,
+    migrates: false,
+    knows_lengths: false,
+};
+
+const LONGEST: Policy =
+    Policy { name: "longest expected first", order: DrawOrder::LongestExpectedFirst, ..BASELINE };
+
+const ARMS: [Policy; 10] = [
+    BASELINE,
+    Policy { name: "fifo, strictly in turn", overlaps_training: false, ..BASELINE },
+    Policy { name: "fifo, restart on swap", restarts_on_swap: true, ..BASELINE },
+    LONGEST,
+    Policy { name: "longest + hedge", max_copies: 2, ..LONGEST },
+    Policy { name: "longest + migration", migrates: true, ..LONGEST },
+    Policy { name: "longest + early draw", draws_ahead: true, ..LONGEST },
+    Policy { name: "idle-leaning", max_copies: 2, draws_ahead: true, ..LONGEST },
+    Policy { name: "staleness-leaning", max_copies: 2, overlaps_training: false, ..LONGEST },
+    Policy {
+        name: "knows lengths, in turn",
+        knows_lengths: true,
+        overlaps_training: false,
+        ..LONGEST
+    },
+];
+
+/// Runs every arm with every seed.
+pub fn run(seeds: &[u64]) -> Report {
+    let arms = ARMS
+        .iter()
+        .map(|policy| {
+            let runs: Vec<_> = seeds.iter().map(|seed| simulate(*policy, *seed)).collect();
+            Arm::new(policy.name, &runs)
+        })
+        .collect();
+    let mut report = Report {
+        experiment: "rollout",
+        workload: format!(
+            "{STEPS} steps of {} samples on {ENGINES} engines of {MAX_BATCH} places, training \
+             {TRAINING} s, one crash and one slow engine a step",
+            PROMPTS * SAMPLES_PER_PROMPT
+        ),
+        baseline: BASELINE.name.to_owned(),
+        seeds: seeds.to_vec(),
+        arms,
+        targets: Vec::new(),
+    };
+    let idle = |name: &str| report.arm(name).mean("idle share");
+    let staleness = |name: &str| report.arm(name).mean("staleness mean");
+    let half = idle("idle-leaning") <= 0.5 * idle(BASELINE.name);
+    let fresher = staleness("staleness-leaning") < staleness(BASELINE.name);
+    let bound = report.arm("staleness-leaning").mean("step time / bound") <= 1.1;
+    report.demand("idle-leaning: idle share at most half of the baseline's", half);
+    report.demand("staleness-leaning: fresher than the baseline", fresher);
+    report.demand("staleness-leaning: step time within 10% of the lower bound", bound);
+    report
+}
+
+/// A sequence at an engine.
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    step: u64,
+    draw: DrawId,
+    slot: SlotIndex,
+    tokens: u32,
+    /// The engine's count of iterations at which it ends.
+    ends_at: f64,
+    version: u64,
+}
+
+struct SimulatedEngine {
+    backend: Backend,
+    running: BTreeMap<(u64, DrawId), Running>,
+    iterations: f64,
+    updated: f64,
+    slowdown: f64,
+    epoch: u64,
+}
+
+impl SimulatedEngine {
+    fn iteration_time(&self) -> f64 {
+        (ITERATION + PER_SEQUENCE * self.running.len() as f64) * self.slowdown
+    }
+
+    /// Brings the count of iterations up to a time.
+    fn advance(&mut self, now: f64) {
+        self.iterations += (now - self.updated) / self.iteration_time();
+        self.updated = now;
+    }
+
+    fn next_end(&self) -> Option<(f64, Running)> {
+        let first =
+            self.running.values().min_by(|left, right| left.ends_at.total_cmp(&right.ends_at))?;
+        let left = (first.ends_at - self.iterations).max(0.0);
+        Some((self.updated + left * self.iteration_time(), *first))
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// The next sequence of an engine ends, unless its epoch has passed.
+    SequenceEnds {
+        engine: usize,
+        epoch: u64,
+    },
+    EngineCrashes {
+        engine: usize,
+    },
+    EngineSlows {
+        engine: usize,
+    },
+    /// Slots whose draw failed are due again.
+    Refill,
+    TrainingEnds,
+}
+
+/// Times in events are in whole microseconds, so that they order.
+type Queue = BinaryHeap<Reverse<(u64, Event)>>;
+
+struct Step {
+    coordinator: StepCoordinator,
+    lengths: Vec<u32>,
+    posted_at: f64,
+    whole_at: Option<f64>,
+    oldest: Vec<u64>,
+}
+
+struct Simulation {
+    policy: Policy,
+    now: f64,
+    queue: Queue,
+    engines: Vec<SimulatedEngine>,
+    router: Router,
+    steps: BTreeMap<u64, Step>,
+    version: u64,
+    wasted_tokens: u64,
+    random: SmallRng,
+    seed: u64,
+}
+
+fn simulate(policy: Policy, seed: u64) -> Vec<(&'static str, f64)> {
+    let mut simulation = Simulation::new(policy, seed);
+    let mut idle = 0.0;
+    let mut staleness = Histogram::<u64>::new(3).expect("valid precision");
+    let mut stale_sum = 0;
+    let mut samples = 0;
+    let mut ratio_sum = 0.0;
+    simulation.post(1);
+    for step in 1..=STEPS {
+        if !policy.overlaps_training && step > 1 {
+            simulation.post(step);
+        }
+        if policy.draws_ahead {
+            simulation.post(step + 1);
+        }
+        let waiting_since = simulation.now;
+        simulation.run_until_whole(step);
+        idle += simulation.now - waiting_since;
+        let done = simulation.steps.remove(&step).expect("it was posted");
+        for oldest in &done.oldest {
+            let behind = simulation.version - oldest;
+            staleness.record(behind).expect("within bounds");
+            stale_sum += behind;
+            samples += 1;
+        }
+        let whole_at = done.whole_at.unwrap_or(simulation.now);
+        ratio_sum += (whole_at - done.posted_at) / lower_bound(&done.lengths);
+        if policy.overlaps_training && !policy.draws_ahead {
+            simulation.post(step + 1);
+        }
+        simulation.train();
+    }
+    vec![
+        ("idle share", idle / simulation.now),
+        ("staleness mean", stale_sum as f64 / samples as f64),
+        ("staleness p99", staleness.value_at_quantile(0.99) as f64),
+        ("step time / bound", ratio_sum / STEPS as f64),
+        ("steps an hour", STEPS as f64 * 3600.0 / simulation.now),
+        ("wasted million tokens", simulation.wasted_tokens as f64 / 1e6),
+    ]
+}
+
+/// No schedule is faster: all places full all the time, and the longest sample alone.
+fn lower_bound(lengths: &[u32]) -> f64 {
+    let total: f64 = lengths.iter().map(|length| f64::from(*length)).sum();
+    let full = ITERATION + PER_SEQUENCE * MAX_BATCH as f64;
+    let work = total / (ENGINES * MAX_BATCH) as f64 * full;
+    let longest = lengths.iter().max().map_or(0.0, |length| f64::from(*length));
+    work.max(longest * (ITERATION + PER_SEQUENCE))
+}
+
+impl Simulation {
+    fn new(policy: Policy, seed: u64) -> Self {
+        let engines: Vec<SimulatedEngine> = (0..ENGINES)
+            .map(|index| SimulatedEngine {
+                backend: Backend {
+                    name: BackendName(format!("engine-{index:03}")),
+                    incarnation: Incarnation(1),
+                    pool: POOL.into(),
+                    address: ([127, 0, 0, 1], 1).into(),
+                    zone: "zone".into(),
+                },
+                running: BTreeMap::new(),
+                iterations: 0.0,
+                updated: 0.0,
+                slowdown: 1.0,
+                epoch: 0,
+            })
+            .collect();
+        let mut router = Router::new("zone", seed);
+        router.update(engines.iter().map(|engine| (engine.backend.clone(), Phase::Live)));
+        Self {
+            policy,
+            now: 0.0,
+            queue: Queue::new(),
+            engines,
+            router,
+            steps: BTreeMap::new(),
+            version: 1,
+            wasted_tokens: 0,
+            random: SmallRng::seed_from_u64(seed),
+            seed,
+        }
+    }
+
+    fn schedule(&mut self, at: f64, event: Event) {
+        self.queue.push(Reverse(((at * 1e6).ceil() as u64, event)));
+    }
+
+    fn moment(&self) -> Duration {
+        Duration::from_secs_f64(self.now)
+    }
+
+    fn post(&mut self, step: u64) {
+        let plan = StepPlan {
+            prompts: PROMPTS,
+            samples_per_prompt: SAMPLES_PER_PROMPT,
+            order: self.policy.order,
+            max_copies: self.policy.max_copies,
+            hedge_below_milli: 50,
+        };
+        let lengths = lengths_of(self.seed, step);
+        let mut coordinator = StepCoordinator::new(plan, SlotSet::new());
+        if self.policy.knows_lengths {
+            for (slot, length) in lengths.iter().enumerate() {
+                coordinator.expect_length(SlotIndex(slot as u32), *length);
+            }
+        }
+        let state =
+            Step { coordinator, lengths, posted_at: self.now, whole_at: None, oldest: Vec::new() };
+        self.steps.insert(step, state);
+        let crash = self.now + self.random.random_range(20.0..120.0);
+        let engine = self.random.random_range(0..ENGINES);
+        self.schedule(crash, Event::EngineCrashes { engine });
+        let engine = self.random.random_range(0..ENGINES);
+        self.schedule(self.now + 10.0, Event::EngineSlows { engine });
+        self.fill_places();
+    }
+
+    fn run_until_whole(&mut self, step: u64) {
+        while self.steps[&step].whole_at.is_none() {
+            self.handle_next();
+        }
+    }
+
+    /// Trains for its time, while engines go on.
+    fn train(&mut self) {
+        let end = self.now + TRAINING;
+        self.schedule(end, Event::TrainingEnds);
+        while self.handle_next() != Event::TrainingEnds {}
+        self.version += 1;
+        if self.policy.restarts_on_swap {
+            for engine in 0..ENGINES {
+                self.lose_running(engine);
+            }
+            self.fill_places();
+        }
+    }
+
+    fn handle_next(&mut self) -> Event {
+        let Some(Reverse((micros, event))) = self.queue.pop() else {
+            panic!("nothing happens any more");
+        };
+        self.now = self.now.max(micros as f64 / 1e6);
+        match event {
+            Event::SequenceEnds { engine, epoch } if self.engines[engine].epoch == epoch => {
+                self.end_sequence(engine);
+            }
+            Event::EngineCrashes { engine } => {
+                self.lose_running(engine);
+                self.fill_places();
+            }
+            Event::EngineSlows { engine } => {
+                for index in 0..ENGINES {
+                    let slowdown = if index == engine { SLOWDOWN } else { 1.0 };
+                    self.engines[index].advance(self.now);
+                    self.engines[index].slowdown = slowdown;
+                    self.reschedule(index);
+                }
+            }
+            Event::Refill => self.fill_places(),
+            Event::SequenceEnds { .. } | Event::TrainingEnds => {}
+        }
+        event
+    }
+
+    fn reschedule(&mut self, engine: usize) {
+        let state = &mut self.engines[engine];
+        state.epoch += 1;
+        let epoch = state.epoch;
+        if let Some((at, _)) = state.next_end() {
+            self.schedule(at, Event::SequenceEnds { engine, epoch });
+        }
+    }
+
+    fn end_sequence(&mut self, engine: usize) {
+        self.engines[engine].advance(self.now);
+        let Some((_, ended)) = self.engines[engine].next_end() else {
+            return;
+        };
+        self.take_off(engine, &ended, Verdict::Answered);
+        let sample = self.sample(engine, &ended);
+        let Some(step) = self.steps.get_mut(&ended.step) else {
+            return;
+        };
+        let effects = step.coordinator.on_drawn(ended.draw, sample);
+        self.cancel(ended.step, &effects);
+        self.note_if_whole(ended.step);
+        self.fill_places();
+        if self.policy.migrates {
+            self.migrate_to_idle();
+        }
+        self.reschedule(engine);
+    }
+
+    fn take_off(&mut self, engine: usize, running: &Running, verdict: Verdict) {
+        let moment = self.moment();
+        let state = &mut self.engines[engine];
+        state.running.remove(&(running.step, running.draw));
+        self.router.finished(moment, &state.backend, verdict);
+    }
+
+    fn sample(&self, engine: usize, ended: &Running) -> Sample {
+        Sample {
+            slot: ended.slot,
+            seed: 0,
+            text: String::new(),
+            segments: vec![Segment {
+                version: ended.version,
+                start: 0,
+                end: ended.tokens,
+                engine: self.engines[engine].backend.name.clone(),
+                incarnation: Incarnation(1),
+            }],
+            finish_reason: FinishReason::Stop,
+            reward_milli: 0,
+        }
+    }
+
+    fn note_if_whole(&mut self, number: u64) {
+        let now = self.now;
+        let Some(step) = self.steps.get_mut(&number) else {
+            return;
+        };
+        let slots = PROMPTS as usize * SAMPLES_PER_PROMPT as usize;
+        if step.whole_at.is_some() || step.coordinator.ready() < slots {
+            return;
+        }
+        if let Composition::Ready(samples) = step.coordinator.compose(0, slots) {
+            step.oldest = samples.iter().filter_map(Sample::oldest_version).collect();
+            step.coordinator.on_sealed(&samples);
+            step.whole_at = Some(now);
+        }
+    }
+
+    fn cancel(&mut self, step: u64, effects: &[Effect]) {
+        for effect in effects {
+            let Effect::Cancel { draw } = effect else {
+                continue;
+            };
+            let place =
+                self.engines.iter().position(|engine| engine.running.contains_key(&(step, *draw)));
+            let Some(engine) = place else {
+                continue;
+            };
+            self.engines[engine].advance(self.now);
+            let running = self.engines[engine].running[&(step, *draw)];
+            self.waste(engine, &running);
+            self.take_off(engine, &running, Verdict::Abandoned);
+            self.reschedule(engine);
+        }
+    }
+
+    fn waste(&mut self, engine: usize, running: &Running) {
+        let left = running.ends_at - self.engines[engine].iterations;
+        self.wasted_tokens += (f64::from(running.tokens) - left).max(0.0) as u64;
+    }
+
+    /// An engine drops everything that it runs.
+    fn lose_running(&mut self, engine: usize) {
+        self.engines[engine].advance(self.now);
+        let lost: Vec<Running> = self.engines[engine].running.values().copied().collect();
+        for running in lost {
+            self.waste(engine, &running);
+            self.take_off(engine, &running, Verdict::Abandoned);
+            let moment = self.moment();
+            if let Some(step) = self.steps.get_mut(&running.step) {
+                step.coordinator.on_failed(moment, running.draw);
+            }
+        }
+        self.schedule(self.now + REDRAW_AFTER, Event::Refill);
+        self.reschedule(engine);
+    }
+
+    /// Starts draws of the oldest step first, while places are free.
+    fn fill_places(&mut self) {
+        let numbers: Vec<u64> = self.steps.keys().copied().collect();
+        let mut touched = Vec::new();
+        for number in numbers {
+            let places = self.router.free_places(self.moment(), POOL, MAX_BATCH);
+            let moment = self.moment();
+            let Some(step) = self.steps.get_mut(&number) else {
+                continue;
+            };
+            let effects = step.coordinator.schedule(moment, places);
+            for effect in effects {
+                if let Effect::Draw { draw, slot } = effect {
+                    touched.extend(self.start(number, draw, slot));
+                }
+            }
+        }
+        touched.sort_unstable();
+        touched.dedup();
+        for engine in touched {
+            self.reschedule(engine);
+        }
+    }
+
+    fn start(&mut self, step: u64, draw: DrawId, slot: SlotIndex) -> Option<usize> {
+        let query = Query {
+            pool: POOL,
+            max_in_flight: MAX_BATCH,
+            prefix: None,
+            min_version: None,
+            exclude: &[],
+        };
+        let moment = self.moment();
+        let chosen = self.router.choose(moment, &query).ok()?;
+        let engine = self.engines.iter().position(|engine| engine.backend == chosen)?;
+        let tokens = self.steps[&step].lengths[slot.0 as usize];
+        let state = &mut self.engines[engine];
+        state.advance(self.now);
+        let ends_at = state.iterations + f64::from(tokens);
+        let running = Running { step, draw, slot, tokens, ends_at, version: self.version };
+        state.running.insert((step, draw), running);
+        Some(engine)
+    }
+
+    /// Moves a sample from the most to the least loaded engine while that makes it faster.
+    fn migrate_to_idle(&mut self) {
+        let load = |engine: &SimulatedEngine| engine.running.len() as f64 * engine.slowdown;
+        let by_load = |left: &usize, right: &usize| {
+            load(&self.engines[*left]).total_cmp(&load(&self.engines[*right]))
+        };
+        let (Some(from), Some(to)) = ((0..ENGINES).max_by(by_load), (0..ENGINES).min_by(by_load))
+        else {
+            return;
+        };
+        let is_tail = self.engines[from].running.len() < MAX_BATCH / 2;
+        if !is_tail || load(&self.engines[from]) < load(&self.engines[to]) + 4.0 {
+            return;
+        }
+        self.engines[from].advance(self.now);
+        self.engines[to].advance(self.now);
+        let longest = self.engines[from]
+            .running
+            .values()
+            .max_by(|left, right| left.ends_at.total_cmp(&right.ends_at))
+            .copied();
+        if let Some(mut running) = longest {
+            let left = running.ends_at - self.engines[from].iterations;
+            self.engines[from].running.remove(&(running.step, running.draw));
+            running.ends_at = self.engines[to].iterations + left;
+            self.engines[to].running.insert((running.step, running.draw), running);
+            self.reschedule(from);
+            self.reschedule(to);
+        }
+    }
+}
+
+fn lengths_of(seed: u64, step: u64) -> Vec<u32> {
+    let mut random = SmallRng::seed_from_u64(seed * 1_000_003 + step);
+    let between = LogNormal::new(LOG_MEDIAN, PROMPT_SIGMA).expect("sigma is positive");
+    let mut lengths = Vec::new();
+    for _ in 0..PROMPTS {
+        let typical: f64 = between.sample(&mut random);
+        let within = LogNormal::new(typical.ln(), SAMPLE_SIGMA).expect("sigma is positive");
+        for _ in 0..SAMPLES_PER_PROMPT {
+            let length: f64 = within.sample(&mut random);
+            lengths.push((length as u32).clamp(1, MAX_TOKENS));
+        }
+    }
+    lengths
+}
--- /dev/null
+++ b/crates/heronbend-emulator/src/experiment/weights.rs
@@ -0,0 +1,87 @@
+//! Time until all servers have a new version, on virtual time with the daemon's own rollout.
+
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use heronbend::identity::Incarnation;
+use heronbend::lifecycle::BackendName;
+use heronbend::weights::{OrderResult, VersionRollout};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::report::{Arm, Report};
+
+const SERVERS: usize = 1400;
+/// Loads that the store hands out a second, all servers together.
+const STORE_RATE: f64 = 100.0;
+/// Time in which one server cannot serve while it swaps.
+const SWAP: f64 = 0.5;
+/// Share of loads that fail partway.
+const FAILURES: f64 = 0.01;
+const LIMIT_SECONDS: f64 = 22.0;
+const TICK: f64 = 0.05;
+
+const ARMS: [(&str, f64); 4] = [
+    ("one at a time", 1.0),
+    ("waves, floor 0.9", 0.9),
+    ("waves, floor 0.5", 0.5),
+    ("all at once", 0.0),
+];
+
+/// Runs every arm with every seed.
+pub fn run(seeds: &[u64]) -> Report {
+    let arms: Vec<Arm> = ARMS
+        .iter()
+        .map(|(name, floor)| {
+            let runs: Vec<_> = seeds.iter().map(|seed| simulate(*floor, *seed)).collect();
+            Arm::new(name, &runs)
+        })
+        .collect();
+    let mut report = Report {
+        experiment: "weights",
+        workload: format!("{SERVERS} servers, store {STORE_RATE} loads/s, swap {SWAP} s, {FAILURES} of loads fail"),
+        baseline: "one at a time".to_owned(),
+        seeds: seeds.to_vec(),
+        arms,
+        targets: Vec::new(),
+    };
+    let met = report.arm("waves, floor 0.5").mean("seconds to all") <= LIMIT_SECONDS;
+    report.demand("waves with floor 0.5 reach all servers within 22 s", met);
+    report
+}
+
+fn simulate(floor: f64, seed: u64) -> Vec<(&'static str, f64)> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut rollout = VersionRollout::new(floor);
+    let name = |index: usize| BackendName(format!("engine-{index:04}"));
+    for index in 0..SERVERS {
+        rollout.observe(&name(index), Incarnation(1), Some(1));
+    }
+    rollout.publish(2);
+    let mut now = 0.0;
+    let mut store_free = 0.0_f64;
+    let mut loading = BinaryHeap::new();
+    let mut fewest_serving = SERVERS;
+    while rollout.up_to_date() < SERVERS {
+        for order in rollout.tick(Duration::from_secs_f64(now)) {
+            store_free = store_free.max(now) + 1.0 / STORE_RATE;
+            let end = store_free + SWAP;
+            let key = std::cmp::Reverse((end * 1e6) as u64);
+            loading.push((key, order.engine.0.clone(), order.version));
+        }
+        now += TICK;
+        let swapping =
+            loading.iter().filter(|(end, _, _)| end.0 as f64 / 1e6 - now <= SWAP).count();
+        fewest_serving = fewest_serving.min(SERVERS - swapping);
+        while loading.peek().is_some_and(|(end, _, _)| end.0 as f64 / 1e6 <= now) {
+            let Some((_, engine, version)) = loading.pop() else {
+                break;
+            };
+            let order = heronbend::weights::LoadOrder { engine: BackendName(engine), version };
+            let failed = random.random_bool(FAILURES);
+            let result = if failed { OrderResult::Failed } else { OrderResult::Loaded };
+            rollout.on_result(Duration::from_secs_f64(now), &order, result);
+        }
+    }
+    vec![("seconds to all", now), ("fewest serving, share", fewest_serving as f64 / SERVERS as f64)]
+}
--- a/crates/heronbend/src/rollout/coordinator.rs
+++ b/crates/heronbend/src/rollout/coordinator.rs
@@ -128,6 +128,12 @@
         coordinator
     }
 
+    /// States the length that a waiting slot's sample is expected to have, in tokens, where something
+    /// better is known than what the coordinator learns by itself.
+    pub fn expect_length(&mut self, slot: SlotIndex, tokens: u32) {
+        self.waiting.expect(slot, tokens);
+    }
+
     /// Draws to start now, given how many more the engines can take.
     pub fn schedule(&mut self, now: Moment, places: usize) -> Vec<Effect> {
         let mut effects = Vec::new();
