--- a/crates/heronbend-daemon/src/duties/membership.rs
+++ b/crates/heronbend-daemon/src/duties/membership.rs
@@ -6,7 +6,7 @@
 
 use futures_lite::FutureExt;
 use heronbend::lifecycle::{Signal, SignalSource};
-use heronbend::membership::{Detector, DetectorConfig, Effect, Gossip, Liveness};
+use heronbend::membership::{Detector, DetectorConfig, Effect, Gossip, Head, Liveness};
 use smol::net::UdpSocket;
 use smol::Timer;
 
@@ -30,6 +30,7 @@
     let mut detector = Detector::new(DetectorConfig::default(), me, seed);
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut next_tick = Timer::interval(TICK);
+    let mut head = Head::default();
     loop {
         let event = {
             let tick = async {
@@ -51,28 +52,39 @@
             tick.or(input).or(datagram).await
         };
         let now = shared.now();
-        detector.set_head(shared.head());
-        let effects = match event {
+        let mut effects = announce_new_head(&shared, &mut detector, &mut head);
+        effects.extend(match event {
             Event::Tick => {
                 shared.tick();
                 detector.tick(now)
             }
             Event::Datagram(_, gossip) if shared.failpoints.drops_from(&gossip.from.id.name) => {
-                continue;
+                Vec::new()
             }
             Event::Datagram(source, gossip) => detector.receive(now, source, gossip),
             Event::Input(MembershipInput::Learn(member)) => detector.learn(now, member),
             Event::Input(MembershipInput::SpreadBackend(stated)) => {
                 detector.spread_backend(stated);
-                Vec::new()
+                detector.announce()
             }
-            Event::Input(MembershipInput::Leave) => detector.leave(now),
-            Event::Nothing => continue,
-        };
+            Event::Input(MembershipInput::Leave) => detector.leave(),
+            Event::Nothing => Vec::new(),
+        });
         apply(&shared, &detector, &socket, effects).await;
     }
 }
 
+/// Newer control data is made known at once, so that it is in force everywhere within seconds.
+fn announce_new_head(shared: &Shared, detector: &mut Detector, known: &mut Head) -> Vec<Effect> {
+    let head = shared.head();
+    if head == *known {
+        return Vec::new();
+    }
+    *known = head;
+    detector.set_head(head);
+    detector.announce()
+}
+
 fn decode(bytes: &[u8], source: SocketAddr) -> Event {
     match musli::wire::from_slice(bytes) {
         Ok(gossip) => Event::Datagram(source, gossip),
--- a/crates/heronbend-emulator/src/main.rs
+++ b/crates/heronbend-emulator/src/main.rs
@@ -6,6 +6,7 @@
 mod application;
 mod engine;
 mod experiment;
+mod hollow;
 mod ledger;
 mod load;
 mod model_text;
@@ -40,6 +41,8 @@
     Load(load::LoadArguments),
     /// Runs an experiment with arms in one process.
     Experiment(experiment::ExperimentArguments),
+    /// Runs a fleet of hollow daemons on virtual time and measures what control costs.
+    Hollow(hollow::HollowArguments),
     /// Prints free loopback ports, one a line.
     Ports(ports::PortArguments),
 }
@@ -55,6 +58,7 @@
         Command::Trainer(arguments) => trainer::run(arguments),
         Command::Load(arguments) => load::run(&arguments),
         Command::Experiment(arguments) => experiment::run(&arguments),
+        Command::Hollow(arguments) => hollow::run(&arguments),
         Command::Ports(arguments) => ports::run(&arguments),
     }
 }
--- a/crates/heronbend/src/membership/detector.rs
+++ b/crates/heronbend/src/membership/detector.rs
@@ -27,6 +27,8 @@
     pub helpers: usize,
     /// Time after which a dead member is forgotten.
     pub forget_after: Duration,
+    /// Members that are told at once of what cannot wait for the next probe.
+    pub fanout: usize,
 }
 
 impl Default for DetectorConfig {
@@ -37,6 +39,7 @@
             suspicion: Duration::from_millis(4000),
             helpers: 3,
             forget_after: Duration::from_secs(600),
+            fanout: 4,
         }
     }
 }
@@ -166,6 +169,21 @@
         self.rumours.push(Rumour::Backend(stated));
     }
 
+    /// Sends the newest rumours and control data to some members at once.
+    ///
+    /// A daemon that learns something for the first time and passes it on in this way makes it known
+    /// to nearly all within a few hops, where probes alone take some periods.
+    pub fn announce(&mut self) -> Vec<Effect> {
+        self.ping_some(self.config.fanout)
+    }
+
+    fn ping_some(&mut self, count: usize) -> Vec<Effect> {
+        let mut targets = self.probe_targets();
+        targets.shuffle(&mut self.random);
+        targets.truncate(count);
+        targets.into_iter().map(|target| self.ping(&target)).collect()
+    }
+
     /// Takes in a member from another source, such as the platform's list.
     pub fn learn(&mut self, now: Moment, member: Member) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -174,14 +192,10 @@
     }
 
     /// Announces that this daemon stops.
-    pub fn leave(&mut self, now: Moment) -> Vec<Effect> {
+    pub fn leave(&mut self) -> Vec<Effect> {
         self.me.liveness = Liveness::Left;
         self.rumours.push(Rumour::Member(self.me.clone()));
-        let mut targets = self.probe_targets();
-        targets.shuffle(&mut self.random);
-        targets.truncate(self.config.helpers.max(1) * 2);
-        let _ = now;
-        targets.into_iter().map(|target| self.ping(&target)).collect()
+        self.ping_some(self.config.fanout * 2)
     }
 
     /// Advances time: probes, suspicions, and forgetting.
--- a/crates/heronbend/src/membership/tests.rs
+++ b/crates/heronbend/src/membership/tests.rs
@@ -32,6 +32,7 @@
     silent: BTreeSet<usize>,
     backends: Vec<BTreeSet<String>>,
     behind: Vec<bool>,
+    passes_on_at_once: bool,
 }
 
 impl Network {
@@ -48,6 +49,7 @@
             silent: BTreeSet::new(),
             backends: vec![BTreeSet::new(); count],
             behind: vec![false; count],
+            passes_on_at_once: false,
         }
     }
 
@@ -55,17 +57,23 @@
         let end = self.now + time;
         while self.now < end {
             self.now += TICK;
-            let mut queue = VecDeque::new();
+            let mut queue = Vec::new();
             for index in 0..self.detectors.len() {
                 if !self.silent.contains(&index) {
                     let effects = self.detectors[index].tick(self.now);
                     queue.extend(effects.into_iter().map(|effect| (index, effect)));
                 }
             }
-            while let Some((index, effect)) = queue.pop_front() {
-                let more = self.apply(index, effect);
-                queue.extend(more);
-            }
+            self.deliver(queue);
+        }
+    }
+
+    /// Applies effects, and those that follow from them, at once.
+    fn deliver(&mut self, effects: impl IntoIterator<Item = (usize, Effect)>) {
+        let mut queue: VecDeque<_> = effects.into_iter().collect();
+        while let Some((index, effect)) = queue.pop_front() {
+            let more = self.apply(index, effect);
+            queue.extend(more);
         }
     }
 
@@ -80,10 +88,15 @@
                 effects.into_iter().map(|effect| (target, effect)).collect()
             }
             Effect::Backend(stated) => {
-                if self.backends[index].insert(stated.name.0.clone()) {
-                    self.detectors[index].spread_backend(stated);
+                if !self.backends[index].insert(stated.name.0.clone()) {
+                    return Vec::new();
                 }
-                Vec::new()
+                self.detectors[index].spread_backend(stated);
+                if !self.passes_on_at_once {
+                    return Vec::new();
+                }
+                let effects = self.detectors[index].announce();
+                effects.into_iter().map(|effect| (index, effect)).collect()
             }
             Effect::Behind { .. } => {
                 self.behind[index] = true;
@@ -155,6 +168,22 @@
     assert!(network.behind.iter().any(|behind| *behind));
 }
 
+#[test]
+fn what_is_announced_is_known_before_the_next_probe() {
+    let mut network = Network::new(30);
+    network.run(Duration::from_secs(30));
+    let stated = StatedPhase {
+        name: BackendName("engine".into()),
+        incarnation: Incarnation(1),
+        phase: Phase::Leaving,
+    };
+    network.passes_on_at_once = true;
+    let effects = network.apply(7, Effect::Backend(stated));
+    network.deliver(effects);
+    let reached = network.backends.iter().filter(|known| !known.is_empty()).count();
+    assert!(reached >= 28, "{reached} of 30");
+}
+
 #[test]
 fn a_datagram_stays_within_one_packet() {
     let mut detector = Detector::new(DetectorConfig::default(), member(0, 1), 1);
