Members that are dead to each other try each other again; rumours of back ends first

Cause: after a cut each side took the other for dead and never asked again; the state machine's test of two sides fails without this change. The settings maximum of 7 s was the emulator's own fault: a daemon that restarted inside the cut region learnt of edits that it could not know. Duties no longer poll the reactor: only fronts do.

--- a/crates/heronbend-daemon/src/serve.rs
+++ b/crates/heronbend-daemon/src/serve.rs
@@ -13,7 +13,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use crate::duties::{self, shards, spawn_duty};
+use crate::duties::{self, shards, spawn_duty, Polling};
 use crate::shared::{new_incarnation, Identity, MembershipInput, Shared};
 use crate::{admin, front};
 
@@ -147,7 +147,7 @@
     for number in 0..front_threads {
         let listener = http.try_clone()?;
         let shared = shared.clone();
-        spawn_duty(&format!("front-{number}"), move |executor| async move {
+        spawn_duty(&format!("front-{number}"), Polling::Reactor, move |executor| async move {
             match asynchronous(listener) {
                 Ok(listener) => front::run(shared, executor, listener).await,
                 Err(error) => log::error!("event=listener_failed error={error}"),
@@ -155,7 +155,7 @@
         })?;
     }
     let admin_shared = shared.clone();
-    spawn_duty("admin", move |executor| async move {
+    spawn_duty("admin", Polling::Parked, move |executor| async move {
         match asynchronous(admin) {
             Ok(listener) => admin::run(admin_shared, executor, listener).await,
             Err(error) => log::error!("event=listener_failed error={error}"),
@@ -172,29 +172,37 @@
     seeds: Vec<SocketAddr>,
 ) -> anyhow::Result<()> {
     let for_membership = shared.clone();
-    spawn_duty("membership", move |_| async move {
+    spawn_duty("membership", Polling::Parked, move |_| async move {
         match smol::Async::new(datagrams) {
             Ok(socket) => duties::membership::run(for_membership, socket.into()).await,
             Err(error) => log::error!("event=peer_socket_failed error={error}"),
         }
     })?;
     let for_register = shared.clone();
-    spawn_duty("register", move |executor| async move {
+    spawn_duty("register", Polling::Parked, move |executor| async move {
         match asynchronous(peer) {
             Ok(listener) => duties::register::run(for_register, executor, listener).await,
             Err(error) => log::error!("event=peer_listener_failed error={error}"),
         }
     })?;
     let for_settings = shared.clone();
-    spawn_duty("settings", move |executor| duties::settings::run(for_settings, executor, seeds))?;
+    spawn_duty("settings", Polling::Parked, move |executor| {
+        duties::settings::run(for_settings, executor, seeds)
+    })?;
     let for_backends = shared.clone();
-    spawn_duty("backends", move |executor| duties::backends::run(for_backends, executor))?;
+    spawn_duty("backends", Polling::Parked, move |executor| {
+        duties::backends::run(for_backends, executor)
+    })?;
     let for_rollout = shared.clone();
-    spawn_duty("rollout", move |executor| duties::rollout::run(for_rollout, executor))?;
+    spawn_duty("rollout", Polling::Parked, move |executor| {
+        duties::rollout::run(for_rollout, executor)
+    })?;
     let for_weights = shared.clone();
-    spawn_duty("weights", move |executor| duties::weights::run(for_weights, executor))?;
+    spawn_duty("weights", Polling::Parked, move |executor| {
+        duties::weights::run(for_weights, executor)
+    })?;
     let for_telemetry = shared.clone();
-    spawn_duty("telemetry", move |_| duties::telemetry::run(for_telemetry))?;
+    spawn_duty("telemetry", Polling::Parked, move |_| duties::telemetry::run(for_telemetry))?;
     Ok(())
 }
 
--- a/crates/heronbend-emulator/src/hollow.rs
+++ b/crates/heronbend-emulator/src/hollow.rs
@@ -295,11 +295,22 @@
             };
             lifecycle.observe(self.now, Signal { source: SignalSource::MachineList, stated });
         }
-        let revision = self.revision;
+        let revision = self.known_revision(daemon);
         detector.set_head(Head { settings_revision: revision, shard_epochs: 0 });
         HollowDaemon { detector, lifecycle, revision, fetching: false, up: true, incarnation }
     }
 
+    /// What a daemon that starts now learns from the store, or in a cut region from its peers there.
+    fn known_revision(&self, daemon: usize) -> u64 {
+        let region = region_of(daemon);
+        if Some(region) != self.cut_region {
+            return self.revision;
+        }
+        let peers = self.daemons.iter().enumerate();
+        let in_region = peers.filter(|(peer, known)| region_of(*peer) == region && known.up);
+        in_region.map(|(_, known)| known.revision).max().unwrap_or(0)
+    }
+
     fn schedule_troubles(&mut self, arguments: &HollowArguments) {
         let end = Duration::from_secs(arguments.seconds);
         let mut at = SETTLE;
--- a/crates/heronbend/src/membership/detector.rs
+++ b/crates/heronbend/src/membership/detector.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
-use rand::seq::SliceRandom;
-use rand::SeedableRng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{Rng, SeedableRng};
 
 use super::messages::{Gossip, Head, Liveness, Member, Probe, Rumour};
 use super::rumours::RumourQueue;
@@ -14,6 +14,9 @@
 use crate::lifecycle::StatedPhase;
 use crate::Moment;
 
+/// Periods between two pings of dead members, on average.
+const DEAD_PROBE_PERIODS: u32 = 4;
+
 /// Time constants of the detector.
 #[derive(Debug, Clone, Copy)]
 pub struct DetectorConfig {
@@ -205,6 +208,7 @@
         if now >= self.next_probe {
             self.close_probe(now, &mut effects);
             self.open_probe(now, &mut effects);
+            effects.extend(self.ping_a_dead_member());
             self.next_probe = now + self.config.period;
         }
         self.declare_dead(now, &mut effects);
@@ -344,6 +348,24 @@
         }
     }
 
+    /// Now and then tries a member that is believed dead: after a cut between two groups each takes
+    /// the other for dead, and nobody would ever ask again. The datagram says so, to be refuted.
+    fn ping_a_dead_member(&mut self) -> Option<Effect> {
+        if !self.random.random_ratio(1, DEAD_PROBE_PERIODS) {
+            return None;
+        }
+        let dead: Vec<&Member> = self
+            .members
+            .values()
+            .map(|known| &known.member)
+            .filter(|member| member.liveness == Liveness::Dead)
+            .collect();
+        let member = (*dead.choose(&mut self.random)?).clone();
+        let target = member.id.name.clone();
+        self.rumours.push(Rumour::Member(member));
+        Some(self.ping(&target))
+    }
+
     fn ask_helpers(&mut self, now: Moment, effects: &mut Vec<Effect>) {
         let Some(probe) = &mut self.probe else {
             return;
--- a/crates/heronbend/src/membership/rumours.rs
+++ b/crates/heronbend/src/membership/rumours.rs
@@ -9,11 +9,12 @@
 /// How often a rumour is sent, for each doubling of the number of daemons.
 const SENDS_PER_DOUBLING: u32 = 3;
 
-/// What a rumour is about; a newer rumour about the same replaces the older.
+/// What a rumour is about; a newer rumour about the same replaces the older. Back ends come first:
+/// their rumours are few and urgent, while a cut makes one rumour a member.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Subject {
-    Member(String),
     Backend(String),
+    Member(String),
 }
 
 #[derive(Debug, Clone)]
@@ -23,7 +24,7 @@
     sent: u32,
 }
 
-/// A queue that sends the least-sent rumours first.
+/// A queue that sends rumours of back ends first, and of each kind the least-sent first.
 #[derive(Debug, Clone, Default)]
 pub(super) struct RumourQueue {
     pending: BTreeMap<Subject, Pending>,
@@ -45,12 +46,17 @@
     pub(super) fn take(&mut self, members: usize) -> Vec<Rumour> {
         let doublings = usize::BITS - members.leading_zeros() + 1;
         let max_sends = SENDS_PER_DOUBLING * doublings;
-        let mut order: Vec<(u32, Subject)> =
-            self.pending.iter().map(|(subject, pending)| (pending.sent, subject.clone())).collect();
+        let mut order: Vec<(bool, u32, Subject)> = self
+            .pending
+            .iter()
+            .map(|(subject, pending)| {
+                (matches!(subject, Subject::Member(_)), pending.sent, subject.clone())
+            })
+            .collect();
         order.sort();
         let mut bytes = 0;
         let mut taken = Vec::new();
-        for (_, subject) in order {
+        for (_, _, subject) in order {
             let Some(pending) = self.pending.get_mut(&subject) else {
                 continue;
             };
--- a/crates/heronbend/src/membership/tests.rs
+++ b/crates/heronbend/src/membership/tests.rs
@@ -33,6 +33,8 @@
     backends: Vec<BTreeSet<String>>,
     behind: Vec<bool>,
     passes_on_at_once: bool,
+    /// Daemons below this index are cut off from the others.
+    cut_at: Option<usize>,
 }
 
 impl Network {
@@ -50,6 +52,7 @@
             backends: vec![BTreeSet::new(); count],
             behind: vec![false; count],
             passes_on_at_once: false,
+            cut_at: None,
         }
     }
 
@@ -81,7 +84,8 @@
         match effect {
             Effect::Send { to, gossip } => {
                 let target = usize::from(to.port() - 1000);
-                if self.silent.contains(&target) {
+                let is_cut = self.cut_at.is_some_and(|cut| (index < cut) != (target < cut));
+                if is_cut || self.silent.contains(&target) {
                     return Vec::new();
                 }
                 let effects = self.detectors[target].receive(self.now, address(index), *gossip);
@@ -139,6 +143,22 @@
     }
 }
 
+#[test]
+fn two_sides_that_were_cut_off_find_each_other_again() {
+    let mut network = Network::new(12);
+    network.run(Duration::from_secs(20));
+    network.cut_at = Some(5);
+    network.run(Duration::from_secs(120));
+    assert_eq!(network.liveness(0, 11), Some(Liveness::Dead));
+    network.cut_at = None;
+    network.run(Duration::from_secs(60));
+    for observer in 0..12 {
+        for subject in (0..12).filter(|subject| *subject != observer) {
+            assert_eq!(network.liveness(observer, subject), Some(Liveness::Alive));
+        }
+    }
+}
+
 #[test]
 fn a_new_run_supersedes_the_old_and_the_old_is_dead() {
     let mut detector = Detector::new(DetectorConfig::default(), member(0, 1), 1);
