--- a/crates/heronbend-daemon/src/serve.rs
+++ b/crates/heronbend-daemon/src/serve.rs
@@ -143,7 +143,7 @@
     );
     let shared = Shared::new(identity, arguments.allow_failpoints);
     start_duties(&shared, peer, datagrams, arguments.seed_peers)?;
-    let front_threads = arguments.front_threads.unwrap_or(2).max(1);
+    let front_threads = arguments.front_threads.unwrap_or(1).max(1);
     for number in 0..front_threads {
         let listener = http.try_clone()?;
         let shared = shared.clone();
--- a/crates/heronbend-http/src/guard.rs
+++ b/crates/heronbend-http/src/guard.rs
@@ -15,6 +15,8 @@
 pub const MAX_HEADERS: usize = 100;
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const READ_CHUNK_BYTES: usize = 4096;
+/// Most bytes of a body that are copied to go out with their head.
+const MAX_JOINED_BYTES: usize = 16 * 1024;
 /// Replaces the name `expect` in place, so that the codec does not act on a header handled here.
 const EXPECT_PLACEHOLDER: &[u8; 6] = b"x-seen";
 
@@ -72,6 +74,8 @@
     framing: BodyFraming,
     /// At least one byte was written since the last head.
     wrote: bool,
+    /// A written head that waits for the first bytes of its body, to go out in one write with them.
+    held: Vec<u8>,
 }
 
 /// A TCP stream whose reads are confined to one message.
@@ -94,6 +98,7 @@
                 head_left: 0,
                 framing: BodyFraming::Length(0),
                 wrote: false,
+                held: Vec::new(),
             })),
         }
     }
@@ -248,25 +253,84 @@
     }
 }
 
+impl GuardedStream {
+    /// Writes out what is held; ready when nothing is held any more.
+    fn poll_write_held(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut state = self.state.lock().expect("no panic while the lock is held");
+        while !state.held.is_empty() {
+            match Pin::new(&mut self.socket).poll_write(context, &state.held) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Ready(Ok(0)) => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
+                Poll::Ready(Ok(count)) => drop(state.held.drain(..count)),
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
 impl AsyncWrite for GuardedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.lock().wrote = true;
-        Pin::new(&mut self.socket).poll_write(context, bytes)
+        let holds_head = {
+            let mut state = self.lock();
+            state.wrote = true;
+            let is_head_with_body = state.held.is_empty() && precedes_a_body(bytes);
+            let fits = !state.held.is_empty() && bytes.len() <= MAX_JOINED_BYTES;
+            if is_head_with_body || fits {
+                state.held.extend_from_slice(bytes);
+            }
+            if is_head_with_body {
+                return Poll::Ready(Ok(bytes.len()));
+            }
+            fits
+        };
+        if holds_head {
+            // Taken over as a whole; what the socket does not take now goes with the next write.
+            return match self.poll_write_held(context) {
+                Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+                Poll::Ready(Ok(())) | Poll::Pending => Poll::Ready(Ok(bytes.len())),
+            };
+        }
+        match self.poll_write_held(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Ready(Ok(())) => Pin::new(&mut self.socket).poll_write(context, bytes),
+        }
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
+        match self.poll_write_held(context) {
+            Poll::Ready(Ok(())) => Pin::new(&mut self.socket).poll_flush(context),
+            other => other,
+        }
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_close(context)
+        match self.poll_write_held(context) {
+            Poll::Ready(Ok(())) => Pin::new(&mut self.socket).poll_close(context),
+            other => other,
+        }
     }
 }
 
+/// Whether these bytes, which the codec wrote at once, are a head whose body has a stated length and
+/// follows. A chunked body may be long in coming, so its head is not held.
+fn precedes_a_body(bytes: &[u8]) -> bool {
+    if !bytes.ends_with(HEAD_END) || bytes.len() > MAX_HEAD_BYTES {
+        return false;
+    }
+    let Ok(head) = std::str::from_utf8(bytes) else {
+        return false;
+    };
+    head.lines()
+        .filter_map(|line| line.strip_prefix("content-length: "))
+        .any(|length| length != "0")
+}
+
 fn find_head_end(bytes: &[u8], searched: usize) -> Option<usize> {
     let start = searched.saturating_sub(HEAD_END.len() - 1);
     bytes[start..]
--- a/crates/heronbend/src/settings/policy.rs
+++ b/crates/heronbend/src/settings/policy.rs
@@ -180,8 +180,10 @@
 
 /// The digest under which settings keep a bearer token.
 pub fn token_digest(token: &str) -> String {
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
     let digest = Sha256::digest(token.as_bytes());
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+    let nibbles = digest.iter().flat_map(|byte| [byte >> 4, byte & 0xf]);
+    nibbles.map(|nibble| char::from(DIGITS[usize::from(nibble)])).collect()
 }
 
 fn readers(tree: &Tree, section: Section) -> impl Iterator<Item = Reader<'_>> {
