--- a/crates/heronbend-daemon/src/dispatch.rs
+++ b/crates/heronbend-daemon/src/dispatch.rs
@@ -347,8 +347,9 @@
         }
         self.inner.generation.set(table.generation);
         let mut router = self.inner.router.borrow_mut();
-        router.update(table.backends.iter().map(|known| (known.backend.clone(), known.phase)));
-        for known in &table.backends {
+        let subset = || table.backends.iter().filter(|known| known.in_subset);
+        router.update(subset().map(|known| (known.backend.clone(), known.phase)));
+        for known in subset() {
             router.report(&known.backend.name, known.report);
         }
     }
--- a/crates/heronbend-daemon/src/duties/backends.rs
+++ b/crates/heronbend-daemon/src/duties/backends.rs
@@ -11,7 +11,7 @@
     Backend, BackendName, Lifecycle, Phase, Signal, SignalSource, StatedPhase,
 };
 use heronbend::membership::{Liveness, Member};
-use heronbend::routing::LoadReport;
+use heronbend::routing::{choose_subset, LoadReport};
 use heronbend::Moment;
 use heronbend_http::http_types::{Method, Request, Url};
 use heronbend_http::Client;
@@ -28,6 +28,8 @@
 /// How long a back end that the list no longer names is kept after its last answer. The list may
 /// forget machines that are well, for one after an outage of the platform.
 const UNLISTED_LIMIT: Duration = Duration::from_secs(5);
+/// Size of a pool's subset while its settings are not known.
+const DEFAULT_SUBSET: usize = 40;
 const REGISTER_INTERVAL: Duration = Duration::from_secs(1);
 
 #[derive(Default)]
@@ -38,6 +40,8 @@
     unlisted: BTreeSet<BackendName>,
     answered: BTreeMap<BackendName, Moment>,
     reports: BTreeMap<BackendName, EngineStatus>,
+    /// Reports came in since the last publication; they are published together.
+    has_new_reports: bool,
     generation: u64,
 }
 
@@ -92,12 +96,16 @@
                     incarnation: status.incarnation,
                     phase: status.phase,
                 };
-                self.observe(shared, SignalSource::BackendReport, stated);
+                let changed = self.observe(shared, SignalSource::BackendReport, stated);
                 self.answered.insert(name.clone(), shared.now());
                 self.reports.insert(name, status);
-                true
+                self.has_new_reports = true;
+                changed
+            }
+            Event::Tick => {
+                let dropped = self.drop_silent_unlisted(shared.now());
+                dropped | std::mem::take(&mut self.has_new_reports)
             }
-            Event::Tick => self.drop_silent_unlisted(shared.now()),
         }
     }
 
@@ -150,13 +158,38 @@
 
     fn publish(&mut self, shared: &Shared) {
         self.generation += 1;
-        let backends: Vec<_> = self.backends.values().map(|backend| self.known(backend)).collect();
+        let subset = self.subset(shared);
+        let backends: Vec<_> = self
+            .backends
+            .values()
+            .map(|backend| self.known(backend, subset.contains(&backend.name)))
+            .collect();
         let live = backends.iter().filter(|known| known.phase == Phase::Live).count();
         shared.metrics.backends_live.set(live as i64);
         shared.backends.store(Arc::new(BackendTable { generation: self.generation, backends }));
     }
 
-    fn known(&self, backend: &Backend) -> KnownBackend {
+    /// Back ends that this daemon sends to: of each pool as many as its settings say.
+    fn subset(&self, shared: &Shared) -> BTreeSet<BackendName> {
+        let identity = &shared.identity;
+        let settings = shared.settings.load();
+        let pools = settings.as_ref().map(|known| &known.policy.pools);
+        let mut members: BTreeMap<&str, Vec<&Backend>> = BTreeMap::new();
+        for backend in self.backends.values() {
+            members.entry(backend.pool.as_str()).or_default().push(backend);
+        }
+        let mut subset = BTreeSet::new();
+        for (pool, members) in members {
+            let size =
+                pools.and_then(|pools| pools.get(pool)).map_or(DEFAULT_SUBSET, |pool| pool.subset);
+            let name = &identity.node.name.0;
+            let chosen = choose_subset(name, &identity.zone, size, members.into_iter());
+            subset.extend(chosen.into_iter().map(|backend| backend.name.clone()));
+        }
+        subset
+    }
+
+    fn known(&self, backend: &Backend, in_subset: bool) -> KnownBackend {
         let report = self
             .reports
             .get(&backend.name)
@@ -164,12 +197,12 @@
         KnownBackend {
             backend: backend.clone(),
             phase: self.lifecycle.phase(&backend.name, backend.incarnation),
+            in_subset,
             report: report.map_or_else(LoadReport::default, |report| LoadReport {
                 running: report.running,
                 waiting: report.waiting,
                 version: report.version,
             }),
-            model: report.map(|report| report.model.clone()).unwrap_or_default(),
         }
     }
 }
@@ -246,7 +279,7 @@
         Timer::after(REPORT_INTERVAL).await;
         let _ = events.try_send(Event::Tick);
         let table = shared.backends.load_full();
-        for known in &table.backends {
+        for known in table.backends.iter().filter(|known| known.in_subset) {
             let backend = known.backend.clone();
             let (client, events) = (client.clone(), events.clone());
             executor
--- a/crates/heronbend-daemon/src/duties/weights.rs
+++ b/crates/heronbend-daemon/src/duties/weights.rs
@@ -9,6 +9,7 @@
 use heronbend::external::engine::{Order, OrderAction, OrderDone, CODE_FENCED};
 use heronbend::lifecycle::{Backend, Phase};
 use heronbend::record::{fence_key, RecordChange, RecordResponse};
+use heronbend::settings::policy::ModelPolicy;
 use heronbend::weights::{FenceChange, LoadOrder, OrderResult, VersionRollout};
 use heronbend_http::http_types::{Method, Request, StatusCode, Url};
 use heronbend_http::{Client, ErrorBody};
@@ -63,7 +64,7 @@
                     });
                 }
             }
-            for (order, backend, fence) in due_orders(&shared, &pacings, &model.name, floor) {
+            for (order, backend, fence) in due_orders(&shared, &pacings, model, floor) {
                 let task = send_order(
                     shared.clone(),
                     client.clone(),
@@ -104,25 +105,32 @@
 }
 
 /// Feeds the rollout what engines state, and gives the orders that are due.
+///
+/// Engines outside this daemon's subset are not asked for reports: they are ordered the newest
+/// version once, and their answer states it.
 fn due_orders(
     shared: &Shared,
     pacings: &Pacings,
-    model: &str,
+    model: &ModelPolicy,
     floor: f64,
 ) -> Vec<(LoadOrder, Backend, u64)> {
     let table = shared.backends.load_full();
     let engines: BTreeMap<_, _> = table
         .backends
         .iter()
-        .filter(|known| known.model == model && known.phase == Phase::Live)
+        .filter(|known| known.backend.pool == model.pool && known.phase == Phase::Live)
         .map(|known| (&known.backend.name, known))
         .collect();
     let mut due = Vec::new();
-    with(pacings, model, |pacing| {
+    with(pacings, &model.name, |pacing| {
         pacing.rollout.set_serving_floor(floor);
         for (name, known) in &engines {
             let incarnation = known.backend.incarnation;
-            pacing.rollout.observe(name, incarnation, known.report.version);
+            if known.in_subset {
+                pacing.rollout.observe(name, incarnation, known.report.version);
+            } else {
+                pacing.rollout.note_present(name, incarnation);
+            }
         }
         pacing.rollout.retain(|name| engines.contains_key(name));
         for order in pacing.rollout.tick(shared.now()) {
--- a/crates/heronbend-daemon/src/shared.rs
+++ b/crates/heronbend-daemon/src/shared.rs
@@ -66,10 +66,10 @@
     pub backend: Backend,
     /// Its phase.
     pub phase: Phase,
+    /// Whether this daemon sends to it and asks it for reports.
+    pub in_subset: bool,
     /// Its last report.
     pub report: LoadReport,
-    /// Model that it serves; empty for an application server.
-    pub model: String,
 }
 
 /// All back ends, as published by the back-ends duty.
--- a/crates/heronbend-emulator/src/hollow.rs
+++ b/crates/heronbend-emulator/src/hollow.rs
@@ -50,6 +50,8 @@
 /// Bytes of a settings object of the size to design for: some 2,000 nodes.
 const SETTINGS_BYTES: u64 = 200_000;
 const SUBSET: usize = 40;
+/// News that takes longer than this is worth a line.
+const SLOW: Duration = Duration::from_secs(3);
 
 /// Flags of `hollow`.
 #[derive(Args)]
@@ -388,6 +390,10 @@
             Event::CutBegins => {
                 self.cut_region = Some(1);
                 self.was_cut = true;
+                // What the cut region cannot hear of is not counted as late.
+                for unknown in self.leaving_unknown_to.values_mut() {
+                    unknown.retain(|daemon| region_of(*daemon) != 1);
+                }
             }
             Event::CutEnds => {
                 self.cut_region = None;
@@ -478,6 +484,7 @@
         if revision == self.revision && self.waiting_for_edit.remove(&daemon) {
             let inside = region_of(daemon) == 1;
             let took = self.now - self.edited_at;
+            self.warn_if_slow("settings", daemon, took);
             match self.cut_ended {
                 Some(ended) if inside && self.edited_at < ended => {
                     self.after_cut = self.after_cut.max(self.now - ended);
@@ -487,6 +494,20 @@
         }
     }
 
+    /// Says who was told late, for finding out why.
+    fn warn_if_slow(&self, news: &str, daemon: usize, took: Duration) {
+        if took < SLOW {
+            return;
+        }
+        let known = &self.daemons[daemon];
+        log::warn!(
+            "event=told_late news={news} daemon={daemon} region={} incarnation={} now={:?} took={took:?}",
+            region_of(daemon),
+            known.incarnation,
+            self.now
+        );
+    }
+
     /// An operator's edit is accepted by the store, which tells its readers.
     fn edit(&mut self) {
         self.revision += 1;
@@ -549,6 +570,7 @@
         };
         if unknown.remove(&daemon) {
             let took = now - self.left_at[&server];
+            self.warn_if_slow("leaving", daemon, took);
             self.leaving_delay.saturating_record(took.as_millis() as u64);
         }
     }
--- a/crates/heronbend/src/membership/detector.rs
+++ b/crates/heronbend/src/membership/detector.rs
@@ -30,8 +30,10 @@
     pub helpers: usize,
     /// Time after which a dead member is forgotten.
     pub forget_after: Duration,
-    /// Members that are told at once of what cannot wait for the next probe.
-    pub fanout: usize,
+    /// Members of the own region that are told at once of what cannot wait for the next probe.
+    pub fanout_in_region: usize,
+    /// Members of other regions that are told at once.
+    pub fanout_elsewhere: usize,
 }
 
 impl Default for DetectorConfig {
@@ -42,7 +44,8 @@
             suspicion: Duration::from_millis(4000),
             helpers: 3,
             forget_after: Duration::from_secs(600),
-            fanout: 4,
+            fanout_in_region: 3,
+            fanout_elsewhere: 2,
         }
     }
 }
@@ -176,15 +179,18 @@
     ///
     /// A daemon that learns something for the first time and passes it on in this way makes it known
     /// to nearly all within a few hops, where probes alone take some periods.
+    ///
+    /// Most are of the own region, so that it spreads there also while the region is cut off.
     pub fn announce(&mut self) -> Vec<Effect> {
-        self.ping_some(self.config.fanout)
-    }
-
-    fn ping_some(&mut self, count: usize) -> Vec<Effect> {
-        let mut targets = self.probe_targets();
-        targets.shuffle(&mut self.random);
-        targets.truncate(count);
-        targets.into_iter().map(|target| self.ping(&target)).collect()
+        let (mut near, mut far): (Vec<NodeName>, Vec<NodeName>) = self
+            .probe_targets()
+            .into_iter()
+            .partition(|target| self.members[target].member.region == self.me.region);
+        near.shuffle(&mut self.random);
+        far.shuffle(&mut self.random);
+        near.truncate(self.config.fanout_in_region);
+        far.truncate(self.config.fanout_elsewhere);
+        near.into_iter().chain(far).map(|target| self.ping(&target)).collect()
     }
 
     /// Takes in a member from another source, such as the platform's list.
@@ -198,7 +204,7 @@
     pub fn leave(&mut self) -> Vec<Effect> {
         self.me.liveness = Liveness::Left;
         self.rumours.push(Rumour::Member(self.me.clone()));
-        self.ping_some(self.config.fanout * 2)
+        self.announce()
     }
 
     /// Advances time: probes, suspicions, and forgetting.
--- a/crates/heronbend/src/settings/policy.rs
+++ b/crates/heronbend/src/settings/policy.rs
@@ -36,6 +36,8 @@
     pub max_attempts: u32,
     /// Whether prompts with a common prefix go to the same engine.
     pub prefix_affinity: bool,
+    /// Back ends of the pool that one daemon sends to and asks for reports.
+    pub subset: usize,
     /// Share of engines that keeps serving during a weight rollout.
     pub serving_floor: f64,
 }
@@ -270,6 +272,7 @@
             recovery_window: self.duration("recovery_window"),
             max_attempts: self.count("max_attempts") as u32,
             prefix_affinity: self.flag("prefix_affinity"),
+            subset: self.count("subset") as usize,
             serving_floor: self.ratio("serving_floor"),
         }
     }
--- a/crates/heronbend/src/settings/schema.rs
+++ b/crates/heronbend/src/settings/schema.rs
@@ -110,6 +110,7 @@
     field("recovery_window", Section::Pools, FieldKind::Duration, Some("50ms")),
     field("max_attempts", Section::Pools, FieldKind::Count { min: 1, max: 10 }, Some("3")),
     field("prefix_affinity", Section::Pools, FieldKind::Flag, Some("true")),
+    field("subset", Section::Pools, POSITIVE, Some("40")),
     field("serving_floor", Section::Pools, FieldKind::Ratio, Some("0.5")),
     field("pool", Section::Models, FieldKind::Reference(Section::Pools), None),
     field("max_tokens", Section::Models, POSITIVE, Some("4096")),
--- a/crates/heronbend/src/weights/rollout.rs
+++ b/crates/heronbend/src/weights/rollout.rs
@@ -98,6 +98,14 @@
         }
     }
 
+    /// An engine is there, and nothing new is known of what it has loaded.
+    pub fn note_present(&mut self, name: &BackendName, incarnation: Incarnation) {
+        let known = self.engines.get(name);
+        if known.is_none_or(|engine| engine.incarnation != incarnation) {
+            self.observe(name, incarnation, None);
+        }
+    }
+
     /// Keeps only engines that are still there.
     pub fn retain(&mut self, is_present: impl Fn(&BackendName) -> bool) {
         self.engines.retain(|name, _| is_present(name));
