--- a/crates/heronbend-emulator/src/experiment/rollout.rs
+++ b/crates/heronbend-emulator/src/experiment/rollout.rs
@@ -38,8 +38,17 @@
 const PER_SEQUENCE: f64 = 0.0004;
 const TRAINING: f64 = 200.0;
 const POOL: &str = "pool";
+/// Pool of the engines that run small batches.
+const RESERVED: &str = "reserved";
 /// Engines of which one crashes, and one runs slower, in every step.
 const SLOWDOWN: f64 = 2.0;
+/// How many times faster a token must be elsewhere for a move to be worthwhile.
+const WORTHWHILE_GAIN: f64 = 1.15;
+const MOVES_AT_ONCE: usize = 4;
+/// Iterations that a moved sample loses: export, transfer and import of its KV cache.
+const MOVE_ITERATIONS: f64 = 20.0;
+/// Iterations that a resumed sample loses: its text so far is computed anew.
+const RESUME_ITERATIONS: f64 = 40.0;
 /// More than the coordinator's own delay before it draws a failed slot again.
 const REDRAW_AFTER: f64 = 0.1;
 
@@ -56,12 +65,25 @@
     overlaps_training: bool,
     /// A swap of weights restarts samples under way.
     restarts_on_swap: bool,
-    /// Samples move from loaded engines to idle ones at the tail.
+    /// At the tail samples move from engines on which a token takes long to faster ones.
     migrates: bool,
+    /// A sample whose engine is lost goes on elsewhere from its last token, as the daemon does it.
+    resumes: bool,
+    /// Some engines run small batches, and samples that have grown long move there.
+    reserves: Option<Reserve>,
     /// The coordinator is told the true lengths.
     knows_lengths: bool,
 }
 
+/// Engines kept at small batches for long samples.
+#[derive(Debug, Clone, Copy)]
+struct Reserve {
+    engines: usize,
+    max_batch: usize,
+    /// Tokens after which a sample may move.
+    after_tokens: f64,
+}
+
 const BASELINE: Policy = Policy {
     name: "fifo, next step once whole",
     order: DrawOrder::FirstInFirstOut,
@@ -70,24 +92,63 @@
     overlaps_training: true,
     restarts_on_swap: false,
     migrates: false,
+    resumes: false,
+    reserves: None,
     knows_lengths: false,
 };
 
 const LONGEST: Policy =
     Policy { name: "longest expected first", order: DrawOrder::LongestExpectedFirst, ..BASELINE };
 
-const ARMS: [Policy; 10] = [
+const RESERVE: Policy = Policy {
+    name: "longest + reserve",
+    reserves: Some(Reserve { engines: 12, max_batch: 20, after_tokens: 1500.0 }),
+    migrates: true,
+    resumes: true,
+    ..LONGEST
+};
+
+const ARMS: [Policy; 17] = [
     BASELINE,
     Policy { name: "fifo, strictly in turn", overlaps_training: false, ..BASELINE },
     Policy { name: "fifo, restart on swap", restarts_on_swap: true, ..BASELINE },
     LONGEST,
     Policy { name: "longest + hedge", max_copies: 2, ..LONGEST },
-    Policy { name: "longest + migration", migrates: true, ..LONGEST },
+    Policy { name: "longest + resume", resumes: true, ..LONGEST },
+    Policy { name: "longest + resume + migration", resumes: true, migrates: true, ..LONGEST },
+    Policy {
+        name: "idle-leaning without reserve",
+        resumes: true,
+        migrates: true,
+        draws_ahead: true,
+        ..LONGEST
+    },
+    Policy {
+        name: "staleness-leaning without reserve",
+        resumes: true,
+        migrates: true,
+        overlaps_training: false,
+        ..LONGEST
+    },
+    RESERVE,
+    Policy {
+        name: "longest + small reserve",
+        reserves: Some(Reserve { engines: 8, max_batch: 16, after_tokens: 3000.0 }),
+        ..RESERVE
+    },
+    Policy {
+        name: "longest + large reserve",
+        reserves: Some(Reserve { engines: 16, max_batch: 24, after_tokens: 1000.0 }),
+        ..RESERVE
+    },
+    Policy { name: "fifo + reserve", order: DrawOrder::FirstInFirstOut, ..RESERVE },
     Policy { name: "longest + early draw", draws_ahead: true, ..LONGEST },
-    Policy { name: "idle-leaning", max_copies: 2, draws_ahead: true, ..LONGEST },
-    Policy { name: "staleness-leaning", max_copies: 2, overlaps_training: false, ..LONGEST },
+    Policy { name: "idle-leaning", draws_ahead: true, ..RESERVE },
+    Policy { name: "staleness-leaning", overlaps_training: false, ..RESERVE },
     Policy {
         name: "knows lengths, in turn",
+        resumes: true,
+        migrates: true,
         knows_lengths: true,
         overlaps_training: false,
         ..LONGEST
@@ -250,23 +311,45 @@
     ]
 }
 
-/// No schedule is faster: all places full all the time, and the longest sample alone.
+/// No schedule that knows the lengths is faster than the time found here.
+///
+/// To be whole by `time`, a sample of `l` tokens needs tokens of `time / l` on average, which bounds
+/// the batches that it runs in. The engine time that a token costs in a batch is a convex function of
+/// the token's time, so each sample costs at least what it would in the largest batch that suits it.
 fn lower_bound(lengths: &[u32]) -> f64 {
-    let total: f64 = lengths.iter().map(|length| f64::from(*length)).sum();
-    let full = ITERATION + PER_SEQUENCE * MAX_BATCH as f64;
-    let work = total / (ENGINES * MAX_BATCH) as f64 * full;
-    let longest = lengths.iter().max().map_or(0.0, |length| f64::from(*length));
-    work.max(longest * (ITERATION + PER_SEQUENCE))
+    let suffices = |time: f64| {
+        let mut cost = 0.0;
+        for length in lengths {
+            let tokens = f64::from(*length);
+            let batch = ((time / tokens - ITERATION) / PER_SEQUENCE).min(MAX_BATCH as f64);
+            if batch < 1.0 {
+                return false;
+            }
+            cost += tokens * (ITERATION + PER_SEQUENCE * batch) / batch;
+        }
+        cost <= time * ENGINES as f64
+    };
+    let (mut low, mut high) = (0.0, 100_000.0);
+    for _ in 0..60 {
+        let middle = (low + high) / 2.0;
+        if suffices(middle) {
+            high = middle;
+        } else {
+            low = middle;
+        }
+    }
+    high
 }
 
 impl Simulation {
     fn new(policy: Policy, seed: u64) -> Self {
+        let reserved = policy.reserves.map_or(0, |reserve| reserve.engines);
         let engines: Vec<SimulatedEngine> = (0..ENGINES)
             .map(|index| SimulatedEngine {
                 backend: Backend {
                     name: BackendName(format!("engine-{index:03}")),
                     incarnation: Incarnation(1),
-                    pool: POOL.into(),
+                    pool: if index < reserved { RESERVED } else { POOL }.into(),
                     address: ([127, 0, 0, 1], 1).into(),
                     zone: "zone".into(),
                 },
@@ -396,9 +479,10 @@
         let effects = step.coordinator.on_drawn(ended.draw, sample);
         self.cancel(ended.step, &effects);
         self.note_if_whole(ended.step);
+        self.move_long_ones();
         self.fill_places();
         if self.policy.migrates {
-            self.migrate_to_idle();
+            self.migrate_to_faster();
         }
         self.reschedule(engine);
     }
@@ -471,8 +555,11 @@
         self.engines[engine].advance(self.now);
         let lost: Vec<Running> = self.engines[engine].running.values().copied().collect();
         for running in lost {
-            self.waste(engine, &running);
             self.take_off(engine, &running, Verdict::Abandoned);
+            if self.policy.resumes && self.resume_elsewhere(engine, &running) {
+                continue;
+            }
+            self.waste(engine, &running);
             let moment = self.moment();
             if let Some(step) = self.steps.get_mut(&running.step) {
                 step.coordinator.on_failed(moment, running.draw);
@@ -482,12 +569,26 @@
         self.reschedule(engine);
     }
 
+    /// Goes on with a sample at another engine, which computes the text so far anew.
+    fn resume_elsewhere(&mut self, lost: usize, running: &Running) -> bool {
+        let left = running.ends_at - self.engines[lost].iterations;
+        let Some(engine) = self.choose(POOL) else {
+            return false;
+        };
+        self.engines[engine].advance(self.now);
+        let ends_at = self.engines[engine].iterations + left + RESUME_ITERATIONS;
+        let resumed = Running { ends_at, ..*running };
+        self.engines[engine].running.insert((running.step, running.draw), resumed);
+        self.reschedule(engine);
+        true
+    }
+
     /// Starts draws of the oldest step first, while places are free.
     fn fill_places(&mut self) {
         let numbers: Vec<u64> = self.steps.keys().copied().collect();
         let mut touched = Vec::new();
         for number in numbers {
-            let places = self.router.free_places(self.moment(), POOL, MAX_BATCH);
+            let places = self.free_places(POOL) + self.free_places(RESERVED);
             let moment = self.moment();
             let Some(step) = self.steps.get_mut(&number) else {
                 continue;
@@ -506,17 +607,79 @@
         }
     }
 
-    fn start(&mut self, step: u64, draw: DrawId, slot: SlotIndex) -> Option<usize> {
+    fn max_batch(&self, pool: &str) -> usize {
+        match self.policy.reserves {
+            Some(reserve) if pool == RESERVED => reserve.max_batch,
+            _ => MAX_BATCH,
+        }
+    }
+
+    fn free_places(&self, pool: &str) -> usize {
+        self.router.free_places(self.moment(), pool, self.max_batch(pool))
+    }
+
+    fn choose(&mut self, pool: &'static str) -> Option<usize> {
         let query = Query {
-            pool: POOL,
-            max_in_flight: MAX_BATCH,
+            pool,
+            max_in_flight: self.max_batch(pool),
             prefix: None,
             min_version: None,
             exclude: &[],
         };
         let moment = self.moment();
         let chosen = self.router.choose(moment, &query).ok()?;
-        let engine = self.engines.iter().position(|engine| engine.backend == chosen)?;
+        self.engines.iter().position(|engine| engine.backend == chosen)
+    }
+
+    /// While the reserved engines have places, the samples that have grown longest move there.
+    fn move_long_ones(&mut self) {
+        let Some(reserve) = self.policy.reserves else {
+            return;
+        };
+        let mut touched = Vec::new();
+        while self.free_places(RESERVED) > 0 {
+            let Some((from, running, done)) = self.longest_grown(reserve.after_tokens) else {
+                break;
+            };
+            let Some(to) = self.choose(RESERVED) else {
+                break;
+            };
+            self.engines[to].advance(self.now);
+            self.take_off(from, &running, Verdict::Abandoned);
+            let left = f64::from(running.tokens) - done;
+            let ends_at = self.engines[to].iterations + left;
+            let moved = Running { ends_at, ..running };
+            self.engines[to].running.insert((running.step, running.draw), moved);
+            touched.extend([from, to]);
+        }
+        touched.sort_unstable();
+        touched.dedup();
+        for engine in touched {
+            self.reschedule(engine);
+        }
+    }
+
+    /// Of the samples outside the reserve that have grown past a length, the longest so far.
+    fn longest_grown(&mut self, after_tokens: f64) -> Option<(usize, Running, f64)> {
+        let mut best: Option<(usize, Running, f64)> = None;
+        for index in 0..ENGINES {
+            if self.engines[index].backend.pool == RESERVED {
+                continue;
+            }
+            self.engines[index].advance(self.now);
+            let engine = &self.engines[index];
+            for running in engine.running.values() {
+                let done = f64::from(running.tokens) - (running.ends_at - engine.iterations);
+                if done >= after_tokens && best.is_none_or(|(_, _, most)| done > most) {
+                    best = Some((index, *running, done));
+                }
+            }
+        }
+        best
+    }
+
+    fn start(&mut self, step: u64, draw: DrawId, slot: SlotIndex) -> Option<usize> {
+        let engine = self.choose(RESERVED).or_else(|| self.choose(POOL))?;
         let tokens = self.steps[&step].lengths[slot.0 as usize];
         let state = &mut self.engines[engine];
         state.advance(self.now);
@@ -526,31 +689,52 @@
         Some(engine)
     }
 
-    /// Moves a sample from the most to the least loaded engine while that makes it faster.
-    fn migrate_to_idle(&mut self) {
-        let load = |engine: &SimulatedEngine| engine.running.len() as f64 * engine.slowdown;
-        let by_load = |left: &usize, right: &usize| {
-            load(&self.engines[*left]).total_cmp(&load(&self.engines[*right]))
-        };
-        let (Some(from), Some(to)) = ((0..ENGINES).max_by(by_load), (0..ENGINES).min_by(by_load))
-        else {
-            return;
-        };
-        let is_tail = self.engines[from].running.len() < MAX_BATCH / 2;
-        if !is_tail || load(&self.engines[from]) < load(&self.engines[to]) + 4.0 {
+    /// At the tail, moves samples from engines on which a token takes long, whether for a large batch
+    /// or for a fault, to the engine on which it takes least.
+    fn migrate_to_faster(&mut self) {
+        if self.free_places(POOL) < MAX_BATCH {
             return;
         }
+        for _ in 0..MOVES_AT_ONCE {
+            let token_time = |engine: &SimulatedEngine, extra: usize| {
+                let batch = (engine.running.len() + extra) as f64;
+                (ITERATION + PER_SEQUENCE * batch) * engine.slowdown
+            };
+            let busy = (0..ENGINES).filter(|index| !self.engines[*index].running.is_empty());
+            let from = busy.max_by(|left, right| {
+                let time = |index: usize| token_time(&self.engines[index], 0);
+                time(*left).total_cmp(&time(*right))
+            });
+            let to = (0..ENGINES).min_by(|left, right| {
+                let time = |index: usize| token_time(&self.engines[index], 1);
+                time(*left).total_cmp(&time(*right))
+            });
+            let (Some(from), Some(to)) = (from, to) else {
+                return;
+            };
+            let gain = token_time(&self.engines[from], 0) / token_time(&self.engines[to], 1);
+            if from == to || gain < WORTHWHILE_GAIN {
+                return;
+            }
+            self.move_longest(from, to);
+        }
+    }
+
+    fn move_longest(&mut self, from: usize, to: usize) {
         self.engines[from].advance(self.now);
         self.engines[to].advance(self.now);
+        let done = |running: &Running| {
+            f64::from(running.tokens) - (running.ends_at - self.engines[from].iterations)
+        };
         let longest = self.engines[from]
             .running
             .values()
-            .max_by(|left, right| left.ends_at.total_cmp(&right.ends_at))
+            .max_by(|left, right| done(left).total_cmp(&done(right)))
             .copied();
         if let Some(mut running) = longest {
             let left = running.ends_at - self.engines[from].iterations;
             self.engines[from].running.remove(&(running.step, running.draw));
-            running.ends_at = self.engines[to].iterations + left;
+            running.ends_at = self.engines[to].iterations + left + MOVE_ITERATIONS;
             self.engines[to].running.insert((running.step, running.draw), running);
             self.reschedule(from);
             self.reschedule(to);
