A planned stop closes the listener first; sealed shards are opened again; readiness waits for back ends

Found by running the fault tests again, beside other load: - One request was lost at a daemon's exit: a connection that the kernel had accepted and the daemon had not. Now the listener is closed once its queue is empty, and the daemon stays until clients have closed theirs, or 5 s. A proposer that finds a shard sealed now has a transition made, to the same members if need be. - A daemon was ready before it had seen any back end. - The test of a dead claim holder raced: either daemon could take the claim. It now waits until the first has dispatched.

--- a/crates/heronbend-daemon/src/duties/register.rs
+++ b/crates/heronbend-daemon/src/duties/register.rs
@@ -1,7 +1,7 @@
 //! Drives registers: this daemon's replicas, its proposals, and calls between daemons.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -96,6 +96,9 @@
     pub peers: PeerClient,
     replicas: Rc<RefCell<BTreeMap<ShardId, Replica<Record>>>>,
     highest_round: Rc<RefCell<u64>>,
+    /// Shards of which a member said that the epoch in force is sealed: some transition was begun and
+    /// not committed, and only another one opens the shard again.
+    sealed: Rc<RefCell<BTreeSet<ShardId>>>,
 }
 
 /// Runs until the process ends.
@@ -106,6 +109,7 @@
         executor: executor.clone(),
         replicas: Rc::default(),
         highest_round: Rc::default(),
+        sealed: Rc::default(),
     };
     let server = duty.clone();
     let answer = move |request| server.answer(request);
@@ -207,7 +211,7 @@
                 return outcome;
             };
             if let ReplicaReply::Rejected { reason: Rejection::Epoch { known }, .. } = &reply {
-                self.help_with_epoch(shard, &from, *known);
+                self.help_with_epoch(shard, &from, *known, proposal.epoch());
             }
             match proposal.on_reply(&from, reply) {
                 Progress::Waiting => {}
@@ -329,8 +333,16 @@
         }
     }
 
-    /// A replica that lags is told the replica set in force.
-    fn help_with_epoch(&self, shard: ShardId, from: &NodeId, known: u64) {
+    /// Takes the shards that were found sealed.
+    pub fn take_sealed(&self) -> BTreeSet<ShardId> {
+        self.sealed.take()
+    }
+
+    /// A replica that lags is told the replica set in force; one that has sealed it is noted.
+    fn help_with_epoch(&self, shard: ShardId, from: &NodeId, known: u64, proposed: u64) {
+        if known == proposed {
+            self.sealed.borrow_mut().insert(shard);
+        }
         let map = self.shared.shard_map.load();
         let newer = map.config(shard).filter(|config| config.epoch > known).cloned();
         if let Some(config) = newer {
--- a/crates/heronbend-daemon/src/duties/shards.rs
+++ b/crates/heronbend-daemon/src/duties/shards.rs
@@ -15,6 +15,7 @@
 use heronbend::register::{
     ReplicaRequest, ShardConfig, ShardId, ShardMap, Transition, TransitionStep,
 };
+use rand::Rng;
 use smol::channel::bounded;
 use smol::Timer;
 
@@ -33,12 +34,21 @@
     loop {
         Timer::after(CHECK_INTERVAL).await;
         let is_unknown = duty.shared.shard_map.load().shards.is_empty();
-        let places = duty.shared.is_first_alive() && !duty.shared.is_draining();
-        let is_due = is_unknown || (places && needs_placing(&duty.shared));
+        // Before the list of machines is known every daemon would take itself for the first.
+        let knows_daemons = duty.shared.backends.load().generation > 0;
+        let may_write = knows_daemons && !duty.shared.is_draining();
+        let places = may_write && duty.shared.is_first_alive();
+        let sealed = duty.take_sealed();
+        let reopens = may_write && !sealed.is_empty();
+        let is_due = is_unknown || reopens || (places && needs_placing(&duty.shared));
         if !is_due {
             continue;
         }
-        if let Err(error) = place(&duty, &platform, places).await {
+        if reopens {
+            // Several daemons find a shard sealed at the same time; one is enough.
+            Timer::after(CHECK_INTERVAL.mul_f64(rand::rng().random())).await;
+        }
+        if let Err(error) = place(&duty, &platform, places, &sealed).await {
             log::debug!("event=placing_failed error={error}");
         }
     }
@@ -47,18 +57,26 @@
 async fn place(
     duty: &RegisterDuty,
     platform: &PlatformClient,
-    may_write: bool,
+    places: bool,
+    sealed: &BTreeSet<ShardId>,
 ) -> Result<(), PlatformError> {
     duty.shared.metrics.store_reads.inc();
     let stored: Option<Versioned<ShardMap>> = platform.read(SHARD_MAP_OBJECT).await?;
     match stored {
         Some(stored) => {
+            let known = duty.shared.shard_map.load_full();
             duty.learn_map(&stored.value);
-            if may_write && needs_placing(&duty.shared) {
-                replace_members(duty, platform, stored).await?;
+            // A shard whose stored epoch is newer than the one found sealed is open already.
+            let still_sealed = |shard: &&ShardId| {
+                let epoch = |map: &ShardMap| map.config(**shard).map(|config| config.epoch);
+                epoch(&known) == epoch(&stored.value)
+            };
+            let sealed: BTreeSet<ShardId> = sealed.iter().filter(still_sealed).copied().collect();
+            if !sealed.is_empty() || (places && needs_placing(&duty.shared)) {
+                replace_members(duty, platform, stored, places, &sealed).await?;
             }
         }
-        None if may_write && duty.shared.settings.load().is_some() => {
+        None if places && duty.shared.settings.load().is_some() => {
             let first = ShardMap::first(SHARDS, &candidates(&duty.shared));
             platform.write(SHARD_MAP_OBJECT, 0, &first).await?;
             log::info!("event=shard_map_created shards={SHARDS}");
@@ -73,13 +91,17 @@
     duty: &RegisterDuty,
     platform: &PlatformClient,
     stored: Versioned<ShardMap>,
+    places: bool,
+    sealed: &BTreeSet<ShardId>,
 ) -> Result<(), PlatformError> {
     let Versioned { version, value: mut map } = stored;
     let mut moved = Vec::new();
     let started = Instant::now();
     for (index, config) in map.shards.clone().into_iter().enumerate() {
         let shard = ShardId(u32::try_from(index).unwrap_or(u32::MAX));
-        let Some(members) = better_members(&duty.shared, shard, &config) else {
+        let better = better_members(&duty.shared, shard, &config).filter(|_| places);
+        let same = sealed.contains(&shard).then(|| config.members.clone());
+        let Some(members) = better.or(same) else {
             continue;
         };
         if let Some(next) = prepare(duty, shard, config, members).await {
--- a/crates/heronbend-daemon/src/duties/weights.rs
+++ b/crates/heronbend-daemon/src/duties/weights.rs
@@ -55,7 +55,7 @@
             if !ensure_fence(&shared, &pacings, &model.name, floor).await {
                 continue;
             }
-            if ticks % TICKS_PER_LOOK == 0 {
+            if ticks.is_multiple_of(TICKS_PER_LOOK) {
                 if let Ok(versions) = platform.versions(&model.name).await {
                     with(&pacings, &model.name, |pacing| {
                         if let Some(latest) = versions.latest {
--- a/crates/heronbend-daemon/src/front/mod.rs
+++ b/crates/heronbend-daemon/src/front/mod.rs
@@ -7,7 +7,7 @@
 mod rollouts;
 
 use std::rc::Rc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -75,26 +75,36 @@
     if let Err(error) = connections.serve(executor, listener, limits, handler).await {
         log::error!("event=listener_failed error={error}");
     }
+    // The listener is closed; connections that are open live on this thread's executor.
+    std::future::pending::<()>().await;
 }
 
 /// Publishes this thread's share of the counts that draining waits for.
 async fn keep_counting(shared: Arc<Shared>, connections: Connections) {
-    let mut published = 0;
-    let mut refused = 0;
+    let (mut exchanges, mut open, mut refused) = (0, 0, 0);
     loop {
-        let now = connections.exchanges() as u64;
-        shared.exchanges.fetch_add(now.wrapping_sub(published), Ordering::AcqRel);
-        published = now;
+        publish(&shared.exchanges, &mut exchanges, connections.exchanges());
+        publish(&shared.connections, &mut open, connections.open());
         let heads = connections.refused_heads();
         shared.metrics.refused_heads.inc_by(heads - refused);
         refused = heads;
         if shared.is_draining() {
             connections.start_draining();
         }
+        if shared.listeners_closed.load(Ordering::Acquire) {
+            connections.stop_accepting();
+        }
         Timer::after(COUNT_INTERVAL).await;
     }
 }
 
+/// Adds this thread's change of a count to the sum of all threads.
+fn publish(sum: &AtomicU64, published: &mut u64, now: usize) {
+    let now = now as u64;
+    sum.fetch_add(now.wrapping_sub(*published), Ordering::AcqRel);
+    *published = now;
+}
+
 impl Front {
     async fn handle(self: Rc<Self>, request: Request) -> Response {
         let response = self.clone().answer(request).await;
--- a/crates/heronbend-daemon/src/serve.rs
+++ b/crates/heronbend-daemon/src/serve.rs
@@ -20,8 +20,10 @@
 /// Longest time that a stop waits for requests under way.
 const DRAIN_LIMIT: Duration = Duration::from_secs(120);
 /// Time that load balancers and peers have to notice before connections are counted.
-const DRAIN_NOTICE: Duration = Duration::from_millis(300);
+const DRAIN_NOTICE: Duration = Duration::from_millis(500);
 const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// How long idle connections are kept open while draining.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
 /// Longest time that readiness waits for the replica sets to be whole.
 const JOIN_LIMIT: Duration = Duration::from_secs(20);
 
@@ -154,6 +156,7 @@
             }
         })?;
     }
+    drop(http);
     let admin_shared = shared.clone();
     spawn_duty("admin", Polling::Parked, move |executor| async move {
         match asynchronous(admin) {
@@ -223,10 +226,9 @@
     }
     log::info!("event=draining exchanges={}", shared.exchanges.load(Ordering::Relaxed));
     std::thread::sleep(DRAIN_NOTICE);
-    let deadline = Instant::now() + DRAIN_LIMIT;
-    while shared.exchanges.load(Ordering::Acquire) > 0 && Instant::now() < deadline {
-        std::thread::sleep(DRAIN_POLL);
-    }
+    // From here on a new connection is refused, which tells its client that nothing was sent.
+    shared.listeners_closed.store(true, Ordering::Release);
+    wait_until_quiet(shared);
     let left = shared.exchanges.load(Ordering::Acquire);
     let _ = shared.membership.sender.try_send(MembershipInput::Leave);
     std::thread::sleep(DRAIN_NOTICE);
@@ -235,10 +237,30 @@
     Ok(())
 }
 
-/// Whether the replica sets are known and none waits for a member to be replaced.
+/// Waits until no request is under way, and then until clients have closed their connections: each
+/// is told so with its next answer. A connection that is still open after that has been idle, and a
+/// request sent on it at the very moment of the exit would be lost.
+fn wait_until_quiet(shared: &Shared) {
+    let deadline = Instant::now() + DRAIN_LIMIT;
+    let mut quiet_since = Instant::now();
+    while Instant::now() < deadline {
+        std::thread::sleep(DRAIN_POLL);
+        if shared.exchanges.load(Ordering::Acquire) > 0 {
+            quiet_since = Instant::now();
+        }
+        let quiet = quiet_since.elapsed();
+        let all_closed = shared.connections.load(Ordering::Acquire) == 0;
+        if quiet >= IDLE_LIMIT || (all_closed && quiet >= DRAIN_NOTICE) {
+            return;
+        }
+    }
+}
+
+/// Whether back ends and replica sets are known and no set waits for a member to be replaced.
 fn has_joined(shared: &Shared) -> bool {
     let is_known = !shared.shard_map.load().shards.is_empty();
-    shared.serves() && is_known && !shards::needs_placing(shared)
+    let knows_backends = shared.backends.load().generation > 0;
+    shared.serves() && is_known && knows_backends && !shards::needs_placing(shared)
 }
 
 fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
--- a/crates/heronbend-daemon/src/shared.rs
+++ b/crates/heronbend-daemon/src/shared.rs
@@ -141,6 +141,8 @@
     pub members: ArcSwap<Vec<Member>>,
     /// Set once by the signal handler or an operator: no new work is taken.
     pub draining: AtomicBool,
+    /// Set while draining: no more connections are accepted.
+    pub listeners_closed: AtomicBool,
     /// Milliseconds since start at which the ticker last ran; tells a pause of the process.
     last_tick: AtomicU64,
     /// Cleared by a pause, set when the settings are confirmed again.
@@ -151,6 +153,8 @@
     pub steps_open: AtomicU64,
     /// Requests and streams under way at all fronts.
     pub exchanges: AtomicU64,
+    /// Connections open at all fronts.
+    pub connections: AtomicU64,
     /// Numbers that are unique within this run.
     next_number: AtomicU64,
     /// Faults that tests bring about.
@@ -183,11 +187,13 @@
             backends: ArcSwap::default(),
             members: ArcSwap::default(),
             draining: AtomicBool::new(false),
+            listeners_closed: AtomicBool::new(false),
             last_tick: AtomicU64::new(0),
             settings_confirmed: AtomicBool::new(true),
             joined: AtomicBool::new(false),
             steps_open: AtomicU64::new(0),
             exchanges: AtomicU64::new(0),
+            connections: AtomicU64::new(0),
             next_number: AtomicU64::new(1),
             failpoints: Failpoints::new(failpoints_allowed),
             metrics: Metrics::default(),
--- a/crates/heronbend-emulator/tests/faults.rs
+++ b/crates/heronbend-emulator/tests/faults.rs
@@ -191,6 +191,12 @@
     let first =
         std::thread::spawn(move || request(Method::Post, address, "/alerts", &headers, "{}"));
     let other = cluster.daemons[1].http;
+    // Only once the first daemon has dispatched does it surely hold the claim.
+    let admin = cluster.daemons[0].admin;
+    wait_until("the first daemon has dispatched", || {
+        let page = request(Method::Get, admin, "/metrics", &[], "").map(|(_, page)| page);
+        page.is_some_and(|page| page.lines().any(|line| line == "heronbend_attempts_total 1"))
+    });
     wait_until("the claim is held", || {
         let answer = request(Method::Post, other, "/alerts", &headers, "{}");
         answer.is_some_and(|(status, _)| status == StatusCode::Conflict)
--- a/crates/heronbend-http/src/server.rs
+++ b/crates/heronbend-http/src/server.rs
@@ -9,6 +9,7 @@
 use async_h1::server::{ConnectionStatus, Encoder, Server};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use http_types::{Method, Request, Response, StatusCode};
+use smol::channel::{bounded, Receiver, Sender};
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 use thiserror::Error;
@@ -38,6 +39,21 @@
     exchanges: Rc<Cell<usize>>,
     refused_heads: Rc<Cell<u64>>,
     draining: Rc<Cell<bool>>,
+    accepting: Accepting,
+}
+
+/// Open while connections are accepted.
+#[derive(Debug, Clone)]
+struct Accepting {
+    stop: Sender<()>,
+    stopped: Receiver<()>,
+}
+
+impl Default for Accepting {
+    fn default() -> Self {
+        let (stop, stopped) = bounded(1);
+        Self { stop, stopped }
+    }
 }
 
 impl Connections {
@@ -61,7 +77,12 @@
         self.draining.set(true);
     }
 
-    /// Accepts connections until the listener fails, and serves each on `executor`.
+    /// Closes the listener, once every connection that waits to be accepted has been.
+    pub fn stop_accepting(&self) {
+        self.accepting.stop.close();
+    }
+
+    /// Accepts connections until told to stop, and serves each on `executor`.
     pub async fn serve<H, F>(
         &self,
         executor: Rc<LocalExecutor<'static>>,
@@ -74,7 +95,15 @@
         F: Future<Output = Response> + 'static,
     {
         loop {
-            let Ok((socket, _)) = listener.accept().await else {
+            let accepted = async { Some(listener.accept().await) };
+            let stopped = async {
+                let _ = self.accepting.stopped.recv().await;
+                None
+            };
+            let Some(accepted) = accepted.or(stopped).await else {
+                return Ok(());
+            };
+            let Ok((socket, _)) = accepted else {
                 // Out of descriptors, or the peer left early: neither ends the listener.
                 Timer::after(ACCEPT_RETRY_DELAY).await;
                 continue;
--- a/crates/heronbend/src/register/proposal.rs
+++ b/crates/heronbend/src/register/proposal.rs
@@ -67,6 +67,11 @@
         (proposal, request)
     }
 
+    /// The epoch that the proposal is made in.
+    pub fn epoch(&self) -> u64 {
+        self.config.epoch
+    }
+
     /// The members to send to.
     pub fn members(&self) -> &BTreeSet<NodeId> {
         &self.config.members
