Tests wait until a process listens; idle daemons spend less

Ports are now given once a run, and a process that could not bind is started again. Ruled out: the daemons (their logs show draws that ended and were never scored).

--- a/crates/heronbend-daemon/src/duties/backends.rs
+++ b/crates/heronbend-daemon/src/duties/backends.rs
@@ -22,7 +22,7 @@
 use crate::shared::{BackendTable, BackendsInput, KnownBackend, MembershipInput, Shared};
 
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
-const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1000);
 const MAX_REPORT_BYTES: usize = 1 << 16;
 /// How long a back end that the list no longer names is kept after its last answer. The list may
--- a/crates/heronbend-daemon/src/duties/membership.rs
+++ b/crates/heronbend-daemon/src/duties/membership.rs
@@ -13,7 +13,7 @@
 use super::register::RegisterCall;
 use crate::shared::{BackendsInput, MembershipInput, Shared};
 
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 const MAX_DATAGRAM_BYTES: usize = 2048;
 
 enum Event {
--- a/crates/heronbend-daemon/src/duties/rollout.rs
+++ b/crates/heronbend-daemon/src/duties/rollout.rs
@@ -29,6 +29,7 @@
 use crate::shared::{epoch_seconds, Shared};
 
 const PUMP_INTERVAL: Duration = Duration::from_millis(10);
+const IDLE_PUMP_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time that a fetch waits for its batch.
 const FETCH_WAIT: Duration = Duration::from_secs(5);
 const FETCH_POLL: Duration = Duration::from_millis(2);
@@ -425,7 +426,8 @@
 
     async fn keep_pumping(self) {
         loop {
-            Timer::after(PUMP_INTERVAL).await;
+            let is_idle = self.steps.borrow().is_empty();
+            Timer::after(if is_idle { IDLE_PUMP_INTERVAL } else { PUMP_INTERVAL }).await;
             let steps: Vec<Rc<Step>> = self.steps.borrow().values().cloned().collect();
             for step in steps {
                 if step.state.borrow().last_fetch.elapsed() > ABANDON_AFTER {
--- a/crates/heronbend-daemon/src/duties/weights.rs
+++ b/crates/heronbend-daemon/src/duties/weights.rs
@@ -20,9 +20,7 @@
 use crate::platform_client::PlatformClient;
 use crate::shared::Shared;
 
-const TICK: Duration = Duration::from_millis(50);
-/// Ticks between two looks into the weight store.
-const TICKS_PER_LOOK: u64 = 4;
+const TICK: Duration = Duration::from_millis(200);
 const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
 const MAX_ANSWER_BYTES: usize = 1 << 16;
 
@@ -39,10 +37,8 @@
     let platform = PlatformClient::new(shared.identity.platform);
     let client = Client::new();
     let pacings = Pacings::default();
-    let mut ticks = 0_u64;
     loop {
         Timer::after(TICK).await;
-        ticks += 1;
         if !shared.is_first_alive() || shared.is_draining() {
             pacings.borrow_mut().clear();
             continue;
@@ -55,14 +51,12 @@
             if !ensure_fence(&shared, &pacings, &model.name, floor).await {
                 continue;
             }
-            if ticks.is_multiple_of(TICKS_PER_LOOK) {
-                if let Ok(versions) = platform.versions(&model.name).await {
-                    with(&pacings, &model.name, |pacing| {
-                        if let Some(latest) = versions.latest {
-                            pacing.rollout.publish(latest);
-                        }
-                    });
-                }
+            if let Ok(versions) = platform.versions(&model.name).await {
+                with(&pacings, &model.name, |pacing| {
+                    if let Some(latest) = versions.latest {
+                        pacing.rollout.publish(latest);
+                    }
+                });
             }
             for (order, backend, fence) in due_orders(&shared, &pacings, model, floor) {
                 let task = send_order(
--- a/crates/heronbend-emulator/tests/support/mod.rs
+++ b/crates/heronbend-emulator/tests/support/mod.rs
@@ -4,10 +4,12 @@
 //! killed by its identifier when the test ends.
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
+use std::collections::BTreeSet;
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use heronbend_http::http_types::{Method, Request, StatusCode, Url};
@@ -65,11 +67,24 @@
     assert!(status.is_some_and(|status| status.is_success()), "{path}: {answer:?}");
 }
 
-/// Loopback addresses that were free a moment ago.
+/// Ports that were handed out in this test run.
+static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
+/// Loopback addresses that were free a moment ago, none of them twice in one test run.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<_> =
-        (0..count).map(|_| TcpListener::bind(("127.0.0.1", 0)).expect("a free port")).collect();
-    listeners.iter().map(|listener| listener.local_addr().expect("bound")).collect()
+    let mut given = GIVEN.lock().expect("no panic while the lock is held");
+    // Held until enough are found, so that the system does not offer one of them again.
+    let mut listeners = Vec::new();
+    let mut addresses = Vec::new();
+    while addresses.len() < count {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        if given.insert(address.port()) {
+            addresses.push(address);
+        }
+        listeners.push(listener);
+    }
+    addresses
 }
 
 /// A child process, killed when dropped.
@@ -77,15 +92,44 @@
     child: Child,
     command: Vec<String>,
     log: PathBuf,
+    address: Option<SocketAddr>,
 }
 
 impl Process {
+    /// Starts a process that listens at an address, and waits until it does.
+    fn serve(
+        directory: &Path,
+        name: &str,
+        program: &Path,
+        arguments: &[String],
+        address: SocketAddr,
+    ) -> Self {
+        let mut process = Self::start(directory, name, program, arguments);
+        process.address = Some(address);
+        process.wait_listening();
+        process
+    }
+
+    /// Another process's outgoing connection may have taken a port meanwhile: then it is tried again.
+    fn wait_listening(&mut self) {
+        let Some(address) = self.address else {
+            return;
+        };
+        let name = self.log.display().to_string();
+        wait_until(&format!("{name} shows a process that listens"), || {
+            if matches!(self.child.try_wait(), Ok(Some(_))) {
+                self.child = spawn(&self.command, &self.log);
+            }
+            TcpStream::connect(address).is_ok()
+        });
+    }
+
     fn start(directory: &Path, name: &str, program: &Path, arguments: &[String]) -> Self {
         let log = directory.join(format!("{name}.log"));
         let mut command = vec![program.display().to_string()];
         command.extend_from_slice(arguments);
         let child = spawn(&command, &log);
-        Self { child, command, log }
+        Self { child, command, log, address: None }
     }
 
     fn signal(&self, signal: Signal) {
@@ -118,6 +162,7 @@
     /// Starts it again after it ended.
     pub fn restart(&mut self) {
         self.child = spawn(&self.command, &self.log);
+        self.wait_listening();
     }
 
     /// What it logged.
@@ -210,11 +255,12 @@
         let directory = TempDir::new().expect("a writable temporary folder");
         let path = directory.path();
         let platform_address = free_addresses(1)[0];
-        let platform = Process::start(
+        let platform = Process::serve(
             path,
             "platform",
             &emulator(),
             &words(&format!("platform --listen {platform_address}")),
+            platform_address,
         );
         let engines = free_addresses(2)
             .into_iter()
@@ -226,7 +272,7 @@
                      --listen {address} --platform {platform_address} --zone {}",
                     ZONES[index]
                 );
-                (Process::start(path, &name, &emulator(), &words(&arguments)), address)
+                (Process::serve(path, &name, &emulator(), &words(&arguments), address), address)
             })
             .collect();
         let applications = [("app", "gauge"), ("scorer", "scorer")]
@@ -238,7 +284,7 @@
                      --platform {platform_address} --zone {}",
                     ZONES[0]
                 );
-                (Process::start(path, kind, &emulator(), &words(&arguments)), address)
+                (Process::serve(path, kind, &emulator(), &words(&arguments), address), address)
             })
             .collect();
         let daemons =
@@ -294,8 +340,9 @@
             self.daemon_list(),
             self.platform_address
         );
+        let directory = self.directory.path();
         let process =
-            Process::start(self.directory.path(), "trainer", &emulator(), &words(&arguments));
+            Process::serve(directory, "trainer", &emulator(), &words(&arguments), address);
         self.trainer = Some((process, address));
     }
 
@@ -383,7 +430,7 @@
         ZONES[index], addresses[0], addresses[1], addresses[2]
     );
     Daemon {
-        process: Process::start(directory, &name, &heronbend(), &words(&arguments)),
+        process: Process::serve(directory, &name, &heronbend(), &words(&arguments), addresses[0]),
         name,
         http: addresses[0],
         admin: addresses[2],
