--- a/crates/heronbend-daemon/src/cli/settings.rs
+++ b/crates/heronbend-daemon/src/cli/settings.rs
@@ -149,14 +149,9 @@
 }
 
 fn apply(arguments: &FileArguments) -> anyhow::Result<ExitCode> {
-    let wanted = match read_tree(&arguments.file)? {
-        Ok(tree) => tree,
-        Err(findings) => {
-            eprintln!("{findings}");
-            return Ok(ExitCode::from(EXIT_FINDINGS));
-        }
+    let Some(edits) = edits_to_file(arguments)? else {
+        return Ok(ExitCode::from(EXIT_FINDINGS));
     };
-    let edits = differences(&current(&arguments.target)?.tree, &wanted);
     if edits.is_empty() {
         println!("nothing to change");
         return Ok(ExitCode::SUCCESS);
@@ -164,15 +159,22 @@
     send(&arguments.target, arguments.id.as_deref(), edits)
 }
 
-fn diff(arguments: &FileArguments) -> anyhow::Result<ExitCode> {
-    let wanted = match read_tree(&arguments.file)? {
-        Ok(tree) => tree,
+/// The edits that make the settings in force equal to a file; `None` when the file has findings,
+/// which are printed.
+fn edits_to_file(arguments: &FileArguments) -> anyhow::Result<Option<Vec<NodeEdit>>> {
+    match read_tree(&arguments.file)? {
+        Ok(wanted) => Ok(Some(differences(&current(&arguments.target)?.tree, &wanted))),
         Err(findings) => {
             eprintln!("{findings}");
-            return Ok(ExitCode::from(EXIT_FINDINGS));
+            Ok(None)
         }
+    }
+}
+
+fn diff(arguments: &FileArguments) -> anyhow::Result<ExitCode> {
+    let Some(edits) = edits_to_file(arguments)? else {
+        return Ok(ExitCode::from(EXIT_FINDINGS));
     };
-    let edits = differences(&current(&arguments.target)?.tree, &wanted);
     if arguments.target.json {
         println!("{}", serde_json::to_string_pretty(&edits)?);
         return Ok(ExitCode::SUCCESS);
--- a/crates/heronbend-daemon/src/dispatch.rs
+++ b/crates/heronbend-daemon/src/dispatch.rs
@@ -151,11 +151,21 @@
         &self.inner.shared
     }
 
-    /// Places left in a pool for this thread.
-    pub fn free_places(&self, pool: &PoolPolicy) -> usize {
+    /// Places left in a pool for this thread, at engines that have `min_version`.
+    pub fn free_places(&self, pool: &PoolPolicy, min_version: Option<u64>) -> usize {
         self.refresh();
-        let now = self.inner.shared.now();
-        self.inner.router.borrow().free_places(now, &pool.name, pool.max_in_flight)
+        let query = Query {
+            pool: &pool.name,
+            max_in_flight: pool.max_in_flight,
+            prefix: None,
+            min_version,
+            exclude: &[],
+        };
+        let places = self.inner.router.borrow().free_places(self.inner.shared.now(), &query);
+        if places == 0 && min_version.is_some() {
+            self.inner.shared.want_reports();
+        }
+        places
     }
 
     /// Chooses a back end, waiting up to the pool's recovery window for a place.
--- a/crates/heronbend-daemon/src/duties/backends.rs
+++ b/crates/heronbend-daemon/src/duties/backends.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use heronbend::external::engine::EngineStatus;
 use heronbend::external::platform::{Machine, MachineKind};
@@ -23,6 +23,8 @@
 
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// The same while a request waits for a weight version that no report shows yet.
+const WANTED_INTERVAL: Duration = Duration::from_millis(100);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1000);
 const MAX_REPORT_BYTES: usize = 1 << 16;
 /// How long a back end that the list no longer names is kept after its last answer. The list may
@@ -276,7 +278,13 @@
 ) {
     let client = Client::new();
     loop {
-        Timer::after(REPORT_INTERVAL).await;
+        let due = Instant::now() + REPORT_INTERVAL;
+        while Instant::now() < due {
+            Timer::after(WANTED_INTERVAL).await;
+            if shared.take_reports_wanted() {
+                break;
+            }
+        }
         let _ = events.try_send(Event::Tick);
         let table = shared.backends.load_full();
         for known in table.backends.iter().filter(|known| known.in_subset) {
--- a/crates/heronbend-daemon/src/duties/rollout.rs
+++ b/crates/heronbend-daemon/src/duties/rollout.rs
@@ -457,7 +457,8 @@
         let Some(pool) = settings.policy.pools.get(&step.policy.pool) else {
             return;
         };
-        let places = self.dispatcher.free_places(pool);
+        let floor = step.state.borrow().floor;
+        let places = self.dispatcher.free_places(pool, Some(floor));
         if places == 0 {
             return;
         }
--- a/crates/heronbend-daemon/src/shared.rs
+++ b/crates/heronbend-daemon/src/shared.rs
@@ -155,6 +155,8 @@
     pub exchanges: AtomicU64,
     /// Connections open at all fronts.
     pub connections: AtomicU64,
+    /// Set when a request waits for a version that no report shows yet.
+    reports_wanted: AtomicBool,
     /// Numbers that are unique within this run.
     next_number: AtomicU64,
     /// Faults that tests bring about.
@@ -194,6 +196,7 @@
             steps_open: AtomicU64::new(0),
             exchanges: AtomicU64::new(0),
             connections: AtomicU64::new(0),
+            reports_wanted: AtomicBool::new(false),
             next_number: AtomicU64::new(1),
             failpoints: Failpoints::new(failpoints_allowed),
             metrics: Metrics::default(),
@@ -284,6 +287,16 @@
         }
     }
 
+    /// Asks for fresh reports of back ends: a request waits for what a report will tell.
+    pub fn want_reports(&self) {
+        self.reports_wanted.store(true, Ordering::Release);
+    }
+
+    /// Whether fresh reports were asked for since this was called last.
+    pub fn take_reports_wanted(&self) -> bool {
+        self.reports_wanted.swap(false, Ordering::AcqRel)
+    }
+
     /// Whether this daemon is stopping.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
--- a/crates/heronbend-emulator/src/experiment/rollout.rs
+++ b/crates/heronbend-emulator/src/experiment/rollout.rs
@@ -615,7 +615,9 @@
     }
 
     fn free_places(&self, pool: &str) -> usize {
-        self.router.free_places(self.moment(), pool, self.max_batch(pool))
+        let max_in_flight = self.max_batch(pool);
+        let query = Query { pool, max_in_flight, prefix: None, min_version: None, exclude: &[] };
+        self.router.free_places(self.moment(), &query)
     }
 
     fn choose(&mut self, pool: &'static str) -> Option<usize> {
--- a/crates/heronbend/src/routing/router.rs
+++ b/crates/heronbend/src/routing/router.rs
@@ -171,13 +171,12 @@
         }
     }
 
-    /// Places left in a pool for this router, at `max_in_flight` a back end.
-    pub fn free_places(&self, now: Moment, pool: &str, max_in_flight: usize) -> usize {
-        let query = Query { pool, max_in_flight, prefix: None, min_version: None, exclude: &[] };
+    /// Places that are left for requests like this one.
+    pub fn free_places(&self, now: Moment, query: &Query<'_>) -> usize {
         self.candidates
             .values()
-            .filter(|candidate| is_eligible(candidate, now, &query))
-            .map(|candidate| max_in_flight.saturating_sub(candidate.in_flight as usize))
+            .filter(|candidate| is_eligible(candidate, now, query))
+            .map(|candidate| query.max_in_flight.saturating_sub(candidate.in_flight as usize))
             .sum()
     }
 }
