heronbend shards rebuild: a way out when a majority is lost for good

Before, a restart of all daemons at once left every shard without its members for ever: claims refused and steps stuck. An operator may now accept the loss; what survives is kept. Test on processes: all three daemons killed and started again, 8 shards rebuilt, steps go on.

--- a/crates/heronbend-daemon/src/admin.rs
+++ b/crates/heronbend-daemon/src/admin.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 use smol::net::TcpListener;
 
+use crate::duties::register::RegisterCall;
 use crate::duties::settings::{edit_settings, EditError};
 use crate::duties::shards::needs_placing;
 use crate::duties::Executor;
@@ -82,6 +83,20 @@
     pub node: String,
 }
 
+/// Body of `POST /admin/shards/rebuild`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RebuildRequest {
+    /// The operator accepts that what the shards held may be lost.
+    pub accept_loss: bool,
+}
+
+/// Answer of `POST /admin/shards/rebuild`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Rebuilt {
+    /// Shards that were opened again.
+    pub shards: usize,
+}
+
 /// Answer of `POST /admin/settings`.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct EditAccepted {
@@ -121,6 +136,10 @@
             Ok(order) => drain(&shared, &order),
             Err(response) => response,
         },
+        (Method::Post, "/admin/shards/rebuild") => match read_json(&mut request).await {
+            Ok(order) => rebuild(&shared, &order).await,
+            Err(response) => response,
+        },
         (Method::Post, "/admin/failpoints") => match read_json::<Faults>(&mut request).await {
             Ok(faults) => set_failpoints(&shared, faults),
             Err(response) => response,
@@ -164,6 +183,25 @@
     }
 }
 
+/// Opens shards that have lost a majority; only for an operator who accepts the loss.
+async fn rebuild(shared: &Shared, order: &RebuildRequest) -> Response {
+    if !order.accept_loss {
+        return refuse(StatusCode::BadRequest, "loss_not_accepted");
+    }
+    let (reply, result) = smol::channel::bounded(1);
+    if shared.register.sender.try_send(RegisterCall::Rebuild { reply }).is_err() {
+        return refuse(StatusCode::ServiceUnavailable, "busy");
+    }
+    match result.recv().await {
+        Ok(Ok(shards)) => json_response(StatusCode::Ok, &Rebuilt { shards }),
+        Ok(Err(error)) => {
+            log::warn!("event=rebuild_failed error={error}");
+            refuse(StatusCode::ServiceUnavailable, "platform_failed")
+        }
+        Err(_) => refuse(StatusCode::ServiceUnavailable, "busy"),
+    }
+}
+
 /// Drains this daemon, or tells everybody that a back end leaves.
 fn drain(shared: &Shared, order: &DrainRequest) -> Response {
     if order.node == shared.identity.node.name.0 {
--- a/crates/heronbend-daemon/src/cli/mod.rs
+++ b/crates/heronbend-daemon/src/cli/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod drain;
 pub mod settings;
+pub mod shards;
 pub mod status;
 
 use std::io::Read;
--- a/crates/heronbend-daemon/src/duties/register.rs
+++ b/crates/heronbend-daemon/src/duties/register.rs
@@ -25,6 +25,7 @@
 use super::settings::SettingsCall;
 use super::Executor;
 use crate::peer::{serve_peers, ControlData, PeerClient, PeerReply, PeerRequest};
+use crate::platform_client::PlatformError;
 use crate::shared::{epoch_seconds, MembershipInput, Shared};
 
 /// Longest wait for the replies of one round.
@@ -63,6 +64,12 @@
         /// The peer.
         peer: SocketAddr,
     },
+    /// Open shards again that have lost a majority, accepting that what they held may be lost; the
+    /// answer is how many.
+    Rebuild {
+        /// Where the count goes.
+        reply: Sender<Result<usize, PlatformError>>,
+    },
     /// Ask these peers for control data; the answer is how many replied.
     Survey {
         /// The peers.
@@ -135,6 +142,9 @@
                 let _ = reply.try_send(result);
             }
             RegisterCall::FetchControl { peer } => drop(self.fetch_control(peer).await),
+            RegisterCall::Rebuild { reply } => {
+                let _ = reply.try_send(super::shards::rebuild(&self).await);
+            }
             RegisterCall::Survey { peers, reply } => {
                 let mut replied = 0;
                 let calls: Vec<_> = peers
--- a/crates/heronbend-daemon/src/duties/shards.rs
+++ b/crates/heronbend-daemon/src/duties/shards.rs
@@ -104,7 +104,7 @@
         let Some(members) = better.or(same) else {
             continue;
         };
-        if let Some(next) = prepare(duty, shard, config, members).await {
+        if let Some(next) = prepare(duty, shard, config, members, None).await {
             map.shards[index] = next;
             moved.push(shard);
         }
@@ -112,6 +112,51 @@
     if moved.is_empty() {
         return Ok(());
     }
+    commit(duty, platform, version, map, &moved).await?;
+    let millis = started.elapsed().as_millis();
+    log::info!("event=shards_moved shards={} millis={millis}", moved.len());
+    Ok(())
+}
+
+/// Opens shards again that have lost a majority of their members for good, with what is left of
+/// them; how many. What they held may be lost: only an operator may choose this.
+pub async fn rebuild(duty: &RegisterDuty) -> Result<usize, PlatformError> {
+    let platform = PlatformClient::new(duty.shared.identity.platform);
+    let Some(stored) = platform.read::<ShardMap>(SHARD_MAP_OBJECT).await? else {
+        return Ok(0);
+    };
+    let Versioned { version, value: mut map } = stored;
+    duty.learn_map(&map);
+    let candidates = candidates(&duty.shared);
+    let mut moved = Vec::new();
+    for (index, config) in map.shards.clone().into_iter().enumerate() {
+        let shard = ShardId(u32::try_from(index).unwrap_or(u32::MAX));
+        let is_alive = |node: &&NodeId| candidates.iter().any(|(alive, _)| alive == *node);
+        let survivors: BTreeSet<NodeId> = config.members.iter().filter(is_alive).cloned().collect();
+        if survivors.len() >= config.majority() {
+            continue;
+        }
+        let members = choose_members(shard, &candidates);
+        if let Some(next) = prepare(duty, shard, config, members, Some(survivors)).await {
+            map.shards[index] = next;
+            moved.push(shard);
+        }
+    }
+    if !moved.is_empty() {
+        commit(duty, &platform, version, map, &moved).await?;
+        log::warn!("event=shards_rebuilt shards={}", moved.len());
+    }
+    Ok(moved.len())
+}
+
+/// Writes new replica sets into the stored map and tells their members.
+async fn commit(
+    duty: &RegisterDuty,
+    platform: &PlatformClient,
+    version: u64,
+    mut map: ShardMap,
+    moved: &[ShardId],
+) -> Result<(), PlatformError> {
     match platform.write(SHARD_MAP_OBJECT, version, &map).await {
         Ok(()) => {}
         Err(error) => {
@@ -123,26 +168,28 @@
         }
     }
     duty.learn_map(&map);
-    for shard in &moved {
+    for shard in moved {
         if let Some(config) = map.config(*shard) {
             for member in &config.members {
                 duty.configure(*shard, member.clone(), config.clone());
             }
         }
     }
-    let millis = started.elapsed().as_millis();
-    log::info!("event=shards_moved shards={} millis={millis}", moved.len());
     Ok(())
 }
 
 /// Seals the old set and stages its state at the new one; the replica set to commit.
+///
+/// With `survivors`, their state is enough, see [`Transition::start_with_loss`].
 async fn prepare(
     duty: &RegisterDuty,
     shard: ShardId,
     old: ShardConfig,
     members: BTreeSet<NodeId>,
+    survivors: Option<BTreeSet<NodeId>>,
 ) -> Option<ShardConfig> {
-    let old_members: Vec<NodeId> = old.members.iter().cloned().collect();
+    let asked = survivors.as_ref().unwrap_or(&old.members);
+    let old_members: Vec<NodeId> = asked.iter().cloned().collect();
     let new_members: Vec<NodeId> = members.iter().cloned().collect();
     for member in &old_members {
         let config = old.clone();
@@ -154,9 +201,13 @@
             .await;
     }
     let identifier = duty.shared.unique_number();
-    let (mut transition, seal) = Transition::<Record>::start(old, members, identifier);
+    let (mut transition, request) = match survivors {
+        None => Transition::<Record>::start(old, members, identifier),
+        Some(survivors) => Transition::start_with_loss(old, survivors, members, identifier),
+    };
     let (sender, replies) = bounded(old_members.len() + new_members.len());
-    duty.broadcast(shard, &old_members, &seal, &sender);
+    let first_asked = if old_members.is_empty() { &new_members } else { &old_members };
+    duty.broadcast(shard, first_asked, &request, &sender);
     let deadline = Instant::now() + TRANSITION_TIMEOUT;
     loop {
         let received = async { replies.recv().await.ok() };
--- a/crates/heronbend-daemon/src/main.rs
+++ b/crates/heronbend-daemon/src/main.rs
@@ -50,6 +50,9 @@
     Status(cli::status::StatusArguments),
     /// Stop new work to a back end, or stop the daemon asked.
     Drain(cli::drain::DrainArguments),
+    /// Repair replica sets.
+    #[command(subcommand)]
+    Shards(cli::shards::ShardsCommand),
     /// Print the digest under which settings keep a bearer token read from standard input.
     Digest,
 }
@@ -67,6 +70,7 @@
         Command::Settings(command) => cli::settings::run(command),
         Command::Status(arguments) => cli::status::run(&arguments),
         Command::Drain(arguments) => cli::drain::run(&arguments),
+        Command::Shards(command) => cli::shards::run(&command),
         Command::Digest => cli::digest(),
     };
     result.unwrap_or_else(|error| {
--- a/crates/heronbend-emulator/src/trainer.rs
+++ b/crates/heronbend-emulator/src/trainer.rs
@@ -11,7 +11,7 @@
 use heronbend::rollout::api::{Batch, StepRequest};
 use heronbend::rollout::{Sample, SlotIndex};
 use heronbend_http::http_types::{Method, Request, StatusCode};
-use heronbend_http::{json_response, Client};
+use heronbend_http::{json_response, Client, ErrorBody};
 use serde::{Deserialize, Serialize};
 use smol::Timer;
 
@@ -224,6 +224,11 @@
                     }
                 }
                 Some((StatusCode::NoContent, _)) => {}
+                // The step's record was lost and begins anew: what was received of it is discarded.
+                Some((StatusCode::Conflict, bytes)) if is_begun_anew(&bytes) => {
+                    number = 0;
+                    self.seen.clear();
+                }
                 // The daemon does not coordinate the step, or is gone: hand it the step again.
                 _ => {
                     self.try_next_daemon().await;
@@ -294,6 +299,11 @@
     }
 }
 
+/// Whether a refusal says that batches are to be fetched from the first again.
+fn is_begun_anew(body: &[u8]) -> bool {
+    serde_json::from_slice::<ErrorBody>(body).is_ok_and(|body| body.error.code == "step_refused")
+}
+
 /// Whether a sample's text is just what its versions produce, and whole.
 pub fn is_genuine(sample: &Sample, prompt: &str, max_tokens: u32) -> bool {
     let digest = prompt_digest(prompt);
--- a/crates/heronbend-emulator/tests/faults.rs
+++ b/crates/heronbend-emulator/tests/faults.rs
@@ -215,6 +215,34 @@
     assert!(runs <= 1, "{ledger}");
 }
 
+#[test]
+fn when_all_daemons_are_lost_an_operator_opens_the_shards_again() {
+    let mut cluster = Cluster::start();
+    cluster.start_trainer(1);
+    cluster.wait_steps(1);
+    for daemon in &mut cluster.daemons {
+        daemon.process.kill();
+    }
+    for daemon in &mut cluster.daemons {
+        daemon.process.restart();
+    }
+    for daemon in &cluster.daemons {
+        wait_until("the daemons know each other and the map", || {
+            let status = get_json(daemon.admin, "/admin/status").unwrap_or_default();
+            let members = status["members"].as_array().map_or(0, Vec::len);
+            members == 2 && status["shard_epochs"].as_u64() > Some(0)
+        });
+    }
+    let (code, text) = cluster.command(0, &["shards", "rebuild"]);
+    assert_eq!(code, 2, "the loss must be accepted: {text}");
+    let (code, text) = cluster.command(0, &["shards", "rebuild", "--accept-loss"]);
+    assert_eq!((code, text.as_str()), (0, "8 shards rebuilt\n"));
+    cluster.wait_steps(2);
+    let report = cluster.report();
+    assert_eq!(report["doubled"], 0);
+    assert_eq!(report["wrong_version"], 0);
+}
+
 #[test]
 fn two_operators_at_once_lose_no_edit() {
     let cluster = Cluster::start();
--- a/crates/heronbend/src/register/tests.rs
+++ b/crates/heronbend/src/register/tests.rs
@@ -158,6 +158,38 @@
     assert_eq!(cluster.propose(1, 1, &[node(1), node(2)]), Progress::Done(1));
 }
 
+#[test]
+fn a_set_that_lost_its_majority_goes_on_with_what_survives() {
+    let mut cluster = Cluster::new();
+    let all = [node(0), node(1), node(2)];
+    assert_eq!(cluster.propose(1, 1, &all), Progress::Done(1));
+    let members: BTreeSet<_> = [node(2), node(3), node(4)].into();
+    let survivors = BTreeSet::from([node(2)]);
+    let old = cluster.config.clone();
+    let (mut transition, seal) = Transition::<Authors>::start_with_loss(old, survivors, members, 9);
+    let reply = cluster.replicas.get_mut(&node(2)).unwrap().handle(seal);
+    let step = transition.on_reply(&node(2), reply);
+    assert_matches!(step, TransitionStep::Stage(ReplicaRequest::Stage { slots, .. }) if slots.len() == 1);
+}
+
+#[test]
+fn a_set_that_lost_everything_starts_anew() {
+    let mut cluster = Cluster::new();
+    let members: BTreeSet<_> = [node(2), node(3), node(4)].into();
+    let old = cluster.config.clone();
+    let (mut transition, stage) =
+        Transition::<Authors>::start_with_loss(old, BTreeSet::new(), members.clone(), 9);
+    let mut committed = None;
+    for member in &members {
+        let reply = cluster.replicas.get_mut(member).unwrap().handle(stage.clone());
+        if let TransitionStep::Commit(config) = transition.on_reply(member, reply) {
+            committed = Some(config);
+        }
+    }
+    cluster.configure(committed.expect("all have staged"));
+    assert_eq!(cluster.propose(1, 1, &[node(3), node(4)]), Progress::Done(1));
+}
+
 #[test]
 fn members_are_spread_over_zones() {
     let candidates: Vec<_> =
--- a/crates/heronbend/src/register/transition.rs
+++ b/crates/heronbend/src/register/transition.rs
@@ -53,6 +53,31 @@
         (transition, request)
     }
 
+    /// Starts a transition that is content with what `survivors` of the old set still hold, which may
+    /// be nothing at all: the way out when a majority is lost for good, for an operator to choose.
+    ///
+    /// Values that were chosen may be lost by it. The request is to be sent to the survivors, or to
+    /// every new member when there are none.
+    pub fn start_with_loss(
+        old: ShardConfig,
+        survivors: BTreeSet<NodeId>,
+        members: BTreeSet<NodeId>,
+        identifier: u64,
+    ) -> (Self, ReplicaRequest<V>) {
+        let are_none = survivors.is_empty();
+        let surviving = ShardConfig { members: survivors, ..old };
+        let (mut transition, mut request) = Self::start(surviving, members, identifier);
+        if are_none {
+            transition.stage = Stage::Staging { staged: BTreeSet::new() };
+            request = ReplicaRequest::Stage {
+                epoch: transition.new.epoch,
+                transition: identifier,
+                slots: BTreeMap::new(),
+            };
+        }
+        (transition, request)
+    }
+
     /// The replica set that this transition leads to.
     pub fn target(&self) -> &ShardConfig {
         &self.new
