--- a/crates/heronbend-daemon/src/front/completions.rs
+++ b/crates/heronbend-daemon/src/front/completions.rs
@@ -4,6 +4,7 @@
 //! which tokens.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use heronbend::admission::CallerPermit;
 use heronbend::rollout::{FinishReason, Segment};
@@ -242,6 +243,9 @@
     sender.abort(outcome.as_str()).await;
 }
 
+/// How long a streamed answer's tokens may gather: 25 times a second is smooth to read.
+const STREAM_PACE: Duration = Duration::from_millis(40);
+
 /// Turns pieces into server-sent events.
 struct EventSink {
     sender: BodySender,
@@ -252,6 +256,10 @@
 }
 
 impl PieceSink for EventSink {
+    fn pace(&self) -> Duration {
+        STREAM_PACE
+    }
+
     async fn take(&mut self, piece: &Piece) -> Result<(), GenerationError> {
         let text = piece.text.as_str();
         let event = Event {
--- a/crates/heronbend-daemon/src/generation.rs
+++ b/crates/heronbend-daemon/src/generation.rs
@@ -4,8 +4,10 @@
 //! token which version drew it. When an engine is lost mid-text, another goes on from the last
 //! token, and the segments say so.
 
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
+use futures_lite::future::poll_once;
 use futures_lite::{AsyncBufReadExt, FutureExt};
 use heronbend::external::engine::{GenerateChunk, GenerateRequest, Resume};
 use heronbend::lifecycle::BackendName;
@@ -79,8 +81,16 @@
     ClientGone,
 }
 
+/// How long tokens may gather before they are read, where nobody watches them come.
+const UNWATCHED_PACE: Duration = Duration::from_millis(50);
+
 /// Where pieces go.
 pub trait PieceSink {
+    /// How long tokens may gather before they are read together, after the first.
+    fn pace(&self) -> Duration {
+        UNWATCHED_PACE
+    }
+
     /// Takes a piece; an error cancels the generation.
     fn take(
         &mut self,
@@ -215,9 +225,20 @@
     }
     let mut line = String::new();
     let mut finished = None;
+    let mut next_look = Instant::now();
     loop {
         line.clear();
-        let read = async { Some(reply.body_mut().read_line(&mut line).await) };
+        let read = async {
+            let mut reading = pin!(reply.body_mut().read_line(&mut line));
+            if let Some(read) = poll_once(reading.as_mut()).await {
+                return Some(read);
+            }
+            // Nothing is buffered. Tokens that come meanwhile are read at once, later.
+            Timer::at(next_look).await;
+            let read = reading.await;
+            next_look = Instant::now() + sink.pace();
+            Some(read)
+        };
         let limit = deadline.min(Instant::now() + CHUNK_TIMEOUT);
         let read = read.or(async {
             Timer::at(limit).await;
--- a/crates/heronbend-http/src/stream_body.rs
+++ b/crates/heronbend-http/src/stream_body.rs
@@ -10,6 +10,8 @@
 
 /// Parts that may wait in the channel before the feeding task is held back.
 const CAPACITY: usize = 64;
+/// Bytes from which on waiting parts are not joined.
+const JOINED_BYTES: usize = 4 * 1024;
 
 /// The feeding side of a streamed body. Dropping it ends the body properly.
 #[derive(Debug, Clone)]
@@ -65,7 +67,8 @@
 /// Makes a body of unknown length and the sender that feeds it.
 pub fn stream_body() -> (BodySender, Body) {
     let (sender, receiver) = bounded(CAPACITY);
-    let reader = ChannelReader { receiver: Box::pin(receiver), part: Vec::new(), position: 0 };
+    let reader =
+        ChannelReader { receiver: Box::pin(receiver), part: Vec::new(), position: 0, error: None };
     (BodySender(sender), Body::from_reader(reader, None))
 }
 
@@ -73,12 +76,30 @@
     receiver: Pin<Box<Receiver<io::Result<Vec<u8>>>>>,
     part: Vec<u8>,
     position: usize,
+    /// An error that came behind the part.
+    error: Option<io::Error>,
+}
+
+impl ChannelReader {
+    /// Parts that wait already go out in one write.
+    fn join_waiting_parts(&mut self) {
+        while self.part.len() < JOINED_BYTES && self.error.is_none() {
+            match self.receiver.try_recv() {
+                Ok(Ok(part)) => self.part.extend(part),
+                Ok(Err(error)) => self.error = Some(error),
+                Err(_) => return,
+            }
+        }
+    }
 }
 
 impl AsyncBufRead for ChannelReader {
     fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let this = self.get_mut();
         while this.position == this.part.len() {
+            if let Some(error) = this.error.take() {
+                return Poll::Ready(Err(error));
+            }
             match this.receiver.as_mut().poll_next(context) {
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(None) => return Poll::Ready(Ok(&[])),
@@ -86,6 +107,7 @@
                 Poll::Ready(Some(Ok(part))) => {
                     this.part = part;
                     this.position = 0;
+                    this.join_waiting_parts();
                 }
             }
         }
