A claim's holder that was forgotten counts as dead

Found by reading: members are forgotten ten minutes after their death, and a holder that is not known counted as alive, so that its request answered in progress for ever and never unknown. A run that is not known now counts as alive only within a minute of its start. The new test states the rule; the old one (unknown is alive) contradicts its second assertion.

--- a/crates/heronbend-daemon/src/shared.rs
+++ b/crates/heronbend-daemon/src/shared.rs
@@ -11,7 +11,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use heronbend::identity::{Incarnation, NodeId, NodeName};
 use heronbend::lifecycle::{Backend, Phase, Signal, StatedPhase};
-use heronbend::membership::{Head, Liveness, Member};
+use heronbend::membership::{may_be_alive, Head, Liveness, Member};
 use heronbend::register::ShardMap;
 use heronbend::routing::LoadReport;
 use heronbend::settings::{Policy, SettingsObject};
@@ -274,17 +274,9 @@
         alive.first().map(|(name, _, _)| name) == Some(&self.identity.node.name)
     }
 
-    /// Whether this very run of a daemon is not known to have ended.
+    /// Whether this very run of a daemon may be alive.
     pub fn may_be_alive(&self, node: &NodeId) -> bool {
-        if *node == self.identity.node {
-            return true;
-        }
-        let members = self.members.load();
-        match members.iter().find(|member| member.id.name == node.name) {
-            Some(member) if member.id == *node => member.liveness <= Liveness::Suspect,
-            Some(member) => member.id.incarnation < node.incarnation,
-            None => node.name != self.identity.node.name,
-        }
+        *node == self.identity.node || may_be_alive(&self.members.load(), node, new_incarnation().0)
     }
 
     /// Asks for fresh reports of back ends: a request waits for what a report will tell.
--- a/crates/heronbend/src/membership/detector.rs
+++ b/crates/heronbend/src/membership/detector.rs
@@ -10,7 +10,7 @@
 
 use super::messages::{Gossip, Head, Liveness, Member, Probe, Rumour};
 use super::rumours::RumourQueue;
-use crate::identity::{NodeId, NodeName};
+use crate::identity::NodeName;
 use crate::lifecycle::StatedPhase;
 use crate::Moment;
 
@@ -148,18 +148,6 @@
         self.members.values().map(|known| &known.member)
     }
 
-    /// Whether this very run of a daemon is not known to be dead or to have left.
-    pub fn may_be_alive(&self, node: &NodeId) -> bool {
-        if *node == self.me.id {
-            return true;
-        }
-        match self.members.get(&node.name) {
-            Some(known) if known.member.id == *node => known.member.liveness <= Liveness::Suspect,
-            Some(known) => known.member.id.incarnation < node.incarnation,
-            None => true,
-        }
-    }
-
     /// Number of rumours that are still being spread.
     pub fn pending_rumours(&self) -> usize {
         self.rumours.len()
--- a/crates/heronbend/src/membership/messages.rs
+++ b/crates/heronbend/src/membership/messages.rs
@@ -51,6 +51,22 @@
     }
 }
 
+/// Time after its start in which a daemon may not be known to all others yet.
+const INTRODUCTION_MILLIS: u64 = 60_000;
+
+/// Whether this very run of a daemon may be alive, by what `members` say.
+///
+/// A run that is not among them is one that has just started, or one that ended so long ago that it
+/// was forgotten: incarnations are start times in milliseconds since the Unix epoch, as is `now`.
+pub fn may_be_alive(members: &[Member], node: &NodeId, now: u64) -> bool {
+    let just_started = now < node.incarnation.0.saturating_add(INTRODUCTION_MILLIS);
+    match members.iter().find(|member| member.id.name == node.name) {
+        Some(member) if member.id == *node => member.liveness <= Liveness::Suspect,
+        Some(member) => member.id.incarnation < node.incarnation,
+        None => just_started,
+    }
+}
+
 /// Newest control data that a daemon holds; a peer that lags fetches it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct Head {
--- a/crates/heronbend/src/membership/tests.rs
+++ b/crates/heronbend/src/membership/tests.rs
@@ -135,7 +135,8 @@
     for observer in (0..8).filter(|observer| *observer != 3) {
         assert_eq!(network.liveness(observer, 3), Some(Liveness::Dead));
     }
-    assert!(!network.detectors[0].may_be_alive(&NodeId::new("node-3", 1)));
+    let members: Vec<_> = network.detectors[0].members().cloned().collect();
+    assert!(!may_be_alive(&members, &NodeId::new("node-3", 1), 0));
     network.silent.clear();
     network.run(Duration::from_secs(60));
     for observer in (0..8).filter(|observer| *observer != 3) {
@@ -166,8 +167,17 @@
     detector.learn(Moment::ZERO, member(1, 4));
     let known: Vec<_> = detector.members().map(|member| member.id.incarnation).collect();
     assert_eq!(known, [Incarnation(5)]);
-    assert!(!detector.may_be_alive(&NodeId::new("node-1", 4)));
-    assert!(detector.may_be_alive(&NodeId::new("node-1", 5)));
+    let members: Vec<_> = detector.members().cloned().collect();
+    assert!(!may_be_alive(&members, &NodeId::new("node-1", 4), 0));
+    assert!(may_be_alive(&members, &NodeId::new("node-1", 5), 0));
+}
+
+#[test]
+fn a_run_that_was_forgotten_is_not_taken_for_alive() {
+    let started = 1_000_000;
+    let node = NodeId::new("node-9", started);
+    assert!(may_be_alive(&[], &node, started + 1_000));
+    assert!(!may_be_alive(&[], &node, started + 700_000));
 }
 
 #[test]
