--- a/crates/heronbend-daemon/src/admin.rs
+++ b/crates/heronbend-daemon/src/admin.rs
@@ -21,7 +21,7 @@
 use crate::duties::Executor;
 use crate::failpoints::Faults;
 use crate::front::readiness;
-use crate::shared::{shard_epochs, BackendsInput, Shared};
+use crate::shared::{shard_epochs, BackendsInput, Shared, StepStatus};
 
 const MAX_BODY_BYTES: u64 = 4 << 20;
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -46,7 +46,7 @@
     /// Whether a shard waits for a member to be replaced.
     pub shards_need_placing: bool,
     /// Steps that this daemon coordinates.
-    pub steps_open: u64,
+    pub steps: Vec<StepStatus>,
     /// Requests under way.
     pub exchanges: u64,
     /// Other daemons.
@@ -237,7 +237,7 @@
         settings_revision: shared.head().settings_revision,
         shard_epochs: shard_epochs(&shard_map),
         shards_need_placing: needs_placing(shared),
-        steps_open: shared.steps_open.load(Ordering::Relaxed),
+        steps: shared.steps.load_full().as_ref().clone(),
         exchanges: shared.exchanges.load(Ordering::Relaxed),
         members: shared.members.load_full().as_ref().clone(),
         backends: table
--- a/crates/heronbend-daemon/src/cli/status.rs
+++ b/crates/heronbend-daemon/src/cli/status.rs
@@ -34,7 +34,7 @@
         status.settings_revision,
         state(status),
         status.exchanges,
-        status.steps_open
+        status.steps.len()
     );
     println!(
         "{} shards, epochs {}{}",
@@ -46,6 +46,22 @@
     for member in &status.members {
         println!("{:<24} {:<16} {:?}", member.id.name.0, member.zone, member.liveness);
     }
+    println!(
+        "\n{:<24} {:>6} {:>6} {:>7} {:>10} {:>7} {:>8}",
+        "TRAINER", "STEP", "FLOOR", "SLOTS", "DELIVERED", "READY", "DRAWING"
+    );
+    for step in &status.steps {
+        println!(
+            "{:<24} {:>6} {:>6} {:>7} {:>10} {:>7} {:>8}",
+            step.trainer,
+            step.step,
+            step.floor,
+            step.slots,
+            step.delivered,
+            step.ready,
+            step.drawing
+        );
+    }
     println!(
         "\n{:<16} {:<24} {:<16} {:<8} {:>7} {:>7} {:>7}",
         "POOL", "BACK END", "ZONE", "PHASE", "RUNNING", "WAITING", "VERSION"
--- a/crates/heronbend-daemon/src/duties/rollout.rs
+++ b/crates/heronbend-daemon/src/duties/rollout.rs
@@ -3,7 +3,6 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -26,9 +25,11 @@
 use super::Executor;
 use crate::dispatch::{ApplicationRequest, Dispatcher};
 use crate::generation::{generate, GenerationRequest, NoSink};
-use crate::shared::{epoch_seconds, Shared};
+use crate::shared::{epoch_seconds, Shared, StepStatus};
 
 const PUMP_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval at which the steps are shown in the daemon's status.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
 const IDLE_PUMP_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time that a fetch waits for its batch.
 const FETCH_WAIT: Duration = Duration::from_secs(5);
@@ -138,6 +139,21 @@
     sealing: Mutex<()>,
 }
 
+impl Step {
+    fn status(&self) -> StepStatus {
+        let state = self.state.borrow();
+        StepStatus {
+            trainer: self.name.trainer.clone(),
+            step: self.name.step,
+            floor: state.floor,
+            slots: state.record.slots,
+            delivered: state.record.delivered.len(),
+            ready: state.coordinator.ready(),
+            drawing: state.coordinator.drawing(),
+        }
+    }
+}
+
 #[derive(Clone)]
 struct StepPolicy {
     model: String,
@@ -266,7 +282,6 @@
             sealing: Mutex::new(()),
         };
         steps.insert(name, Rc::new(step));
-        self.shared.steps_open.store(steps.len() as u64, Ordering::Relaxed);
     }
 
     async fn fetch(
@@ -421,14 +436,19 @@
                 name.step
             );
         }
-        self.shared.steps_open.store(steps.len() as u64, Ordering::Relaxed);
     }
 
     async fn keep_pumping(self) {
+        let mut last_published = Instant::now();
         loop {
             let is_idle = self.steps.borrow().is_empty();
             Timer::after(if is_idle { IDLE_PUMP_INTERVAL } else { PUMP_INTERVAL }).await;
             let steps: Vec<Rc<Step>> = self.steps.borrow().values().cloned().collect();
+            if last_published.elapsed() >= PUBLISH_INTERVAL {
+                last_published = Instant::now();
+                let status = steps.iter().map(|step| step.status()).collect();
+                self.shared.steps.store(Arc::new(status));
+            }
             for step in steps {
                 if step.state.borrow().last_fetch.elapsed() > ABANDON_AFTER {
                     self.abandon(&step.name, "not fetched");
--- a/crates/heronbend-daemon/src/shared.rs
+++ b/crates/heronbend-daemon/src/shared.rs
@@ -16,6 +16,7 @@
 use heronbend::routing::LoadReport;
 use heronbend::settings::{Policy, SettingsObject};
 use heronbend::Moment;
+use serde::{Deserialize, Serialize};
 use smol::channel::{bounded, Receiver, Sender};
 
 use crate::duties::register::RegisterCall;
@@ -90,6 +91,25 @@
     pub policy: Policy,
 }
 
+/// How far a step is that this daemon coordinates.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StepStatus {
+    /// The trainer.
+    pub trainer: String,
+    /// Number of the step.
+    pub step: u64,
+    /// Oldest weight version that its samples may be drawn from.
+    pub floor: u64,
+    /// Number of slots.
+    pub slots: u32,
+    /// Slots in sealed batches.
+    pub delivered: u32,
+    /// Samples that are drawn and not yet sealed.
+    pub ready: usize,
+    /// Draws under way.
+    pub drawing: usize,
+}
+
 /// Inputs of the membership duty.
 #[derive(Debug)]
 pub enum MembershipInput {
@@ -150,7 +170,7 @@
     /// Set once this daemon has taken its place in the replica sets, or has waited long enough.
     pub joined: AtomicBool,
     /// Steps that this daemon coordinates. Written by the rollout duty.
-    pub steps_open: AtomicU64,
+    pub steps: ArcSwap<Vec<StepStatus>>,
     /// Requests and streams under way at all fronts.
     pub exchanges: AtomicU64,
     /// Connections open at all fronts.
@@ -193,7 +213,7 @@
             last_tick: AtomicU64::new(0),
             settings_confirmed: AtomicBool::new(true),
             joined: AtomicBool::new(false),
-            steps_open: AtomicU64::new(0),
+            steps: ArcSwap::default(),
             exchanges: AtomicU64::new(0),
             connections: AtomicU64::new(0),
             reports_wanted: AtomicBool::new(false),
--- a/crates/heronbend-emulator/tests/faults.rs
+++ b/crates/heronbend-emulator/tests/faults.rs
@@ -59,6 +59,19 @@
     cluster.wait_steps(2);
 }
 
+#[test]
+fn with_the_platform_slow_requests_go_on() {
+    let mut cluster = Cluster::start();
+    cluster.start_trainer(1);
+    cluster.wait_steps(1);
+    cluster.set_platform_fault(r#"{"fault":"slow","millis":800}"#);
+    let verdict = cluster.start_load(5, false, 10).finish();
+    assert_eq!(verdict["answers_lost"], 0);
+    cluster.wait_steps(1);
+    let status = get_json(cluster.daemons[0].admin, "/admin/status").unwrap_or_default();
+    assert!(status["steps"].is_array(), "{status}");
+}
+
 #[test]
 fn a_list_that_forgets_machines_does_not_stop_the_work() {
     let mut cluster = Cluster::start();
