Fencing tokens rise above what engines have seen, also after a lost register

A token that an engine refused is now passed on, and the register goes above it; the state-machine test fails on the old rule. Tests run at most four clusters at a time.

--- a/crates/heronbend-daemon/src/duties/weights.rs
+++ b/crates/heronbend-daemon/src/duties/weights.rs
@@ -30,6 +30,8 @@
     rollout: VersionRollout,
 }
 
+/// The highest token of each model that an engine refused as too low.
+type RefusedTokens = Rc<RefCell<BTreeMap<String, u64>>>;
 type Pacings = Rc<RefCell<BTreeMap<String, Pacing>>>;
 
 /// Runs until the process ends.
@@ -37,6 +39,7 @@
     let platform = PlatformClient::new(shared.identity.platform);
     let client = Client::new();
     let pacings = Pacings::default();
+    let refused = RefusedTokens::default();
     loop {
         Timer::after(TICK).await;
         if !shared.is_first_alive() || shared.is_draining() {
@@ -48,7 +51,7 @@
         };
         for model in settings.policy.models.values() {
             let floor = settings.policy.pools[&model.pool].serving_floor;
-            if !ensure_fence(&shared, &pacings, &model.name, floor).await {
+            if !ensure_fence(&shared, &pacings, &refused, &model.name, floor).await {
                 continue;
             }
             if let Ok(versions) = platform.versions(&model.name).await {
@@ -62,7 +65,7 @@
                 let task = send_order(
                     shared.clone(),
                     client.clone(),
-                    pacings.clone(),
+                    (pacings.clone(), refused.clone()),
                     model.name.clone(),
                     order,
                     backend,
@@ -81,12 +84,19 @@
 }
 
 /// Gets a fencing token for a model, unless this daemon holds one already.
-async fn ensure_fence(shared: &Shared, pacings: &Pacings, model: &str, floor: f64) -> bool {
+async fn ensure_fence(
+    shared: &Shared,
+    pacings: &Pacings,
+    refused: &RefusedTokens,
+    model: &str,
+    floor: f64,
+) -> bool {
     if pacings.borrow().contains_key(model) {
         return true;
     }
     let holder = shared.identity.node.clone();
-    let change = RecordChange::Fence(FenceChange { holder });
+    let above = refused.borrow().get(model).copied().unwrap_or(0);
+    let change = RecordChange::Fence(FenceChange { holder, above });
     match change_register(shared, fence_key(model), change).await {
         Ok(RecordResponse::Fence(fence)) => {
             log::info!("event=fence_acquired model={model} token={}", fence.token);
@@ -138,7 +148,7 @@
 async fn send_order(
     shared: Arc<Shared>,
     client: Client,
-    pacings: Pacings,
+    (pacings, refused): (Pacings, RefusedTokens),
     model: String,
     order: LoadOrder,
     backend: Backend,
@@ -149,7 +159,9 @@
     let engine = &order.engine;
     log::info!("event=order_ended engine={engine} version={} result={result:?}", order.version);
     if result == OrderResult::Fenced {
-        // Another daemon paces this model; a new token is asked for if this one still should.
+        // Another daemon paces this model, or the register has forgotten its tokens; a higher one is
+        // asked for if this daemon still should.
+        refused.borrow_mut().insert(model.clone(), fence);
         pacings.borrow_mut().remove(&model);
         return;
     }
--- a/crates/heronbend-emulator/tests/support/mod.rs
+++ b/crates/heronbend-emulator/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::Mutex;
+use std::sync::{Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use heronbend_http::http_types::{Method, Request, StatusCode, Url};
@@ -215,6 +215,31 @@
     }
 }
 
+/// Clusters that run at the same time in one test program: more would only wait for each other.
+const MAX_CLUSTERS: usize = 4;
+static CLUSTERS: Mutex<usize> = Mutex::new(0);
+static CLUSTER_ENDED: Condvar = Condvar::new();
+
+/// The right to run a cluster.
+struct Place;
+
+impl Place {
+    fn wait() -> Self {
+        let running = CLUSTERS.lock().expect("no panic while the lock is held");
+        let is_full = |running: &mut usize| *running >= MAX_CLUSTERS;
+        let running = CLUSTER_ENDED.wait_while(running, is_full);
+        *running.expect("no panic while the lock is held") += 1;
+        Self
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *CLUSTERS.lock().expect("no panic while the lock is held") -= 1;
+        CLUSTER_ENDED.notify_one();
+    }
+}
+
 /// The whole path: three daemons in three zones before back ends, a platform and a trainer.
 pub struct Cluster {
     directory: TempDir,
@@ -230,6 +255,8 @@
     pub daemons: Vec<Daemon>,
     /// The trainer with its address, once started.
     pub trainer: Option<(Process, SocketAddr)>,
+    /// Given back last, after every process has ended.
+    _place: Place,
 }
 
 fn emulator() -> PathBuf {
@@ -252,6 +279,7 @@
 impl Cluster {
     /// Starts everything but the trainer, and waits until all daemons are ready.
     pub fn start() -> Self {
+        let place = Place::wait();
         let directory = TempDir::new().expect("a writable temporary folder");
         let path = directory.path();
         let platform_address = free_addresses(1)[0];
@@ -297,6 +325,7 @@
             daemons,
             trainer: None,
             directory,
+            _place: place,
         };
         cluster.apply_settings();
         cluster.wait_ready();
--- a/crates/heronbend/src/weights/fence.rs
+++ b/crates/heronbend/src/weights/fence.rs
@@ -17,11 +17,15 @@
     pub holder: NodeId,
 }
 
-/// Asks for a token; a node that holds the latest keeps it.
+/// Asks for a token; a node that holds the latest keeps it, if it is high enough.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 pub struct FenceChange {
     /// Who asks.
     pub holder: NodeId,
+    /// A token that an engine has refused as too low, 0 for none. Engines outlive registers: after a
+    /// loss of the register they have seen higher tokens than it knows.
+    #[musli(default)]
+    pub above: u64,
 }
 
 impl Cell for Fence {
@@ -30,9 +34,11 @@
 
     fn apply(current: Option<&Self>, change: &FenceChange) -> Applied<Self, Self> {
         let value = match current {
-            Some(fence) if fence.holder == change.holder => fence.clone(),
+            Some(fence) if fence.holder == change.holder && fence.token > change.above => {
+                fence.clone()
+            }
             other => Self {
-                token: other.map_or(0, |fence| fence.token) + 1,
+                token: other.map_or(0, |fence| fence.token).max(change.above) + 1,
                 holder: change.holder.clone(),
             },
         };
--- a/crates/heronbend/src/weights/tests.rs
+++ b/crates/heronbend/src/weights/tests.rs
@@ -61,10 +61,19 @@
 fn each_new_holder_gets_a_higher_token() {
     let ask = |current: Option<&Fence>, holder: u64| {
         let holder = NodeId::new("daemon", holder);
-        Fence::apply(current, &FenceChange { holder }).value
+        Fence::apply(current, &FenceChange { holder, above: 0 }).value
     };
     let first = ask(None, 1);
     let same = ask(Some(&first), 1);
     let second = ask(Some(&same), 2);
     assert_eq!((first.token, same.token, second.token), (1, 1, 2));
 }
+
+#[test]
+fn a_register_that_was_lost_hands_out_tokens_above_what_engines_have_seen() {
+    let holder = NodeId::new("daemon", 1);
+    let change = FenceChange { holder, above: 3 };
+    let first = Fence::apply(None, &change).value;
+    let again = Fence::apply(Some(&first), &change).value;
+    assert_eq!((first.token, again.token), (4, 4));
+}
--- a/spec/src/scenario.rs
+++ b/spec/src/scenario.rs
@@ -205,7 +205,7 @@
     }
 
     fn first_change(&self, author: usize) -> FenceChange {
-        FenceChange { holder: author_node(author) }
+        FenceChange { holder: author_node(author), above: 0 }
     }
 
     fn continuations(
