One clock for incarnations, one reader of the resident size

Daemon and emulator each worked out a process's incarnation, and the daemon took an incarnation for the time of day; both now call Incarnation::starting_now and epoch_millis of the library. The overhead experiment and the hollow fleet each read VmRSS; they share it. An accessor that nothing called is gone.

--- a/crates/heronbend-daemon/src/serve.rs
+++ b/crates/heronbend-daemon/src/serve.rs
@@ -8,13 +8,13 @@
 
 use anyhow::Context;
 use clap::Args;
-use heronbend::identity::{NodeId, NodeName};
+use heronbend::identity::{Incarnation, NodeId, NodeName};
 use serde::Deserialize;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use crate::duties::{self, shards, spawn_duty, Polling};
-use crate::shared::{new_incarnation, Identity, MembershipInput, Shared};
+use crate::shared::{Identity, MembershipInput, Shared};
 use crate::{admin, front};
 
 /// Longest time that a stop waits for requests under way.
@@ -128,7 +128,7 @@
     let identity = Identity {
         node: NodeId {
             name: NodeName(arguments.node.unwrap_or_default()),
-            incarnation: new_incarnation(),
+            incarnation: Incarnation::starting_now(),
         },
         zone: arguments.zone.unwrap_or_default(),
         region: arguments.region.unwrap_or_default(),
--- a/crates/heronbend-daemon/src/shared.rs
+++ b/crates/heronbend-daemon/src/shared.rs
@@ -6,10 +6,10 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use heronbend::identity::{Incarnation, NodeId, NodeName};
+use heronbend::identity::{epoch_millis, NodeId, NodeName};
 use heronbend::lifecycle::{Backend, Phase, Signal, StatedPhase};
 use heronbend::membership::{may_be_alive, Head, Liveness, Member};
 use heronbend::register::ShardMap;
@@ -296,7 +296,7 @@
 
     /// Whether this very run of a daemon may be alive.
     pub fn may_be_alive(&self, node: &NodeId) -> bool {
-        *node == self.identity.node || may_be_alive(&self.members.load(), node, new_incarnation().0)
+        *node == self.identity.node || may_be_alive(&self.members.load(), node, epoch_millis())
     }
 
     /// Asks for fresh reports of back ends: a request waits for what a report will tell.
@@ -322,13 +322,5 @@
 
 /// Seconds since the Unix epoch.
 pub fn epoch_seconds() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |elapsed| elapsed.as_secs())
-}
-
-/// An incarnation for a process that starts now.
-pub fn new_incarnation() -> Incarnation {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = since_epoch.map_or(0, |elapsed| elapsed.as_millis());
-    Incarnation(u64::try_from(millis).unwrap_or(u64::MAX))
+    epoch_millis() / 1000
 }
--- a/crates/heronbend-emulator/src/application.rs
+++ b/crates/heronbend-emulator/src/application.rs
@@ -23,7 +23,7 @@
 use crate::ledger::{Execution, Ledger};
 use crate::model_text::reward_milli;
 use crate::registration::keep_registered;
-use crate::service::{new_incarnation, read_json, serve, MAX_BODY_BYTES};
+use crate::service::{read_json, serve, MAX_BODY_BYTES};
 
 /// Work that arrives this long after a server began to leave is noted in its ledger.
 pub const LEAVING_GRACE: Duration = Duration::from_secs(3);
@@ -102,7 +102,7 @@
     serve(arguments.listen, move |executor, address| {
         let server = Rc::new(Server {
             name: arguments.name.clone(),
-            incarnation: new_incarnation(),
+            incarnation: Incarnation::starting_now(),
             phase: Rc::new(Cell::new(Phase::Live)),
             leaving_since: Cell::new(None),
             running: Cell::new(0),
--- a/crates/heronbend-emulator/src/engine/mod.rs
+++ b/crates/heronbend-emulator/src/engine/mod.rs
@@ -29,9 +29,7 @@
 use crate::application::LEAVING_GRACE;
 use crate::ledger::Ledger;
 use crate::registration::{get_json, keep_registered};
-use crate::service::{
-    bad_request, new_incarnation, not_found, query_value, read_json, serve, Executor,
-};
+use crate::service::{bad_request, not_found, query_value, read_json, serve, Executor};
 use batch::{Batch, Sequence};
 
 /// How late the engine reports its load.
@@ -162,7 +160,7 @@
 
 impl Engine {
     fn new(arguments: EngineArguments) -> Self {
-        let incarnation = new_incarnation();
+        let incarnation = Incarnation::starting_now();
         let batch = Batch::new(arguments.name.clone(), incarnation, arguments.max_batch);
         let reported = EngineStatus {
             incarnation,
--- a/crates/heronbend-emulator/src/experiment/overhead.rs
+++ b/crates/heronbend-emulator/src/experiment/overhead.rs
@@ -17,6 +17,7 @@
 use super::report::{latency_histogram, Arm, Report};
 use super::ExperimentArguments;
 use crate::application::NONCE_HEADER;
+use crate::process::resident_kilobytes;
 use crate::registration::url;
 
 const THREADS: usize = 3;
@@ -35,7 +36,7 @@
     let daemon = arguments.daemon.context("--daemon is needed")?;
     let app = arguments.app.context("--app is needed")?;
     let pid = arguments.daemon_pid.context("--daemon-pid is needed")?;
-    let idle_megabytes = resident_megabytes(pid)?;
+    let idle_megabytes = resident_kilobytes(&pid.to_string())? / 1024.0;
     let _warm_up = send_evenly(daemon, arguments.rate / 4, 1)?;
     let before = processor_seconds(pid)?;
     let mut direct = latency_histogram();
@@ -199,13 +200,3 @@
         fields.split_whitespace().skip(11).take(2).map(str::parse).collect::<Result<_, _>>()?;
     Ok(ticks.iter().sum::<f64>() / TICKS_PER_SECOND)
 }
-
-fn resident_megabytes(pid: u32) -> anyhow::Result<f64> {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kilobytes: f64 = line
-        .and_then(|rest| rest.split_whitespace().next())
-        .context("no resident size")?
-        .parse()?;
-    Ok(kilobytes / 1024.0)
-}
--- a/crates/heronbend-emulator/src/hollow.rs
+++ b/crates/heronbend-emulator/src/hollow.rs
@@ -31,6 +31,8 @@
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
 
+use crate::process::resident_kilobytes;
+
 const REGIONS: usize = 7;
 const ZONES: usize = 26;
 const READERS_PER_REGION: usize = 2;
@@ -167,12 +169,12 @@
 
 /// Runs the fleet and prints the report as JSON.
 pub fn run(arguments: &HollowArguments) -> anyhow::Result<()> {
-    let resident_before = resident_kilobytes()?;
+    let resident_before = resident_kilobytes("self")?;
     let mut fleet = Fleet::new(arguments);
     let start = Instant::now();
     fleet.run(Duration::from_secs(arguments.seconds));
     let processor = start.elapsed().as_secs_f64();
-    let resident = resident_kilobytes()? - resident_before;
+    let resident = resident_kilobytes("self")? - resident_before;
     let (change_bytes, change_micros) = measure_register_change();
     let (least, most) = measure_subsets(arguments);
     let daemon_seconds = (arguments.daemons as u64 * arguments.seconds) as f64;
@@ -680,10 +682,3 @@
     }
     start.elapsed().as_secs_f64() * 1e6 / f64::from(CHOICES)
 }
-
-fn resident_kilobytes() -> anyhow::Result<f64> {
-    let text = std::fs::read_to_string("/proc/self/status")?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let number = line.and_then(|rest| rest.split_whitespace().next());
-    Ok(number.unwrap_or("0").parse()?)
-}
--- a/crates/heronbend-emulator/src/main.rs
+++ b/crates/heronbend-emulator/src/main.rs
@@ -12,6 +12,7 @@
 mod model_text;
 mod platform;
 mod ports;
+mod process;
 mod registration;
 mod service;
 mod trainer;
--- a/crates/heronbend-emulator/src/service.rs
+++ b/crates/heronbend-emulator/src/service.rs
@@ -3,9 +3,8 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
-use heronbend::identity::Incarnation;
 use heronbend_http::http_types::{Request, Response, StatusCode};
 use heronbend_http::{error_response, read_body, Connections, Outcome, ServerLimits};
 use serde::de::DeserializeOwned;
@@ -57,13 +56,6 @@
     error_response(StatusCode::NotFound, "not_found", message, Outcome::NotRun)
 }
 
-/// An incarnation for a process that starts now.
-pub fn new_incarnation() -> Incarnation {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = since_epoch.map_or(0, |elapsed| elapsed.as_millis());
-    Incarnation(u64::try_from(millis).unwrap_or(u64::MAX))
-}
-
 /// A query parameter of a request.
 pub fn query_value(request: &Request, name: &str) -> Option<String> {
     request.url().query_pairs().find(|(key, _)| key == name).map(|(_, value)| value.into_owned())
--- a/crates/heronbend/src/identity.rs
+++ b/crates/heronbend/src/identity.rs
@@ -1,6 +1,7 @@
 //! Names that tell processes and their restarts apart.
 
 use std::fmt;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use musli::{Decode, Encode};
 use serde::{Deserialize, Serialize};
@@ -39,6 +40,20 @@
 #[musli(transparent)]
 pub struct Incarnation(pub u64);
 
+impl Incarnation {
+    /// The incarnation of a process that starts now: milliseconds since the Unix epoch.
+    pub fn starting_now() -> Self {
+        Self(epoch_millis())
+    }
+}
+
+/// Milliseconds since the Unix epoch.
+pub fn epoch_millis() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since_epoch.map_or(0, |elapsed| elapsed.as_millis());
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
 impl fmt::Display for Incarnation {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}", self.0)
--- a/crates/heronbend/src/membership/detector.rs
+++ b/crates/heronbend/src/membership/detector.rs
@@ -148,11 +148,6 @@
         self.members.values().map(|known| &known.member)
     }
 
-    /// Number of rumours that are still being spread.
-    pub fn pending_rumours(&self) -> usize {
-        self.rumours.len()
-    }
-
     /// Sets the control data that is made known to peers.
     pub fn set_head(&mut self, head: Head) {
         self.head = head;
--- a/crates/heronbend/src/membership/rumours.rs
+++ b/crates/heronbend/src/membership/rumours.rs
@@ -72,9 +72,4 @@
         }
         taken
     }
-
-    /// Number of rumours that are still being spread.
-    pub(super) fn len(&self) -> usize {
-        self.pending.len()
-    }
 }
