--- /dev/null
+++ b/crates/heronbend-gateway/src/batch/hand_in.rs
@@ -0,0 +1,242 @@
+//! Taking in batch jobs, and ending them.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use heronbend::Moment;
+use http::StatusCode;
+use serde_json::json;
+use smol::Timer;
+
+use super::ownership::{successor, Ownership};
+use super::registry::{OWNERSHIPS, SPECIFICATIONS};
+use super::runner::start_own_jobs;
+use super::specification::{is_base64, JobSpecification};
+use crate::gateway::Gateway;
+use crate::mirror::backoff;
+use crate::peers::Hint;
+use crate::ports::{Condition, StoreError};
+
+/// Room that an object needs apart from a specification's own bytes.
+const OBJECT_OVERHEAD: usize = 4 * 1024;
+
+/// Why a job was not taken in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HandInError {
+    /// It is not well formed.
+    Malformed(String),
+    /// It is larger than the store takes.
+    TooLarge,
+    /// Nothing of it runs, now or later.
+    NotTaken,
+    /// It may have been taken in.
+    Unknown,
+}
+
+impl HandInError {
+    /// The status that tells a caller.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Malformed(_) => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NotTaken => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+/// Takes a job in; when this returns without an error, all of it is kept and will be run.
+pub async fn hand_in(
+    gateway: &Rc<Gateway>,
+    specification: JobSpecification,
+    give_up_at: Moment,
+) -> Result<(), HandInError> {
+    if gateway.jobs.get(&specification.id).is_some() {
+        return Ok(());
+    }
+    check(&specification)?;
+    let content = json!(specification);
+    if content.to_string().len() + OBJECT_OVERHEAD > gateway.tuning.max_object_bytes {
+        return Err(HandInError::TooLarge);
+    }
+    let mut is_in_doubt = false;
+    let mut failures = 0;
+    loop {
+        match gateway.store.create(SPECIFICATIONS, &specification.id, content.clone()).await {
+            Ok(_) => break,
+            // Handed in before, here or at another daemon.
+            Err(StoreError::Conflict(_)) => break,
+            Err(error) => {
+                is_in_doubt |= !error.is_not_done();
+                failures += 1;
+                log::warn!(
+                    "event=job_not_written job={} failures={failures} in_doubt={is_in_doubt} error=\"{error}\"",
+                    specification.id
+                );
+            }
+        }
+        let rest = backoff(failures);
+        if gateway.now() + rest >= give_up_at {
+            return Err(if is_in_doubt { HandInError::Unknown } else { HandInError::NotTaken });
+        }
+        Timer::after(rest).await;
+    }
+    own(gateway, Rc::new(specification), give_up_at).await
+}
+
+fn check(specification: &JobSpecification) -> Result<(), HandInError> {
+    let mut findings = Vec::new();
+    if specification.items.is_empty() {
+        findings.push("there are no items".to_owned());
+    }
+    for item in &specification.items {
+        if !is_base64(&item.body) {
+            findings.push(format!("item {}: the body is not base64", item.id));
+        }
+        if item.path.parse::<http::Uri>().is_err() {
+            findings.push(format!("item {}: the path is malformed", item.id));
+        }
+    }
+    if findings.is_empty() {
+        Ok(())
+    } else {
+        Err(HandInError::Malformed(findings.join("; ")))
+    }
+}
+
+/// Makes the job's ownership. From then on it is run, whatever becomes of this daemon.
+async fn own(
+    gateway: &Rc<Gateway>,
+    specification: Rc<JobSpecification>,
+    give_up_at: Moment,
+) -> Result<(), HandInError> {
+    let ownership = Ownership {
+        owner: new_owner(gateway, &specification.id),
+        total: specification.items.len(),
+        ended: false,
+    };
+    let content = json!(ownership);
+    let mut failures = 0;
+    loop {
+        match gateway.store.create(OWNERSHIPS, &specification.id, content.clone()).await {
+            Ok(object) => {
+                let job = gateway.jobs.learn(&specification.id, ownership, object.revision);
+                *job.specification.borrow_mut() = Some(specification.clone());
+                gateway.metrics.jobs_accepted.inc();
+                start_own_jobs(gateway);
+                return Ok(());
+            }
+            Err(StoreError::Conflict(object)) => {
+                if let Some(object) = object {
+                    gateway.jobs.learn_object(&object);
+                    start_own_jobs(gateway);
+                }
+                return Ok(());
+            }
+            Err(error) => {
+                failures += 1;
+                log::warn!(
+                    "event=job_not_owned job={} failures={failures} error=\"{error}\"",
+                    specification.id
+                );
+            }
+        }
+        let rest = backoff(failures);
+        if gateway.now() + rest >= give_up_at {
+            return Err(HandInError::Unknown);
+        }
+        Timer::after(rest).await;
+    }
+}
+
+/// This daemon, unless it is about to stop.
+fn new_owner(gateway: &Gateway, job: &str) -> heronbend::identity::NodeId {
+    let me = gateway.identity.node.clone();
+    if !gateway.draining.get() {
+        return me;
+    }
+    successor(job, gateway.members.alive().iter()).cloned().unwrap_or(me)
+}
+
+/// Why a job could not be ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndError {
+    /// There is no such job.
+    NoSuchJob,
+    /// The store does not answer.
+    Unavailable,
+}
+
+/// Ends a job; when this returns without an error, nothing of it is begun any more.
+pub async fn end(gateway: &Rc<Gateway>, id: &str, give_up_at: Moment) -> Result<(), EndError> {
+    if gateway.jobs.get(id).is_some_and(|job| job.ended.get() && job.ownership.borrow().0.ended) {
+        return Ok(());
+    }
+    let mut failures = 0;
+    loop {
+        match try_end(gateway, id).await {
+            Ok(true) => {
+                gateway.members.tell_all(Hint::JobEnded { job: id.to_owned() });
+                return Ok(());
+            }
+            Ok(false) => return Err(EndError::NoSuchJob),
+            // It changed hands meanwhile: the newer ownership is known now.
+            Err(StoreError::Conflict(Some(object))) => {
+                gateway.jobs.learn_object(&object);
+                failures += 1;
+            }
+            Err(error) => {
+                failures += 1;
+                log::warn!("event=job_not_ended job={id} failures={failures} error=\"{error}\"");
+            }
+        }
+        let rest = backoff(failures);
+        if gateway.now() + rest >= give_up_at {
+            return Err(EndError::Unavailable);
+        }
+        Timer::after(rest).await;
+    }
+}
+
+/// Whether the job was ended; false when there is none.
+async fn try_end(gateway: &Rc<Gateway>, id: &str) -> Result<bool, StoreError> {
+    let job = match gateway.jobs.get(id) {
+        Some(job) => job,
+        None => match gateway.store.get(OWNERSHIPS, id).await? {
+            Some(object) => match gateway.jobs.learn_object(&object) {
+                Some(job) => job,
+                None => return Err(StoreError::Malformed("ownership".to_owned())),
+            },
+            None => return end_before_owned(gateway, id).await,
+        },
+    };
+    // Begin nothing more, whether or not the store answers.
+    job.end(gateway.now());
+    let (ownership, revision) = job.ownership.borrow().clone();
+    if ownership.ended {
+        return Ok(true);
+    }
+    let content = json!(Ownership { ended: true, ..ownership });
+    let object = gateway.store.replace(OWNERSHIPS, id, content, Condition::At(revision)).await?;
+    gateway.jobs.learn_object(&object);
+    Ok(true)
+}
+
+/// Ends a job that was written but never acknowledged.
+async fn end_before_owned(gateway: &Rc<Gateway>, id: &str) -> Result<bool, StoreError> {
+    let Some(object) = gateway.store.get(SPECIFICATIONS, id).await? else {
+        return Ok(false);
+    };
+    let specification: JobSpecification = serde_json::from_value(object.content)
+        .map_err(|error| StoreError::Malformed(error.to_string()))?;
+    let owner = gateway.identity.node.clone();
+    let ownership = Ownership { owner, total: specification.items.len(), ended: true };
+    let object = gateway.store.create(OWNERSHIPS, id, json!(ownership)).await?;
+    gateway.jobs.learn_object(&object);
+    Ok(true)
+}
+
+/// The body of an item, decoded.
+pub fn item_body(specification: &JobSpecification, item: &str) -> Option<Bytes> {
+    specification.items.iter().find(|known| known.id == item).map(|item| item.decoded_body())
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -0,0 +1,319 @@
+//! Runs one item: its text at one or more servers, then its score.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use smol::Timer;
+
+use super::event_stream::{EventReader, ItemText};
+use super::registry::Job;
+use super::result_log::{ItemResult, ItemState};
+use super::reward::{self, Score};
+use super::specification::{Item, JobSpecification};
+use crate::balancer::AttemptEnd;
+use crate::configuration::Route;
+use crate::directory::Server;
+use crate::exchange::{self, AttemptFailure, CountedAttempt, Outgoing};
+use crate::gateway::Gateway;
+use crate::http::client::{Exchange, ExchangeError};
+use crate::versions::board::Fitness;
+
+/// Longest silence before the first event. A request may wait in the server's queue.
+const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(2500);
+/// Longest silence between two events. Servers fall silent while they load a version.
+const EVENT_LIMIT: Duration = Duration::from_millis(1600);
+/// Time that a server is given for an item, for want of a shorter bound.
+const ITEM_DEADLINE: Duration = Duration::from_secs(30);
+/// Longest wait until a place is looked for again without news.
+const PLACE_WAIT: Duration = Duration::from_millis(100);
+
+/// How an attempt at one server ended.
+enum RunEnd {
+    /// The text is whole.
+    Whole,
+    /// The server has not run it, or broke off: to be continued elsewhere.
+    Again,
+    /// The server failed at it.
+    Failed,
+    /// It can never be done.
+    Impossible,
+}
+
+/// One item that is being run.
+struct ItemRun<'a> {
+    gateway: &'a Rc<Gateway>,
+    job: &'a Job,
+    specification: &'a JobSpecification,
+    item: &'a Item,
+    text: ItemText,
+    failures: u32,
+    /// The server whose attempt ended last, to be avoided once.
+    last_server: Vec<String>,
+}
+
+/// Runs an item until it has a result.
+pub async fn run(
+    gateway: &Rc<Gateway>,
+    job: &Job,
+    specification: &JobSpecification,
+    item: &Item,
+) -> ItemResult {
+    let run = ItemRun {
+        gateway,
+        job,
+        specification,
+        item,
+        text: ItemText::default(),
+        failures: 0,
+        last_server: Vec::new(),
+    };
+    run.to_the_end().await
+}
+
+impl ItemRun<'_> {
+    async fn to_the_end(mut self) -> ItemResult {
+        let begun = self.gateway.now();
+        loop {
+            let Some(route) = self.route() else {
+                return self.terminated("route removed");
+            };
+            let (server, fitness) = self.place(&route).await;
+            match self.attempt(&server, fitness, &route).await {
+                RunEnd::Whole => break,
+                RunEnd::Again => {}
+                RunEnd::Failed => self.failures += 1,
+                RunEnd::Impossible => return self.terminated("impossible"),
+            }
+            if self.failures >= route.max_attempts.max(1) {
+                return self.terminated("failed too often");
+            }
+            self.last_server = vec![server.id.clone()];
+        }
+        let text_millis = (self.gateway.now() - begun).as_millis();
+        let score = match &self.item.reward {
+            None => None,
+            Some(call) => match reward::score(self.gateway, self.job, &self.item.id, call).await {
+                Score::Signed(signature) => Some(signature),
+                Score::Failed => return self.terminated("reward failed too often"),
+            },
+        };
+        log::info!(
+            "event=item_done job={} item={} events={} versions={:?} text_ms={text_millis} total_ms={}",
+            self.job.id,
+            self.item.id,
+            self.text.last_event(),
+            self.text.versions(),
+            (self.gateway.now() - begun).as_millis()
+        );
+        self.text.into_result(&self.item.id, score)
+    }
+
+    fn terminated(&self, reason: &str) -> ItemResult {
+        log::warn!(
+            "event=item_terminated job={} item={} reason=\"{reason}\" failures={}",
+            self.job.id,
+            self.item.id,
+            self.failures
+        );
+        ItemResult {
+            item: self.item.id.clone(),
+            state: ItemState::Terminated,
+            text: String::new(),
+            versions: Vec::new(),
+            score: None,
+        }
+    }
+
+    /// The item's route in force; nothing when it has been removed.
+    fn route(&self) -> Option<Rc<Route>> {
+        let configuration = self.gateway.configuration()?;
+        let path = self.item.path.split('?').next().unwrap_or_default();
+        let route = configuration.route(&self.specification.host, path);
+        route
+            .or_else(|| configuration.route(&self.specification.host, &self.specification.path))
+            .cloned()
+    }
+
+    fn model(&self) -> Option<&str> {
+        self.specification.step.as_ref().map(|step| step.model.as_str())
+    }
+
+    fn min_version(&self) -> u64 {
+        self.specification.step.as_ref().map_or(0, |step| step.min_version)
+    }
+
+    /// Waits for a free place at a server that can run the item.
+    async fn place(&self, route: &Route) -> (Rc<Server>, Fitness) {
+        loop {
+            let changed = self.gateway.places_changed.listen();
+            if let Some(place) = self.free_place(route) {
+                return place;
+            }
+            changed
+                .or(async {
+                    Timer::after(PLACE_WAIT).await;
+                })
+                .await;
+        }
+    }
+
+    fn free_place(&self, route: &Route) -> Option<(Rc<Server>, Fitness)> {
+        let service = self.gateway.splitter.borrow_mut().next(route)?.to_owned();
+        let now = self.gateway.now();
+        let balancer = self.gateway.balancer.borrow();
+        let candidates: Vec<Rc<Server>> = self
+            .gateway
+            .usable_servers(&service)
+            .into_iter()
+            .filter(|server| balancer.in_flight(&server.id) < server.slots)
+            .filter(|server| !balancer.is_avoided(now, &server.id))
+            .filter(|server| self.fitness(now, server) != Fitness::Unfit)
+            .collect();
+        let zone = &self.gateway.identity.zone;
+        let chosen = balancer
+            .choose(now, &candidates, &self.last_server, zone)
+            .or_else(|| balancer.choose(now, &candidates, &[], zone))?;
+        let fitness = self.fitness(now, &chosen);
+        Some((chosen, fitness))
+    }
+
+    fn fitness(&self, now: heronbend::Moment, server: &Server) -> Fitness {
+        match self.model() {
+            Some(model) => self.gateway.versions.fitness(now, server, model, self.min_version()),
+            None => Fitness::Listed,
+        }
+    }
+
+    async fn attempt(&mut self, server: &Rc<Server>, fitness: Fitness, route: &Route) -> RunEnd {
+        let counted = CountedAttempt::begin(self.gateway, server);
+        let Some(outgoing) = self.outgoing(fitness) else {
+            return RunEnd::Impossible;
+        };
+        let first_event = self.text.last_event();
+        let answer = exchange::begin(self.gateway, server, &outgoing, ITEM_DEADLINE);
+        let answer = answer.or(async {
+            Timer::after(FIRST_EVENT_LIMIT).await;
+            Err(AttemptFailure::Unknown("no head in time"))
+        });
+        let exchange = match answer.await {
+            Ok(exchange) => exchange,
+            Err(failure) => {
+                self.log_attempt(server, &format!("{failure:?}"), 0);
+                counted.fail(&failure);
+                return RunEnd::Again;
+            }
+        };
+        if exchange.status != StatusCode::OK {
+            let status = exchange.status;
+            self.log_attempt(server, status.as_str(), 0);
+            counted.end(AttemptEnd::Abandoned);
+            return match status {
+                StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Impossible,
+                StatusCode::INTERNAL_SERVER_ERROR => RunEnd::Failed,
+                _ => RunEnd::Again,
+            };
+        }
+        if first_event > 0 {
+            self.gateway.metrics.items_resumed.inc();
+        }
+        let outcome = self.read_events(exchange, route).await;
+        let events = self.text.last_event().saturating_sub(first_event);
+        match outcome {
+            Ok(()) => {
+                let per_event = counted.elapsed() / u32::try_from(events.max(1)).unwrap_or(1);
+                counted.end(AttemptEnd::Answered(per_event));
+                RunEnd::Whole
+            }
+            Err(reason) => {
+                self.log_attempt(server, reason, events);
+                counted.fail(&AttemptFailure::Unknown(reason));
+                RunEnd::Again
+            }
+        }
+    }
+
+    fn log_attempt(&self, server: &Server, outcome: &str, events: u64) {
+        log::info!(
+            "event=item_attempt job={} item={} server={} outcome=\"{outcome}\" events={events} last_event={}",
+            self.job.id,
+            self.item.id,
+            server.id,
+            self.text.last_event()
+        );
+    }
+
+    fn outgoing(&self, fitness: Fitness) -> Option<Outgoing> {
+        let names = self.gateway.dialect.headers();
+        let mut headers = HeaderMap::new();
+        for (name, value) in &self.item.headers {
+            let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+            headers.append(name, HeaderValue::from_str(value).ok()?);
+        }
+        headers.insert(names.request_id.clone(), HeaderValue::from_str(&self.item.id).ok()?);
+        let host = HeaderValue::from_str(&self.specification.host).ok()?;
+        headers.insert(http::header::HOST, host);
+        if self.text.last_event() > 0 {
+            headers.insert(names.last_event.clone(), HeaderValue::from(self.text.last_event()));
+        }
+        if let Fitness::Expected(version) = fitness {
+            headers.insert(names.expected_version.clone(), HeaderValue::from(version));
+        }
+        Some(Outgoing {
+            id: self.item.id.clone(),
+            method: Method::POST,
+            target: self.item.path.parse().ok()?,
+            headers,
+            body: self.item.decoded_body(),
+        })
+    }
+
+    /// Reads events until the text is whole; an error when it has to be continued elsewhere.
+    async fn read_events(&mut self, exchange: Exchange, route: &Route) -> Result<(), &'static str> {
+        let mut exchange = exchange;
+        let names = self.gateway.dialect.headers();
+        let version = exchange.header(&names.weight_version).and_then(|value| value.parse().ok());
+        let version: u64 = version.ok_or("the version is not told")?;
+        let field = names.weight_version.as_str();
+        let mut reader = EventReader::new(field, version);
+        let mut text = self.text.clone();
+        let mut limit = FIRST_EVENT_LIMIT;
+        let outcome = loop {
+            let bytes = exchange.next_bytes().or(async {
+                Timer::after(limit).await;
+                Err(ExchangeError::Timeout)
+            });
+            match bytes.await {
+                Ok(Some(bytes)) => match reader.read(&bytes, &mut text) {
+                    Ok(events) if events > 0 => limit = EVENT_LIMIT,
+                    Ok(_) => {}
+                    Err(_) => break Err("malformed stream"),
+                },
+                Ok(None) if reader.is_between_events() => break Ok(()),
+                Ok(None) => break Err("cut within an event"),
+                Err(ExchangeError::Timeout) => break Err("silent"),
+                Err(_) => break Err("broken off"),
+            }
+            if !self.versions_fit(&text, route) {
+                break Err("versions do not fit");
+            }
+        };
+        if self.versions_fit(&text, route) {
+            self.text = text;
+        } else {
+            self.text = ItemText::default();
+        }
+        if outcome.is_ok() {
+            exchange.keep();
+        }
+        outcome
+    }
+
+    fn versions_fit(&self, text: &ItemText, route: &Route) -> bool {
+        let min_version = self.min_version();
+        let is_fresh = text.versions().iter().all(|version| *version >= min_version);
+        let is_single = !route.single_version || text.versions().len() <= 1;
+        is_fresh && is_single
+    }
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -0,0 +1,32 @@
+//! Batch jobs: many requests handed in together, run later, and read as a list of results.
+//!
+//! A job's specification is one object, made before the job is acknowledged. Its results are an
+//! append-only log of objects whose names are consecutive numbers: whoever appends must know all
+//! that stands before, and of two that append the same number only one succeeds. So a daemon that
+//! was paused or lost its ownership can repeat work and never a result, and no lease is needed.
+//! Ownership, a small object for each job, only says who runs it.
+//!
+//! - [`specification`]: what a job consists of.
+//! - [`result_log`]: the log of results, without I/O.
+//! - [`ownership`]: who runs a job, and whether it has ended, without I/O.
+//! - [`schedule`]: the order in which items are begun, without I/O.
+//! - [`event_stream`]: the text of an item from a server's events, without I/O.
+//! - [`registry`]: the jobs that this daemon knows.
+//! - [`hand_in`], [`reading`]: the callers' side.
+//! - [`runner`], [`item_run`], [`reward`], [`appender`]: the owner's side.
+
+pub mod appender;
+pub mod event_stream;
+pub mod hand_in;
+pub mod item_run;
+pub mod ownership;
+pub mod reading;
+pub mod registry;
+pub mod result_log;
+pub mod reward;
+pub mod runner;
+pub mod schedule;
+pub mod specification;
+
+pub use result_log::{ItemResult, ItemState, ResultLog, ResultsPage};
+pub use specification::{Item, JobSpecification, RewardCall, TrainerStep};
--- /dev/null
+++ b/crates/heronbend-gateway/src/batch/ownership.rs
@@ -0,0 +1,24 @@
+//! Who runs a job, and whether it has ended.
+
+use heronbend::identity::NodeId;
+use serde::{Deserialize, Serialize};
+
+/// A job as all daemons know it: a small object beside its specification.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ownership {
+    /// The run of the daemon that runs it.
+    pub owner: NodeId,
+    /// Number of its items.
+    pub total: usize,
+    /// Whether its caller has ended it: nothing of it is run any more.
+    pub ended: bool,
+}
+
+/// Which of the daemons that are alive takes over a job: the first in an order that differs from
+/// job to job, so that the jobs of a lost daemon are spread.
+pub fn successor<'a>(job: &str, alive: impl Iterator<Item = &'a NodeId>) -> Option<&'a NodeId> {
+    alive.max_by_key(|node| {
+        let key = format!("{job}/{}", node.name);
+        (rapidhash::v3::rapidhash_v3(key.as_bytes()), (*node).clone())
+    })
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -0,0 +1,175 @@
+//! The jobs that this daemon knows, each with what it has of its results.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use event_listener::Event;
+use heronbend::identity::NodeId;
+use heronbend::Moment;
+
+use super::ownership::Ownership;
+use super::result_log::ResultLog;
+use super::specification::JobSpecification;
+use crate::ports::{Object, Revision};
+
+/// Kind of the specifications.
+pub const SPECIFICATIONS: &str = "heronbend-jobs";
+/// Kind of the ownerships.
+pub const OWNERSHIPS: &str = "heronbend-work";
+
+/// Kind of the chunks of a job's results.
+pub fn results_kind(job: &str) -> String {
+    format!("heronbend-results-{job}")
+}
+
+/// Name of a chunk; names sort by number.
+pub fn chunk_name(number: u32) -> String {
+    format!("{number:08}")
+}
+
+/// A job and what this daemon has of it.
+pub struct Job {
+    /// Its identifier.
+    pub id: String,
+    /// Number of its items.
+    pub total: usize,
+    /// Who runs it, by the newest that is known, with the revision of that.
+    pub ownership: RefCell<(Ownership, Revision)>,
+    /// Its items, where they have been read.
+    pub specification: RefCell<Option<Rc<JobSpecification>>>,
+    /// Its results as far as they are known here.
+    pub log: RefCell<ResultLog>,
+    /// Notified when the log has grown.
+    pub grew: Event,
+    /// Notified when a result waits to be written.
+    pub result_waits: Event,
+    /// Whether it has ended.
+    pub ended: Cell<bool>,
+    /// Notified when it ends, or when another daemon takes it over.
+    pub stopping: Event,
+    /// Whether it is being run here.
+    pub running: Cell<bool>,
+    /// When this daemon first knew of it.
+    pub known_since: Moment,
+    /// When this daemon learnt of its end.
+    pub ended_since: Cell<Option<Moment>>,
+}
+
+impl Job {
+    fn new(id: &str, ownership: Ownership, revision: Revision, now: Moment) -> Rc<Self> {
+        Rc::new(Self {
+            id: id.to_owned(),
+            total: ownership.total,
+            ended: Cell::new(ownership.ended),
+            ended_since: Cell::new(ownership.ended.then_some(now)),
+            ownership: RefCell::new((ownership, revision)),
+            specification: RefCell::default(),
+            log: RefCell::default(),
+            grew: Event::new(),
+            result_waits: Event::new(),
+            stopping: Event::new(),
+            running: Cell::new(false),
+            known_since: now,
+        })
+    }
+
+    /// The run of the daemon that runs it.
+    pub fn owner(&self) -> NodeId {
+        self.ownership.borrow().0.owner.clone()
+    }
+
+    /// Whether every item has a settled result.
+    pub fn is_complete(&self) -> bool {
+        self.log.borrow().len() >= self.total
+    }
+
+    /// Notes its end.
+    pub fn end(&self, now: Moment) {
+        if !self.ended.replace(true) {
+            self.ended_since.set(Some(now));
+            self.stopping.notify(usize::MAX);
+            self.grew.notify(usize::MAX);
+        }
+    }
+}
+
+/// All known jobs.
+pub struct JobRegistry {
+    jobs: RefCell<HashMap<String, Rc<Job>>>,
+    clock: Box<dyn Fn() -> Moment>,
+    /// Whether the ownerships have been read from the store.
+    pub known: Cell<bool>,
+    /// Notified when a job was added or changed hands.
+    pub changed: Event,
+}
+
+impl JobRegistry {
+    /// An empty registry.
+    pub fn new(clock: impl Fn() -> Moment + 'static) -> Self {
+        Self {
+            jobs: RefCell::default(),
+            clock: Box::new(clock),
+            known: Cell::new(false),
+            changed: Event::new(),
+        }
+    }
+
+    /// A job by its identifier.
+    pub fn get(&self, id: &str) -> Option<Rc<Job>> {
+        self.jobs.borrow().get(id).cloned()
+    }
+
+    /// All known jobs.
+    pub fn all(&self) -> Vec<Rc<Job>> {
+        self.jobs.borrow().values().cloned().collect()
+    }
+
+    /// Takes in an ownership that is in the store; an older one than is known is passed over.
+    pub fn learn(&self, id: &str, ownership: Ownership, revision: Revision) -> Rc<Job> {
+        let now = (self.clock)();
+        let known = self.get(id);
+        let Some(job) = known else {
+            let job = Job::new(id, ownership, revision, now);
+            self.jobs.borrow_mut().insert(id.to_owned(), job.clone());
+            self.changed.notify(usize::MAX);
+            return job;
+        };
+        if revision > job.ownership.borrow().1 {
+            let has_moved = job.owner() != ownership.owner;
+            let ended = ownership.ended;
+            *job.ownership.borrow_mut() = (ownership, revision);
+            if ended {
+                job.end(now);
+            }
+            if has_moved {
+                job.stopping.notify(usize::MAX);
+                self.changed.notify(usize::MAX);
+            }
+        }
+        job
+    }
+
+    /// Takes in an ownership object; one that cannot be understood is logged and passed over.
+    pub fn learn_object(&self, object: &Object) -> Option<Rc<Job>> {
+        match serde_json::from_value::<Ownership>(object.content.clone()) {
+            Ok(ownership) => Some(self.learn(&object.name, ownership, object.revision)),
+            Err(error) => {
+                log::warn!("event=ownership_malformed job={} error=\"{error}\"", object.name);
+                None
+            }
+        }
+    }
+
+    /// Notes a job's end, where the job is known.
+    pub fn end(&self, id: &str) {
+        if let Some(job) = self.get(id) {
+            job.end((self.clock)());
+        }
+    }
+
+    /// Forgets a job.
+    pub fn forget(&self, id: &str) {
+        self.jobs.borrow_mut().remove(id);
+    }
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -0,0 +1,249 @@
+//! Calls of clients and trainers: requests by the routes, and the interface of batch jobs.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use heronbend::Moment;
+use http::request::Parts;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+
+use crate::batch::hand_in::{self, EndError, HandInError};
+use crate::batch::reading::{self, ReadError};
+use crate::configuration::{Configuration, Route, RouteKind};
+use crate::exchange::Outgoing;
+use crate::forward::{forward, retry_after, Allowance, ForwardError, RETRY_AFTER};
+use crate::gateway::Gateway;
+use crate::headers;
+use crate::http::client::WholeAnswer;
+use crate::http::server::{read_body, BodyError};
+use crate::http::{bytes_answer, text_answer, whole, Answer};
+use crate::ports::Call;
+
+/// Longest time that a call of the batch interface tries to reach the store.
+const STORE_PATIENCE: Duration = Duration::from_millis(2500);
+/// Longest time that a reader of results may be held.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
+/// Answers a call.
+pub async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Answer {
+    let arrived = gateway.now();
+    let (head, body) = request.into_parts();
+    let id = headers::text(&head.headers, &gateway.dialect.headers().request_id);
+    let id = id.unwrap_or_default().to_owned();
+    let call = gateway.dialect.call(&head.method, head.uri.path(), head.uri.query());
+    let (name, mut answer) = match call {
+        Call::Forward => answer_by_route(&gateway, &id, head, body, arrived).await,
+        Call::ReadResults { job, from } => {
+            let wait = headers::millis(&head.headers, &gateway.dialect.headers().wait_millis);
+            let wait = wait.unwrap_or_default().min(MAX_WAIT);
+            let page = reading::results(&gateway, &job, from, arrived + wait).await;
+            ("read_results".to_owned(), read_answer(&gateway, &job, from, page))
+        }
+        Call::ReadItem { job, item } => {
+            let body = reading::item(&gateway, &job, &item).await;
+            ("read_item".to_owned(), item_answer(&job, &item, body))
+        }
+        Call::EndJob { job } => {
+            let ended = hand_in::end(&gateway, &job, arrived + STORE_PATIENCE).await;
+            log::info!("event=job_end_asked job={job} outcome={ended:?}");
+            ("end_job".to_owned(), end_answer(ended))
+        }
+        Call::Malformed(problem) => {
+            ("malformed".to_owned(), text_answer(StatusCode::BAD_REQUEST, problem))
+        }
+    };
+    let names = gateway.dialect.headers();
+    if let Ok(value) = http::HeaderValue::from_str(&id) {
+        if !id.is_empty() && !answer.headers().contains_key(&names.request_id) {
+            answer.headers_mut().insert(names.request_id.clone(), value);
+        }
+    }
+    let latency = gateway.now().saturating_sub(arrived);
+    gateway.metrics.answered(&name, answer.status().as_u16(), latency);
+    answer
+}
+
+async fn answer_by_route(
+    gateway: &Rc<Gateway>,
+    id: &str,
+    head: Parts,
+    body: Incoming,
+    arrived: Moment,
+) -> (String, Answer) {
+    let Some(configuration) = gateway.configuration() else {
+        log::warn!("event=refused id={id} reason=\"no configuration yet\"");
+        return ("unknown".to_owned(), not_run("no configuration yet"));
+    };
+    let host = headers::text(&head.headers, &http::header::HOST).unwrap_or_default();
+    let Some(route) = configuration.route(host, head.uri.path()).cloned() else {
+        log::info!(
+            "event=no_route id={id} host={host} path={} configuration={}",
+            head.uri.path(),
+            configuration.version
+        );
+        return ("none".to_owned(), text_answer(StatusCode::NOT_FOUND, "no such route"));
+    };
+    let name = route.name.clone();
+    let bytes = match read_body(body, configuration.limits.max_body_bytes).await {
+        Ok(bytes) => bytes,
+        Err(BodyError::TooLarge(_)) => {
+            return (name, text_answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+        }
+        Err(BodyError::Cut(_)) => {
+            return (name, text_answer(StatusCode::BAD_REQUEST, "the body was cut"));
+        }
+    };
+    let answer = if route.kind == RouteKind::Rollout {
+        hand_in_job(gateway, id, &head, &bytes, arrived).await
+    } else {
+        pass_on(gateway, id, head, bytes, &route, &configuration, arrived).await
+    };
+    (name, answer)
+}
+
+async fn pass_on(
+    gateway: &Rc<Gateway>,
+    id: &str,
+    head: Parts,
+    body: Bytes,
+    route: &Route,
+    configuration: &Configuration,
+    arrived: Moment,
+) -> Answer {
+    let service = gateway.splitter.borrow_mut().next(route).map(str::to_owned);
+    let Some(service) = service else {
+        return not_run("the route has no service");
+    };
+    let names = gateway.dialect.headers();
+    let patience = headers::millis(&head.headers, &names.deadline_millis);
+    let allowance = Allowance::of_route(route, arrived, patience);
+    let outgoing = Outgoing {
+        id: id.to_owned(),
+        method: head.method,
+        target: head.uri,
+        headers: headers::passed_on(&head.headers),
+        body,
+    };
+    let result = forward(gateway, &service, outgoing, allowance).await;
+    let millis = gateway.now().saturating_sub(arrived).as_millis();
+    let outcome = match &result {
+        Ok(answer) => answer.status.as_str().to_owned(),
+        Err(error) => format!("{error:?}"),
+    };
+    log::info!(
+        "event=forwarded id={id} route={} service={service} configuration={} outcome={outcome} ms={millis}",
+        route.name,
+        configuration.version
+    );
+    match result {
+        Ok(answer) => server_answer(answer, route),
+        Err(ForwardError::NotRun) => not_run("no server took it"),
+        Err(error) => text_answer(error.status(), "no answer of a server"),
+    }
+}
+
+/// A server's answer as it is passed on. A status that promises that nothing has run is passed on
+/// only where that does not matter.
+fn server_answer(answer: WholeAnswer, route: &Route) -> Answer {
+    let promises = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    if !route.is_repeatable() && promises.contains(&answer.status) {
+        return text_answer(StatusCode::BAD_GATEWAY, "the outcome is unknown");
+    }
+    let mut passed = Answer::new(whole(answer.body));
+    *passed.status_mut() = answer.status;
+    *passed.headers_mut() = headers::passed_on(&answer.headers);
+    passed
+}
+
+/// The answer to a request that has not run and never will.
+fn not_run(reason: &'static str) -> Answer {
+    let mut answer = text_answer(StatusCode::SERVICE_UNAVAILABLE, reason);
+    answer.headers_mut().insert(http::header::RETRY_AFTER, retry_after(RETRY_AFTER));
+    answer
+}
+
+async fn hand_in_job(
+    gateway: &Rc<Gateway>,
+    id: &str,
+    head: &Parts,
+    body: &[u8],
+    arrived: Moment,
+) -> Answer {
+    let mut specification = match gateway.dialect.job(id, body) {
+        Ok(specification) => specification,
+        Err(error) => {
+            log::warn!("event=job_malformed job={id} error=\"{error}\"");
+            return text_answer(StatusCode::BAD_REQUEST, "the batch job is malformed");
+        }
+    };
+    let host = headers::text(&head.headers, &http::header::HOST).unwrap_or_default();
+    specification.host = host.to_owned();
+    specification.path = head.uri.path().to_owned();
+    let (items, step) = (specification.items.len(), specification.step.clone());
+    let taken = hand_in::hand_in(gateway, specification, arrived + STORE_PATIENCE).await;
+    log::info!(
+        "event=job_handed_in job={id} items={items} step={} outcome={taken:?} ms={}",
+        step.map_or_else(
+            || "none".to_owned(),
+            |step| format!(
+                "{} model={} min_version={} desired={}",
+                step.number, step.model, step.min_version, step.desired_groups
+            )
+        ),
+        gateway.now().saturating_sub(arrived).as_millis()
+    );
+    match taken {
+        Ok(()) => text_answer(StatusCode::ACCEPTED, "accepted"),
+        Err(HandInError::NotTaken) => not_run("not taken"),
+        Err(error) => text_answer(error.status(), "not accepted"),
+    }
+}
+
+fn read_answer(
+    gateway: &Gateway,
+    job: &str,
+    from: usize,
+    page: Result<crate::batch::ResultsPage, ReadError>,
+) -> Answer {
+    match page {
+        Ok(page) => {
+            bytes_answer(StatusCode::OK, "application/json", gateway.dialect.results(&page))
+        }
+        Err(error) => {
+            log::info!("event=results_refused job={job} from={from} reason={error:?}");
+            read_error(error)
+        }
+    }
+}
+
+fn item_answer(job: &str, item: &str, body: Result<Bytes, ReadError>) -> Answer {
+    match body {
+        Ok(body) => bytes_answer(StatusCode::OK, "application/octet-stream", body),
+        Err(error) => {
+            log::info!("event=item_refused job={job} item={item} reason={error:?}");
+            read_error(error)
+        }
+    }
+}
+
+fn read_error(error: ReadError) -> Answer {
+    match error {
+        ReadError::NotFound => text_answer(StatusCode::NOT_FOUND, "there is no such thing"),
+        ReadError::Unavailable => not_run("it cannot be told now"),
+    }
+}
+
+fn end_answer(ended: Result<(), EndError>) -> Answer {
+    match ended {
+        Ok(()) => text_answer(StatusCode::OK, "ended"),
+        Err(EndError::NoSuchJob) => text_answer(StatusCode::NOT_FOUND, "there is no such job"),
+        Err(EndError::Unavailable) => not_run("the end could not be recorded"),
+    }
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/exchange.rs
@@ -0,0 +1,161 @@
+//! One attempt of a request at one server, with its answer judged.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
+use http_body_util::Full;
+
+use crate::balancer::AttemptEnd;
+use crate::directory::Server;
+use crate::gateway::Gateway;
+use crate::headers;
+use crate::http::client::{Exchange, ExchangeError, WholeAnswer};
+
+/// Largest whole answer in bytes.
+pub const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// A request as it is sent to servers.
+#[derive(Debug, Clone)]
+pub struct Outgoing {
+    /// Its identifier.
+    pub id: String,
+    /// Method.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub target: Uri,
+    /// Headers, without those of one connection and those that an attempt sets.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// How an attempt failed.
+#[derive(Debug)]
+pub enum AttemptFailure {
+    /// The server has not run the request and will not.
+    NotRun,
+    /// It could not be reached, and nothing was sent.
+    NotSent,
+    /// What became of the request is unknown.
+    Unknown(&'static str),
+}
+
+/// Sends `outgoing` to `server`; returns once the head of its answer has come and been judged.
+///
+/// The caller has counted the attempt as begun at the balancer and notes its end.
+pub async fn begin(
+    gateway: &Gateway,
+    server: &Server,
+    outgoing: &Outgoing,
+    time_left: Duration,
+) -> Result<Exchange, AttemptFailure> {
+    let names = gateway.dialect.headers();
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.target.clone();
+    *request.headers_mut() = outgoing.headers.clone();
+    let headers = request.headers_mut();
+    headers.insert(names.deadline_millis.clone(), headers::millis_value(time_left));
+    if let Ok(id) = HeaderValue::from_str(&server.id) {
+        headers.insert(names.expected_server.clone(), id);
+    }
+    gateway.metrics.attempts.inc();
+    let exchange = match gateway.servers.send(server.address, request).await {
+        Ok(exchange) => exchange,
+        Err(error) if error.is_not_sent() => return Err(AttemptFailure::NotSent),
+        Err(_) => return Err(AttemptFailure::Unknown("broken off")),
+    };
+    judge_head(gateway, outgoing, exchange)
+}
+
+fn judge_head(
+    gateway: &Gateway,
+    outgoing: &Outgoing,
+    exchange: Exchange,
+) -> Result<Exchange, AttemptFailure> {
+    let names = gateway.dialect.headers();
+    if exchange.header(&names.request_id) != Some(outgoing.id.as_str()) {
+        gateway.metrics.foreign_answers.inc();
+        return Err(AttemptFailure::Unknown("foreign answer"));
+    }
+    let is_refusal = exchange.status == StatusCode::MISDIRECTED_REQUEST
+        || exchange.headers.contains_key(&names.not_run);
+    if is_refusal {
+        return Err(AttemptFailure::NotRun);
+    }
+    let is_unsigned = !exchange.headers.contains_key(&names.signature);
+    let is_encoded = exchange.headers.contains_key(http::header::CONTENT_ENCODING);
+    if exchange.status.is_success() && (is_unsigned || is_encoded) {
+        gateway.metrics.foreign_answers.inc();
+        return Err(AttemptFailure::Unknown("unsigned answer"));
+    }
+    Ok(exchange)
+}
+
+/// Counts an attempt at a server for as long as it lives.
+pub struct CountedAttempt {
+    gateway: Rc<Gateway>,
+    server: Rc<Server>,
+    begun: heronbend::Moment,
+    is_open: bool,
+}
+
+impl CountedAttempt {
+    /// Notes that an attempt begins.
+    pub fn begin(gateway: &Rc<Gateway>, server: &Rc<Server>) -> Self {
+        gateway.balancer.borrow_mut().started(&server.id);
+        let begun = gateway.now();
+        Self { gateway: gateway.clone(), server: server.clone(), begun, is_open: true }
+    }
+
+    /// Time since the attempt began.
+    pub fn elapsed(&self) -> Duration {
+        self.gateway.now().saturating_sub(self.begun)
+    }
+
+    /// Notes how the attempt ended.
+    pub fn end(mut self, end: AttemptEnd) {
+        self.close(end);
+    }
+
+    /// Notes a failed attempt.
+    pub fn fail(self, failure: &AttemptFailure) {
+        let metrics = &self.gateway.metrics;
+        let end = match failure {
+            AttemptFailure::NotRun => {
+                metrics.refusals.inc();
+                AttemptEnd::Refused
+            }
+            AttemptFailure::NotSent => AttemptEnd::Unreachable,
+            AttemptFailure::Unknown(_) => {
+                metrics.failures.inc();
+                AttemptEnd::Failed
+            }
+        };
+        self.end(end);
+    }
+
+    fn close(&mut self, end: AttemptEnd) {
+        if std::mem::take(&mut self.is_open) {
+            let now = self.gateway.now();
+            self.gateway.balancer.borrow_mut().finished(now, &self.server.id, end);
+            self.gateway.places_changed.notify(usize::MAX);
+        }
+    }
+}
+
+impl Drop for CountedAttempt {
+    fn drop(&mut self) {
+        self.close(AttemptEnd::Abandoned);
+    }
+}
+
+/// Reads a whole answer; one that is cut has an unknown outcome.
+pub async fn read_whole(exchange: Exchange) -> Result<WholeAnswer, AttemptFailure> {
+    exchange.read_whole(MAX_ANSWER_BYTES).await.map_err(|error| match error {
+        ExchangeError::TooLarge(_) => AttemptFailure::Unknown("too large"),
+        _ => AttemptFailure::Unknown("cut"),
+    })
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -0,0 +1,149 @@
+//! What the parts of one daemon share.
+//!
+//! A daemon runs on one thread: on its machines only one thread runs at a time, and each wake-up is
+//! paid for. Nothing is locked; a part borrows what it needs and never holds it across a wait.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use event_listener::Event;
+use heronbend::identity::NodeId;
+use heronbend::Moment;
+use rand::Rng;
+use smol::LocalExecutor;
+
+use crate::balancer::Balancer;
+use crate::batch::registry::JobRegistry;
+use crate::configuration::Configuration;
+use crate::directory::{Directory, Server};
+use crate::http::client::ConnectionPool;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::ports::{Dialect, ObjectStore};
+use crate::split::Splitter;
+use crate::versions::board::VersionBoard;
+
+/// Longest wait for a connection to a server.
+const SERVER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest wait for a connection to a peer.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Who this daemon is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Name of the machine's daemon and the run of its process.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+}
+
+/// Time constants that the surroundings set.
+#[derive(Debug, Clone, Copy)]
+pub struct Tuning {
+    /// Pause between the last order of one holder of the lease and the first of another.
+    pub lease_pause: Duration,
+    /// How long results stay readable after a job has ended.
+    pub result_retention: Duration,
+    /// Largest object that the store takes, in bytes.
+    pub max_object_bytes: usize,
+    /// Longest time from the signal to stop until the process is gone.
+    pub stop_limit: Duration,
+}
+
+/// Shared state of one daemon.
+pub struct Gateway {
+    /// Who this daemon is.
+    pub identity: Identity,
+    /// Where everything lasting is kept.
+    pub store: Rc<dyn ObjectStore>,
+    /// How the surroundings spell things.
+    pub dialect: Rc<dyn Dialect>,
+    /// Runs all tasks.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// Connections to servers.
+    pub servers: ConnectionPool,
+    /// Connections to peers.
+    pub peers: ConnectionPool,
+    /// The newest configuration.
+    pub configuration: RefCell<Option<Rc<Configuration>>>,
+    /// Known servers.
+    pub directory: RefCell<Directory>,
+    /// Whether the list of servers has been read.
+    pub directory_known: Cell<bool>,
+    /// Load and health of servers.
+    pub balancer: RefCell<Balancer>,
+    /// Division of requests among destinations.
+    pub splitter: RefCell<Splitter>,
+    /// Notified when a place at a server may have become free or a server has changed.
+    pub places_changed: Event,
+    /// Whether this daemon is stopping.
+    pub draining: Cell<bool>,
+    /// The other daemons.
+    pub members: Peers,
+    /// Batch jobs.
+    pub jobs: JobRegistry,
+    /// Named versions and orders under way.
+    pub versions: VersionBoard,
+    /// Time constants.
+    pub tuning: Tuning,
+    /// Counters.
+    pub metrics: Metrics,
+    started: Instant,
+}
+
+impl Gateway {
+    /// The state of a daemon that knows nothing yet.
+    pub fn new(
+        identity: Identity,
+        store: Rc<dyn ObjectStore>,
+        dialect: Rc<dyn Dialect>,
+        executor: Rc<LocalExecutor<'static>>,
+        tuning: Tuning,
+    ) -> Rc<Self> {
+        let started = Instant::now();
+        Rc::new(Self {
+            identity,
+            store,
+            dialect,
+            servers: ConnectionPool::new(executor.clone(), SERVER_CONNECT_TIMEOUT),
+            peers: ConnectionPool::new(executor.clone(), PEER_CONNECT_TIMEOUT),
+            executor,
+            configuration: RefCell::default(),
+            directory: RefCell::default(),
+            directory_known: Cell::new(false),
+            balancer: RefCell::default(),
+            splitter: RefCell::new(Splitter::new(rand::rng().random())),
+            places_changed: Event::new(),
+            draining: Cell::new(false),
+            members: Peers::default(),
+            jobs: JobRegistry::new(move || started.elapsed()),
+            versions: VersionBoard::default(),
+            tuning,
+            metrics: Metrics::default(),
+            started,
+        })
+    }
+
+    /// Time since this daemon started, by the steady clock.
+    pub fn now(&self) -> Moment {
+        self.started.elapsed()
+    }
+
+    /// The configuration in force, if one is known.
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        !self.draining.get() && self.directory_known.get() && self.configuration.borrow().is_some()
+    }
+
+    /// Servers of a service that may get new requests.
+    pub fn usable_servers(&self, service: &str) -> Vec<Rc<Server>> {
+        self.directory.borrow().usable(self.now(), service)
+    }
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/keeper.rs
@@ -0,0 +1,125 @@
+//! The program on machines that have disks, and signals.
+//!
+//! Nothing that must last is on these machines' disks, so a request to empty one is met at once.
+
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use signal_hook::consts::{SIGINT, SIGTERM};
+use smol::{LocalExecutor, Timer};
+
+use crate::gateway::{Gateway, Identity, Tuning};
+use crate::mirror::{self, MirrorSink};
+use crate::ports::{Change, Condition, Dialect, Object, ObjectStore};
+use crate::service::StartError;
+
+const GATHERING: Duration = Duration::from_millis(200);
+/// How long a machine waits for the one that is meant to answer for itself.
+const OTHERS_WAIT: Duration = Duration::from_millis(1500);
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Waits for one of some signals.
+pub struct SignalWait(smol::Async<std::os::unix::net::UnixStream>);
+
+impl SignalWait {
+    /// Returns when a signal has come.
+    pub async fn wait(&self) {
+        let mut byte = [0];
+        let _ = self.0.read_with(|mut stream| io::Read::read(&mut stream, &mut byte)).await;
+    }
+}
+
+/// Takes signals from now on.
+pub fn stop_signal(signals: &[i32]) -> io::Result<SignalWait> {
+    let (receiver, sender) = std::os::unix::net::UnixStream::pair()?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, sender.try_clone()?)?;
+    }
+    Ok(SignalWait(smol::Async::new(receiver)?))
+}
+
+/// Runs the program until it is told to stop.
+pub fn run(
+    identity: Identity,
+    tuning: Tuning,
+    ports: impl FnOnce(Rc<LocalExecutor<'static>>) -> (Rc<dyn ObjectStore>, Rc<dyn Dialect>),
+) -> Result<(), StartError> {
+    let executor = Rc::new(LocalExecutor::new());
+    let (store, dialect) = ports(executor.clone());
+    let stop = stop_signal(&[SIGTERM, SIGINT]).map_err(StartError::Signals)?;
+    let gateway = Gateway::new(identity, store, dialect, executor.clone(), tuning);
+    smol::block_on(executor.run(async {
+        log::info!("event=started node={}", gateway.identity.node);
+        let kind = gateway.dialect.kinds().retirements;
+        let sink = RetirementSink { gateway: gateway.clone(), open: RefCell::default() };
+        executor.spawn(mirror::follow(gateway.clone(), kind, GATHERING, sink)).detach();
+        stop.wait().await;
+        log::info!("event=stopped");
+        log::logger().flush();
+        Ok(())
+    }))
+}
+
+struct RetirementSink {
+    gateway: Rc<Gateway>,
+    /// Machines that are being answered for.
+    open: RefCell<Vec<String>>,
+}
+
+impl RetirementSink {
+    fn take(&self, object: &Object) {
+        if self.gateway.dialect.is_retired(&object.status) {
+            return;
+        }
+        if self.open.borrow().contains(&object.name) {
+            return;
+        }
+        self.open.borrow_mut().push(object.name.clone());
+        let retiring = retire(self.gateway.clone(), object.name.clone());
+        self.gateway.executor.spawn(retiring).detach();
+    }
+}
+
+/// Records that a machine holds nothing any more.
+async fn retire(gateway: Rc<Gateway>, machine: String) {
+    let kind = gateway.dialect.kinds().retirements;
+    if machine != gateway.identity.node.name.0 {
+        Timer::after(OTHERS_WAIT).await;
+        let current = gateway.store.get(kind, &machine).await;
+        let is_answered = match current {
+            Ok(Some(object)) => gateway.dialect.is_retired(&object.status),
+            Ok(None) => true,
+            Err(_) => false,
+        };
+        if is_answered {
+            return;
+        }
+    }
+    loop {
+        let status = gateway.dialect.retired_status();
+        let written = gateway.store.replace_status(kind, &machine, status, Condition::Any).await;
+        log::info!(
+            "event=retired machine={machine} outcome={:?}",
+            written.as_ref().map(|_| "done")
+        );
+        match written {
+            Ok(_) | Err(crate::ports::StoreError::NotFound) => return,
+            Err(_) => Timer::after(RETRY).await,
+        };
+    }
+}
+
+impl MirrorSink for RetirementSink {
+    fn reset(&self, objects: Vec<Object>) {
+        objects.iter().for_each(|object| self.take(object));
+    }
+
+    fn change(&self, change: Change) {
+        match change {
+            Change::Set(object) => self.take(&object),
+            Change::Removed(name) => self.open.borrow_mut().retain(|open| *open != name),
+        }
+    }
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -0,0 +1,35 @@
+//! The rollout service over ports: it passes calls on to servers, keeps and runs batch jobs, and
+//! brings servers to the versions of weights that trainers name.
+//!
+//! It stands between callers and servers on every machine alike. Whatever must last is in an object
+//! store, reached through [`ports::ObjectStore`]; how calls and objects are spelled is behind
+//! [`ports::Dialect`]. An adapter implements both and starts [`service::run`].
+//!
+//! - [`calls`], [`forward`], [`exchange`], [`balancer`], [`split`]: requests passed on.
+//! - [`batch`]: batch jobs.
+//! - [`versions`]: versions of weights.
+//! - [`peers`]: the daemons among themselves.
+//! - [`mirror`], [`configuration`], [`directory`]: what the store says.
+//! - [`service`], [`keeper`]: the programs.
+//! - [`logging`], [`metrics`]: what they tell.
+
+pub mod balancer;
+pub mod batch;
+pub mod calls;
+pub mod configuration;
+pub mod directory;
+pub mod exchange;
+pub mod forward;
+pub mod gateway;
+pub mod headers;
+pub mod http;
+pub mod keeper;
+pub mod logging;
+pub mod metrics;
+pub mod mirror;
+pub mod peers;
+pub mod ports;
+pub mod service;
+pub mod settings;
+pub mod split;
+pub mod versions;
--- /dev/null
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -0,0 +1,124 @@
+//! Counters and histograms, and their page in the text format of OpenMetrics.
+
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::Registry;
+
+type Count = Counter<u64, AtomicU64>;
+
+/// Labels of an answered request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerLabels {
+    /// Route, or the call of the service's own interface.
+    pub route: String,
+    /// HTTP status.
+    pub status: u16,
+}
+
+/// Labels of a call to the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreLabels {
+    /// What it was for: the kind of the objects.
+    pub purpose: String,
+}
+
+/// All counters of a daemon.
+#[derive(Clone)]
+pub struct Metrics {
+    /// Requests answered.
+    pub answers: Family<AnswerLabels, Count>,
+    /// Seconds from the head of a request to the head of its answer.
+    pub latency: Histogram,
+    /// Attempts at servers.
+    pub attempts: Count,
+    /// Attempts that a server refused without running them.
+    pub refusals: Count,
+    /// Attempts that were broken off or did not end in time.
+    pub failures: Count,
+    /// Second attempts made while the first was still open.
+    pub hedges: Count,
+    /// Answers that did not belong to their request, or were not whole.
+    pub foreign_answers: Count,
+    /// Calls to the store.
+    pub store_calls: Family<StoreLabels, Count>,
+    /// Batch jobs accepted here.
+    pub jobs_accepted: Count,
+    /// Batch jobs taken over from another daemon.
+    pub jobs_adopted: Count,
+    /// Items whose result was listed.
+    pub items_listed: Count,
+    /// Items that were continued at another server.
+    pub items_resumed: Count,
+    /// Seconds from the hand-in of a batch job to the listing of a result.
+    pub item_age: Histogram,
+    /// Orders given to servers.
+    pub orders: Count,
+    /// Log lines that were dropped.
+    pub log_lines_dropped: Count,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let histogram = || Histogram::new(exponential_buckets(0.002, 2.0, 14));
+        Self {
+            answers: Family::default(),
+            latency: histogram(),
+            attempts: Count::default(),
+            refusals: Count::default(),
+            failures: Count::default(),
+            hedges: Count::default(),
+            foreign_answers: Count::default(),
+            store_calls: Family::default(),
+            jobs_accepted: Count::default(),
+            jobs_adopted: Count::default(),
+            items_listed: Count::default(),
+            items_resumed: Count::default(),
+            item_age: histogram(),
+            orders: Count::default(),
+            log_lines_dropped: Count::default(),
+        }
+    }
+}
+
+impl Metrics {
+    /// Notes an answer.
+    pub fn answered(&self, route: &str, status: u16, latency: Duration) {
+        let labels = AnswerLabels { route: route.to_owned(), status };
+        self.answers.get_or_create(&labels).inc();
+        self.latency.observe(latency.as_secs_f64());
+    }
+
+    /// Notes a call to the store.
+    pub fn store_call(&self, purpose: &str) {
+        self.store_calls.get_or_create(&StoreLabels { purpose: purpose.to_owned() }).inc();
+    }
+
+    /// The page.
+    pub fn page(&self) -> String {
+        let mut registry = Registry::with_prefix("heronbend");
+        registry.register("answers", "Requests answered", self.answers.clone());
+        registry.register("latency_seconds", "Time to answer", self.latency.clone());
+        registry.register("attempts", "Attempts at servers", self.attempts.clone());
+        registry.register("refusals", "Attempts refused by servers", self.refusals.clone());
+        registry.register("failures", "Attempts broken off", self.failures.clone());
+        registry.register("hedges", "Second attempts beside the first", self.hedges.clone());
+        registry.register("foreign_answers", "Answers dropped", self.foreign_answers.clone());
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register("jobs_accepted", "Batch jobs accepted", self.jobs_accepted.clone());
+        registry.register("jobs_adopted", "Batch jobs taken over", self.jobs_adopted.clone());
+        registry.register("items_listed", "Results listed", self.items_listed.clone());
+        registry.register("items_resumed", "Items continued elsewhere", self.items_resumed.clone());
+        registry.register("item_age_seconds", "Age of results", self.item_age.clone());
+        registry.register("orders", "Orders given to servers", self.orders.clone());
+        registry.register("log_lines_dropped", "Lines dropped", self.log_lines_dropped.clone());
+        let mut page = String::new();
+        // Writing into a string cannot fail.
+        let _ = prometheus_client::encoding::text::encode(&mut page, &registry);
+        page
+    }
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -0,0 +1,122 @@
+//! Keeps a copy of all objects of a kind, by a list and then watches.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use smol::Timer;
+
+use crate::gateway::Gateway;
+use crate::ports::{Change, Object, Revision, StoreError};
+
+/// Longest wait of one watch. A dead path is noticed by probes on the connection and not by this.
+const WATCH_WAIT: Duration = Duration::from_secs(29);
+const BACKOFF_BASE: Duration = Duration::from_millis(80);
+const BACKOFF_CAP: Duration = Duration::from_millis(640);
+/// Failures in a row after which the loss of the store is logged.
+const FAILURES_TO_LOG: u32 = 2;
+
+/// Takes in what a mirror learns.
+pub trait MirrorSink {
+    /// All objects of the kind, as of now.
+    fn reset(&self, objects: Vec<Object>);
+    /// One change.
+    fn change(&self, change: Change);
+    /// Called after each batch of changes.
+    fn applied(&self) {}
+}
+
+/// Follows a kind until the daemon ends. Changes that come within `gathering` of each other cost
+/// one call together.
+pub async fn follow(
+    gateway: Rc<Gateway>,
+    kind: &'static str,
+    gathering: Duration,
+    sink: impl MirrorSink,
+) {
+    let mut failures = 0;
+    loop {
+        match list_all(&gateway, kind).await {
+            Ok((objects, at)) => {
+                note_success(kind, &mut failures);
+                sink.reset(objects);
+                sink.applied();
+                watch_from(&gateway, kind, at, gathering, &sink, &mut failures).await;
+            }
+            Err(error) => note_failure(kind, &error, &mut failures).await,
+        }
+    }
+}
+
+/// Watches until the history is gone.
+async fn watch_from(
+    gateway: &Gateway,
+    kind: &'static str,
+    mut at: Revision,
+    gathering: Duration,
+    sink: &impl MirrorSink,
+    failures: &mut u32,
+) {
+    loop {
+        match gateway.store.watch(kind, at, WATCH_WAIT).await {
+            Ok(changes) => {
+                note_success(kind, failures);
+                at = changes.at.max(at);
+                if changes.changes.is_empty() {
+                    continue;
+                }
+                for change in changes.changes {
+                    sink.change(change);
+                }
+                sink.applied();
+                Timer::after(gathering).await;
+            }
+            Err(StoreError::HistoryGone) => {
+                log::info!("event=history_gone kind={kind} at={at}");
+                return;
+            }
+            Err(error) => note_failure(kind, &error, failures).await,
+        }
+    }
+}
+
+/// All objects of a kind, with the revision to watch from.
+pub async fn list_all(
+    gateway: &Gateway,
+    kind: &str,
+) -> Result<(Vec<Object>, Revision), StoreError> {
+    let mut objects: Vec<Object> = Vec::new();
+    let mut at = None;
+    loop {
+        let after = objects.last().map(|object| object.name.clone());
+        let page = gateway.store.list(kind, after.as_deref()).await?;
+        let more = page.more && !page.objects.is_empty();
+        objects.extend(page.objects);
+        // Pages are read at different revisions: watching from the first one misses nothing.
+        let at = *at.get_or_insert(page.at);
+        if !more {
+            return Ok((objects, at));
+        }
+    }
+}
+
+fn note_success(kind: &str, failures: &mut u32) {
+    if *failures >= FAILURES_TO_LOG {
+        log::info!("event=store_regained kind={kind} failures={failures}");
+    }
+    *failures = 0;
+}
+
+async fn note_failure(kind: &str, error: &StoreError, failures: &mut u32) {
+    *failures += 1;
+    if *failures == FAILURES_TO_LOG {
+        log::warn!("event=store_lost kind={kind} error=\"{error}\"");
+    }
+    Timer::after(backoff(*failures)).await;
+}
+
+/// Capped exponential backoff with jitter, for failure number `failures`, counted from 1.
+pub fn backoff(failures: u32) -> Duration {
+    let doubled = BACKOFF_BASE * 2_u32.pow(failures.saturating_sub(1).min(8));
+    doubled.min(BACKOFF_CAP).mul_f64(0.5 + rand::rng().random::<f64>() / 2.0)
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -0,0 +1,190 @@
+//! Drives the failure detector over UDP, and serves peers' calls.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::{FutureExt, StreamExt};
+use heronbend::membership::{Detector, DetectorConfig, Effect, Liveness, Member};
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use rand::Rng;
+use smol::net::UdpSocket;
+use smol::Timer;
+
+use super::messages::{Datagram, Hint, PeerReply, PeerRequest};
+use crate::batch::reading;
+use crate::gateway::Gateway;
+use crate::http::server::read_body;
+use crate::http::{bytes_answer, text_answer, Answer};
+use crate::versions::duty::note_order_taken;
+
+const TICK: Duration = Duration::from_millis(100);
+/// Ticks between two greetings of seeds, while nobody is known.
+const GREETING_TICKS: u32 = 5;
+const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+const MAX_REQUEST_BYTES: usize = 64 * 1024;
+
+/// Time constants: a daemon that is lost is known to be dead after about two seconds.
+const DETECTOR: DetectorConfig = DetectorConfig {
+    period: Duration::from_millis(400),
+    direct_timeout: Duration::from_millis(150),
+    suspicion: Duration::from_millis(1200),
+    helpers: 2,
+    forget_after: Duration::from_secs(600),
+    fanout_in_region: 3,
+    fanout_elsewhere: 2,
+};
+
+enum Event {
+    Tick,
+    Received(Datagram, SocketAddr),
+    Tell(Hint),
+    Nothing,
+}
+
+/// Runs the detector until the daemon ends.
+pub async fn run_membership(
+    gateway: Rc<Gateway>,
+    socket: UdpSocket,
+    me: Member,
+    seeds: Vec<SocketAddr>,
+) {
+    let mut detector = Detector::new(DETECTOR, me, rand::rng().random());
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut ticks = Timer::interval(TICK);
+    let mut tick_number = 0_u32;
+    let mut announced_leave = false;
+    loop {
+        let event = next_event(&gateway, &socket, &mut buffer, &mut ticks).await;
+        let now = gateway.now();
+        let effects = match event {
+            Event::Tick => {
+                let mut effects = detector.tick(now);
+                let is_alone =
+                    !detector.members().any(|member| member.liveness <= Liveness::Suspect);
+                if is_alone && tick_number.is_multiple_of(GREETING_TICKS) {
+                    effects.extend(seeds.iter().map(|seed| detector.greet(*seed)));
+                }
+                tick_number = tick_number.wrapping_add(1);
+                if gateway.draining.get() && !announced_leave {
+                    announced_leave = true;
+                }
+                effects
+            }
+            Event::Received(Datagram::Gossip(gossip), source) => {
+                detector.receive(now, source, gossip)
+            }
+            Event::Received(Datagram::Hint(hint), _) => {
+                take_hint(&gateway, hint);
+                Vec::new()
+            }
+            Event::Tell(hint) => {
+                tell_all(&detector, &socket, hint).await;
+                Vec::new()
+            }
+            Event::Nothing => Vec::new(),
+        };
+        apply(&gateway, &detector, &socket, effects).await;
+    }
+}
+
+async fn next_event(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    buffer: &mut [u8],
+    ticks: &mut Timer,
+) -> Event {
+    let tick = async {
+        ticks.next().await;
+        Event::Tick
+    };
+    let received = async {
+        match socket.recv_from(buffer).await {
+            Ok((length, source)) => match musli::wire::from_slice(&buffer[..length]) {
+                Ok(datagram) => Event::Received(datagram, source),
+                Err(_) => Event::Nothing,
+            },
+            Err(_) => Event::Nothing,
+        }
+    };
+    let told = async {
+        match gateway.members.hints_to_send.recv().await {
+            Ok(hint) => Event::Tell(hint),
+            Err(_) => Event::Nothing,
+        }
+    };
+    tick.or(received).or(told).await
+}
+
+async fn apply(gateway: &Gateway, detector: &Detector, socket: &UdpSocket, effects: Vec<Effect>) {
+    let mut has_changed = false;
+    for effect in effects {
+        match effect {
+            Effect::Send { to, gossip } => send(socket, to, &Datagram::Gossip(*gossip)).await,
+            Effect::Changed(change) => {
+                let member = change.member;
+                log::info!(
+                    "event=member_changed member={} liveness={:?}",
+                    member.id,
+                    member.liveness
+                );
+                has_changed = true;
+            }
+            Effect::Backend(_) | Effect::Behind { .. } => {}
+        }
+    }
+    if has_changed {
+        gateway.members.publish(detector.members().cloned().collect());
+    }
+}
+
+async fn tell_all(detector: &Detector, socket: &UdpSocket, hint: Hint) {
+    let alive = detector.members().filter(|member| member.liveness <= Liveness::Suspect);
+    let addresses: Vec<SocketAddr> = alive.map(|member| member.address).collect();
+    let datagram = Datagram::Hint(hint);
+    for address in addresses {
+        send(socket, address, &datagram).await;
+    }
+}
+
+async fn send(socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
+    if let Ok(bytes) = musli::wire::to_vec(datagram) {
+        // Datagrams may be lost on the way as well.
+        let _ = socket.send_to(&bytes, to).await;
+    }
+}
+
+fn take_hint(gateway: &Rc<Gateway>, hint: Hint) {
+    match hint {
+        Hint::OrderTaken { holder, server, model, version } => {
+            note_order_taken(gateway, holder, &server, &model, version);
+        }
+        Hint::JobEnded { job } => gateway.jobs.end(&job),
+    }
+}
+
+/// Answers a peer's call.
+pub async fn answer_peer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Answer {
+    let Ok(body) = read_body(request.into_body(), MAX_REQUEST_BYTES).await else {
+        return text_answer(StatusCode::BAD_REQUEST, "cut");
+    };
+    let Ok(request) = musli::wire::from_slice::<PeerRequest>(&body) else {
+        return text_answer(StatusCode::BAD_REQUEST, "malformed");
+    };
+    let reply = match request {
+        PeerRequest::ReadResults { job, chunks, wait_millis } => {
+            let wait = Duration::from_millis(wait_millis);
+            reading::answer_peer(&gateway, &job, chunks, wait).await
+        }
+    };
+    encode(&reply)
+}
+
+fn encode(reply: &PeerReply) -> Answer {
+    match musli::wire::to_vec(reply) {
+        Ok(bytes) => bytes_answer(StatusCode::OK, "application/octet-stream", Bytes::from(bytes)),
+        Err(_) => text_answer(StatusCode::INTERNAL_SERVER_ERROR, "not encoded"),
+    }
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/service.rs
@@ -0,0 +1,345 @@
+//! The daemon that callers reach: starts the parts, answers calls, and stops without a loss.
+
+use std::collections::BTreeSet;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+
+use heronbend::membership::{Liveness, Member};
+use http::Request;
+use hyper::body::Incoming;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use smol::{LocalExecutor, Timer};
+use thiserror::Error;
+
+use crate::batch::registry::OWNERSHIPS;
+use crate::batch::runner::{self, OwnershipSink};
+use crate::configuration::Configuration;
+use crate::gateway::{Gateway, Identity, Tuning};
+use crate::http::server::{Listener, ListenerLimits};
+use crate::http::{bytes_answer, text_answer, Answer};
+use crate::mirror::{self, MirrorSink};
+use crate::peers;
+use crate::ports::{Change, Dialect, Object, ObjectStore};
+use crate::versions;
+
+/// Changes of servers that come within this time cost one call together.
+const DIRECTORY_GATHERING: Duration = Duration::from_millis(350);
+/// Changes of the configuration that come within this time cost one call together.
+const CONFIGURATION_GATHERING: Duration = Duration::from_millis(300);
+const OWNERSHIP_GATHERING: Duration = Duration::from_millis(40);
+/// Added to the idle timeout of clients before a kept connection is closed.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// Time for the entry to stop sending new connections, after the daemon says it is not ready.
+const STOP_NOTICE: Duration = Duration::from_millis(3500);
+/// Kept back of the time to stop, for the process to end.
+const STOP_MARGIN: Duration = Duration::from_millis(1200);
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// Addresses that a daemon serves on.
+#[derive(Debug, Clone)]
+pub struct Addresses {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// The entry's question whether the daemon is ready; may be the callers' address.
+    pub ready: SocketAddr,
+    /// Peers, by TCP and UDP.
+    pub peers: SocketAddr,
+    /// Counters.
+    pub metrics: Option<SocketAddr>,
+    /// Peer addresses of some other daemons; may be out of date.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// Path at which the entry asks whether a daemon is ready.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadyPath(pub &'static str);
+
+/// Why a daemon could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address cannot be served on.
+    #[error("listening on {address} for {purpose}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What it is for.
+        purpose: &'static str,
+        /// The system's error.
+        error: std::io::Error,
+    },
+    /// Signals cannot be taken.
+    #[error("taking signals: {0}")]
+    Signals(std::io::Error),
+}
+
+/// Runs a daemon until it is told to stop and has drained.
+pub fn run(
+    identity: Identity,
+    addresses: Addresses,
+    tuning: Tuning,
+    ready_path: ReadyPath,
+    ports: impl FnOnce(Rc<LocalExecutor<'static>>) -> (Rc<dyn ObjectStore>, Rc<dyn Dialect>),
+) -> Result<(), StartError> {
+    let executor = Rc::new(LocalExecutor::new());
+    let (store, dialect) = ports(executor.clone());
+    let stop = crate::keeper::stop_signal(&[SIGTERM, SIGINT]).map_err(StartError::Signals)?;
+    // The settings' file is read at the start only; nothing in it changes while a process lives.
+    let reload = crate::keeper::stop_signal(&[SIGHUP]).map_err(StartError::Signals)?;
+    let gateway = Gateway::new(identity, store, dialect, executor.clone(), tuning);
+    smol::block_on(executor.run(async move {
+        let callers = start(&gateway, &addresses, ready_path)?;
+        gateway.executor.spawn(log_reloads(reload)).detach();
+        stop.wait().await;
+        drain(&gateway, &callers).await;
+        Ok(())
+    }))
+}
+
+async fn log_reloads(reload: crate::keeper::SignalWait) {
+    loop {
+        reload.wait().await;
+        log::info!("event=reload_requested outcome=\"nothing to reload\"");
+    }
+}
+
+fn start(
+    gateway: &Rc<Gateway>,
+    addresses: &Addresses,
+    ready_path: ReadyPath,
+) -> Result<Rc<Listener>, StartError> {
+    let callers = listen(gateway, addresses.callers, "callers", {
+        let gateway = gateway.clone();
+        move |request| answer_caller(gateway.clone(), request, ready_path)
+    })?;
+    if addresses.ready != addresses.callers {
+        let gateway = gateway.clone();
+        let executor = gateway.clone();
+        listen(&executor, addresses.ready, "ready", move |request| {
+            answer_ready(gateway.clone(), request, ready_path)
+        })?;
+    }
+    {
+        let served = gateway.clone();
+        listen(gateway, addresses.peers, "peers", move |request| {
+            peers::duty::answer_peer(served.clone(), request)
+        })?;
+    }
+    if let Some(address) = addresses.metrics {
+        let told = gateway.clone();
+        let page = move |_| {
+            let page = told.metrics.page();
+            async move { bytes_answer(http::StatusCode::OK, "text/plain", page.into()) }
+        };
+        if let Err(error) = listen(gateway, address, "metrics", page) {
+            log::warn!("event=metrics_not_served error=\"{error}\"");
+        }
+    }
+    start_membership(gateway, addresses)?;
+    start_duties(gateway, &callers);
+    log::info!(
+        "event=started node={} zone={} callers={} peers={}",
+        gateway.identity.node,
+        gateway.identity.zone,
+        addresses.callers,
+        addresses.peers
+    );
+    Ok(callers)
+}
+
+fn listen<H, F>(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    purpose: &'static str,
+    handler: H,
+) -> Result<Rc<Listener>, StartError>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: std::future::Future<Output = Answer> + 'static,
+{
+    let failed = |error| StartError::Listen { address, purpose, error };
+    let socket = TcpListener::bind(address).map_err(failed)?;
+    let socket = smol::Async::new(socket).map_err(failed)?;
+    let listener = Listener::new();
+    let serving = listener.clone().serve(gateway.executor.clone(), socket.into(), handler);
+    gateway.executor.spawn(serving).detach();
+    Ok(listener)
+}
+
+fn start_membership(gateway: &Rc<Gateway>, addresses: &Addresses) -> Result<(), StartError> {
+    let address = addresses.peers;
+    let failed = |error| StartError::Listen { address, purpose: "peers' datagrams", error };
+    let socket = UdpSocket::bind(address).map_err(failed)?;
+    let socket = smol::Async::new(socket).map_err(failed)?;
+    let me = Member {
+        id: gateway.identity.node.clone(),
+        address,
+        http_address: addresses.callers,
+        zone: gateway.identity.zone.clone(),
+        region: gateway.identity.region.clone(),
+        refutation: 0,
+        liveness: Liveness::Alive,
+    };
+    let seeds = addresses.seeds.iter().copied().filter(|seed| *seed != address).collect();
+    let membership = peers::duty::run_membership(gateway.clone(), socket.into(), me, seeds);
+    gateway.executor.spawn(membership).detach();
+    Ok(())
+}
+
+fn start_duties(gateway: &Rc<Gateway>, callers: &Rc<Listener>) {
+    let spawn = |task| gateway.executor.spawn::<()>(task).detach();
+    let kinds = gateway.dialect.kinds();
+    let configuration = ConfigurationSink { gateway: gateway.clone(), callers: callers.clone() };
+    let (configurations, servers) = (kinds.configuration, kinds.servers);
+    let followed = gateway.clone();
+    spawn(Box::pin(async move {
+        mirror::follow(followed, configurations, CONFIGURATION_GATHERING, configuration).await;
+    }) as std::pin::Pin<Box<dyn std::future::Future<Output = ()>>>);
+    let directory = DirectorySink(gateway.clone());
+    spawn(Box::pin(mirror::follow(gateway.clone(), servers, DIRECTORY_GATHERING, directory)));
+    let ownerships = OwnershipSink(gateway.clone());
+    spawn(Box::pin(mirror::follow(gateway.clone(), OWNERSHIPS, OWNERSHIP_GATHERING, ownerships)));
+    spawn(Box::pin(runner::adopt_orphans(gateway.clone())));
+    spawn(Box::pin(versions::duty::follow_versions(gateway.clone())));
+    spawn(Box::pin(versions::duty::run(gateway.clone())));
+}
+
+async fn answer_caller(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    ready_path: ReadyPath,
+) -> Answer {
+    if request.uri().path() == ready_path.0 {
+        return ready(&gateway);
+    }
+    crate::calls::answer(gateway, request).await
+}
+
+async fn answer_ready(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    ready_path: ReadyPath,
+) -> Answer {
+    if request.uri().path() != ready_path.0 {
+        return text_answer(http::StatusCode::NOT_FOUND, "no such call");
+    }
+    ready(&gateway)
+}
+
+fn ready(gateway: &Gateway) -> Answer {
+    if gateway.is_ready() {
+        text_answer(http::StatusCode::OK, "ready")
+    } else {
+        text_answer(http::StatusCode::SERVICE_UNAVAILABLE, "not ready")
+    }
+}
+
+struct ConfigurationSink {
+    gateway: Rc<Gateway>,
+    callers: Rc<Listener>,
+}
+
+impl ConfigurationSink {
+    fn take(&self, object: &Object) {
+        if object.name != self.gateway.dialect.kinds().configuration_name {
+            return;
+        }
+        match self.gateway.dialect.configuration(&object.content) {
+            Ok(configuration) => self.adopt(configuration),
+            Err(error) => log::error!("event=configuration_malformed error=\"{error}\""),
+        }
+    }
+
+    fn adopt(&self, configuration: Configuration) {
+        let known = self.gateway.configuration().map_or(0, |known| known.version);
+        if configuration.version <= known && known > 0 {
+            return;
+        }
+        let limits = configuration.limits;
+        self.callers.set_limits(ListenerLimits {
+            max_head_bytes: limits.max_header_bytes,
+            head_timeout: limits.idle_timeout + IDLE_MARGIN,
+        });
+        log::info!(
+            "event=configuration_adopted version={} before={known} routes={} services={}",
+            configuration.version,
+            configuration.routes.len(),
+            configuration.services.len()
+        );
+        let names: BTreeSet<&str> =
+            configuration.routes.iter().map(|route| route.name.as_str()).collect();
+        self.gateway.splitter.borrow_mut().retain(|name| names.contains(name));
+        *self.gateway.configuration.borrow_mut() = Some(Rc::new(configuration));
+        self.gateway.places_changed.notify(usize::MAX);
+    }
+}
+
+impl MirrorSink for ConfigurationSink {
+    fn reset(&self, objects: Vec<Object>) {
+        objects.iter().for_each(|object| self.take(object));
+    }
+
+    fn change(&self, change: Change) {
+        if let Change::Set(object) = change {
+            self.take(&object);
+        }
+    }
+}
+
+struct DirectorySink(Rc<Gateway>);
+
+impl DirectorySink {
+    fn take(&self, object: &Object) {
+        match self.0.dialect.server(&object.name, &object.content) {
+            Ok(server) => self.0.directory.borrow_mut().insert(server),
+            Err(error) => log::warn!("event=server_malformed error=\"{error}\""),
+        }
+    }
+}
+
+impl MirrorSink for DirectorySink {
+    fn reset(&self, objects: Vec<Object>) {
+        let names = objects.iter().map(|object| object.name.clone()).collect();
+        self.0.directory.borrow_mut().retain(self.0.now(), &names);
+        objects.iter().for_each(|object| self.take(object));
+        log::info!("event=servers_listed servers={}", names.len());
+        self.0.directory_known.set(true);
+    }
+
+    fn change(&self, change: Change) {
+        match change {
+            Change::Set(object) => self.take(&object),
+            Change::Removed(name) => {
+                log::info!("event=server_gone server={name}");
+                self.0.directory.borrow_mut().remove(self.0.now(), &name);
+            }
+        }
+    }
+
+    fn applied(&self) {
+        let directory = self.0.directory.borrow();
+        self.0.balancer.borrow_mut().forget_except(|id| directory.get(id).is_some());
+        self.0.places_changed.notify(usize::MAX);
+        self.0.versions.changed.notify(usize::MAX);
+    }
+}
+
+/// Stops: says so at the entry, serves what still comes, and ends once nothing is under way.
+async fn drain(gateway: &Rc<Gateway>, callers: &Rc<Listener>) {
+    let begun = gateway.now();
+    gateway.draining.set(true);
+    callers.start_draining();
+    log::info!("event=draining exchanges={}", callers.exchanges());
+    Timer::after(STOP_NOTICE).await;
+    callers.close();
+    let limit = begun + gateway.tuning.stop_limit.saturating_sub(STOP_MARGIN);
+    while gateway.now() < limit && (callers.exchanges() > 0 || runs_jobs(gateway)) {
+        Timer::after(STOP_POLL).await;
+    }
+    log::info!("event=stopped exchanges_cut={}", callers.exchanges());
+    log::logger().flush();
+}
+
+fn runs_jobs(gateway: &Gateway) -> bool {
+    gateway.jobs.all().iter().any(|job| job.running.get())
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -0,0 +1,256 @@
+//! A daemon's settings file, in TOML. All findings are told at once, each with its place.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use heronbend::identity::{Incarnation, NodeId, NodeName};
+use thiserror::Error;
+use toml::{Table, Value};
+
+use crate::gateway::{Identity, Tuning};
+use crate::service::Addresses;
+
+/// One thing that is wrong with a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// The field, with the names of its tables.
+    pub field: String,
+    /// What is wrong.
+    pub problem: String,
+}
+
+/// All that is wrong with a settings file.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{}", self.lines())]
+pub struct Findings {
+    /// The file.
+    pub file: String,
+    /// The node that the file is for, where it says so.
+    pub node: Option<String>,
+    /// What is wrong, in the order of the fields.
+    pub findings: Vec<Finding>,
+}
+
+impl Findings {
+    fn lines(&self) -> String {
+        let node = self.node.as_deref().unwrap_or("unnamed node");
+        let lines = self.findings.iter().map(|finding| {
+            format!("{}: {node}: {}: {}", self.file, finding.field, finding.problem)
+        });
+        lines.collect::<Vec<_>>().join("\n")
+    }
+}
+
+/// Valid settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of the daemon, kept across restarts.
+    pub node: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+    /// Where callers connect; not set on machines that nobody calls.
+    pub callers: Option<SocketAddr>,
+    /// Where the entry asks whether the daemon is ready.
+    pub ready: Option<SocketAddr>,
+    /// Where peers connect, by TCP and UDP.
+    pub peers: SocketAddr,
+    /// Addresses of some other daemons; only their hosts matter.
+    pub seeds: Vec<SocketAddr>,
+    /// Where the counters are served.
+    pub metrics: Option<SocketAddr>,
+    /// The store.
+    pub store: SocketAddr,
+    /// Largest object that the store takes, in bytes.
+    pub max_object_bytes: usize,
+    /// Pause between the last order of one holder and the first of another.
+    pub lease_pause: Duration,
+    /// How long results stay readable.
+    pub result_retention: Duration,
+    /// Longest time from the signal to stop until the process is gone.
+    pub stop_limit: Duration,
+}
+
+struct Reader<'a> {
+    table: &'a Table,
+    findings: Vec<Finding>,
+    known: BTreeSet<String>,
+}
+
+impl Reader<'_> {
+    fn report(&mut self, field: &str, problem: impl Into<String>) {
+        self.findings.push(Finding { field: field.to_owned(), problem: problem.into() });
+    }
+
+    /// A field's value; an empty text counts as none.
+    fn optional(&mut self, field: &str) -> Option<Value> {
+        self.known.insert(field.to_owned());
+        let mut value = None;
+        let mut table = Some(self.table);
+        for part in field.split('.') {
+            value = table.and_then(|table| table.get(part));
+            table = value.and_then(Value::as_table);
+        }
+        value.filter(|value| value.as_str() != Some("")).cloned()
+    }
+
+    fn required(&mut self, field: &str) -> Option<Value> {
+        let value = self.optional(field);
+        if value.is_none() {
+            self.report(field, "is missing");
+        }
+        value
+    }
+
+    fn text(&mut self, field: &str) -> String {
+        match self.required(field) {
+            Some(Value::String(text)) => text,
+            Some(_) => {
+                self.report(field, "is not a text");
+                String::new()
+            }
+            None => String::new(),
+        }
+    }
+
+    fn parse_address(&mut self, field: &str, value: &Value) -> Option<SocketAddr> {
+        let address = value.as_str().and_then(|text| text.parse().ok());
+        if address.is_none() {
+            self.report(field, format!("{value} is not an IP address with a port"));
+        }
+        address
+    }
+
+    fn address(&mut self, field: &str) -> Option<SocketAddr> {
+        let value = self.optional(field)?;
+        self.parse_address(field, &value)
+    }
+
+    fn required_address(&mut self, field: &str) -> SocketAddr {
+        let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+        match self.required(field) {
+            Some(value) => self.parse_address(field, &value).unwrap_or(unset),
+            None => unset,
+        }
+    }
+
+    fn addresses(&mut self, field: &str) -> Vec<SocketAddr> {
+        match self.optional(field) {
+            None => Vec::new(),
+            Some(Value::Array(values)) => {
+                values.iter().filter_map(|value| self.parse_address(field, value)).collect()
+            }
+            Some(_) => {
+                self.report(field, "is not a list");
+                Vec::new()
+            }
+        }
+    }
+
+    fn number(&mut self, field: &str) -> f64 {
+        let number = match self.required(field) {
+            Some(Value::Integer(number)) => number as f64,
+            Some(Value::Float(number)) => number,
+            Some(_) => {
+                self.report(field, "is not a number");
+                return 0.0;
+            }
+            None => return 0.0,
+        };
+        if number.is_finite() && number >= 0.0 {
+            return number;
+        }
+        self.report(field, format!("{number} is negative or not finite"));
+        0.0
+    }
+
+    fn millis(&mut self, field: &str) -> Duration {
+        Duration::try_from_secs_f64(self.number(field) / 1e3).unwrap_or_default()
+    }
+
+    fn seconds(&mut self, field: &str) -> Duration {
+        Duration::try_from_secs_f64(self.number(field)).unwrap_or_default()
+    }
+
+    /// Fields that are not settings are mistakes in this form.
+    fn report_unknown(&mut self, table: &Table, prefix: &str) {
+        for (name, value) in table {
+            let field = format!("{prefix}{name}");
+            match value {
+                Value::Table(inner) => self.report_unknown(inner, &format!("{field}.")),
+                _ if !self.known.contains(&field) => self.report(&field, "is not a setting"),
+                _ => {}
+            }
+        }
+    }
+}
+
+impl Settings {
+    /// Reads a settings file's text.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let table: Table = text.parse().map_err(|error: toml::de::Error| Findings {
+            file: file.to_owned(),
+            node: None,
+            findings: vec![Finding { field: "file".to_owned(), problem: error.to_string() }],
+        })?;
+        let mut reader = Reader { table: &table, findings: Vec::new(), known: BTreeSet::new() };
+        let settings = Self {
+            node: reader.text("node"),
+            zone: reader.text("zone"),
+            region: reader.text("region"),
+            callers: reader.address("listen.callers"),
+            ready: reader.address("listen.ready"),
+            peers: reader.required_address("listen.peers"),
+            metrics: reader.address("listen.metrics"),
+            seeds: reader.addresses("seeds"),
+            store: reader.required_address("store.address"),
+            max_object_bytes: reader.number("store.max_object_bytes") as usize,
+            lease_pause: reader.millis("lease_pause_ms"),
+            result_retention: reader.seconds("result_retention_s"),
+            stop_limit: reader.seconds("stop_limit_s"),
+        };
+        reader.report_unknown(&table, "");
+        if reader.findings.is_empty() {
+            return Ok(settings);
+        }
+        let node = (!settings.node.is_empty()).then_some(settings.node);
+        Err(Findings { file: file.to_owned(), node, findings: reader.findings })
+    }
+
+    /// Who the daemon is, from now on.
+    pub fn identity(&self) -> Identity {
+        Identity {
+            node: NodeId {
+                name: NodeName(self.node.clone()),
+                incarnation: Incarnation::starting_now(),
+            },
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+        }
+    }
+
+    /// Where the daemon serves.
+    pub fn addresses(&self) -> Addresses {
+        let callers = self.callers.unwrap_or(self.peers);
+        let port = self.peers.port();
+        Addresses {
+            callers,
+            ready: self.ready.unwrap_or(callers),
+            peers: self.peers,
+            metrics: self.metrics,
+            seeds: self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect(),
+        }
+    }
+
+    /// Time constants.
+    pub fn tuning(&self) -> Tuning {
+        Tuning {
+            lease_pause: self.lease_pause,
+            result_retention: self.result_retention,
+            max_object_bytes: self.max_object_bytes,
+            stop_limit: self.stop_limit,
+        }
+    }
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/versions/board.rs
@@ -0,0 +1,121 @@
+//! Versions that are named, and orders that servers have taken but do not show yet.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use event_listener::Event;
+use heronbend::identity::NodeName;
+use heronbend::Moment;
+
+use crate::directory::Server;
+
+/// Time from an order until the server may have loaded the version.
+pub const EXPECTED_LOAD: Duration = Duration::from_millis(850);
+/// Time after which an order that does not show is no longer believed in.
+const ORDER_BELIEVED: Duration = Duration::from_secs(6);
+
+/// An order that a server has taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OpenOrder {
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: u64,
+    /// When this daemon heard of it.
+    pub since: Moment,
+}
+
+/// Whether a server can run requests of a model under a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fitness {
+    /// Its entry says so.
+    Listed,
+    /// It may have loaded this version by now; a request has to say which version it expects.
+    Expected(u64),
+    /// It cannot.
+    Unfit,
+}
+
+/// What is known of versions.
+#[derive(Default)]
+pub struct VersionBoard {
+    named: RefCell<HashMap<String, (u64, Moment)>>,
+    orders: RefCell<HashMap<String, OpenOrder>>,
+    last_holder: RefCell<Option<NodeName>>,
+    /// Notified when a version was named, or an order was taken.
+    pub changed: Event,
+}
+
+impl VersionBoard {
+    /// Notes a named version; versions only rise.
+    pub fn name(&self, now: Moment, model: &str, version: u64) {
+        let mut named = self.named.borrow_mut();
+        let known = named.get(model).map_or(0, |(known, _)| *known);
+        if version > known {
+            named.insert(model.to_owned(), (version, now));
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Named versions by model, with the time since which this daemon knows them.
+    pub fn named(&self) -> HashMap<String, (u64, Moment)> {
+        self.named.borrow().clone()
+    }
+
+    /// Notes an order that a server has taken.
+    pub fn order_taken(&self, now: Moment, holder: NodeName, server: &str, order: (&str, u64)) {
+        *self.last_holder.borrow_mut() = Some(holder);
+        let (model, version) = order;
+        let order = OpenOrder { model: model.to_owned(), version, since: now };
+        self.orders.borrow_mut().insert(server.to_owned(), order);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Who gave the last order that is known of.
+    pub fn last_holder(&self) -> Option<NodeName> {
+        self.last_holder.borrow().clone()
+    }
+
+    /// When the last order that is known of was taken.
+    pub fn last_order(&self) -> Option<Moment> {
+        self.orders.borrow().values().map(|order| order.since).max()
+    }
+
+    /// Notes who holds the lease.
+    pub fn set_holder(&self, holder: NodeName) {
+        *self.last_holder.borrow_mut() = Some(holder);
+    }
+
+    /// The order that a server works on, if its entry does not show the version yet.
+    pub fn open_order(&self, now: Moment, server: &Server) -> Option<OpenOrder> {
+        let orders = self.orders.borrow();
+        let order = orders.get(&server.id)?;
+        let is_shown = server.models.get(&order.model).is_some_and(|v| *v >= order.version);
+        let is_believed = now < order.since + ORDER_BELIEVED;
+        (!is_shown && is_believed).then(|| order.clone())
+    }
+
+    /// Notes that an order is over, whether or not the server's entry shows it.
+    pub fn forget_order(&self, server: &str) {
+        self.orders.borrow_mut().remove(server);
+    }
+
+    /// Whether `server` can run requests of `model` under `min_version` or later.
+    pub fn fitness(&self, now: Moment, server: &Server, model: &str, min_version: u64) -> Fitness {
+        if let Some(order) = self.open_order(now, server).filter(|order| order.model == model) {
+            let may_be_loaded = now >= order.since + EXPECTED_LOAD;
+            return if may_be_loaded && order.version >= min_version {
+                Fitness::Expected(order.version)
+            } else {
+                Fitness::Unfit
+            };
+        }
+        let listed = server.models.get(model);
+        if listed.is_some_and(|version| *version >= min_version) {
+            Fitness::Listed
+        } else {
+            Fitness::Unfit
+        }
+    }
+}
--- /dev/null
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -0,0 +1,435 @@
+//! Watches named versions, holds the lease and gives the orders that the plan asks for.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use heronbend::identity::{NodeId, NodeName};
+use heronbend::Moment;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::Full;
+use smol::Timer;
+
+use super::lease::{LeaseHold, LeaseRecord};
+use super::plan::{self, EngineState, Load};
+use super::{EngineReport, SwapMode, VersionOrder};
+use crate::batch::ownership::successor;
+use crate::directory::{Server, ServerState};
+use crate::gateway::Gateway;
+use crate::http::client::WholeAnswer;
+use crate::mirror::{self, MirrorSink};
+use crate::peers::Hint;
+use crate::ports::dialect::ServerCall;
+use crate::ports::{Change, Condition, Object, StoreError};
+
+/// Kind and name of the lease's object.
+const LEASE_KIND: &str = "heronbend-leases";
+const LEASE_NAME: &str = "orders";
+/// How long a daemon waits for the one before it in line, when no order is seen to be taken.
+const STALL: Duration = Duration::from_millis(2500);
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// First look at a server that is loading, and the time between further ones.
+const FIRST_REPORT: Duration = Duration::from_millis(950);
+const REPORT_PERIOD: Duration = Duration::from_millis(250);
+/// How long a load is followed.
+const LOAD_LIMIT: Duration = Duration::from_secs(6);
+/// Rest after an order failed.
+const FAILED_REST: Duration = Duration::from_millis(400);
+const IDLE_WAIT: Duration = Duration::from_millis(500);
+const MAX_REPORT_BYTES: usize = 1024 * 1024;
+
+/// Takes in the versions that trainers name.
+pub struct VersionSink(pub Rc<Gateway>);
+
+impl VersionSink {
+    fn take(&self, object: &Object) {
+        match self.0.dialect.named_version(&object.content) {
+            Ok(named) => {
+                log::info!(
+                    "event=version_named model={} version={} revision={}",
+                    named.model,
+                    named.version,
+                    object.revision
+                );
+                self.0.versions.name(self.0.now(), &named.model, named.version);
+            }
+            Err(error) => log::warn!("event=version_malformed error=\"{error}\""),
+        }
+    }
+}
+
+impl MirrorSink for VersionSink {
+    fn reset(&self, objects: Vec<Object>) {
+        objects.iter().for_each(|object| self.take(object));
+    }
+
+    fn change(&self, change: Change) {
+        if let Change::Set(object) = change {
+            self.take(&object);
+        }
+    }
+}
+
+/// Notes an order that some daemon has given.
+pub fn note_order_taken(
+    gateway: &Rc<Gateway>,
+    holder: NodeName,
+    server: &str,
+    model: &str,
+    version: u64,
+) {
+    gateway.versions.order_taken(gateway.now(), holder, server, (model, version));
+    gateway.places_changed.notify(usize::MAX);
+    wake_when_loaded(gateway);
+}
+
+/// Items that wait for a place look again when a load may be over.
+fn wake_when_loaded(gateway: &Rc<Gateway>) {
+    let waker = gateway.clone();
+    let wake = async move {
+        Timer::after(super::board::EXPECTED_LOAD).await;
+        waker.places_changed.notify(usize::MAX);
+    };
+    gateway.executor.spawn(wake).detach();
+}
+
+struct Duty {
+    gateway: Rc<Gateway>,
+    lease: RefCell<LeaseHold>,
+    /// Servers that an order is being given to, or that rest after one failed.
+    busy: RefCell<HashMap<String, Option<(String, u64)>>>,
+}
+
+/// Runs until the daemon ends.
+pub async fn run(gateway: Rc<Gateway>) {
+    let me = gateway.identity.node.name.clone();
+    let lease = RefCell::new(LeaseHold::new(me, gateway.tuning.lease_pause));
+    let duty = Rc::new(Duty { gateway: gateway.clone(), lease, busy: RefCell::default() });
+    duty.read_lease().await;
+    loop {
+        let changed = gateway.versions.changed.listen();
+        let due = if gateway.draining.get() { Vec::new() } else { duty.loads_due() };
+        if due.is_empty() || !duty.is_my_turn() || !duty.ensure_lease().await {
+            changed
+                .or(async {
+                    Timer::after(IDLE_WAIT).await;
+                })
+                .await;
+            continue;
+        }
+        for load in duty.loads_due() {
+            duty.busy
+                .borrow_mut()
+                .insert(load.server.clone(), Some((load.model.clone(), load.version)));
+            gateway.executor.spawn(duty.clone().carry_out(load)).detach();
+        }
+        changed
+            .or(async {
+                Timer::after(IDLE_WAIT).await;
+            })
+            .await;
+    }
+}
+
+impl Duty {
+    fn loads_due(&self) -> Vec<Load> {
+        let named: HashMap<String, u64> = self
+            .gateway
+            .versions
+            .named()
+            .into_iter()
+            .map(|(model, (version, _))| (model, version))
+            .collect();
+        if named.is_empty() {
+            return Vec::new();
+        }
+        plan::loads_due(&named, &self.engines())
+    }
+
+    fn engines(&self) -> Vec<EngineState> {
+        let now = self.gateway.now();
+        let directory = self.gateway.directory.borrow();
+        let balancer = self.gateway.balancer.borrow();
+        let busy = self.busy.borrow();
+        let trains =
+            |server: &&Rc<Server>| server.state == ServerState::Ready && !server.models.is_empty();
+        directory
+            .all()
+            .filter(trains)
+            .map(|server| {
+                let open = self.gateway.versions.open_order(now, server);
+                let open = open.map(|order| (order.model, order.version));
+                let loading = busy.get(&server.id).cloned().flatten().or(open);
+                EngineState {
+                    id: server.id.clone(),
+                    models: server.models.clone(),
+                    is_loading: busy.contains_key(&server.id) || loading.is_some(),
+                    loading,
+                    in_flight: balancer.in_flight(&server.id),
+                }
+            })
+            .collect()
+    }
+
+    /// Whether it falls to this daemon to give the orders that are due.
+    ///
+    /// The last holder goes on while it is alive. Otherwise the daemons that are alive stand in
+    /// line, and each waits longer than the one before it: the first one may be cut off from the
+    /// store without the others knowing.
+    fn is_my_turn(&self) -> bool {
+        let gateway = &self.gateway;
+        let me = &gateway.identity.node;
+        let mut line: Vec<NodeId> = gateway.members.alive();
+        line.push(me.clone());
+        let mut place = 0_u32;
+        if let Some(holder) = gateway.versions.last_holder() {
+            if holder == me.name {
+                return true;
+            }
+            if gateway.members.is_name_alive(&holder) {
+                place += 1;
+            }
+            line.retain(|node| node.name != holder);
+        }
+        while let Some(next) = successor(LEASE_NAME, line.iter()).cloned() {
+            if next == *me {
+                break;
+            }
+            line.retain(|node| *node != next);
+            place += 1;
+        }
+        self.stalled_for() >= STALL * place
+    }
+
+    /// Time since the last version was named or the last order was taken.
+    fn stalled_for(&self) -> Duration {
+        let now = self.gateway.now();
+        let named = self.gateway.versions.named();
+        let newest = named.values().map(|(_, since)| *since).max().unwrap_or(now);
+        let ordered = self.gateway.versions.last_order().unwrap_or(Moment::ZERO);
+        now.saturating_sub(newest.max(ordered))
+    }
+
+    async fn read_lease(&self) {
+        if let Ok(Some(object)) = self.gateway.store.get(LEASE_KIND, LEASE_NAME).await {
+            self.observe(&object);
+        }
+    }
+
+    fn observe(&self, object: &Object) {
+        match serde_json::from_value::<LeaseRecord>(object.content.clone()) {
+            Ok(record) => {
+                if self.gateway.versions.last_holder().as_ref() != Some(&record.holder) {
+                    log::info!(
+                        "event=lease_seen holder={} term={}",
+                        record.holder,
+                        object.revision
+                    );
+                }
+                self.gateway.versions.set_holder(record.holder.clone());
+                self.lease.borrow_mut().observed(object.revision, record);
+            }
+            Err(error) => log::error!("event=lease_malformed error=\"{error}\""),
+        }
+    }
+
+    /// Renews or takes the lease; whether this daemon may act now.
+    async fn ensure_lease(&self) -> bool {
+        let gateway = &self.gateway;
+        let sent = gateway.now();
+        if self.lease.borrow().token(sent).is_some() {
+            return true;
+        }
+        if self.lease.borrow().waits_until(sent).is_some() {
+            return false;
+        }
+        let record = self.lease.borrow().next_record(sent);
+        let content = serde_json::json!(record);
+        let revision = self.lease.borrow().revision();
+        let store = &gateway.store;
+        let written = match revision {
+            Some(at) => store.replace(LEASE_KIND, LEASE_NAME, content, Condition::At(at)).await,
+            None => store.create(LEASE_KIND, LEASE_NAME, content).await,
+        };
+        match written {
+            Ok(object) => {
+                let now = gateway.now();
+                let mut lease = self.lease.borrow_mut();
+                let was_holder = lease.holder() == Some(&gateway.identity.node.name);
+                lease.renewed(object.revision, record, sent, now);
+                gateway.versions.set_holder(gateway.identity.node.name.clone());
+                if !was_holder {
+                    let wait = lease.waits_until(now).map_or(Moment::ZERO, |until| until - now);
+                    log::info!(
+                        "event=lease_taken term={} acts_in_ms={}",
+                        object.revision,
+                        wait.as_millis()
+                    );
+                }
+                lease.token(now).is_some()
+            }
+            Err(StoreError::Conflict(Some(object))) => {
+                self.observe(&object);
+                false
+            }
+            Err(error) => {
+                log::warn!("event=lease_not_renewed error=\"{error}\"");
+                self.lease.borrow_mut().lost_track();
+                self.read_lease().await;
+                false
+            }
+        }
+    }
+
+    /// Gives an order and follows it until the server shows the version.
+    async fn carry_out(self: Rc<Self>, load: Load) {
+        let done = self.order_and_follow(&load).await;
+        if !done {
+            // Whatever became of it, the server is looked at anew after a rest.
+            self.busy.borrow_mut().insert(load.server.clone(), None);
+            Timer::after(FAILED_REST).await;
+        }
+        self.busy.borrow_mut().remove(&load.server);
+        self.gateway.versions.changed.notify(usize::MAX);
+    }
+
+    async fn order_and_follow(&self, load: &Load) -> bool {
+        let gateway = &self.gateway;
+        let Some(server) = gateway.directory.borrow().get(&load.server).cloned() else {
+            return false;
+        };
+        let Some(report) = self.report(&server).await else {
+            return false;
+        };
+        if report.models.get(&load.model).is_some_and(|version| *version >= load.version) {
+            self.note_loaded(&server, &report);
+            return true;
+        }
+        let now = gateway.now();
+        let Some(fence) = self.lease.borrow().token(now) else {
+            return false;
+        };
+        let order = VersionOrder {
+            model: load.model.clone(),
+            version: load.version,
+            mode: SwapMode::Continue,
+            holder: gateway.identity.node.name.to_string(),
+            fence,
+            expected_sequence: report.sequence,
+        };
+        gateway.metrics.orders.inc();
+        let answer = self.call(&server, gateway.dialect.order_call(&order)).await;
+        let status = answer.as_ref().map(|answer| answer.status);
+        log::info!(
+            "event=order_given server={} model={} version={} fence={fence} expected={} status={}",
+            server.id,
+            load.model,
+            load.version,
+            report.sequence,
+            status.map_or_else(|| "none".to_owned(), |status| status.as_u16().to_string())
+        );
+        match status {
+            Some(StatusCode::ACCEPTED | StatusCode::OK) => {}
+            // Without an answer the server may have taken it: its reports tell.
+            None => {}
+            Some(_) => return false,
+        }
+        if status.is_some() {
+            let holder = gateway.identity.node.name.clone();
+            note_order_taken(gateway, holder.clone(), &server.id, &load.model, load.version);
+            gateway.members.tell_all(Hint::OrderTaken {
+                holder,
+                server: server.id.clone(),
+                model: load.model.clone(),
+                version: load.version,
+            });
+        }
+        self.follow(&server, load).await
+    }
+
+    /// Looks at a server until it has loaded; false when it has not.
+    async fn follow(&self, server: &Server, load: &Load) -> bool {
+        let begun = self.gateway.now();
+        let mut rest = FIRST_REPORT;
+        while self.gateway.now() < begun + LOAD_LIMIT {
+            Timer::after(rest).await;
+            rest = REPORT_PERIOD;
+            if self.gateway.directory.borrow().get(&server.id).is_none() {
+                return false;
+            }
+            let Some(report) = self.report(server).await else {
+                continue;
+            };
+            let held = report.models.get(&load.model).copied().unwrap_or(0);
+            if held >= load.version {
+                self.note_loaded(server, &report);
+                let millis = (self.gateway.now() - begun).as_millis();
+                log::info!(
+                    "event=version_loaded server={} model={} version={held} after_ms={millis}",
+                    server.id,
+                    load.model
+                );
+                return true;
+            }
+            if !report.busy {
+                // Not taken, or dropped on the way: ordered anew by the plan.
+                return false;
+            }
+        }
+        false
+    }
+
+    /// Takes a server's own word for its versions ahead of its entry.
+    fn note_loaded(&self, server: &Server, report: &EngineReport) {
+        let mut directory = self.gateway.directory.borrow_mut();
+        let Some(known) = directory.get(&server.id) else {
+            return;
+        };
+        let mut updated = Server::clone(known);
+        for (model, version) in &report.models {
+            let held = updated.models.entry(model.clone()).or_default();
+            *held = (*held).max(*version);
+        }
+        directory.insert(updated);
+        drop(directory);
+        self.gateway.places_changed.notify(usize::MAX);
+    }
+
+    async fn report(&self, server: &Server) -> Option<EngineReport> {
+        let answer = self.call(server, self.gateway.dialect.report_call()).await?;
+        if answer.status != StatusCode::OK {
+            return None;
+        }
+        match self.gateway.dialect.report(&answer.body) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                log::warn!("event=report_malformed server={} error=\"{error}\"", server.id);
+                None
+            }
+        }
+    }
+
+    /// Calls a server's own interface; nothing when there is no whole answer.
+    async fn call(&self, server: &Server, call: ServerCall) -> Option<WholeAnswer> {
+        let names = self.gateway.dialect.headers();
+        let mut request = Request::new(Full::new(call.body));
+        *request.method_mut() = call.method;
+        *request.uri_mut() = call.path.parse().ok()?;
+        let headers = request.headers_mut();
+        let host = HeaderValue::from_str(&server.address.to_string()).ok()?;
+        headers.insert(http::header::HOST, host);
+        headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(names.expected_server.clone(), HeaderValue::from_str(&server.id).ok()?);
+        let pool = &self.gateway.servers;
+        pool.fetch(server.address, request, CALL_TIMEOUT, MAX_REPORT_BYTES).await.ok()
+    }
+}
+
+/// Follows the versions that trainers name.
+pub async fn follow_versions(gateway: Rc<Gateway>) {
+    let kind = gateway.dialect.kinds().versions;
+    let sink = VersionSink(gateway.clone());
+    mirror::follow(gateway, kind, Duration::from_millis(5), sink).await;
+}
--- a/crates/heronbend/src/membership/detector.rs
+++ b/crates/heronbend/src/membership/detector.rs
@@ -10,7 +10,7 @@
 
 use super::messages::{Gossip, Head, Liveness, Member, Probe, Rumour};
 use super::rumours::RumourQueue;
-use crate::identity::NodeName;
+use crate::identity::{Incarnation, NodeName};
 use crate::lifecycle::StatedPhase;
 use crate::Moment;
 
@@ -176,6 +176,12 @@
         near.into_iter().chain(far).map(|target| self.ping(&target)).collect()
     }
 
+    /// Pings an address of which nothing is known yet, so that whoever is there becomes a member.
+    pub fn greet(&mut self, address: SocketAddr) -> Effect {
+        let sequence = self.take_sequence();
+        self.send(address, Probe::Ping { sequence })
+    }
+
     /// Takes in a member from another source, such as the platform's list.
     pub fn learn(&mut self, now: Moment, member: Member) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -298,6 +304,12 @@
     }
 
     fn refute(&mut self, said: &Member) {
+        if said.id.incarnation > self.me.id.incarnation {
+            // An earlier run whose clock was ahead: this run is the later one all the same.
+            self.me.id.incarnation = Incarnation(said.id.incarnation.0 + 1);
+            self.rumours.push(Rumour::Member(self.me.clone()));
+            return;
+        }
         let wrong = said.id == self.me.id && said.liveness > self.me.liveness;
         if wrong && said.refutation >= self.me.refutation {
             self.me.refutation = said.refutation + 1;
