A watch that was cut is followed by a list; peers tell of a newer configuration

Ruled out: slow daemons, lost packets. Now a cut leads to a list, the end of an outage makes other kinds list too, and a daemon that peers are ahead of for 0.7 s lists. The keeper ended by SIGHUP (code 129): it takes the signal now.

--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -91,6 +91,10 @@
     pub tuning: Tuning,
     /// Since when the store has answered without a failure.
     pub store_reached_since: Cell<Moment>,
+    /// Newest version of the configuration that a peer has told of.
+    pub behind: Cell<u64>,
+    /// Notified when watches may hear nothing and lists are to be read.
+    pub watches_doubted: Event,
     /// Counters.
     pub metrics: Metrics,
     started: Instant,
@@ -125,6 +129,8 @@
             versions: VersionBoard::default(),
             tuning,
             store_reached_since: Cell::new(Moment::ZERO),
+            behind: Cell::new(0),
+            watches_doubted: Event::new(),
             metrics: Metrics::default(),
             started,
         })
@@ -140,6 +146,11 @@
         self.configuration.borrow().clone()
     }
 
+    /// Version of the configuration in force; 0 when none is known.
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration.borrow().as_ref().map_or(0, |configuration| configuration.version)
+    }
+
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
         !self.draining.get() && self.directory_known.get() && self.configuration.borrow().is_some()
--- a/crates/heronbend-gateway/src/keeper.rs
+++ b/crates/heronbend-gateway/src/keeper.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use smol::{LocalExecutor, Timer};
 
 use crate::gateway::{Gateway, Identity, Tuning};
@@ -40,6 +40,15 @@
     Ok(SignalWait(smol::Async::new(receiver)?))
 }
 
+/// Notes each request to reload. What the settings file says is fixed for a process's life: a new
+/// address or name comes with a new process.
+pub async fn log_reloads(reload: SignalWait) {
+    loop {
+        reload.wait().await;
+        log::info!("event=reload_requested outcome=\"nothing to reload\"");
+    }
+}
+
 /// Runs the program until it is told to stop.
 pub fn run(
     identity: Identity,
@@ -49,12 +58,14 @@
     let executor = Rc::new(LocalExecutor::new());
     let (store, dialect) = ports(executor.clone());
     let stop = stop_signal(&[SIGTERM, SIGINT]).map_err(StartError::Signals)?;
+    let reload = stop_signal(&[SIGHUP]).map_err(StartError::Signals)?;
     let gateway = Gateway::new(identity, store, dialect, executor.clone(), tuning);
     smol::block_on(executor.run(async {
         log::info!("event=started node={}", gateway.identity.node);
         let kind = gateway.dialect.kinds().retirements;
         let sink = RetirementSink { gateway: gateway.clone(), open: RefCell::default() };
         executor.spawn(mirror::follow(gateway.clone(), kind, GATHERING, sink)).detach();
+        executor.spawn(log_reloads(reload)).detach();
         stop.wait().await;
         log::info!("event=stopped");
         log::logger().flush();
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use rand::Rng;
 use smol::Timer;
 
@@ -13,6 +14,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(29);
 const BACKOFF_BASE: Duration = Duration::from_millis(80);
 const BACKOFF_CAP: Duration = Duration::from_millis(640);
+/// Failures in a row after which the watches of other kinds are begun anew.
+const FAILURES_TO_DOUBT: u32 = 2;
 /// Failures in a row after which the loss of the store is logged.
 const FAILURES_TO_LOG: u32 = 2;
 
@@ -48,7 +51,11 @@
     }
 }
 
-/// Watches until the history is gone.
+/// Watches until a list is needed: the history is gone, the watch was cut, or there is reason to
+/// believe that it hears nothing.
+///
+/// A watch that was cut is not begun again from the same revision. What was missed may be dropped
+/// from the history while the new watch already waits, and then nothing tells of it.
 async fn watch_from(
     gateway: &Gateway,
     kind: &'static str,
@@ -58,8 +65,14 @@
     failures: &mut u32,
 ) {
     loop {
-        match gateway.store.watch(kind, at, WATCH_WAIT).await {
-            Ok(changes) => {
+        let doubted = gateway.watches_doubted.listen();
+        let watched = async { Some(gateway.store.watch(kind, at, WATCH_WAIT).await) };
+        let interrupted = async {
+            doubted.await;
+            None
+        };
+        match watched.or(interrupted).await {
+            Some(Ok(changes)) => {
                 note_success(gateway, kind, failures);
                 at = changes.at.max(at);
                 if changes.changes.is_empty() {
@@ -71,11 +84,18 @@
                 sink.applied();
                 Timer::after(gathering).await;
             }
-            Err(StoreError::HistoryGone) => {
+            Some(Err(StoreError::HistoryGone)) => {
                 log::info!("event=history_gone kind={kind} at={at}");
                 return;
             }
-            Err(error) => note_failure(kind, &error, failures).await,
+            Some(Err(error)) => {
+                note_failure(kind, &error, failures).await;
+                return;
+            }
+            None => {
+                log::info!("event=watch_doubted kind={kind} at={at}");
+                return;
+            }
         }
     }
 }
@@ -104,6 +124,10 @@
     if *failures > 0 {
         gateway.store_reached_since.set(gateway.now());
     }
+    if *failures >= FAILURES_TO_DOUBT {
+        // Watches that were begun while the store was out of reach may never be answered.
+        gateway.watches_doubted.notify(usize::MAX);
+    }
     if *failures >= FAILURES_TO_LOG {
         log::info!("event=store_regained kind={kind} failures={failures}");
     }
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures_lite::{FutureExt, StreamExt};
-use heronbend::membership::{Detector, DetectorConfig, Effect, Liveness, Member};
+use heronbend::membership::{Detector, DetectorConfig, Effect, Head, Liveness, Member};
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use rand::Rng;
@@ -23,6 +23,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Ticks between two greetings of seeds, while nobody is known.
 const GREETING_TICKS: u32 = 5;
+/// How long the own watch may lag behind what a peer knows.
+const BEHIND_PATIENCE: Duration = Duration::from_millis(700);
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 const MAX_REQUEST_BYTES: usize = 64 * 1024;
 
@@ -55,7 +57,7 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut ticks = Timer::interval(TICK);
     let mut tick_number = 0_u32;
-    let mut announced_leave = false;
+    let mut head = Head::default();
     loop {
         let event = next_event(&gateway, &socket, &mut buffer, &mut ticks).await;
         let now = gateway.now();
@@ -68,8 +70,11 @@
                     effects.extend(seeds.iter().map(|seed| detector.greet(*seed)));
                 }
                 tick_number = tick_number.wrapping_add(1);
-                if gateway.draining.get() && !announced_leave {
-                    announced_leave = true;
+                let version = gateway.configuration_version();
+                if version > head.settings_revision {
+                    head.settings_revision = version;
+                    detector.set_head(head);
+                    effects.extend(detector.announce());
                 }
                 effects
             }
@@ -118,7 +123,12 @@
     tick.or(received).or(told).await
 }
 
-async fn apply(gateway: &Gateway, detector: &Detector, socket: &UdpSocket, effects: Vec<Effect>) {
+async fn apply(
+    gateway: &Rc<Gateway>,
+    detector: &Detector,
+    socket: &UdpSocket,
+    effects: Vec<Effect>,
+) {
     let mut has_changed = false;
     for effect in effects {
         match effect {
@@ -132,7 +142,8 @@
                 );
                 has_changed = true;
             }
-            Effect::Backend(_) | Effect::Behind { .. } => {}
+            Effect::Behind { head, .. } => check_behind(gateway, head),
+            Effect::Backend(_) => {}
         }
     }
     if has_changed {
@@ -166,6 +177,27 @@
     }
 }
 
+/// A peer has a newer configuration. The own watch tells of it in a moment, unless it is deaf.
+fn check_behind(gateway: &Rc<Gateway>, head: Head) {
+    if gateway.behind.get() >= head.settings_revision {
+        return;
+    }
+    gateway.behind.set(head.settings_revision);
+    let checked = gateway.clone();
+    let check = async move {
+        Timer::after(BEHIND_PATIENCE).await;
+        if checked.configuration_version() < head.settings_revision {
+            log::warn!(
+                "event=configuration_behind version={} peer_version={}",
+                checked.configuration_version(),
+                head.settings_revision
+            );
+            checked.watches_doubted.notify(usize::MAX);
+        }
+    };
+    gateway.executor.spawn(check).detach();
+}
+
 /// Answers a peer's call.
 pub async fn answer_peer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Answer {
     let Ok(body) = read_body(request.into_body(), MAX_REQUEST_BYTES).await else {
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -84,25 +84,17 @@
     let executor = Rc::new(LocalExecutor::new());
     let (store, dialect) = ports(executor.clone());
     let stop = crate::keeper::stop_signal(&[SIGTERM, SIGINT]).map_err(StartError::Signals)?;
-    // The settings' file is read at the start only; nothing in it changes while a process lives.
     let reload = crate::keeper::stop_signal(&[SIGHUP]).map_err(StartError::Signals)?;
     let gateway = Gateway::new(identity, store, dialect, executor.clone(), tuning);
     smol::block_on(executor.run(async move {
         let callers = start(&gateway, &addresses, ready_path)?;
-        gateway.executor.spawn(log_reloads(reload)).detach();
+        gateway.executor.spawn(crate::keeper::log_reloads(reload)).detach();
         stop.wait().await;
         drain(&gateway, &callers).await;
         Ok(())
     }))
 }
 
-async fn log_reloads(reload: crate::keeper::SignalWait) {
-    loop {
-        reload.wait().await;
-        log::info!("event=reload_requested outcome=\"nothing to reload\"");
-    }
-}
-
 fn start(
     gateway: &Rc<Gateway>,
     addresses: &Addresses,
