Servers shared out by demand; long steps get every version on all hosts; slow servers left

Now: shares by expected tokens; a trainer whose steps take over 3.3 s gets every version on all its hosts, ordered when nothing runs there; a text is moved when another server is twice as fast; the detector introduces a newcomer to the members it knows; who is unknown is lost only after 4 s.

--- a/crates/heronbend-gateway/src/balancer.rs
+++ b/crates/heronbend-gateway/src/balancer.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// Mean latency of a server's answers, or of the events of its streams, as far as it is fresh.
+    pub fn recent_latency(&self, now: Moment, id: &str) -> Option<Duration> {
+        let load = self.loads.get(id)?;
+        let is_fresh = now < load.sampled + FADE;
+        let millis = load.mean_millis.filter(|_| is_fresh)?;
+        Some(Duration::from_secs_f64(millis / 1e3))
+    }
+
     /// Forgets servers that are neither listed nor in use.
     pub fn forget_except(&mut self, is_listed: impl Fn(&str) -> bool) {
         self.loads.retain(|id, load| load.in_flight > 0 || is_listed(id));
--- a/crates/heronbend-gateway/src/batch/hand_in.rs
+++ b/crates/heronbend-gateway/src/batch/hand_in.rs
@@ -110,11 +110,7 @@
     specification: Rc<JobSpecification>,
     give_up_at: Moment,
 ) -> Result<(), HandInError> {
-    let ownership = Ownership {
-        owner: new_owner(gateway, &specification.id),
-        total: specification.items.len(),
-        ended: false,
-    };
+    let ownership = Ownership::new(&specification, new_owner(gateway, &specification.id));
     let content = json!(ownership);
     let mut failures = 0;
     loop {
@@ -229,8 +225,8 @@
     };
     let specification: JobSpecification = serde_json::from_value(object.content)
         .map_err(|error| StoreError::Malformed(error.to_string()))?;
-    let owner = gateway.identity.node.clone();
-    let ownership = Ownership { owner, total: specification.items.len(), ended: true };
+    let ownership = Ownership::new(&specification, gateway.identity.node.clone());
+    let ownership = Ownership { ended: true, ..ownership };
     let object = gateway.store.create(OWNERSHIPS, id, json!(ownership)).await?;
     gateway.jobs.learn_object(&object);
     Ok(true)
--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -26,9 +26,40 @@
 const EVENT_LIMIT: Duration = Duration::from_millis(1600);
 /// Time that a server is given for an item, for want of a shorter bound.
 const ITEM_DEADLINE: Duration = Duration::from_secs(30);
+/// Events after which a server's pace is judged anew.
+const PACE_EVENTS: u64 = 8;
+/// A text is moved from a server that takes so many times as long for an event as another one with
+/// a free place. What is there already is read anew, which takes little.
+const SLOW_PACE: u32 = 2;
 /// Longest wait until a place is looked for again without news.
 const PLACE_WAIT: Duration = Duration::from_millis(100);
 
+/// Why a text is moved to a faster server.
+const OUTPACED: &str = "outpaced";
+
+/// Measures the time that a server takes for an event.
+struct PaceMeter {
+    since: heronbend::Moment,
+    events: u64,
+}
+
+impl PaceMeter {
+    fn new(now: heronbend::Moment) -> Self {
+        Self { since: now, events: 0 }
+    }
+
+    /// The mean time for an event, once enough have come.
+    fn add(&mut self, now: heronbend::Moment, events: u64) -> Option<Duration> {
+        self.events += events;
+        if self.events < PACE_EVENTS {
+            return None;
+        }
+        let mean = now.saturating_sub(self.since) / u32::try_from(self.events).unwrap_or(u32::MAX);
+        *self = Self::new(now);
+        Some(mean)
+    }
+}
+
 /// How an attempt at one server ended.
 enum RunEnd {
     /// The text is whole.
@@ -218,7 +249,7 @@
         if first_event > 0 {
             self.gateway.metrics.items_resumed.inc();
         }
-        let outcome = self.read_events(exchange, route).await;
+        let outcome = self.read_events(server, exchange, route).await;
         let events = self.text.last_event().saturating_sub(first_event);
         match outcome {
             Ok(()) => {
@@ -226,6 +257,11 @@
                 counted.end(AttemptEnd::Answered(per_event));
                 RunEnd::Whole
             }
+            Err(OUTPACED) => {
+                self.log_attempt(server, OUTPACED, events);
+                counted.end(AttemptEnd::Abandoned);
+                RunEnd::Again
+            }
             Err(reason) => {
                 self.log_attempt(server, reason, events);
                 counted.fail(&AttemptFailure::Unknown(reason));
@@ -270,8 +306,14 @@
     }
 
     /// Reads events until the text is whole; an error when it has to be continued elsewhere.
-    async fn read_events(&mut self, exchange: Exchange, route: &Route) -> Result<(), &'static str> {
+    async fn read_events(
+        &mut self,
+        server: &Rc<Server>,
+        exchange: Exchange,
+        route: &Route,
+    ) -> Result<(), &'static str> {
         let mut exchange = exchange;
+        let mut pace = PaceMeter::new(self.gateway.now());
         let names = self.gateway.dialect.headers();
         let version = exchange.header(&names.weight_version).and_then(|value| value.parse().ok());
         let version: u64 = version.ok_or("the version is not told")?;
@@ -286,8 +328,13 @@
             });
             match bytes.await {
                 Ok(Some(bytes)) => match reader.read(&bytes, &mut text) {
-                    Ok(events) if events > 0 => limit = EVENT_LIMIT,
-                    Ok(_) => {}
+                    Ok(0) => {}
+                    Ok(events) => {
+                        limit = EVENT_LIMIT;
+                        if self.is_outpaced(server, &mut pace, events, route) {
+                            break Err(OUTPACED);
+                        }
+                    }
                     Err(_) => break Err("malformed stream"),
                 },
                 Ok(None) if reader.is_between_events() => break Ok(()),
@@ -310,6 +357,27 @@
         outcome
     }
 
+    /// Whether the text had better go on at another server.
+    fn is_outpaced(
+        &self,
+        server: &Server,
+        pace: &mut PaceMeter,
+        events: usize,
+        route: &Route,
+    ) -> bool {
+        let now = self.gateway.now();
+        let Some(per_event) = pace.add(now, events as u64) else {
+            return false;
+        };
+        self.gateway.balancer.borrow_mut().note(now, &server.id, AttemptEnd::Answered(per_event));
+        let Some((other, _)) = self.free_place(route) else {
+            return false;
+        };
+        let balancer = self.gateway.balancer.borrow();
+        let others = balancer.recent_latency(now, &other.id);
+        other.id != server.id && others.is_some_and(|others| per_event > others * SLOW_PACE)
+    }
+
     fn versions_fit(&self, text: &ItemText, route: &Route) -> bool {
         let min_version = self.min_version();
         let is_fresh = text.versions().iter().all(|version| *version >= min_version);
--- a/crates/heronbend-gateway/src/batch/ownership.rs
+++ b/crates/heronbend-gateway/src/batch/ownership.rs
@@ -1,5 +1,6 @@
 //! Who runs a job, and whether it has ended.
 
+use super::specification::{Item, JobSpecification};
 use heronbend::identity::NodeId;
 use serde::{Deserialize, Serialize};
 
@@ -10,10 +11,30 @@
     pub owner: NodeId,
     /// Number of its items.
     pub total: usize,
+    /// The model that it needs, if any.
+    #[serde(default)]
+    pub model: Option<String>,
+    /// Tokens that are expected to come out of all items together.
+    #[serde(default)]
+    pub expected_tokens: u64,
     /// Whether its caller has ended it: nothing of it is run any more.
     pub ended: bool,
 }
 
+impl Ownership {
+    /// The ownership of a job that nobody has run yet.
+    pub fn new(specification: &JobSpecification, owner: NodeId) -> Self {
+        let expected = specification.items.iter().map(Item::expected_output);
+        Self {
+            owner,
+            total: specification.items.len(),
+            model: specification.step.as_ref().map(|step| step.model.clone()),
+            expected_tokens: expected.sum(),
+            ended: false,
+        }
+    }
+}
+
 /// Which of the daemons that are alive takes over a job: the first in an order that differs from
 /// job to job, so that the jobs of a lost daemon are spread.
 pub fn successor<'a>(job: &str, alive: impl Iterator<Item = &'a NodeId>) -> Option<&'a NodeId> {
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -16,10 +16,9 @@
 use super::specification::JobSpecification;
 use crate::gateway::Gateway;
 use crate::mirror::{backoff, MirrorSink};
+use crate::peers::INTRODUCTION;
 use crate::ports::{Change, Condition, Object, StoreError};
 
-/// Time after the start in which a daemon does not yet judge who is alive.
-const INTRODUCTION: Duration = Duration::from_millis(1200);
 /// Time between two looks for jobs without a living owner.
 const SWEEP: Duration = Duration::from_millis(500);
 
@@ -52,7 +51,8 @@
 pub fn start_own_jobs(gateway: &Rc<Gateway>) {
     for job in gateway.jobs.all() {
         let is_mine = job.owner() == gateway.identity.node;
-        if is_mine && !job.ended.get() && !job.running.replace(true) {
+        let has_work = !job.ended.get() && !job.is_complete();
+        if is_mine && has_work && !job.running.replace(true) {
             gateway.executor.spawn(run_job(gateway.clone(), job)).detach();
         }
     }
@@ -172,7 +172,7 @@
     if gateway.draining.get() || job.ended.get() || job.is_complete() || owner == *me {
         return false;
     }
-    !gateway.members.may_be_alive(&owner) && successor_here(gateway, &job.id) == *me
+    gateway.members.is_lost(gateway.now(), &owner) && successor_here(gateway, &job.id) == *me
 }
 
 fn successor_here(gateway: &Gateway, job: &str) -> NodeId {
--- a/crates/heronbend-gateway/src/batch/schedule.rs
+++ b/crates/heronbend-gateway/src/batch/schedule.rs
@@ -12,7 +12,7 @@
     let mut order: Vec<usize> = (0..items.len()).collect();
     order.sort_by_key(|&position| {
         let item = &items[position];
-        (Reverse(item.expected_tokens.unwrap_or(item.tokens)), position)
+        (Reverse(item.expected_output()), position)
     });
     order
 }
--- a/crates/heronbend-gateway/src/batch/specification.rs
+++ b/crates/heronbend-gateway/src/batch/specification.rs
@@ -54,6 +54,11 @@
 }
 
 impl Item {
+    /// Tokens that are expected to come out.
+    pub fn expected_output(&self) -> u64 {
+        self.expected_tokens.unwrap_or(self.tokens)
+    }
+
     /// The decoded body; empty when it is not valid base64, which hand-in rules out.
     pub fn decoded_body(&self) -> Bytes {
         decode(&self.body)
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -9,14 +9,20 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use event_listener::Event;
 use heronbend::identity::{NodeId, NodeName};
 use heronbend::membership::{Liveness, Member};
+use heronbend::Moment;
 use smol::channel::{bounded, Receiver, Sender};
 
 pub use messages::{Hint, PeerReply, PeerRequest};
 
+/// Time after the start in which a daemon does not yet judge who is alive.
+pub const INTRODUCTION: Duration = Duration::from_millis(1200);
+/// Time after the start in which a daemon has heard of every other that is alive.
+const ALL_HEARD_OF: Duration = Duration::from_secs(4);
 /// Hints that may wait to be sent.
 const HINT_CAPACITY: usize = 256;
 
@@ -52,20 +58,24 @@
             .collect()
     }
 
-    /// Whether this very run of a daemon may be alive.
-    pub fn may_be_alive(&self, node: &NodeId) -> bool {
-        self.members
-            .borrow()
-            .iter()
-            .any(|member| member.id == *node && member.liveness <= Liveness::Suspect)
+    /// Whether this very run of a daemon has certainly ended or cannot be reached. A daemon that
+    /// nothing is known of is lost once this one has had time to hear of all others.
+    pub fn is_lost(&self, now: Moment, node: &NodeId) -> bool {
+        let members = self.members.borrow();
+        match members.iter().find(|member| member.id.name == node.name) {
+            Some(member) if member.id == *node => member.liveness > Liveness::Suspect,
+            Some(member) => member.id.incarnation > node.incarnation,
+            None => now >= ALL_HEARD_OF,
+        }
     }
 
-    /// Whether some run of a daemon may be alive.
-    pub fn is_name_alive(&self, name: &NodeName) -> bool {
-        self.members
-            .borrow()
-            .iter()
-            .any(|member| member.id.name == *name && member.liveness <= Liveness::Suspect)
+    /// Whether no run of a daemon can be reached.
+    pub fn is_name_lost(&self, now: Moment, name: &NodeName) -> bool {
+        let members = self.members.borrow();
+        match members.iter().find(|member| member.id.name == *name) {
+            Some(member) => member.liveness > Liveness::Suspect,
+            None => now >= ALL_HEARD_OF,
+        }
     }
 
     /// Where a daemon takes its peers' calls, if it may be alive.
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -12,14 +12,16 @@
 use smol::Timer;
 
 use super::lease::{LeaseHold, LeaseRecord, LEASE_DURATION};
-use super::plan::{self, EngineState, Load};
+use super::plan::{self, EngineState, Load, ModelState, Urgency};
 use super::{EngineReport, SwapMode, VersionOrder};
 use crate::batch::ownership::successor;
+use crate::batch::registry::Job;
 use crate::directory::{Server, ServerState};
 use crate::gateway::Gateway;
 use crate::http::client::WholeAnswer;
 use crate::mirror::{self, MirrorSink};
 use crate::peers::Hint;
+use crate::peers::INTRODUCTION;
 use crate::ports::dialect::ServerCall;
 use crate::ports::{Change, Condition, Object, StoreError};
 
@@ -36,6 +38,10 @@
 const LOAD_LIMIT: Duration = Duration::from_secs(6);
 /// Rest after an order failed.
 const FAILED_REST: Duration = Duration::from_millis(400);
+/// A step that takes longer needs more than half of its model's servers.
+const SLOW_STEP: Duration = Duration::from_millis(3300);
+/// Steps of a model that are looked at for this.
+const RECENT_STEPS: usize = 3;
 const IDLE_WAIT: Duration = Duration::from_millis(500);
 const MAX_REPORT_BYTES: usize = 1024 * 1024;
 
@@ -108,17 +114,10 @@
     let duty = Rc::new(Duty { gateway: gateway.clone(), lease, busy: RefCell::default() });
     duty.read_lease().await;
     loop {
+        // Until others have been heard of, nobody can tell who of them is alive.
+        Timer::after(INTRODUCTION.saturating_sub(gateway.now())).await;
         let changed = gateway.versions.changed.listen();
-        let due = if gateway.draining.get() { Vec::new() } else { duty.loads_due() };
-        if due.is_empty() || !duty.is_my_turn() || !duty.ensure_lease().await {
-            changed
-                .or(async {
-                    Timer::after(IDLE_WAIT).await;
-                })
-                .await;
-            continue;
-        }
-        for load in duty.loads_due() {
+        for load in duty.loads_to_order().await {
             duty.busy
                 .borrow_mut()
                 .insert(load.server.clone(), Some((load.model.clone(), load.version)));
@@ -133,18 +132,47 @@
 }
 
 impl Duty {
+    /// The loads that this daemon is to order now.
+    async fn loads_to_order(&self) -> Vec<Load> {
+        let due = self.loads_due();
+        let is_waiting = self.lease.borrow().waits_until(self.gateway.now()).is_some();
+        if due.is_empty() || is_waiting || !self.is_my_turn() {
+            return Vec::new();
+        }
+        let is_urgent = due.iter().any(|load| load.urgency == Urgency::Now);
+        // Loads that wait for an idle server renew the lease only once such a server is found.
+        if is_urgent && !self.ensure_lease().await {
+            return Vec::new();
+        }
+        self.loads_due()
+    }
+
     fn loads_due(&self) -> Vec<Load> {
-        let named: HashMap<String, u64> = self
-            .gateway
-            .versions
-            .named()
-            .into_iter()
-            .map(|(model, (version, _))| (model, version))
-            .collect();
+        let named = self.gateway.versions.named();
         if named.is_empty() {
             return Vec::new();
         }
-        plan::loads_due(&named, &self.engines())
+        let models = named
+            .into_iter()
+            .map(|(model, (version, _))| {
+                let (demand, is_pressed) = self.demand(&model);
+                (model, ModelState { version, demand, is_pressed })
+            })
+            .collect();
+        plan::loads_due(&models, &self.engines())
+    }
+
+    /// Expected tokens of a model's newest step, and whether its steps take long.
+    fn demand(&self, model: &str) -> (u64, bool) {
+        let now = self.gateway.now();
+        let mut jobs = self.gateway.jobs.all();
+        jobs.retain(|job| job.ownership.borrow().0.model.as_deref() == Some(model));
+        jobs.sort_by_key(|job| std::cmp::Reverse(job.known_since));
+        let newest = jobs.first().map_or(0, |job| job.ownership.borrow().0.expected_tokens);
+        let is_slow = |job: &Rc<Job>| {
+            job.ended_since.get().unwrap_or(now).saturating_sub(job.known_since) > SLOW_STEP
+        };
+        (newest, jobs.iter().take(RECENT_STEPS).any(is_slow))
     }
 
     fn engines(&self) -> Vec<EngineState> {
@@ -187,7 +215,10 @@
             if holder == me.name {
                 return true;
             }
-            if gateway.members.is_name_alive(&holder) {
+            if gateway.draining.get() {
+                return false;
+            }
+            if !gateway.members.is_name_lost(gateway.now(), &holder) {
                 place += 1;
             }
             line.retain(|node| node.name != holder);
@@ -316,8 +347,13 @@
             self.note_loaded(&server, &report);
             return true;
         }
-        let now = gateway.now();
-        let Some(fence) = self.lease.borrow().token(now) else {
+        if load.urgency == Urgency::WhenIdle && report.requests > 0 {
+            return false;
+        }
+        if load.urgency == Urgency::WhenIdle && !self.ensure_lease().await {
+            return false;
+        }
+        let Some(fence) = self.lease.borrow().token(gateway.now()) else {
             return false;
         };
         let order = VersionOrder {
--- a/crates/heronbend-gateway/src/versions/mod.rs
+++ b/crates/heronbend-gateway/src/versions/mod.rs
@@ -30,6 +30,8 @@
     pub models: BTreeMap<String, u64>,
     /// Whether an order is under way.
     pub busy: bool,
+    /// Requests that run or wait there.
+    pub requests: u32,
     /// Orders taken since the server's start.
     pub sequence: u64,
 }
--- a/crates/heronbend-gateway/src/versions/plan.rs
+++ b/crates/heronbend-gateway/src/versions/plan.rs
@@ -2,7 +2,8 @@
 //!
 //! A step allows the version before the one it is numbered by, so a server need not load every
 //! version: half of a model's servers take the odd ones and half the even ones. One half serves
-//! while the other loads, and a load is spent only every second version.
+//! while the other loads, and a load is spent only every second version. A model whose steps take
+//! long gets every version on all its servers, each loading at a moment when nothing runs there.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -16,7 +17,7 @@
     pub id: String,
     /// Versions by model.
     pub models: BTreeMap<String, u64>,
-    /// Whether an order is under way at it.
+    /// Whether an order is under way at it, or was a moment ago.
     pub is_loading: bool,
     /// The model and version that it is loading.
     pub loading: Option<(String, u64)>,
@@ -24,6 +25,26 @@
     pub in_flight: u32,
 }
 
+/// What is known of a model's trainer.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ModelState {
+    /// Newest named version.
+    pub version: u64,
+    /// Tokens that its last step was expected to make; servers are shared out by this.
+    pub demand: u64,
+    /// Whether its steps take so long that half of its servers are not enough.
+    pub is_pressed: bool,
+}
+
+/// When a load is to be ordered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// At once.
+    Now,
+    /// Once the server has nothing to run.
+    WhenIdle,
+}
+
 /// A load that is due.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Load {
@@ -33,35 +54,32 @@
     pub model: String,
     /// The version.
     pub version: u64,
+    /// When to order it.
+    pub urgency: Urgency,
 }
 
-/// The loads that are to be ordered now, given the newest named version of each model.
-pub fn loads_due(named: &HashMap<String, u64>, engines: &[EngineState]) -> Vec<Load> {
-    let under_way = engines.iter().filter(|engine| engine.is_loading).count();
-    let mut free = LOADS_AT_ONCE.saturating_sub(under_way);
-    let mut due = Vec::new();
-    let hosts = assign(named, engines);
-    let mut models: Vec<_> = named.iter().collect();
-    models.sort();
-    for (model, &version) in models {
-        for server in due_for_model(model, version, &hosts, engines) {
-            if free == 0 {
-                return due;
-            }
-            free -= 1;
-            due.push(Load { server, model: model.clone(), version });
-        }
-    }
+/// The loads that are to be ordered now, or when their servers are idle; the most urgent first. As
+/// many urgent ones as may be under way at once.
+pub fn loads_due(models: &BTreeMap<String, ModelState>, engines: &[EngineState]) -> Vec<Load> {
+    let hosts = assign(models, engines);
+    let mut due: Vec<Load> = models
+        .iter()
+        .flat_map(|(model, state)| due_for_model(model, state, &hosts, engines))
+        .collect();
+    due.sort_by_key(|load| load.urgency);
+    let under_way = engines.iter().filter(|engine| engine.loading.is_some()).count();
+    due.truncate(LOADS_AT_ONCE.saturating_sub(under_way));
     due
 }
 
-/// The servers of a model that are to load its newest version, most urgent first.
+/// The loads of a model's newest version, those of the oldest versions first.
 fn due_for_model(
     model: &str,
-    version: u64,
+    state: &ModelState,
     hosts: &HashMap<&str, &str>,
     engines: &[EngineState],
-) -> Vec<String> {
+) -> Vec<Load> {
+    let version = state.version;
     let mine: Vec<&EngineState> =
         engines.iter().filter(|engine| hosts.get(engine.id.as_str()) == Some(&model)).collect();
     let held = |engine: &EngineState| engine.models.get(model).copied().unwrap_or(0);
@@ -69,38 +87,46 @@
         engine.loading.as_ref().is_some_and(|(loading, to)| loading == model && *to >= version)
     };
     let at_version = mine.iter().filter(|engine| held(engine) >= version || is_loading_it(engine));
-    let mut wanted = mine.len().div_ceil(2).saturating_sub(at_version.count());
+    let mut missing_in_half = mine.len().div_ceil(2).saturating_sub(at_version.count());
     let mut candidates: Vec<&&EngineState> =
         mine.iter().filter(|engine| !engine.is_loading && held(engine) < version).collect();
     candidates.sort_by_key(|engine| (held(engine), engine.in_flight, engine.id.clone()));
-    candidates
-        .into_iter()
-        .filter(|engine| {
-            let is_useless = held(engine) + 1 < version;
-            let fills_half = wanted > 0;
-            wanted = wanted.saturating_sub(1);
-            is_useless || fills_half
-        })
-        .map(|engine| engine.id.clone())
-        .collect()
+    let mut due = Vec::new();
+    for engine in candidates {
+        let cannot_serve = held(engine) + 1 < version;
+        let fills_half = missing_in_half > 0;
+        missing_in_half = missing_in_half.saturating_sub(1);
+        let urgency = match (cannot_serve, fills_half, state.is_pressed) {
+            (true, _, _) | (_, true, false) => Urgency::Now,
+            (false, _, true) => Urgency::WhenIdle,
+            (false, false, false) => continue,
+        };
+        let (server, model) = (engine.id.clone(), model.to_owned());
+        due.push(Load { server, model, version, urgency });
+    }
+    due
 }
 
-/// Divides the servers among the models that are trained: each server follows one of them, the one
-/// it lags behind least, and no model gets more than its share.
+/// Divides the servers among the models, in proportion to their demand: each server follows one of
+/// them, the one it lags behind least.
 fn assign<'a>(
-    named: &'a HashMap<String, u64>,
+    models: &'a BTreeMap<String, ModelState>,
     engines: &'a [EngineState],
 ) -> HashMap<&'a str, &'a str> {
-    let mut models: Vec<&str> =
+    let mut names: Vec<&str> =
         engines.iter().flat_map(|engine| engine.models.keys().map(String::as_str)).collect();
-    models.sort_unstable();
-    models.dedup();
+    names.sort_unstable();
+    names.dedup();
+    let demands: Vec<u64> =
+        names.iter().map(|name| models.get(*name).map_or(0, |state| state.demand)).collect();
+    let shares: HashMap<&str, usize> =
+        names.iter().copied().zip(divide(engines.len(), &demands)).collect();
     let mut pairs: Vec<(u64, u64, &str, &str)> = Vec::new();
     for engine in engines {
-        for model in engine.models.keys() {
-            let newest = named.get(model).copied().unwrap_or(1);
+        for (model, held) in &engine.models {
+            let newest = models.get(model).map_or(1, |state| state.version);
             let loading = engine.loading.as_ref().filter(|(loading, _)| loading == model);
-            let held = loading.map_or(engine.models[model], |(_, to)| *to);
+            let held = loading.map_or(*held, |(_, to)| *to);
             let key = format!("{model}/{}", engine.id);
             let tie = rapidhash::v3::rapidhash_v3(key.as_bytes());
             pairs.push((newest.saturating_sub(held), tie, &engine.id, model));
@@ -109,18 +135,38 @@
     pairs.sort_unstable();
     let mut hosts: HashMap<&str, &str> = HashMap::new();
     let mut counts: HashMap<&str, usize> = HashMap::new();
-    let share = engines.len().checked_div(models.len()).unwrap_or(0);
-    let mut extra = engines.len().checked_rem(models.len()).unwrap_or(0);
     for (_, _, server, model) in pairs {
         let count = counts.entry(model).or_default();
-        if hosts.contains_key(server) || *count > share || (*count == share && extra == 0) {
-            continue;
+        if !hosts.contains_key(server) && *count < shares[model] {
+            *count += 1;
+            hosts.insert(server, model);
         }
-        if *count == share {
-            extra -= 1;
-        }
-        *count += 1;
-        hosts.insert(server, model);
     }
     hosts
 }
+
+/// Divides `total` by largest remainders, at least one for each part while they last. Parts whose
+/// demand is not known get a mean share.
+fn divide(total: usize, demands: &[u64]) -> Vec<usize> {
+    if demands.is_empty() {
+        return Vec::new();
+    }
+    let known: Vec<u64> = demands.iter().copied().filter(|demand| *demand > 0).collect();
+    let mean = if known.is_empty() { 1 } else { known.iter().sum::<u64>() / known.len() as u64 };
+    let weights: Vec<u64> =
+        demands.iter().map(|demand| if *demand > 0 { *demand } else { mean.max(1) }).collect();
+    let sum: u64 = weights.iter().sum();
+    let at_least_one = usize::from(total >= demands.len());
+    let spread = total - at_least_one * demands.len().min(total);
+    let exact: Vec<f64> =
+        weights.iter().map(|weight| *weight as f64 * total as f64 / sum as f64).collect();
+    let mut shares: Vec<usize> = vec![at_least_one; demands.len()];
+    for _ in 0..spread {
+        let missing = |index: &usize| exact[*index] - shares[*index] as f64;
+        let neediest = (0..shares.len()).max_by(|a, b| missing(a).total_cmp(&missing(b)));
+        if let Some(index) = neediest {
+            shares[index] += 1;
+        }
+    }
+    shares
+}
--- a/crates/heronbend/src/membership/detector.rs
+++ b/crates/heronbend/src/membership/detector.rs
@@ -17,6 +17,11 @@
 /// Periods between two pings of dead members, on average.
 const DEAD_PROBE_PERIODS: u32 = 4;
 
+/// Members that a daemon which has just started is told of by one other; many others tell it too.
+const MAX_INTRODUCED: usize = 32;
+/// Members in one datagram, so that it stays within one packet.
+const INTRODUCED_A_DATAGRAM: usize = 8;
+
 /// Time constants of the detector.
 #[derive(Debug, Clone, Copy)]
 pub struct DetectorConfig {
@@ -220,7 +225,14 @@
             return effects;
         }
         let peer = from.address;
+        let is_new = self
+            .members
+            .get(&from.id.name)
+            .is_none_or(|known| known.member.id.incarnation < from.id.incarnation);
         self.merge(now, from.clone(), &mut effects);
+        if is_new {
+            effects.extend(self.introduce(&from));
+        }
         self.tell_what_is_said_of(&from);
         for rumour in rumours {
             match rumour {
@@ -243,6 +255,31 @@
         effects
     }
 
+    /// Tells a daemon that has just started of the members that are alive: rumours alone would take
+    /// it some periods, in which it would take the others' work for abandoned.
+    fn introduce(&mut self, newcomer: &Member) -> Vec<Effect> {
+        let mut known: Vec<Member> = self
+            .members
+            .values()
+            .map(|known| known.member.clone())
+            .filter(|member| member.liveness <= Liveness::Suspect)
+            .filter(|member| member.id.name != newcomer.id.name)
+            .collect();
+        known.shuffle(&mut self.random);
+        known.truncate(MAX_INTRODUCED);
+        let datagrams = known.chunks(INTRODUCED_A_DATAGRAM).map(|members| {
+            let gossip = Gossip {
+                from: self.me.clone(),
+                // Acknowledges no probe: numbers begin at 1.
+                probe: Probe::Ack { sequence: 0 },
+                head: self.head,
+                rumours: members.iter().cloned().map(Rumour::Member).collect(),
+            };
+            Effect::Send { to: newcomer.address, gossip: Box::new(gossip) }
+        });
+        datagrams.collect()
+    }
+
     fn is_behind(&self, head: Head) -> bool {
         head.settings_revision > self.head.settings_revision
             || head.shard_epochs > self.head.shard_epochs
