--- /dev/null
+++ b/crates/heronbend-gateway/tests/batch.rs
@@ -0,0 +1,157 @@
+//! Results of batch jobs: positions, texts and order, without I/O.
+
+mod support;
+
+use std::rc::Rc;
+
+use heronbend_gateway::batch::event_stream::{EventReader, ItemText, StreamError};
+use heronbend_gateway::batch::ownership::successor;
+use heronbend_gateway::batch::schedule::begin_order;
+use heronbend_gateway::batch::ResultLog;
+use support::{item, node, result};
+
+fn items(log: &ResultLog) -> Vec<String> {
+    log.page(0).iter().map(|result| result.item.clone()).collect()
+}
+
+#[test]
+fn a_result_has_no_position_before_its_chunk_is_written() {
+    let mut log = ResultLog::default();
+    log.add(result("a"));
+    assert!(log.page(0).is_empty());
+    let chunk = log.start_writing().unwrap();
+    assert!(log.page(0).is_empty());
+    assert!(log.settle(chunk.number, chunk.results));
+    assert_eq!(items(&log), ["a"]);
+}
+
+#[test]
+fn no_second_chunk_is_begun_while_one_is_in_doubt() {
+    let mut log = ResultLog::default();
+    log.add(result("a"));
+    let first = log.start_writing().unwrap();
+    log.add(result("b"));
+    assert!(log.start_writing().is_none());
+    log.write_failed();
+    let again = log.start_writing().unwrap();
+    assert_eq!(again.number, first.number);
+}
+
+#[test]
+fn another_writers_chunk_takes_the_position_and_nothing_stands_twice() {
+    let mut log = ResultLog::default();
+    log.add(result("a"));
+    log.add(result("b"));
+    let mine = log.start_writing().unwrap();
+    // Another daemon, which ran the job meanwhile, has written this number first.
+    log.settle(mine.number, vec![Rc::new(result("b")), Rc::new(result("c"))]);
+    assert_eq!(items(&log), ["b", "c"]);
+    let next = log.start_writing().unwrap();
+    assert_eq!(next.number, 1);
+    assert_eq!(next.results.len(), 1);
+    log.settle(next.number, next.results);
+    assert_eq!(items(&log), ["b", "c", "a"]);
+}
+
+#[test]
+fn a_chunk_after_a_gap_is_not_taken_in() {
+    let mut log = ResultLog::default();
+    assert!(!log.settle(1, vec![Rc::new(result("a"))]));
+    assert!(log.is_empty());
+}
+
+#[test]
+fn an_item_with_a_result_gets_no_second_one() {
+    let mut log = ResultLog::default();
+    log.settle(0, vec![Rc::new(result("a"))]);
+    log.add(result("a"));
+    assert!(log.start_writing().is_none());
+}
+
+#[test]
+fn a_reader_that_has_some_chunks_gets_the_others_once() {
+    let mut owner = ResultLog::default();
+    for (number, name) in ["a", "b", "c"].iter().enumerate() {
+        owner.settle(number as u32, vec![Rc::new(result(name))]);
+    }
+    let mut reader = ResultLog::default();
+    reader.settle(0, vec![Rc::new(result("a"))]);
+    reader.extend(owner.after_chunk(1).to_vec(), owner.chunks());
+    // A late answer to an earlier question changes nothing.
+    reader.extend(owner.after_chunk(0)[..2].to_vec(), 2);
+    assert_eq!(items(&reader), ["a", "b", "c"]);
+    assert_eq!(reader.chunks(), 3);
+    assert!(reader.after_chunk(3).is_empty());
+}
+
+#[test]
+fn a_page_is_bounded_and_never_empty_when_a_result_exists() {
+    let mut log = ResultLog::default();
+    let mut large = result("large");
+    large.text = "x".repeat(2_000_000);
+    log.settle(0, vec![Rc::new(large), Rc::new(result("small"))]);
+    assert_eq!(log.page(0).len(), 1);
+    assert_eq!(log.page(1).len(), 1);
+    assert!(log.page(2).is_empty());
+}
+
+#[test]
+fn events_cut_anywhere_make_one_text_with_its_versions() {
+    let stream = b"id: 1\ndata: one\n\nweights: 8\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n";
+    for cut in 0..stream.len() {
+        let mut text = ItemText::default();
+        let mut reader = EventReader::new("weights", 7);
+        reader.read(&stream[..cut], &mut text).unwrap();
+        reader.read(&stream[cut..], &mut text).unwrap();
+        assert!(reader.is_between_events());
+        assert_eq!(text.text(), "one\ntwo\nthree");
+        assert_eq!(text.versions().iter().copied().collect::<Vec<_>>(), [7, 8]);
+    }
+}
+
+#[test]
+fn a_continuation_has_to_begin_with_the_next_event() {
+    let mut text = ItemText::default();
+    let mut first = EventReader::new("weights", 7);
+    first.read(b"id: 1\ndata: one\n\nid: 2\nda", &mut text).unwrap();
+    assert!(!first.is_between_events());
+    assert_eq!(text.last_event(), 1);
+    for wrong in ["id: 1\ndata: one\n\n", "id: 3\ndata: three\n\n", "data: two\n\n"] {
+        let mut second = EventReader::new("weights", 7);
+        assert_eq!(second.read(wrong.as_bytes(), &mut text), Err(StreamError::OutOfTurn));
+    }
+    let mut second = EventReader::new("weights", 7);
+    assert_eq!(second.read(b"id: 2\ndata: two\n\n", &mut text), Ok(1));
+    assert_eq!(text.text(), "one\ntwo");
+}
+
+#[test]
+fn bytes_that_are_no_events_are_refused() {
+    let mut text = ItemText::default();
+    let mut reader = EventReader::new("weights", 7);
+    assert_eq!(reader.read(b"id: x\ndata: 1\n\n", &mut text), Err(StreamError::Malformed));
+    let mut reader = EventReader::new("weights", 7);
+    assert_eq!(reader.read(b"id: 1\ndata: \xff\n\n", &mut text), Err(StreamError::Malformed));
+}
+
+#[test]
+fn the_longest_items_are_begun_first() {
+    let items = [item("short", Some(10)), item("unknown", None), item("long", Some(900))];
+    assert_eq!(begin_order(&items), [2, 1, 0]);
+}
+
+#[test]
+fn all_daemons_agree_on_a_successor_and_jobs_are_spread() {
+    let nodes = [node("a"), node("b"), node("c")];
+    let mut reversed = nodes.clone();
+    reversed.reverse();
+    let mut chosen = std::collections::BTreeSet::new();
+    for number in 0..50 {
+        let job = format!("job-{number}");
+        let first = successor(&job, nodes.iter()).unwrap();
+        assert_eq!(first, successor(&job, reversed.iter()).unwrap());
+        chosen.insert(first.clone());
+    }
+    assert_eq!(chosen.len(), 3);
+    assert_eq!(successor("job", [].iter()), None);
+}
--- /dev/null
+++ b/crates/heronbend-gateway/tests/settings.rs
@@ -0,0 +1,59 @@
+//! Settings files: all findings at once, each with its place.
+
+use heronbend_gateway::settings::Settings;
+
+const GOOD: &str = r#"
+node = "front-1"
+zone = "z"
+region = "r"
+seeds = ["10.0.0.2:8166"]
+lease_pause_ms = 3000
+result_retention_s = 120
+stop_limit_s = 8.5
+
+[listen]
+callers = "10.0.0.1:8161"
+ready = "10.0.0.1:8167"
+peers = "10.0.0.1:7720"
+metrics = ""
+
+[store]
+address = "10.200.0.1:8169"
+max_object_bytes = 1048576
+"#;
+
+#[test]
+fn a_good_file_is_read() {
+    let settings = Settings::parse("node.toml", GOOD).unwrap();
+    assert_eq!(settings.metrics, None);
+    assert_eq!(settings.stop_limit.as_millis(), 8500);
+    // Peers listen on the same port everywhere.
+    assert_eq!(settings.addresses().seeds, ["10.0.0.2:7720".parse().unwrap()]);
+}
+
+#[test]
+fn all_findings_are_told_at_once_with_file_node_and_field() {
+    let bad = GOOD
+        .replace("zone = \"z\"", "zone = 7")
+        .replace("lease_pause_ms = 3000", "lease_pause_ms = -1")
+        .replace("10.0.0.1:7720", "nowhere")
+        .replace("[store]", "[store]\ncolour = \"red\"")
+        .replace("region = \"r\"\n", "");
+    let findings = Settings::parse("node.toml", &bad).unwrap_err().to_string();
+    for expected in [
+        "node.toml: front-1: zone: is not a text",
+        "node.toml: front-1: region: is missing",
+        "node.toml: front-1: listen.peers: \"nowhere\" is not an IP address with a port",
+        "node.toml: front-1: lease_pause_ms: -1 is negative or not finite",
+        "node.toml: front-1: store.colour: is not a setting",
+    ] {
+        assert!(findings.contains(expected), "{expected} in\n{findings}");
+    }
+    assert_eq!(findings.lines().count(), 5, "{findings}");
+}
+
+#[test]
+fn a_file_that_is_no_toml_is_one_finding() {
+    let findings = Settings::parse("node.toml", "node = ").unwrap_err();
+    assert_eq!(findings.findings.len(), 1);
+}
--- /dev/null
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -0,0 +1,235 @@
+//! What the service does at the store when answers are lost, late or refused.
+
+mod support;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use heronbend_gateway::batch::hand_in::{self, HandInError};
+use heronbend_gateway::batch::registry::{chunk_name, results_kind, OWNERSHIPS, SPECIFICATIONS};
+use heronbend_gateway::batch::{appender, reading};
+use heronbend_gateway::mirror::{self, MirrorSink};
+use heronbend_gateway::ports::{Change, Object};
+use serde_json::json;
+use support::memory_store::{MemoryStore, WatchFault, WriteFault};
+use support::{gateway, job, result, run, wait_until};
+
+const KIND: &str = "things";
+const GATHERING: Duration = Duration::from_millis(5);
+const PATIENCE: Duration = Duration::from_millis(700);
+
+/// Names of the objects that a mirror knows.
+#[derive(Clone, Default)]
+struct Names(Rc<RefCell<Vec<String>>>);
+
+impl Names {
+    fn contains(&self, name: &str) -> bool {
+        self.0.borrow().iter().any(|known| known == name)
+    }
+}
+
+impl MirrorSink for Names {
+    fn reset(&self, objects: Vec<Object>) {
+        *self.0.borrow_mut() = objects.into_iter().map(|object| object.name).collect();
+    }
+
+    fn change(&self, change: Change) {
+        match change {
+            Change::Set(object) => self.0.borrow_mut().push(object.name),
+            Change::Removed(name) => self.0.borrow_mut().retain(|known| *known != name),
+        }
+    }
+}
+
+#[test]
+fn a_watch_that_was_cut_misses_nothing_although_the_next_one_would_be_deaf() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            store.fail_watches(&[WatchFault::Cut]);
+            store.mute_watches();
+            let names = Names::default();
+            executor.spawn(mirror::follow(gateway, KIND, GATHERING, names.clone())).detach();
+            wait_until("the watch has been cut", || store.calls.get() >= 2).await;
+            store.put(KIND, "missed", json!(1));
+            // A watch that was begun again from where the first one stood waits by now.
+            smol::Timer::after(Duration::from_millis(150)).await;
+            store.drop_history();
+            wait_until("the change is known", || names.contains("missed")).await;
+            store.put(KIND, "later", json!(2));
+            wait_until("a later change is known", || names.contains("later")).await;
+        })
+    });
+}
+
+#[test]
+fn a_deaf_watch_is_left_when_the_store_is_reached_again_by_another() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            store.fail_watches(&[WatchFault::Deaf]);
+            let deaf = Names::default();
+            executor
+                .spawn(mirror::follow(gateway.clone(), KIND, GATHERING, deaf.clone()))
+                .detach();
+            smol::Timer::after(Duration::from_millis(30)).await;
+            store.set_down(true);
+            let other = Names::default();
+            executor
+                .spawn(mirror::follow(gateway.clone(), "others", GATHERING, other.clone()))
+                .detach();
+            let calls = store.calls.get();
+            wait_until("several calls have failed", || store.calls.get() >= calls + 3).await;
+            store.put(KIND, "missed", json!(1));
+            store.set_down(false);
+            wait_until("the change is known", || deaf.contains("missed")).await;
+        })
+    });
+}
+
+#[test]
+fn a_daemon_that_peers_are_ahead_of_lists_anew() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            store.fail_watches(&[WatchFault::Deaf]);
+            let names = Names::default();
+            executor
+                .spawn(mirror::follow(gateway.clone(), KIND, GATHERING, names.clone()))
+                .detach();
+            smol::Timer::after(Duration::from_millis(30)).await;
+            store.put(KIND, "missed", json!(1));
+            gateway.watches_doubted.notify(usize::MAX);
+            wait_until("the change is known", || names.contains("missed")).await;
+        })
+    });
+}
+
+#[test]
+fn a_job_whose_creation_is_in_doubt_is_never_said_not_to_run() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            store.fail_writes(&[WriteFault::Late]);
+            store.fail_writes(&[WriteFault::Refused; 20]);
+            let taken = hand_in::hand_in(&gateway, job("j", 2), gateway.now() + PATIENCE).await;
+            assert_eq!(taken, Err(HandInError::Unknown));
+        })
+    });
+}
+
+#[test]
+fn a_job_that_the_store_refused_throughout_is_said_not_to_run() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            store.fail_writes(&[WriteFault::Refused; 20]);
+            let taken = hand_in::hand_in(&gateway, job("j", 2), gateway.now() + PATIENCE).await;
+            assert_eq!(taken, Err(HandInError::NotTaken));
+            assert!(store.object(SPECIFICATIONS, "j").is_none());
+        })
+    });
+}
+
+#[test]
+fn a_job_is_taken_once_although_answers_were_lost() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let first = gateway("a", &store, &executor);
+            let second = gateway("b", &store, &executor);
+            store.fail_writes(&[WriteFault::AnswerLost, WriteFault::AnswerLost]);
+            let patience = first.now() + Duration::from_secs(20);
+            assert_eq!(hand_in::hand_in(&first, job("j", 2), patience).await, Ok(()));
+            assert_eq!(hand_in::hand_in(&second, job("j", 2), patience).await, Ok(()));
+            let owner = second.jobs.get("j").unwrap().owner();
+            assert_eq!(owner, first.identity.node);
+        })
+    });
+}
+
+#[test]
+fn an_end_before_the_job_is_owned_keeps_it_from_ever_running() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            store.put(SPECIFICATIONS, "j", json!(job("j", 2)));
+            let patience = gateway.now() + PATIENCE;
+            assert_eq!(hand_in::end(&gateway, "j", patience).await, Ok(()));
+            assert_eq!(hand_in::hand_in(&gateway, job("j", 2), patience).await, Ok(()));
+            assert!(gateway.jobs.get("j").unwrap().ended.get());
+            assert_eq!(store.object(OWNERSHIPS, "j").unwrap().content["ended"], json!(true));
+        })
+    });
+}
+
+#[test]
+fn two_daemons_that_run_one_job_never_list_an_item_twice() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let first = gateway("a", &store, &executor);
+            let second = gateway("b", &store, &executor);
+            let patience = first.now() + PATIENCE;
+            hand_in::hand_in(&first, job("j", 6), patience).await.unwrap();
+            hand_in::hand_in(&second, job("j", 6), patience).await.unwrap();
+            store.fail_writes(&[WriteFault::AnswerLost, WriteFault::Late, WriteFault::Refused]);
+            for (gateway, items) in [(&first, [0, 1, 2, 3]), (&second, [2, 3, 4, 5])] {
+                let job = gateway.jobs.get("j").unwrap();
+                executor.spawn(appender::run(gateway.clone(), job.clone())).detach();
+                for number in items {
+                    job.log.borrow_mut().add(result(&format!("item-{number}")));
+                    job.result_waits.notify(usize::MAX);
+                    smol::Timer::after(Duration::from_millis(60)).await;
+                }
+            }
+            let jobs = [first.jobs.get("j").unwrap(), second.jobs.get("j").unwrap()];
+            let all_written = || jobs.iter().all(|job| job.log.borrow().pending() == 0);
+            wait_until("all is written", || {
+                store.do_late_writes();
+                all_written()
+            })
+            .await;
+            for job in &jobs {
+                appender::catch_up(&first, job).await.unwrap();
+            }
+            let listed = |index: usize| -> Vec<String> {
+                let page = jobs[index].log.borrow().page(0);
+                page.iter().map(|result| result.item.clone()).collect()
+            };
+            assert_eq!(listed(0), listed(1));
+            let distinct: std::collections::BTreeSet<_> = listed(0).into_iter().collect();
+            assert_eq!(distinct.len(), 6);
+            assert_eq!(listed(0).len(), 6);
+        })
+    });
+}
+
+#[test]
+fn a_reader_elsewhere_gets_the_results_from_the_store() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let owner = gateway("a", &store, &executor);
+            let reader = gateway("b", &store, &executor);
+            let patience = owner.now() + PATIENCE;
+            hand_in::hand_in(&owner, job("j", 3), patience).await.unwrap();
+            let chunk = json!({ "results": [result("item-1")] });
+            store.put(&results_kind("j"), &chunk_name(0), chunk);
+            let page = reading::results(&reader, "j", 0, reader.now()).await.unwrap();
+            assert_eq!((page.total, page.results.len()), (3, 1));
+            let missing = reading::results(&reader, "unknown", 0, reader.now()).await;
+            assert_eq!(missing.unwrap_err(), reading::ReadError::NotFound);
+            store.set_down(true);
+            let unsure = reading::results(&reader, "unknown", 0, reader.now()).await;
+            assert_eq!(unsure.unwrap_err(), reading::ReadError::Unavailable);
+        })
+    });
+}
--- /dev/null
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -0,0 +1,125 @@
+//! Values for tests, and the second implementation of the ports: a store in memory and the
+//! service's own spelling.
+#![allow(dead_code, reason = "each test file uses a part of this")]
+
+pub mod memory_store;
+pub mod own_dialect;
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use heronbend::identity::{Incarnation, NodeId, NodeName};
+use heronbend_gateway::batch::{Item, ItemResult, ItemState, JobSpecification, TrainerStep};
+use heronbend_gateway::configuration::{Destination, Route, RouteKind};
+use heronbend_gateway::directory::{Server, ServerState};
+use heronbend_gateway::gateway::{Gateway, Identity, Tuning};
+use smol::LocalExecutor;
+
+use self::memory_store::MemoryStore;
+use self::own_dialect::OwnDialect;
+
+pub fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_secs(2),
+        target_latency: Duration::from_millis(200),
+        max_attempts: 2,
+        priority: 0,
+        destinations: vec![Destination { service: "app".to_owned(), weight: 1 }],
+        resumable: false,
+        single_version: false,
+        result_deadline: None,
+        max_queue: None,
+    }
+}
+
+pub fn server(id: &str, service: &str) -> Server {
+    Server {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: "z".to_owned(),
+        slots: 8,
+        state: ServerState::Ready,
+        models: BTreeMap::new(),
+        sequence: 0,
+    }
+}
+
+pub fn node(name: &str) -> NodeId {
+    NodeId { name: NodeName(name.to_owned()), incarnation: Incarnation(1) }
+}
+
+pub fn result(item: &str) -> ItemResult {
+    ItemResult {
+        item: item.to_owned(),
+        state: ItemState::Done,
+        text: format!("text of {item}"),
+        versions: vec![3],
+        score: None,
+    }
+}
+
+pub fn item(id: &str, expected_tokens: Option<u64>) -> Item {
+    Item {
+        id: id.to_owned(),
+        path: "/x/1".to_owned(),
+        headers: Vec::new(),
+        body: String::new(),
+        tokens: 500,
+        expected_tokens,
+        group: None,
+        reward: None,
+    }
+}
+
+pub fn job(id: &str, items: usize) -> JobSpecification {
+    JobSpecification {
+        id: id.to_owned(),
+        host: "a.example".to_owned(),
+        path: "/x/".to_owned(),
+        items: (0..items).map(|number| item(&format!("item-{number}"), None)).collect(),
+        step: Some(TrainerStep {
+            number: 0,
+            model: "m".to_owned(),
+            min_version: 1,
+            desired_groups: 1,
+        }),
+    }
+}
+
+pub const TUNING: Tuning = Tuning {
+    lease_pause: Duration::from_secs(3),
+    result_retention: Duration::from_secs(120),
+    max_object_bytes: 1 << 20,
+    stop_limit: Duration::from_secs(8),
+};
+
+/// A daemon's state over a store that several may share.
+pub fn gateway(name: &str, store: &Rc<MemoryStore>, executor: &Rc<LocalExecutor<'static>>) -> Rc<Gateway> {
+    let identity =
+        Identity { node: node(name), zone: "z".to_owned(), region: "r".to_owned() };
+    let dialect = Rc::new(OwnDialect::default());
+    Gateway::new(identity, store.clone(), dialect, executor.clone(), TUNING)
+}
+
+/// Runs a test's future, with all tasks that it spawns.
+pub fn run<T>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> futures_lite::future::BoxedLocal<T>) -> T {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(test(executor.clone())))
+}
+
+/// Waits for a condition; a test that waits too long fails.
+pub async fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    for _ in 0..3000 {
+        if condition() {
+            return;
+        }
+        smol::Timer::after(Duration::from_millis(10)).await;
+    }
+    panic!("waited in vain until {what}");
+}
--- /dev/null
+++ b/crates/heronbend-gateway/tests/support/own_dialect.rs
@@ -0,0 +1,103 @@
+//! The service's own spelling: its types as they serialize.
+
+use bytes::Bytes;
+use heronbend_gateway::batch::{JobSpecification, ResultsPage};
+use heronbend_gateway::configuration::Configuration;
+use heronbend_gateway::directory::Server;
+use heronbend_gateway::ports::dialect::ServerCall;
+use heronbend_gateway::ports::{Call, Dialect, DialectError, HeaderNames, OperatorKinds};
+use heronbend_gateway::versions::{EngineReport, NamedVersion, VersionOrder};
+use http::{HeaderName, Method};
+use serde::de::DeserializeOwned;
+use serde_json::{json, Value};
+
+pub struct OwnDialect {
+    headers: HeaderNames,
+    kinds: OperatorKinds,
+}
+
+impl Default for OwnDialect {
+    fn default() -> Self {
+        let name = HeaderName::from_static;
+        Self {
+            headers: HeaderNames {
+                request_id: name("heronbend-request"),
+                deadline_millis: name("heronbend-deadline-ms"),
+                expected_server: name("heronbend-server"),
+                not_run: name("heronbend-not-run"),
+                signature: name("heronbend-signature"),
+                last_event: name("last-event-id"),
+                wait_millis: name("heronbend-wait-ms"),
+                expected_version: name("heronbend-expected-version"),
+                weight_version: name("heronbend-version"),
+            },
+            kinds: OperatorKinds {
+                configuration: "configurations",
+                configuration_name: "in-force",
+                servers: "servers",
+                versions: "versions",
+                retirements: "retirements",
+            },
+        }
+    }
+}
+
+fn from_value<T: DeserializeOwned>(place: &str, content: &Value) -> Result<T, DialectError> {
+    T::deserialize(content).map_err(|error| DialectError::new(place, error))
+}
+
+impl Dialect for OwnDialect {
+    fn headers(&self) -> &HeaderNames {
+        &self.headers
+    }
+
+    fn kinds(&self) -> &OperatorKinds {
+        &self.kinds
+    }
+
+    fn call(&self, _method: &Method, _path: &str, _query: Option<&str>) -> Call {
+        Call::Forward
+    }
+
+    fn configuration(&self, content: &Value) -> Result<Configuration, DialectError> {
+        from_value("configuration", content)
+    }
+
+    fn server(&self, _id: &str, content: &Value) -> Result<Server, DialectError> {
+        from_value("server", content)
+    }
+
+    fn named_version(&self, content: &Value) -> Result<NamedVersion, DialectError> {
+        from_value("version", content)
+    }
+
+    fn job(&self, _id: &str, body: &[u8]) -> Result<JobSpecification, DialectError> {
+        serde_json::from_slice(body).map_err(|error| DialectError::new("job", error))
+    }
+
+    fn results(&self, page: &ResultsPage) -> Bytes {
+        let results: Vec<_> = page.results.iter().map(|result| json!(**result)).collect();
+        json!({ "total": page.total, "from": page.from, "results": results }).to_string().into()
+    }
+
+    fn report_call(&self) -> ServerCall {
+        ServerCall { method: Method::GET, path: "/state".to_owned(), body: Bytes::new() }
+    }
+
+    fn report(&self, body: &[u8]) -> Result<EngineReport, DialectError> {
+        serde_json::from_slice(body).map_err(|error| DialectError::new("report", error))
+    }
+
+    fn order_call(&self, order: &VersionOrder) -> ServerCall {
+        let body = json!(order).to_string().into();
+        ServerCall { method: Method::POST, path: "/orders".to_owned(), body }
+    }
+
+    fn retired_status(&self) -> Value {
+        json!("retired")
+    }
+
+    fn is_retired(&self, status: &Value) -> bool {
+        status == "retired"
+    }
+}
--- /dev/null
+++ b/crates/heronbend-gateway/tests/versions.rs
@@ -0,0 +1,187 @@
+//! The lease for orders, and the plan of loads.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use heronbend::identity::NodeName;
+use heronbend_gateway::versions::board::{Fitness, VersionBoard, EXPECTED_LOAD};
+use heronbend_gateway::versions::lease::{LeaseHold, LeaseRecord, LEASE_DURATION};
+use heronbend_gateway::versions::plan::{loads_due, EngineState, Load, ModelState, Urgency};
+use support::server;
+
+const PAUSE: Duration = Duration::from_secs(3);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn hold(name: &str) -> LeaseHold {
+    LeaseHold::new(NodeName(name.to_owned()), PAUSE)
+}
+
+fn record(name: &str, settled: bool) -> LeaseRecord {
+    LeaseRecord { holder: NodeName(name.to_owned()), settled }
+}
+
+/// Renews at `now`, as the store acknowledged it after `delay`.
+fn renew(hold: &mut LeaseHold, revision: u64, now: Duration, delay: Duration) {
+    let record = hold.next_record(now);
+    hold.renewed(revision, record, now, now + delay);
+}
+
+#[test]
+fn the_first_holder_acts_at_once_and_only_for_the_leases_time() {
+    let mut first = hold("a");
+    renew(&mut first, 5, SECOND, Duration::from_millis(400));
+    assert_eq!(first.token(SECOND + Duration::from_millis(400)), Some(5));
+    // Counted from when the renewal was sent, with a margin for the order to arrive.
+    assert_eq!(first.token(SECOND + LEASE_DURATION), None);
+    assert_eq!(first.token(SECOND + LEASE_DURATION - Duration::from_millis(200)), None);
+}
+
+#[test]
+fn a_new_holder_waits_for_the_old_ones_right_to_act_and_the_pause() {
+    let mut second = hold("b");
+    second.observed(5, record("a", true));
+    renew(&mut second, 6, SECOND, Duration::ZERO);
+    let may_act = SECOND + LEASE_DURATION + PAUSE;
+    assert_eq!(second.waits_until(SECOND), Some(may_act));
+    renew(&mut second, 6, may_act - Duration::from_millis(1), Duration::ZERO);
+    assert_eq!(second.token(may_act - Duration::from_millis(1)), None);
+    renew(&mut second, 7, may_act, Duration::ZERO);
+    assert_eq!(second.token(may_act), Some(7));
+}
+
+#[test]
+fn a_holder_that_lost_track_does_not_skip_the_pause() {
+    let mut second = hold("b");
+    second.observed(5, record("a", true));
+    renew(&mut second, 6, SECOND, Duration::ZERO);
+    second.lost_track();
+    second.observed(7, record("b", false));
+    renew(&mut second, 8, SECOND * 2, Duration::ZERO);
+    assert_eq!(second.token(SECOND * 2), None);
+    assert_eq!(second.waits_until(SECOND * 2), Some(SECOND + LEASE_DURATION + PAUSE));
+}
+
+#[test]
+fn a_process_that_restarts_within_the_pause_waits_anew() {
+    let mut restarted = hold("b");
+    restarted.observed(6, record("b", false));
+    renew(&mut restarted, 7, Duration::ZERO, Duration::ZERO);
+    assert_eq!(restarted.token(SECOND), None);
+    assert_eq!(restarted.waits_until(Duration::ZERO), Some(LEASE_DURATION + PAUSE));
+}
+
+#[test]
+fn a_process_that_restarts_as_the_settled_holder_goes_on() {
+    let mut restarted = hold("a");
+    restarted.observed(6, record("a", true));
+    renew(&mut restarted, 7, SECOND, Duration::ZERO);
+    assert_eq!(restarted.token(SECOND), Some(7));
+}
+
+#[test]
+fn a_holder_that_was_replaced_does_not_act_and_waits_when_it_returns() {
+    let mut first = hold("a");
+    renew(&mut first, 5, SECOND, Duration::ZERO);
+    first.observed(6, record("b", false));
+    assert_eq!(first.token(SECOND), None);
+    renew(&mut first, 7, SECOND * 2, Duration::ZERO);
+    assert_eq!(first.token(SECOND * 2), None);
+    assert!(first.waits_until(SECOND * 2).is_some());
+}
+
+fn engine(id: &str, versions: &[(&str, u64)]) -> EngineState {
+    EngineState {
+        id: id.to_owned(),
+        models: versions.iter().map(|(model, version)| ((*model).to_owned(), *version)).collect(),
+        is_loading: false,
+        loading: None,
+        in_flight: 0,
+    }
+}
+
+fn models(states: &[(&str, u64, u64, bool)]) -> BTreeMap<String, ModelState> {
+    let state = |version, demand, is_pressed| ModelState { version, demand, is_pressed };
+    states.iter().map(|(name, v, d, p)| ((*name).to_owned(), state(*v, *d, *p))).collect()
+}
+
+/// Orders all that is due until nothing is, as if each load took no time.
+fn load_all(models: &BTreeMap<String, ModelState>, engines: &mut [EngineState]) -> Vec<Load> {
+    let mut done = Vec::new();
+    loop {
+        let due = loads_due(models, engines);
+        if due.is_empty() {
+            return done;
+        }
+        for load in due {
+            let engine = engines.iter_mut().find(|engine| engine.id == load.server).unwrap();
+            engine.models.insert(load.model.clone(), load.version);
+            done.push(load);
+        }
+    }
+}
+
+#[test]
+fn at_most_two_servers_load_at_once() {
+    let mut engines: Vec<_> = (0..8).map(|n| engine(&format!("e{n}"), &[("m", 1)])).collect();
+    let models = models(&[("m", 2, 100, false)]);
+    assert_eq!(loads_due(&models, &engines).len(), 2);
+    engines[0].is_loading = true;
+    engines[0].loading = Some(("m".to_owned(), 2));
+    assert_eq!(loads_due(&models, &engines).len(), 1);
+}
+
+#[test]
+fn each_server_takes_every_second_version_and_none_is_ever_two_behind() {
+    let mut engines: Vec<_> = (0..8).map(|n| engine(&format!("e{n}"), &[("m", 1)])).collect();
+    for version in 2..12 {
+        let loads = load_all(&models(&[("m", version, 100, false)]), &mut engines);
+        assert_eq!(loads.len(), 4, "version {version}");
+        assert!(engines.iter().all(|engine| engine.models["m"] + 1 >= version));
+    }
+}
+
+#[test]
+fn a_pressed_model_gets_every_version_on_all_hosts_when_they_are_idle() {
+    let mut engines: Vec<_> = (0..4).map(|n| engine(&format!("e{n}"), &[("m", 1)])).collect();
+    let loads = load_all(&models(&[("m", 2, 100, true)]), &mut engines);
+    assert_eq!(loads.len(), 4);
+    assert!(loads.iter().all(|load| load.urgency == Urgency::WhenIdle));
+    // One that cannot serve the step any more is not left waiting.
+    engines[0].models.insert("m".to_owned(), 1);
+    let loads = loads_due(&models(&[("m", 3, 100, true)]), &engines);
+    assert_eq!((loads[0].server.as_str(), loads[0].urgency), ("e0", Urgency::Now));
+}
+
+#[test]
+fn servers_follow_the_models_in_proportion_to_demand_and_stay_with_them() {
+    let versions = [("a", 1), ("b", 1), ("c", 1)];
+    let mut engines: Vec<_> = (0..9).map(|n| engine(&format!("e{n}"), &versions)).collect();
+    let mut hosts = BTreeMap::new();
+    for version in 2..10 {
+        let models =
+            models(&[("a", version, 20, true), ("b", version, 60, true), ("c", version, 60, true)]);
+        for load in load_all(&models, &mut engines) {
+            let host = hosts.entry(load.server.clone()).or_insert_with(|| load.model.clone());
+            assert_eq!(*host, load.model, "{} at {version}", load.server);
+        }
+    }
+    let count = |model: &str| hosts.values().filter(|host| *host == model).count();
+    assert_eq!((count("a"), count("b"), count("c")), (1, 4, 4));
+}
+
+#[test]
+fn a_server_that_loads_is_tried_again_once_it_may_have_loaded() {
+    let board = VersionBoard::default();
+    let mut loading = server("e", "engines");
+    loading.models.insert("m".to_owned(), 3);
+    assert_eq!(board.fitness(SECOND, &loading, "m", 3), Fitness::Listed);
+    assert_eq!(board.fitness(SECOND, &loading, "m", 4), Fitness::Unfit);
+    board.order_taken(SECOND, NodeName("a".to_owned()), "e", ("m", 5));
+    assert_eq!(board.fitness(SECOND, &loading, "m", 3), Fitness::Unfit);
+    assert_eq!(board.fitness(SECOND + EXPECTED_LOAD, &loading, "m", 4), Fitness::Expected(5));
+    assert_eq!(board.fitness(SECOND + EXPECTED_LOAD, &loading, "m", 6), Fitness::Unfit);
+    loading.models.insert("m".to_owned(), 5);
+    assert_eq!(board.fitness(SECOND, &loading, "m", 5), Fitness::Listed);
+}
