--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -100,11 +100,11 @@
         failures: 0,
         last_server: Vec::new(),
     };
-    run.to_the_end().await
+    run.run_whole().await
 }
 
 impl ItemRun<'_> {
-    async fn to_the_end(mut self) -> ItemResult {
+    async fn run_whole(mut self) -> ItemResult {
         let begun = self.gateway.now();
         loop {
             let Some(route) = self.route() else {
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -266,7 +266,7 @@
     }
 
     fn time_out(self) -> Result<WholeAnswer, ForwardError> {
-        self.last_failure.map_or(Err(ForwardError::TimedOut), Ok)
+        self.last_failure.ok_or(ForwardError::TimedOut)
     }
 }
 
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -72,9 +72,7 @@
             let gateway = gateway("a", &store, &executor);
             store.fail_watches(&[WatchFault::Deaf]);
             let deaf = Names::default();
-            executor
-                .spawn(mirror::follow(gateway.clone(), KIND, GATHERING, deaf.clone()))
-                .detach();
+            executor.spawn(mirror::follow(gateway.clone(), KIND, GATHERING, deaf.clone())).detach();
             smol::Timer::after(Duration::from_millis(30)).await;
             store.set_down(true);
             let other = Names::default();
--- a/crates/heronbend-gateway/tests/support/memory_store.rs
+++ b/crates/heronbend-gateway/tests/support/memory_store.rs
@@ -32,6 +32,8 @@
 }
 
 type Key = (String, String);
+/// Kind, name, content, and the condition unless the object is to be made.
+type LateWrite = (String, String, Value, Option<Condition>);
 
 #[derive(Default)]
 pub struct MemoryStore {
@@ -41,7 +43,7 @@
     floor: Cell<Revision>,
     write_faults: RefCell<VecDeque<WriteFault>>,
     watch_faults: RefCell<VecDeque<WatchFault>>,
-    late: RefCell<Vec<(String, String, Value, Option<Condition>)>>,
+    late: RefCell<Vec<LateWrite>>,
     down: Cell<bool>,
     muted: Cell<bool>,
     pub calls: Cell<u64>,
@@ -149,7 +151,11 @@
             None => self.make(kind, name, content),
             Some(condition) => self.change(kind, name, content, condition),
         };
-        if fault == Some(WriteFault::AnswerLost) { Err(lost()) } else { written }
+        if fault == Some(WriteFault::AnswerLost) {
+            Err(lost())
+        } else {
+            written
+        }
     }
 
     fn reach(&self) -> Result<(), StoreError> {
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -100,15 +100,20 @@
 };
 
 /// A daemon's state over a store that several may share.
-pub fn gateway(name: &str, store: &Rc<MemoryStore>, executor: &Rc<LocalExecutor<'static>>) -> Rc<Gateway> {
-    let identity =
-        Identity { node: node(name), zone: "z".to_owned(), region: "r".to_owned() };
+pub fn gateway(
+    name: &str,
+    store: &Rc<MemoryStore>,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> Rc<Gateway> {
+    let identity = Identity { node: node(name), zone: "z".to_owned(), region: "r".to_owned() };
     let dialect = Rc::new(OwnDialect::default());
     Gateway::new(identity, store.clone(), dialect, executor.clone(), TUNING)
 }
 
 /// Runs a test's future, with all tasks that it spawns.
-pub fn run<T>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> futures_lite::future::BoxedLocal<T>) -> T {
+pub fn run<T>(
+    test: impl FnOnce(Rc<LocalExecutor<'static>>) -> futures_lite::future::BoxedLocal<T>,
+) -> T {
     let executor = Rc::new(LocalExecutor::new());
     smol::block_on(executor.run(test(executor.clone())))
 }
