Fewer calls to the store: ownerships told by hint, versions watched by candidates, one owner for a model's jobs

Also: what is known of a server fades towards the fastest one, found by a test: beside a fast server a once slow one was never tried again.

--- a/crates/heronbend-gateway/src/balancer.rs
+++ b/crates/heronbend-gateway/src/balancer.rs
@@ -14,11 +14,11 @@
 
 /// Weight of a new sample in a server's mean latency.
 const SAMPLE_WEIGHT: f64 = 0.3;
-/// Time after which half of the difference to the service's mean is forgotten.
+/// Time after which half of the difference to the fastest server is forgotten.
 const FADE: Duration = Duration::from_secs(3);
 /// Added to a server of another zone, in milliseconds.
 const OTHER_ZONE_MILLIS: f64 = 2.0;
-/// Assumed of a server that nothing is known of, in milliseconds.
+/// Assumed where nothing is known of any server, in milliseconds.
 const UNKNOWN_MILLIS: f64 = 20.0;
 const REFUSED_PAUSE: Duration = Duration::from_millis(60);
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
@@ -76,26 +76,33 @@
         zone: &str,
     ) -> Option<Rc<Server>> {
         let untried = candidates.iter().filter(|server| !tried.contains(&server.id));
+        let known = candidates.iter().filter_map(|server| self.loads.get(&server.id)?.mean_millis);
+        let best = known.reduce(f64::min).unwrap_or(UNKNOWN_MILLIS);
         let mut random = rand::rng();
         untried
             .map(|server| {
                 let jitter = random.random::<f64>();
-                (self.is_avoided(now, &server.id), self.cost(now, server, zone) + jitter, server)
+                (
+                    self.is_avoided(now, &server.id),
+                    self.cost(now, server, zone, best) + jitter,
+                    server,
+                )
             })
             .min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)))
             .map(|(_, _, server)| server.clone())
     }
 
-    /// Expected time of one more request, in milliseconds.
-    fn cost(&self, now: Moment, server: &Server, zone: &str) -> f64 {
+    /// Expected time of one more request, in milliseconds. What is known of a server fades towards
+    /// `best`, the mean of the fastest one.
+    fn cost(&self, now: Moment, server: &Server, zone: &str, best: f64) -> f64 {
         let distance = if server.zone == zone { 0.0 } else { OTHER_ZONE_MILLIS };
         let Some(load) = self.loads.get(&server.id) else {
-            return UNKNOWN_MILLIS + distance;
+            return best + distance;
         };
         let age = now.saturating_sub(load.sampled).as_secs_f64();
         let kept = 0.5_f64.powf(age / FADE.as_secs_f64());
-        let known = load.mean_millis.unwrap_or(UNKNOWN_MILLIS);
-        let mean = UNKNOWN_MILLIS + (known - UNKNOWN_MILLIS) * kept;
+        let known = load.mean_millis.unwrap_or(best);
+        let mean = best + (known - best) * kept;
         let occupied = f64::from(load.in_flight) / f64::from(server.slots.max(1));
         mean.max(1.0) * (1.0 + occupied) + distance
     }
--- a/crates/heronbend-gateway/src/batch/appender.rs
+++ b/crates/heronbend-gateway/src/batch/appender.rs
@@ -14,7 +14,7 @@
 use crate::ports::{Object, StoreError};
 
 /// Results that come within this time are written together: each call to the store has a price.
-const GATHERING: Duration = Duration::from_millis(200);
+const GATHERING: Duration = Duration::from_millis(450);
 
 /// Appends results for as long as this daemon runs the job.
 pub async fn run(gateway: Rc<Gateway>, job: Rc<Job>) {
@@ -24,8 +24,7 @@
         let chunk = job.log.borrow_mut().start_writing();
         let Some(chunk) = chunk else {
             waits.await;
-            let is_last = job.log.borrow().len() + job.log.borrow().pending() >= job.total;
-            if !is_last {
+            if !is_urgent(&job) {
                 gather(&job).await;
             }
             continue;
@@ -47,13 +46,31 @@
     }
 }
 
+/// Whether a waiting result makes the trainer's wait end: with it as many groups are whole as the
+/// trainer wants, or all items are listed.
+fn is_urgent(job: &Job) -> bool {
+    let log = job.log.borrow();
+    if log.len() + log.pending() >= job.total {
+        return true;
+    }
+    let specification = job.specification.borrow();
+    let Some(specification) = specification.as_deref() else {
+        return false;
+    };
+    let Some(step) = &specification.step else {
+        return false;
+    };
+    let settled = specification.whole_groups(|item| log.is_listed(item));
+    let waiting = specification.whole_groups(|item| log.has_result(item));
+    settled < step.desired_groups && waiting >= step.desired_groups
+}
+
 /// Waits for further results, but not for long.
 async fn gather(job: &Job) {
     let all_wait = async {
         loop {
             let waits = job.result_waits.listen();
-            let is_last = job.log.borrow().len() + job.log.borrow().pending() >= job.total;
-            if is_last {
+            if is_urgent(job) {
                 return;
             }
             waits.await;
--- a/crates/heronbend-gateway/src/batch/hand_in.rs
+++ b/crates/heronbend-gateway/src/batch/hand_in.rs
@@ -1,21 +1,24 @@
 //! Taking in batch jobs, and ending them.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use heronbend::identity::NodeId;
 use heronbend::Moment;
 use http::StatusCode;
 use serde_json::json;
 use smol::Timer;
 
 use super::ownership::{successor, Ownership};
+use super::ownership_duty;
 use super::registry::{OWNERSHIPS, SPECIFICATIONS};
 use super::runner::start_own_jobs;
 use super::specification::{is_base64, JobSpecification};
 use crate::gateway::Gateway;
 use crate::mirror::backoff;
-use crate::peers::Hint;
-use crate::ports::{Condition, StoreError};
+use crate::peers::{client, PeerReply, PeerRequest};
+use crate::ports::{Condition, Revision, StoreError};
 
 /// Room that an object needs apart from a specification's own bytes.
 const OBJECT_OVERHEAD: usize = 4 * 1024;
@@ -110,16 +113,15 @@
     specification: Rc<JobSpecification>,
     give_up_at: Moment,
 ) -> Result<(), HandInError> {
-    let ownership = Ownership::new(&specification, new_owner(gateway, &specification.id));
+    let ownership = Ownership::new(&specification, new_owner(gateway, &specification));
     let content = json!(ownership);
     let mut failures = 0;
     loop {
         match gateway.store.create(OWNERSHIPS, &specification.id, content.clone()).await {
             Ok(object) => {
-                let job = gateway.jobs.learn(&specification.id, ownership, object.revision);
-                *job.specification.borrow_mut() = Some(specification.clone());
                 gateway.metrics.jobs_accepted.inc();
-                start_own_jobs(gateway);
+                ownership_duty::tell(gateway, &specification.id, &ownership, object.revision);
+                start(gateway, ownership, object.revision, specification);
                 return Ok(());
             }
             Err(StoreError::Conflict(object)) => {
@@ -145,13 +147,61 @@
     }
 }
 
-/// This daemon, unless it is about to stop.
-fn new_owner(gateway: &Gateway, job: &str) -> heronbend::identity::NodeId {
+/// Has a job that was handed in a moment ago run by its owner.
+fn start(
+    gateway: &Rc<Gateway>,
+    ownership: Ownership,
+    revision: Revision,
+    specification: Rc<JobSpecification>,
+) {
+    if ownership.owner == gateway.identity.node {
+        run_here(gateway, ownership, revision, Rc::unwrap_or_clone(specification));
+        return;
+    }
+    let job = gateway.jobs.learn(&specification.id, ownership.clone(), revision);
+    *job.specification.borrow_mut() = Some(specification.clone());
+    let executor = gateway.executor.clone();
+    let gateway = gateway.clone();
+    let asking = async move {
+        let owner = ownership.owner.clone();
+        let specification = JobSpecification::clone(&specification);
+        let request = PeerRequest::RunJob { ownership, revision, specification };
+        let reply = client::call(&gateway, &owner, &request, Duration::ZERO).await;
+        log::info!("event=job_passed_on job={} owner={owner} reply={reply:?}", job.id);
+        if reply != Some(PeerReply::Running) {
+            ownership_duty::adopt(&gateway, &job).await;
+        }
+    };
+    executor.spawn(asking).detach();
+}
+
+/// Runs a job that has no results yet.
+pub fn run_here(
+    gateway: &Rc<Gateway>,
+    ownership: Ownership,
+    revision: Revision,
+    specification: JobSpecification,
+) -> PeerReply {
+    if ownership.owner != gateway.identity.node || gateway.draining.get() {
+        return PeerReply::NotOwner;
+    }
+    let job = gateway.jobs.learn(&specification.id, ownership, revision);
+    *job.specification.borrow_mut() = Some(Rc::new(specification));
+    job.is_new.set(true);
+    start_own_jobs(gateway);
+    PeerReply::Running
+}
+
+/// Who runs a job. The jobs of one model are run by one daemon, where that is possible: it knows
+/// what it has sent to each server, and its connections serve one step after the other.
+fn new_owner(gateway: &Gateway, specification: &JobSpecification) -> NodeId {
     let me = gateway.identity.node.clone();
+    let mut alive = gateway.members.alive();
     if !gateway.draining.get() {
-        return me;
+        alive.push(me.clone());
     }
-    successor(job, gateway.members.alive().iter()).cloned().unwrap_or(me)
+    let key = specification.step.as_ref().map_or(&specification.id, |step| &step.model);
+    successor(key, alive.iter()).cloned().unwrap_or(me)
 }
 
 /// Why a job could not be ended.
@@ -171,10 +221,7 @@
     let mut failures = 0;
     loop {
         match try_end(gateway, id).await {
-            Ok(true) => {
-                gateway.members.tell_all(Hint::JobEnded { job: id.to_owned() });
-                return Ok(());
-            }
+            Ok(true) => return Ok(()),
             Ok(false) => return Err(EndError::NoSuchJob),
             // It changed hands meanwhile: the newer ownership is known now.
             Err(StoreError::Conflict(Some(object))) => {
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -14,12 +14,14 @@
 //! - [`registry`]: the jobs that this daemon knows.
 //! - [`hand_in`], [`reading`]: the callers' side.
 //! - [`runner`], [`item_run`], [`reward`], [`appender`]: the owner's side.
+//! - [`ownership_duty`]: who owns what, and jobs taken over.
 
 pub mod appender;
 pub mod event_stream;
 pub mod hand_in;
 pub mod item_run;
 pub mod ownership;
+pub mod ownership_duty;
 pub mod reading;
 pub mod registry;
 pub mod result_log;
--- a/crates/heronbend-gateway/src/batch/ownership.rs
+++ b/crates/heronbend-gateway/src/batch/ownership.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// A job as all daemons know it: a small object beside its specification.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, musli::Encode, musli::Decode)]
 pub struct Ownership {
     /// The run of the daemon that runs it.
     pub owner: NodeId,
@@ -13,9 +13,11 @@
     pub total: usize,
     /// The model that it needs, if any.
     #[serde(default)]
+    #[musli(default)]
     pub model: Option<String>,
     /// Tokens that are expected to come out of all items together.
     #[serde(default)]
+    #[musli(default)]
     pub expected_tokens: u64,
     /// Whether its caller has ended it: nothing of it is run any more.
     pub ended: bool,
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -50,6 +50,8 @@
     pub stopping: Event,
     /// Whether it is being run here.
     pub running: Cell<bool>,
+    /// Whether it was made a moment ago, so that it has no results in the store.
+    pub is_new: Cell<bool>,
     /// When this daemon first knew of it.
     pub known_since: Moment,
     /// When this daemon learnt of its end.
@@ -70,6 +72,7 @@
             result_waits: Event::new(),
             stopping: Event::new(),
             running: Cell::new(false),
+            is_new: Cell::new(false),
             known_since: now,
         })
     }
@@ -100,8 +103,8 @@
     clock: Box<dyn Fn() -> Moment>,
     /// Whether the ownerships have been read from the store.
     pub known: Cell<bool>,
-    /// Notified when a job was added or changed hands.
-    pub changed: Event,
+    /// Notified when the ownerships are to be listed.
+    pub list_wanted: Event,
 }
 
 impl JobRegistry {
@@ -111,7 +114,7 @@
             jobs: RefCell::default(),
             clock: Box::new(clock),
             known: Cell::new(false),
-            changed: Event::new(),
+            list_wanted: Event::new(),
         }
     }
 
@@ -132,7 +135,6 @@
         let Some(job) = known else {
             let job = Job::new(id, ownership, revision, now);
             self.jobs.borrow_mut().insert(id.to_owned(), job.clone());
-            self.changed.notify(usize::MAX);
             return job;
         };
         if revision > job.ownership.borrow().1 {
@@ -144,7 +146,6 @@
             }
             if has_moved {
                 job.stopping.notify(usize::MAX);
-                self.changed.notify(usize::MAX);
             }
         }
         job
--- a/crates/heronbend-gateway/src/batch/result_log.rs
+++ b/crates/heronbend-gateway/src/batch/result_log.rs
@@ -96,6 +96,11 @@
         self.listed.contains(item)
     }
 
+    /// Whether an item's result is settled or waits to be written.
+    pub fn has_result(&self, item: &str) -> bool {
+        self.is_listed(item) || self.pending.iter().any(|pending| pending.item == item)
+    }
+
     /// Results that wait to be written.
     pub fn pending(&self) -> usize {
         self.pending.len()
--- a/crates/heronbend-gateway/src/batch/specification.rs
+++ b/crates/heronbend-gateway/src/batch/specification.rs
@@ -1,11 +1,13 @@
 //! What a batch job consists of.
 
+use std::collections::HashMap;
+
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 /// A batch job as it was handed in.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, musli::Encode, musli::Decode)]
 pub struct JobSpecification {
     /// Its identifier, chosen by the caller.
     pub id: String,
@@ -19,8 +21,20 @@
     pub step: Option<TrainerStep>,
 }
 
+impl JobSpecification {
+    /// Groups all of whose items fulfil a condition.
+    pub fn whole_groups(&self, fulfils: impl Fn(&str) -> bool) -> usize {
+        let mut groups: HashMap<&str, bool> = HashMap::new();
+        for item in &self.items {
+            let group = item.group.as_deref().unwrap_or(&item.id);
+            *groups.entry(group).or_insert(true) &= fulfils(&item.id);
+        }
+        groups.values().filter(|is_whole| **is_whole).count()
+    }
+}
+
 /// The step of a trainer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, musli::Encode, musli::Decode)]
 pub struct TrainerStep {
     /// Number of the step.
     pub number: u64,
@@ -33,7 +47,7 @@
 }
 
 /// One request of a batch job.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, musli::Encode, musli::Decode)]
 pub struct Item {
     /// Its identifier.
     pub id: String,
@@ -66,7 +80,7 @@
 }
 
 /// A request that scores a text.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, musli::Encode, musli::Decode)]
 pub struct RewardCall {
     /// Its identifier.
     pub id: String,
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -14,7 +14,7 @@
 use smol::Timer;
 
 use super::messages::{Datagram, Hint, PeerReply, PeerRequest};
-use crate::batch::reading;
+use crate::batch::{hand_in, ownership_duty, reading};
 use crate::gateway::Gateway;
 use crate::http::server::read_body;
 use crate::http::{bytes_answer, text_answer, Answer};
@@ -26,7 +26,7 @@
 /// How long the own watch may lag behind what a peer knows.
 const BEHIND_PATIENCE: Duration = Duration::from_millis(700);
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
-const MAX_REQUEST_BYTES: usize = 64 * 1024;
+const MAX_REQUEST_BYTES: usize = 32 * 1024 * 1024;
 
 /// Time constants: a daemon that is lost is known to be dead after about two seconds.
 const DETECTOR: DetectorConfig = DetectorConfig {
@@ -130,6 +130,7 @@
     effects: Vec<Effect>,
 ) {
     let mut has_changed = false;
+    let mut lost = Vec::new();
     for effect in effects {
         match effect {
             Effect::Send { to, gossip } => send(socket, to, &Datagram::Gossip(*gossip)).await,
@@ -140,6 +141,9 @@
                     member.id,
                     member.liveness
                 );
+                if member.liveness > Liveness::Suspect {
+                    lost.push(member.id);
+                }
                 has_changed = true;
             }
             Effect::Behind { head, .. } => check_behind(gateway, head),
@@ -149,6 +153,9 @@
     if has_changed {
         gateway.members.publish(detector.members().cloned().collect());
     }
+    for node in lost {
+        ownership_duty::note_lost(gateway, &node);
+    }
 }
 
 async fn tell_all(detector: &Detector, socket: &UdpSocket, hint: Hint) {
@@ -173,7 +180,9 @@
             note_order_taken(gateway, holder, &server, &model, version);
         }
         Hint::LeaseTaken { holder } => gateway.versions.set_holder(gateway.now(), holder),
-        Hint::JobEnded { job } => gateway.jobs.end(&job),
+        Hint::JobOwned { job, ownership, revision } => {
+            ownership_duty::take_hint(gateway, &job, ownership, revision);
+        }
     }
 }
 
@@ -207,6 +216,9 @@
         return text_answer(StatusCode::BAD_REQUEST, "malformed");
     };
     let reply = match request {
+        PeerRequest::RunJob { ownership, revision, specification } => {
+            hand_in::run_here(&gateway, ownership, revision, specification)
+        }
         PeerRequest::ReadResults { job, chunks, wait_millis } => {
             let wait = Duration::from_millis(wait_millis);
             reading::answer_peer(&gateway, &job, chunks, wait).await
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -4,6 +4,8 @@
 use heronbend::membership::Gossip;
 use musli::{Decode, Encode};
 
+use crate::batch::ownership::Ownership;
+use crate::batch::specification::JobSpecification;
 use crate::batch::ItemResult;
 
 /// A datagram.
@@ -34,16 +36,29 @@
         /// The daemon.
         holder: NodeName,
     },
-    /// A batch job has been ended.
-    JobEnded {
+    /// A batch job was taken in, changed hands or was ended.
+    JobOwned {
         /// The batch job.
         job: String,
+        /// What the store holds of it now.
+        ownership: Ownership,
+        /// At which revision.
+        revision: u64,
     },
 }
 
 /// A call to a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub enum PeerRequest {
+    /// Asks the peer to run a job that was handed in for it.
+    RunJob {
+        /// What the store holds of it.
+        ownership: Ownership,
+        /// At which revision.
+        revision: u64,
+        /// Its items.
+        specification: JobSpecification,
+    },
     /// Reads settled results of a job that the peer runs.
     ReadResults {
         /// The batch job.
@@ -65,6 +80,8 @@
         /// Chunks that the reader then has.
         chunks: u32,
     },
+    /// The peer runs the job.
+    Running,
     /// The peer does not run this job.
     NotOwner,
 }
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -12,8 +12,7 @@
 use smol::{LocalExecutor, Timer};
 use thiserror::Error;
 
-use crate::batch::registry::OWNERSHIPS;
-use crate::batch::runner::{self, OwnershipSink};
+use crate::batch::ownership_duty;
 use crate::configuration::Configuration;
 use crate::gateway::{Gateway, Identity, Tuning};
 use crate::http::server::{Listener, ListenerLimits};
@@ -24,10 +23,9 @@
 use crate::versions;
 
 /// Changes of servers that come within this time cost one call together.
-const DIRECTORY_GATHERING: Duration = Duration::from_millis(350);
+const DIRECTORY_GATHERING: Duration = Duration::from_millis(900);
 /// Changes of the configuration that come within this time cost one call together.
 const CONFIGURATION_GATHERING: Duration = Duration::from_millis(300);
-const OWNERSHIP_GATHERING: Duration = Duration::from_millis(40);
 /// Added to the idle timeout of clients before a kept connection is closed.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 /// Time for the entry to stop sending new connections, after the daemon says it is not ready.
@@ -189,9 +187,8 @@
     }) as std::pin::Pin<Box<dyn std::future::Future<Output = ()>>>);
     let directory = DirectorySink(gateway.clone());
     spawn(Box::pin(mirror::follow(gateway.clone(), servers, DIRECTORY_GATHERING, directory)));
-    let ownerships = OwnershipSink(gateway.clone());
-    spawn(Box::pin(mirror::follow(gateway.clone(), OWNERSHIPS, OWNERSHIP_GATHERING, ownerships)));
-    spawn(Box::pin(runner::adopt_orphans(gateway.clone())));
+    spawn(Box::pin(ownership_duty::follow(gateway.clone())));
+    spawn(Box::pin(ownership_duty::adopt_orphans(gateway.clone())));
     spawn(Box::pin(versions::duty::follow_versions(gateway.clone())));
     spawn(Box::pin(versions::duty::run(gateway.clone())));
 }
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -30,6 +30,8 @@
 const LEASE_NAME: &str = "orders";
 /// How long a daemon waits for the one before it in line, when no order is seen to be taken.
 const STALL: Duration = Duration::from_millis(2500);
+/// Daemons that are ready to take the lease.
+const CANDIDATES: usize = 3;
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// First look at a server that is loading, and the time between further ones.
 const FIRST_REPORT: Duration = Duration::from_millis(960);
@@ -39,7 +41,7 @@
 /// Rest after an order failed.
 const FAILED_REST: Duration = Duration::from_millis(400);
 /// A step that takes longer needs more than half of its model's servers.
-const SLOW_STEP: Duration = Duration::from_millis(3300);
+const SLOW_STEP: Duration = Duration::from_millis(4200);
 /// Steps of a model that are looked at for this.
 const RECENT_STEPS: usize = 3;
 const IDLE_WAIT: Duration = Duration::from_millis(500);
@@ -207,30 +209,21 @@
     /// store without the others knowing.
     fn is_my_turn(&self) -> bool {
         let gateway = &self.gateway;
-        let me = &gateway.identity.node;
-        let mut line: Vec<NodeId> = gateway.members.alive();
-        line.push(me.clone());
-        let mut place = 0_u32;
-        if let Some((holder, _)) = gateway.versions.last_holder() {
-            if holder == me.name {
+        let mut before = 0;
+        let holder = gateway.versions.last_holder().map(|(holder, _)| holder);
+        if let Some(holder) = &holder {
+            if *holder == gateway.identity.node.name {
                 return true;
             }
             if gateway.draining.get() {
                 return false;
             }
-            if !gateway.members.is_name_lost(gateway.now(), &holder) {
-                place += 1;
+            if !gateway.members.is_name_lost(gateway.now(), holder) {
+                before += 1;
             }
-            line.retain(|node| node.name != holder);
         }
-        while let Some(next) = successor(LEASE_NAME, line.iter()).cloned() {
-            if next == *me {
-                break;
-            }
-            line.retain(|node| *node != next);
-            place += 1;
-        }
-        self.stalled_for() >= STALL * place
+        before += place_in_line(gateway, holder.as_ref());
+        self.stalled_for() >= STALL * u32::try_from(before).unwrap_or(u32::MAX)
     }
 
     /// Time for which orders could have been given and were not.
@@ -472,9 +465,51 @@
     }
 }
 
-/// Follows the versions that trainers name.
+/// Follows the versions that trainers name, while this daemon is among the first in line for the
+/// lease: the others have no use for them, and each watch has a price.
 pub async fn follow_versions(gateway: Rc<Gateway>) {
     let kind = gateway.dialect.kinds().versions;
-    let sink = VersionSink(gateway.clone());
-    mirror::follow(gateway, kind, Duration::from_millis(5), sink).await;
+    loop {
+        let changed = gateway.members.changed.listen();
+        if !is_candidate(&gateway) {
+            changed.or(rest()).await;
+            continue;
+        }
+        let sink = VersionSink(gateway.clone());
+        let follow = mirror::follow(gateway.clone(), kind, Duration::from_millis(5), sink);
+        let dismissed = async {
+            while is_candidate(&gateway) {
+                gateway.members.changed.listen().or(rest()).await;
+            }
+        };
+        follow.or(dismissed).await;
+    }
+}
+
+async fn rest() {
+    Timer::after(IDLE_WAIT).await;
+}
+
+/// Whether this daemon is the holder of the lease, or among the first of those that are alive.
+fn is_candidate(gateway: &Gateway) -> bool {
+    let me = &gateway.identity.node;
+    let is_holder = gateway.versions.last_holder().is_some_and(|(holder, _)| holder == me.name);
+    is_holder || place_in_line(gateway, None) < CANDIDATES
+}
+
+/// How many daemons that are alive come before this one, without `holder`.
+fn place_in_line(gateway: &Gateway, holder: Option<&NodeName>) -> usize {
+    let me = &gateway.identity.node;
+    let mut line: Vec<NodeId> = gateway.members.alive();
+    line.push(me.clone());
+    line.retain(|node| Some(&node.name) != holder);
+    let mut place = 0;
+    while let Some(next) = successor(LEASE_NAME, line.iter()).cloned() {
+        if next == *me {
+            break;
+        }
+        line.retain(|node| *node != next);
+        place += 1;
+    }
+    place
 }
--- a/crates/heronbend-gateway/tests/routing.rs
+++ b/crates/heronbend-gateway/tests/routing.rs
@@ -72,7 +72,7 @@
     }
     let chosen = |balancer: &Balancer, now| balancer.choose(now, &servers, &[], "z").unwrap();
     assert_eq!(chosen(&balancer, SECOND).id, "fast");
-    // Long after, little is left of what was known: both are tried.
+    // Long after, little is left of what was known: both are tried, however fast the other is.
     let later = SECOND * 60;
     let slow = (0..200).filter(|_| chosen(&balancer, later).id == "slow").count();
     assert!(slow > 20, "{slow}");
