The store is probed when silent; an owner answers for a log only once the store confirmed it

Now it answers only for a confirmed log, and a paused owner not for longer than 2.5 s after its last look. Each has a test that fails without it.

--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -100,8 +100,12 @@
 pub async fn watch_for_end(gateway: &Rc<Gateway>, job: &Job) {
     loop {
         Timer::after(OWN_LOOK).await;
+        let asked = gateway.now();
         if let Ok(Some(object)) = gateway.store.get(OWNERSHIPS, &job.id).await {
             gateway.jobs.learn_object(&object);
+            if job.confirmed.get().is_some() {
+                job.confirmed.set(Some(asked));
+            }
             if job.ended.get() || job.owner() != gateway.identity.node {
                 return;
             }
--- a/crates/heronbend-gateway/src/batch/reading.rs
+++ b/crates/heronbend-gateway/src/batch/reading.rs
@@ -47,7 +47,7 @@
         }
         let now = gateway.now();
         let left = wait_until.saturating_sub(now);
-        if job.running.get() {
+        if job.is_authority(now) {
             let is_over = left.is_zero() || job.ended.get();
             if is_over {
                 break;
@@ -111,7 +111,7 @@
     wait: Duration,
 ) -> PeerReply {
     let job = gateway.jobs.get(id).filter(|job| job.owner() == gateway.identity.node);
-    let Some(job) = job.filter(|job| job.running.get() || job.is_complete()) else {
+    let Some(job) = job.filter(|job| job.is_authority(gateway.now()) || job.is_complete()) else {
         return PeerReply::NotOwner;
     };
     let until = gateway.now() + wait;
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use event_listener::Event;
 use heronbend::identity::NodeId;
@@ -18,6 +19,10 @@
 /// Kind of the ownerships.
 pub const OWNERSHIPS: &str = "heronbend-work";
 
+/// Time for which a confirmation from the store holds. An owner that is lost to the others is
+/// replaced no sooner.
+const CONFIRMATION_HOLDS: Duration = Duration::from_millis(2500);
+
 /// Kind of the chunks of a job's results.
 pub fn results_kind(job: &str) -> String {
     format!("heronbend-results-{job}")
@@ -50,6 +55,8 @@
     pub stopping: Event,
     /// Whether it is being run here.
     pub running: Cell<bool>,
+    /// When the store last confirmed that this daemon runs it and that the log here is complete.
+    pub confirmed: Cell<Option<Moment>>,
     /// Whether it was made a moment ago, so that it has no results in the store.
     pub is_new: Cell<bool>,
     /// When this daemon first knew of it.
@@ -72,6 +79,7 @@
             result_waits: Event::new(),
             stopping: Event::new(),
             running: Cell::new(false),
+            confirmed: Cell::new(None),
             is_new: Cell::new(false),
             known_since: now,
         })
@@ -82,6 +90,13 @@
         self.ownership.borrow().0.owner.clone()
     }
 
+    /// Whether this daemon runs it and its log is sure to hold all that has ever been readable. A
+    /// daemon that was paused may have lost the job to another one, which has appended since.
+    pub fn is_authority(&self, now: Moment) -> bool {
+        let confirmed = self.confirmed.get();
+        self.running.get() && confirmed.is_some_and(|at| now < at + CONFIRMATION_HOLDS)
+    }
+
     /// Whether every item has a settled result.
     pub fn is_complete(&self) -> bool {
         self.log.borrow().len() >= self.total
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -52,10 +52,12 @@
         job.ended.get()
     );
     job.running.set(false);
+    job.confirmed.set(None);
 }
 
 async fn work_on(gateway: &Rc<Gateway>, job: &Rc<Job>) {
     let specification = load(gateway, job).await;
+    job.confirmed.set(Some(gateway.now()));
     let _appender = gateway.executor.spawn(appender::run(gateway.clone(), job.clone()));
     let mut tasks: Vec<Task<()>> = Vec::new();
     for position in begin_order(&specification.items) {
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -14,6 +14,9 @@
 const WATCH_WAIT: Duration = Duration::from_secs(29);
 const BACKOFF_BASE: Duration = Duration::from_millis(80);
 const BACKOFF_CAP: Duration = Duration::from_millis(640);
+/// Longest time without an answer of the store after which it is probed.
+const PROBE_PERIOD: Duration = Duration::from_millis(1000);
+const PROBE_RETRY: Duration = Duration::from_millis(400);
 /// Failures in a row after which the watches of other kinds are begun anew.
 const FAILURES_TO_DOUBT: u32 = 2;
 /// Failures in a row after which the loss of the store is logged.
@@ -100,6 +103,42 @@
     }
 }
 
+/// Looks whether the store answers, whenever nothing else has shown it for a while.
+///
+/// A watch that was begun while the store, or the way to it, was silent may never be answered, and
+/// one on a way that has gone silent hears nothing. Neither shows by itself for a long time.
+pub async fn probe_store(gateway: Rc<Gateway>) {
+    let mut failures = 0;
+    loop {
+        let rest = if failures == 0 { PROBE_PERIOD } else { PROBE_RETRY };
+        Timer::after(rest).await;
+        let silent_for = gateway.now().saturating_sub(gateway.store_answered.get());
+        if failures == 0 && silent_for < PROBE_PERIOD {
+            continue;
+        }
+        match gateway.store.probe().await {
+            Ok(()) => {
+                gateway.store_answered.set(gateway.now());
+                if failures > 0 {
+                    log::info!("event=store_answers_again probes_failed={failures}");
+                    gateway.store_reached_since.set(gateway.now());
+                    gateway.watches_doubted.notify(usize::MAX);
+                }
+                failures = 0;
+            }
+            Err(error) => {
+                failures += 1;
+                if failures == 1 {
+                    log::warn!(
+                        "event=store_silent silent_ms={} error=\"{error}\"",
+                        silent_for.as_millis()
+                    );
+                }
+            }
+        }
+    }
+}
+
 /// All objects of a kind, with the revision to watch from.
 pub async fn list_all(
     gateway: &Gateway,
@@ -121,6 +160,7 @@
 }
 
 fn note_success(gateway: &Gateway, kind: &str, failures: &mut u32) {
+    gateway.store_answered.set(gateway.now());
     if *failures > 0 {
         gateway.store_reached_since.set(gateway.now());
     }
--- a/crates/heronbend-gateway/src/ports/object_store.rs
+++ b/crates/heronbend-gateway/src/ports/object_store.rs
@@ -131,6 +131,10 @@
         condition: Condition,
     ) -> Result<Object, StoreError>;
 
+    /// Asks for as little as possible, to learn whether the store answers. What it answers may be
+    /// out of date.
+    async fn probe(&self) -> Result<(), StoreError>;
+
     /// Removes an object; no error when there is none.
     async fn remove(&self, kind: &str, name: &str) -> Result<(), StoreError>;
 }
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -14,6 +14,7 @@
 
 use crate::batch::ownership_duty;
 use crate::configuration::Configuration;
+use crate::directory::ServerState;
 use crate::gateway::{Gateway, Identity, Tuning};
 use crate::http::server::{Listener, ListenerLimits};
 use crate::http::{bytes_answer, text_answer, Answer};
@@ -187,6 +188,7 @@
     }) as std::pin::Pin<Box<dyn std::future::Future<Output = ()>>>);
     let directory = DirectorySink(gateway.clone());
     spawn(Box::pin(mirror::follow(gateway.clone(), servers, DIRECTORY_GATHERING, directory)));
+    spawn(Box::pin(mirror::probe_store(gateway.clone())));
     spawn(Box::pin(ownership_duty::follow(gateway.clone())));
     spawn(Box::pin(ownership_duty::adopt_orphans(gateway.clone())));
     spawn(Box::pin(versions::duty::follow_versions(gateway.clone())));
@@ -280,7 +282,18 @@
 impl DirectorySink {
     fn take(&self, object: &Object) {
         match self.0.dialect.server(&object.name, &object.content) {
-            Ok(server) => self.0.directory.borrow_mut().insert(server),
+            Ok(server) => {
+                let mut directory = self.0.directory.borrow_mut();
+                let known = directory.get(&server.id).map(|known| known.state);
+                if server.state == ServerState::Draining && known != Some(server.state) {
+                    log::info!(
+                        "event=server_draining server={} revision={}",
+                        server.id,
+                        object.revision
+                    );
+                }
+                directory.insert(server);
+            }
             Err(error) => log::warn!("event=server_malformed error=\"{error}\""),
         }
     }
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -10,6 +10,7 @@
 use heronbend_gateway::batch::registry::{chunk_name, results_kind, OWNERSHIPS, SPECIFICATIONS};
 use heronbend_gateway::batch::{appender, reading};
 use heronbend_gateway::mirror::{self, MirrorSink};
+use heronbend_gateway::peers::PeerReply;
 use heronbend_gateway::ports::{Change, Object};
 use serde_json::json;
 use support::memory_store::{MemoryStore, WatchFault, WriteFault};
@@ -231,3 +232,51 @@
         })
     });
 }
+
+#[test]
+fn a_daemon_that_calls_nothing_notices_an_outage_and_leaves_its_deaf_watch() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            // Begun while the store was silent: it is never answered.
+            store.fail_watches(&[WatchFault::Deaf]);
+            let names = Names::default();
+            executor
+                .spawn(mirror::follow(gateway.clone(), KIND, GATHERING, names.clone()))
+                .detach();
+            executor.spawn(mirror::probe_store(gateway.clone())).detach();
+            smol::Timer::after(Duration::from_millis(30)).await;
+            store.set_down(true);
+            let calls = store.calls.get();
+            wait_until("the store was probed", || store.calls.get() > calls).await;
+            store.put(KIND, "missed", json!(1));
+            store.set_down(false);
+            wait_until("the change is known", || names.contains("missed")).await;
+        })
+    });
+}
+
+#[test]
+fn an_owner_answers_for_a_log_only_once_the_store_has_confirmed_it() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            let patience = gateway.now() + PATIENCE;
+            hand_in::hand_in(&gateway, job("j", 3), patience).await.unwrap();
+            let job = gateway.jobs.get("j").unwrap();
+            // Another daemon ran it before, and its results were read.
+            let chunk = json!({ "results": [result("item-1")] });
+            store.put(&results_kind("j"), &chunk_name(0), chunk);
+            job.confirmed.set(None);
+            let reply = reading::answer_peer(&gateway, "j", 0, Duration::ZERO).await;
+            assert_eq!(reply, PeerReply::NotOwner);
+            let page = reading::results(&gateway, "j", 0, gateway.now()).await.unwrap();
+            assert_eq!(page.results.len(), 1);
+            job.confirmed.set(Some(gateway.now()));
+            let reply = reading::answer_peer(&gateway, "j", 0, Duration::ZERO).await;
+            assert!(matches!(reply, PeerReply::Results { chunks: 1, .. }), "{reply:?}");
+        })
+    });
+}
--- a/crates/heronbend-gateway/tests/support/memory_store.rs
+++ b/crates/heronbend-gateway/tests/support/memory_store.rs
@@ -250,6 +250,10 @@
         Ok(self.set(kind, name, object.content, status))
     }
 
+    async fn probe(&self) -> Result<(), StoreError> {
+        self.reach()
+    }
+
     async fn remove(&self, kind: &str, name: &str) -> Result<(), StoreError> {
         self.reach()?;
         self.objects.borrow_mut().remove(&(kind.to_owned(), name.to_owned()));
