--- a/crates/heronbend-gateway/src/batch/result_log.rs
+++ b/crates/heronbend-gateway/src/batch/result_log.rs
@@ -4,14 +4,14 @@
 //! somebody who knows chunks 0 to n - 1, under the condition that there is no chunk n. A result has
 //! its position once the chunk that holds it is known to be in the store, and keeps it for ever.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 
 /// How an item ended.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, musli::Encode, musli::Decode,
+    Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, musli::Encode, musli::Decode,
 )]
 #[serde(rename_all = "kebab-case")]
 pub enum ItemState {
@@ -22,7 +22,9 @@
 }
 
 /// The result of an item.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, musli::Encode, musli::Decode)]
+#[derive(
+    Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, musli::Encode, musli::Decode,
+)]
 pub struct ItemResult {
     /// The item.
     pub item: String,
@@ -48,7 +50,7 @@
 }
 
 /// A chunk that is to be written.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Chunk {
     /// Its number.
     pub number: u32,
@@ -64,10 +66,10 @@
 const RESULT_OVERHEAD: usize = 256;
 
 /// One daemon's view of a job's log.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct ResultLog {
     results: Vec<Rc<ItemResult>>,
-    listed: HashSet<String>,
+    listed: BTreeSet<String>,
     chunks: u32,
     /// Number of results that were settled before each chunk.
     chunk_starts: Vec<usize>,
--- a/crates/heronbend-gateway/src/versions/lease.rs
+++ b/crates/heronbend-gateway/src/versions/lease.rs
@@ -20,7 +20,7 @@
 const ACT_MARGIN: Duration = Duration::from_millis(300);
 
 /// What the lease's object says.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LeaseRecord {
     /// The machine that holds it. A restarted process of the same machine is the same holder.
     pub holder: NodeName,
@@ -30,7 +30,7 @@
 }
 
 /// One daemon's hold on the lease.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct LeaseHold {
     me: NodeName,
     pause: Duration,
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -17,7 +17,15 @@
 //! A [`Mutation`](model::Mutation) removes one guard, upon which the checker must find a
 //! counterexample.
 
+//!
+//! The gateway's two protocols at the store are models of their own, explored by [`explore`]:
+//! [`order_lease`], under which one daemon at a time gives orders, and [`result_log`], which two
+//! daemons may append to at once. They drive the gateway's own state machines as well.
+
 pub mod check;
+pub mod explore;
 pub mod interner;
 pub mod model;
+pub mod order_lease;
+pub mod result_log;
 pub mod scenario;
--- /dev/null
+++ b/spec/tests/gateway_protocols.rs
@@ -0,0 +1,67 @@
+//! The gateway's protocols at the store, checked within bounds, and every guard shown to be needed.
+
+use heronbend_spec::check::Report;
+use heronbend_spec::explore::{explore, System};
+use heronbend_spec::order_lease::{self, Bounds, OrderLease};
+use heronbend_spec::result_log::{self, SharedLog};
+
+const MAX_STATES: usize = 1_500_000;
+
+/// Long enough for a takeover with its pause.
+const LONG: Bounds = Bounds { ticks: 5, writes: 3, restarts: 0 };
+/// A restart, within the time of a lease.
+const RESTART: Bounds = Bounds { ticks: 2, writes: 3, restarts: 1 };
+const LOG: SharedLog =
+    SharedLog { items: 2, writes: 4, restarts: 1, mutation: result_log::Mutation::None };
+
+fn run<S: System + std::fmt::Debug>(system: &S) -> Report {
+    let report = explore(system, MAX_STATES);
+    println!(
+        "system={system:?} states={} steps={} exhausted={}",
+        report.states, report.steps, report.exhausted
+    );
+    if let Some(counterexample) = &report.counterexample {
+        println!("{counterexample}");
+    }
+    report
+}
+
+fn holds<S: System + std::fmt::Debug>(system: &S) {
+    let report = run(system);
+    assert!(report.counterexample.is_none());
+    assert!(report.exhausted, "the bounds were not exhausted within {MAX_STATES} states");
+}
+
+fn fails<S: System + std::fmt::Debug>(system: &S) {
+    let report = run(system);
+    assert!(report.counterexample.is_some(), "the guard is not needed within these bounds");
+}
+
+#[test]
+fn two_holders_never_act_within_the_pause() {
+    for bounds in [LONG, RESTART] {
+        holds(&OrderLease { bounds, mutation: order_lease::Mutation::None });
+    }
+}
+
+#[test]
+fn every_guard_of_the_lease_is_needed() {
+    use order_lease::Mutation::{CountsFromAnswer, NoPause, RestartSettles, Unconditional};
+    for mutation in [NoPause, CountsFromAnswer, Unconditional] {
+        fails(&OrderLease { bounds: LONG, mutation });
+    }
+    fails(&OrderLease { bounds: RESTART, mutation: RestartSettles });
+}
+
+#[test]
+fn two_daemons_that_append_never_list_an_item_twice_or_show_what_is_not_stored() {
+    holds(&LOG);
+}
+
+#[test]
+fn every_guard_of_the_log_is_needed() {
+    use result_log::Mutation::{Overwrites, SkipsReading, TakesUnknownForDone};
+    for mutation in [Overwrites, TakesUnknownForDone, SkipsReading] {
+        fails(&SharedLog { mutation, ..LOG });
+    }
+}
