--- a/crates/heronbend-gateway/src/batch/appender.rs
+++ b/crates/heronbend-gateway/src/batch/appender.rs
@@ -11,7 +11,7 @@
 use super::result_log::{Chunk, ItemResult};
 use crate::gateway::Gateway;
 use crate::mirror::{backoff, list_all};
-use crate::ports::{Object, StoreError};
+use crate::ports::{Object, ObjectStore, StoreError};
 
 /// Results that come within this time are written together: each call to the store has a price.
 const GATHERING: Duration = Duration::from_millis(450);
--- a/crates/heronbend-gateway/src/batch/hand_in.rs
+++ b/crates/heronbend-gateway/src/batch/hand_in.rs
@@ -18,7 +18,7 @@
 use crate::gateway::Gateway;
 use crate::mirror::backoff;
 use crate::peers::{client, PeerReply, PeerRequest};
-use crate::ports::{Condition, Revision, StoreError};
+use crate::ports::{Condition, ObjectStore, Revision, StoreError};
 
 /// Room that an object needs apart from a specification's own bytes.
 const OBJECT_OVERHEAD: usize = 4 * 1024;
@@ -155,7 +155,7 @@
     specification: Rc<JobSpecification>,
 ) {
     if ownership.owner == gateway.identity.node {
-        run_here(gateway, ownership, revision, Rc::unwrap_or_clone(specification));
+        run_here(gateway, ownership, revision, Rc::unwrap_or_clone(specification), true);
         return;
     }
     let job = gateway.jobs.learn(&specification.id, ownership.clone(), revision);
@@ -181,8 +181,11 @@
     ownership: Ownership,
     revision: Revision,
     specification: JobSpecification,
+    is_local: bool,
 ) -> PeerReply {
-    if ownership.owner != gateway.identity.node || gateway.draining.get() {
+    // For a job that was handed in at this daemon itself there is nobody to refuse to.
+    let is_fit = !gateway.draining.get() && gateway.store.is_reached();
+    if ownership.owner != gateway.identity.node || !(is_fit || is_local) {
         return PeerReply::NotOwner;
     }
     let job = gateway.jobs.learn(&specification.id, ownership, revision);
--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -20,7 +20,7 @@
 use crate::gateway::Gateway;
 use crate::mirror::{backoff, list_all};
 use crate::peers::{Hint, INTRODUCTION};
-use crate::ports::{Condition, Object, Revision, StoreError};
+use crate::ports::{Condition, Object, ObjectStore, Revision, StoreError};
 
 /// Time between two looks for jobs without a living owner.
 const SWEEP: Duration = Duration::from_millis(500);
--- a/crates/heronbend-gateway/src/batch/reading.rs
+++ b/crates/heronbend-gateway/src/batch/reading.rs
@@ -18,7 +18,7 @@
 use super::runner;
 use crate::gateway::Gateway;
 use crate::peers::{client, PeerReply, PeerRequest};
-use crate::ports::StoreError;
+use crate::ports::{ObjectStore, StoreError};
 
 /// Why nothing can be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -11,7 +11,7 @@
 use super::{appender, item_run, ownership_duty};
 use crate::gateway::Gateway;
 use crate::mirror::backoff;
-use crate::ports::StoreError;
+use crate::ports::{ObjectStore, StoreError};
 
 /// Starts every job that this daemon owns and does not run yet.
 pub fn start_own_jobs(gateway: &Rc<Gateway>) {
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::ports::{Dialect, ObjectStore};
+use crate::relayed_store::RelayedStore;
 use crate::split::Splitter;
 use crate::versions::board::VersionBoard;
 
@@ -58,7 +59,7 @@
     /// Who this daemon is.
     pub identity: Identity,
     /// Where everything lasting is kept.
-    pub store: Rc<dyn ObjectStore>,
+    pub store: RelayedStore,
     /// How the surroundings spell things.
     pub dialect: Rc<dyn Dialect>,
     /// Runs all tasks.
@@ -112,9 +113,10 @@
         tuning: Tuning,
     ) -> Rc<Self> {
         let started = Instant::now();
-        Rc::new(Self {
+        let metrics = Metrics::default();
+        let gateway = Rc::new(Self {
             identity,
-            store,
+            store: RelayedStore::new(store, metrics.clone()),
             dialect,
             servers: ConnectionPool::new(executor.clone(), SERVER_CONNECT_TIMEOUT),
             peers: ConnectionPool::new(executor.clone(), PEER_CONNECT_TIMEOUT),
@@ -134,9 +136,11 @@
             store_reached_since: Cell::new(Moment::ZERO),
             behind: Cell::new(0),
             watches_doubted: Event::new(),
-            metrics: Metrics::default(),
+            metrics,
             started,
-        })
+        });
+        gateway.store.relay_through(&gateway);
+        gateway
     }
 
     /// Time since this daemon started, by the steady clock.
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -9,9 +9,9 @@
 //! - [`batch`]: batch jobs.
 //! - [`versions`]: versions of weights.
 //! - [`peers`]: the daemons among themselves.
-//! - [`mirror`], [`configuration`], [`directory`]: what the store says.
+//! - [`relayed_store`], [`mirror`], [`configuration`], [`directory`]: the store and what it says.
 //! - [`service`], [`keeper`]: the programs.
-//! - [`logging`], [`metrics`]: what they tell.
+//! - [`logging`], [`metrics`], [`explain`]: what they tell.
 
 pub mod balancer;
 pub mod batch;
@@ -19,6 +19,7 @@
 pub mod configuration;
 pub mod directory;
 pub mod exchange;
+pub mod explain;
 pub mod forward;
 pub mod gateway;
 pub mod headers;
@@ -29,6 +30,7 @@
 pub mod mirror;
 pub mod peers;
 pub mod ports;
+pub mod relayed_store;
 pub mod service;
 pub mod settings;
 pub mod split;
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -8,7 +8,7 @@
 use smol::Timer;
 
 use crate::gateway::Gateway;
-use crate::ports::{Change, Object, Revision, StoreError};
+use crate::ports::{Change, Object, ObjectStore, Revision, StoreError};
 
 /// Longest wait of one watch. A dead path is noticed by probes on the connection and not by this.
 const WATCH_WAIT: Duration = Duration::from_secs(29);
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -14,6 +14,7 @@
 use smol::Timer;
 
 use super::messages::{Datagram, Hint, PeerReply, PeerRequest};
+use super::store_relay;
 use crate::batch::{hand_in, ownership_duty, reading};
 use crate::gateway::Gateway;
 use crate::http::server::read_body;
@@ -217,8 +218,9 @@
     };
     let reply = match request {
         PeerRequest::RunJob { ownership, revision, specification } => {
-            hand_in::run_here(&gateway, ownership, revision, specification)
+            hand_in::run_here(&gateway, ownership, revision, specification, false)
         }
+        PeerRequest::Store(call) => PeerReply::Store(store_relay::answer(&gateway, call).await),
         PeerRequest::ReadResults { job, chunks, wait_millis } => {
             let wait = Duration::from_millis(wait_millis);
             reading::answer_peer(&gateway, &job, chunks, wait).await
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -4,6 +4,7 @@
 use heronbend::membership::Gossip;
 use musli::{Decode, Encode};
 
+use super::store_relay::{StoreCall, StoreReply};
 use crate::batch::ownership::Ownership;
 use crate::batch::specification::JobSpecification;
 use crate::batch::ItemResult;
@@ -59,6 +60,8 @@
         /// Its items.
         specification: JobSpecification,
     },
+    /// Makes a call to the store for a daemon that cannot reach it.
+    Store(StoreCall),
     /// Reads settled results of a job that the peer runs.
     ReadResults {
         /// The batch job.
@@ -80,6 +83,8 @@
         /// Chunks that the reader then has.
         chunks: u32,
     },
+    /// What became of a call to the store.
+    Store(StoreReply),
     /// The peer runs the job.
     Running,
     /// The peer does not run this job.
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod duty;
 pub mod messages;
+pub mod store_relay;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -23,7 +23,7 @@
 use crate::peers::Hint;
 use crate::peers::INTRODUCTION;
 use crate::ports::dialect::ServerCall;
-use crate::ports::{Change, Condition, Object, StoreError};
+use crate::ports::{Change, Condition, Object, ObjectStore, StoreError};
 
 /// Kind and name of the lease's object.
 const LEASE_KIND: &str = "heronbend-leases";
@@ -32,7 +32,9 @@
 const STALL: Duration = Duration::from_millis(2500);
 /// Daemons that are ready to take the lease.
 const CANDIDATES: usize = 3;
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which a report shows whether an order was taken.
+const REPORT_LAG: Duration = Duration::from_millis(150);
 /// First look at a server that is loading, and the time between further ones.
 const FIRST_REPORT: Duration = Duration::from_millis(960);
 const REPORT_PERIOD: Duration = Duration::from_millis(60);
@@ -374,7 +376,16 @@
             None => {}
             Some(_) => return false,
         }
-        if status.is_some() {
+        if status.is_none() {
+            Timer::after(REPORT_LAG).await;
+            let report = self.report(&server).await;
+            let is_taken =
+                report.is_some_and(|now| now.busy || now.sequence != order.expected_sequence);
+            if !is_taken {
+                // The next order expects the same sequence, so that only one of them counts.
+                return false;
+            }
+        } else {
             let holder = gateway.identity.node.name.clone();
             note_order_taken(gateway, holder.clone(), &server.id, &load.model, load.version);
             gateway.members.tell_all(Hint::OrderTaken {
--- /dev/null
+++ b/crates/heronbend-gateway/tests/explain.rs
@@ -0,0 +1,36 @@
+//! From an identifier to the lines that explain it.
+
+use heronbend_gateway::explain::explain;
+
+const LINES: [&str; 7] = [
+    "level=INFO event=forwarded id=r1 route=read outcome=200 ms=4",
+    "level=INFO event=job_handed_in job=j1 items=2 outcome=Ok(()) ms=40",
+    "level=INFO event=item_attempt job=j1 item=i1 server=s1 outcome=\"silent\" events=3",
+    "level=INFO event=item_attempt job=j1 item=i2 server=s2 outcome=\"cut\" events=0",
+    "level=INFO event=reward_failed job=j1 item=i1 reward=w1 failures=1",
+    "level=WARN event=item_terminated job=j1 item=i1 reason=\"reward failed too often\"",
+    "level=INFO event=results_listed job=j2 chunk=0 positions=0..1",
+];
+
+fn numbers(subject: &str) -> Vec<usize> {
+    let found = explain(subject, &LINES);
+    found.iter().map(|line| LINES.iter().position(|known| known == line).unwrap()).collect()
+}
+
+#[test]
+fn an_item_is_explained_by_its_own_lines_and_its_jobs() {
+    assert_eq!(numbers("i1"), [1, 2, 4, 5]);
+}
+
+#[test]
+fn a_reward_call_leads_to_its_item_and_job() {
+    assert_eq!(numbers("w1"), [1, 2, 4, 5]);
+}
+
+#[test]
+fn a_job_a_request_and_a_server_are_explained_by_the_lines_that_name_them() {
+    assert_eq!(numbers("j1"), [1, 2, 3, 4, 5]);
+    assert_eq!(numbers("r1"), [0]);
+    assert_eq!(numbers("s2"), [3]);
+    assert!(numbers("r").is_empty());
+}
