--- a/crates/heronbend-gateway/src/batch/event_stream.rs
+++ b/crates/heronbend-gateway/src/batch/event_stream.rs
@@ -59,13 +59,14 @@
 pub struct EventReader<'a> {
     /// Lower-case name of the field that tells a change of version.
     version_field: &'a str,
-    version: u64,
+    /// The version that makes the next event; not told by an answer without events.
+    version: Option<u64>,
     unread: Vec<u8>,
 }
 
 impl<'a> EventReader<'a> {
     /// A reader for a stream that starts under `version`.
-    pub fn new(version_field: &'a str, version: u64) -> Self {
+    pub fn new(version_field: &'a str, version: Option<u64>) -> Self {
         Self { version_field, version, unread: Vec::new() }
     }
 
@@ -107,7 +108,8 @@
                     None => data = Some(value.to_owned()),
                 },
                 field if field == self.version_field => {
-                    self.version = value.trim().parse().map_err(|_| StreamError::Malformed)?;
+                    let version = value.trim().parse().map_err(|_| StreamError::Malformed)?;
+                    self.version = Some(version);
                 }
                 _ => {}
             }
@@ -118,9 +120,10 @@
         if id != Some(text.last_event + 1) {
             return Err(StreamError::OutOfTurn);
         }
+        let version = self.version.ok_or(StreamError::Malformed)?;
         text.last_event += 1;
         text.events.push(data);
-        text.versions.insert(self.version);
+        text.versions.insert(version);
         Ok(true)
     }
 }
--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -31,6 +31,9 @@
 /// A text is moved from a server that takes so many times as long for an event as another one with
 /// a free place. What is there already is read anew, which takes little.
 const SLOW_PACE: u32 = 2;
+/// Half of the rest after the first attempt that added nothing.
+const IDLE_REST: Duration = Duration::from_millis(5);
+const MAX_REST_DOUBLINGS: u32 = 6;
 /// Longest wait until a place is looked for again without news.
 const PLACE_WAIT: Duration = Duration::from_millis(100);
 
@@ -80,6 +83,8 @@
     item: &'a Item,
     text: ItemText,
     failures: u32,
+    /// Attempts in a row that added nothing.
+    idle_attempts: u32,
     /// The server whose attempt ended last, to be avoided once.
     last_server: Vec<String>,
 }
@@ -98,6 +103,7 @@
         item,
         text: ItemText::default(),
         failures: 0,
+        idle_attempts: 0,
         last_server: Vec::new(),
     };
     run.run_whole().await
@@ -111,9 +117,10 @@
                 return self.terminated("route removed");
             };
             let (server, fitness) = self.place(&route).await;
+            let before = self.text.last_event();
             match self.attempt(&server, fitness, &route).await {
                 RunEnd::Whole => break,
-                RunEnd::Again => {}
+                RunEnd::Again => self.rest(before).await,
                 RunEnd::Failed => self.failures += 1,
                 RunEnd::Impossible => return self.terminated("impossible"),
             }
@@ -141,6 +148,17 @@
         self.text.into_result(&self.item.id, score)
     }
 
+    /// Rests after an attempt that added nothing to the text, longer after each one in a row.
+    async fn rest(&mut self, before: u64) {
+        if self.text.last_event() > before {
+            self.idle_attempts = 0;
+            return;
+        }
+        self.idle_attempts += 1;
+        let rest = IDLE_REST * 2_u32.pow(self.idle_attempts.min(MAX_REST_DOUBLINGS));
+        Timer::after(rest).await;
+    }
+
     fn terminated(&self, reason: &str) -> ItemResult {
         log::warn!(
             "event=item_terminated job={} item={} reason=\"{reason}\" failures={}",
@@ -315,8 +333,8 @@
         let mut exchange = exchange;
         let mut pace = PaceMeter::new(self.gateway.now());
         let names = self.gateway.dialect.headers();
+        // An answer that has nothing to add to the text tells no version.
         let version = exchange.header(&names.weight_version).and_then(|value| value.parse().ok());
-        let version: u64 = version.ok_or("the version is not told")?;
         let field = names.weight_version.as_str();
         let mut reader = EventReader::new(field, version);
         let mut text = self.text.clone();
@@ -337,6 +355,7 @@
                     }
                     Err(_) => break Err("malformed stream"),
                 },
+                Ok(None) if text.last_event() == 0 => break Err("no events"),
                 Ok(None) if reader.is_between_events() => break Ok(()),
                 Ok(None) => break Err("cut within an event"),
                 Err(ExchangeError::Timeout) => break Err("silent"),
--- a/crates/heronbend-gateway/tests/batch.rs
+++ b/crates/heronbend-gateway/tests/batch.rs
@@ -100,7 +100,7 @@
     let stream = b"id: 1\ndata: one\n\nweights: 8\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n";
     for cut in 0..stream.len() {
         let mut text = ItemText::default();
-        let mut reader = EventReader::new("weights", 7);
+        let mut reader = EventReader::new("weights", Some(7));
         reader.read(&stream[..cut], &mut text).unwrap();
         reader.read(&stream[cut..], &mut text).unwrap();
         assert!(reader.is_between_events());
@@ -112,15 +112,15 @@
 #[test]
 fn a_continuation_has_to_begin_with_the_next_event() {
     let mut text = ItemText::default();
-    let mut first = EventReader::new("weights", 7);
+    let mut first = EventReader::new("weights", Some(7));
     first.read(b"id: 1\ndata: one\n\nid: 2\nda", &mut text).unwrap();
     assert!(!first.is_between_events());
     assert_eq!(text.last_event(), 1);
     for wrong in ["id: 1\ndata: one\n\n", "id: 3\ndata: three\n\n", "data: two\n\n"] {
-        let mut second = EventReader::new("weights", 7);
+        let mut second = EventReader::new("weights", Some(7));
         assert_eq!(second.read(wrong.as_bytes(), &mut text), Err(StreamError::OutOfTurn));
     }
-    let mut second = EventReader::new("weights", 7);
+    let mut second = EventReader::new("weights", Some(7));
     assert_eq!(second.read(b"id: 2\ndata: two\n\n", &mut text), Ok(1));
     assert_eq!(text.text(), "one\ntwo");
 }
@@ -128,9 +128,9 @@
 #[test]
 fn bytes_that_are_no_events_are_refused() {
     let mut text = ItemText::default();
-    let mut reader = EventReader::new("weights", 7);
+    let mut reader = EventReader::new("weights", Some(7));
     assert_eq!(reader.read(b"id: x\ndata: 1\n\n", &mut text), Err(StreamError::Malformed));
-    let mut reader = EventReader::new("weights", 7);
+    let mut reader = EventReader::new("weights", Some(7));
     assert_eq!(reader.read(b"id: 1\ndata: \xff\n\n", &mut text), Err(StreamError::Malformed));
 }
 
@@ -155,3 +155,12 @@
     assert_eq!(chosen.len(), 3);
     assert_eq!(successor("job", [].iter()), None);
 }
+
+#[test]
+fn an_answer_that_adds_nothing_needs_no_version_and_an_event_does() {
+    let mut text = ItemText::default();
+    let mut reader = EventReader::new("weights", None);
+    assert_eq!(reader.read(b"", &mut text), Ok(0));
+    assert!(reader.is_between_events());
+    assert_eq!(reader.read(b"id: 1\ndata: one\n\n", &mut text), Err(StreamError::Malformed));
+}
