--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -18,7 +18,7 @@
 use super::registry::{Job, OWNERSHIPS};
 use super::runner::start_own_jobs;
 use crate::gateway::Gateway;
-use crate::mirror::{backoff, list_all};
+use crate::mirror::{list_all, wait_for_store};
 use crate::peers::{Hint, INTRODUCTION};
 use crate::ports::{Condition, Object, ObjectStore, Revision, StoreError};
 
@@ -50,7 +50,7 @@
             Err(error) => {
                 failures += 1;
                 log::warn!("event=ownerships_not_listed failures={failures} error=\"{error}\"");
-                Timer::after(backoff(failures)).await;
+                wait_for_store(&gateway).await;
             }
         }
     }
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -17,6 +17,8 @@
 /// Longest time without an answer of the store after which it is probed.
 const PROBE_PERIOD: Duration = Duration::from_millis(1000);
 const PROBE_RETRY: Duration = Duration::from_millis(400);
+/// Longest wait for the probe before a call is tried all the same.
+const OUTAGE_WAIT: Duration = Duration::from_secs(2);
 /// Failures in a row after which the watches of other kinds are begun anew.
 const FAILURES_TO_DOUBT: u32 = 2;
 /// Failures in a row after which the loss of the store is logged.
@@ -49,7 +51,7 @@
                 sink.applied();
                 watch_from(&gateway, kind, at, gathering, &sink, &mut failures).await;
             }
-            Err(error) => note_failure(kind, &error, &mut failures).await,
+            Err(error) => note_failure(&gateway, kind, &error, &mut failures).await,
         }
     }
 }
@@ -92,7 +94,7 @@
                 return;
             }
             Some(Err(error)) => {
-                note_failure(kind, &error, failures).await;
+                note_failure(gateway, kind, &error, failures).await;
                 return;
             }
             None => {
@@ -174,12 +176,28 @@
     *failures = 0;
 }
 
-async fn note_failure(kind: &str, error: &StoreError, failures: &mut u32) {
+/// Counts a failure, and waits until the store may answer again: the probe, which costs little, looks
+/// for all kinds together.
+async fn note_failure(gateway: &Gateway, kind: &str, error: &StoreError, failures: &mut u32) {
     *failures += 1;
     if *failures == FAILURES_TO_LOG {
         log::warn!("event=store_lost kind={kind} error=\"{error}\"");
     }
-    Timer::after(backoff(*failures)).await;
+    if *failures == 1 {
+        Timer::after(backoff(*failures)).await;
+    } else {
+        wait_for_store(gateway).await;
+    }
+}
+
+/// Waits until the probe finds that the store answers, or for a while; not all daemons at once.
+pub async fn wait_for_store(gateway: &Gateway) {
+    let answers = gateway.watches_doubted.listen();
+    let waited = async {
+        Timer::after(OUTAGE_WAIT).await;
+    };
+    answers.or(waited).await;
+    Timer::after(backoff(1)).await;
 }
 
 /// Capped exponential backoff with jitter, for failure number `failures`, counted from 1.
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -42,10 +42,6 @@
 const LOAD_LIMIT: Duration = Duration::from_secs(6);
 /// Rest after an order failed.
 const FAILED_REST: Duration = Duration::from_millis(400);
-/// A step that takes longer needs more than half of its model's servers.
-const SLOW_STEP: Duration = Duration::from_millis(4200);
-/// Steps of a model that are looked at for this.
-const RECENT_STEPS: usize = 3;
 const IDLE_WAIT: Duration = Duration::from_millis(500);
 const MAX_REPORT_BYTES: usize = 1024 * 1024;
 
@@ -62,7 +58,11 @@
                     named.version,
                     object.revision
                 );
-                self.0.versions.name(self.0.now(), &named.model, named.version);
+                let now = self.0.now();
+                let is_news = self.0.versions.name(now, &named.model, named.version);
+                if let Some(job) = newest_job(&self.0, &named.model).filter(|_| is_news) {
+                    self.0.versions.step_took(&named.model, now.saturating_sub(job.known_since));
+                }
             }
             Err(error) => log::warn!("event=version_malformed error=\"{error}\""),
         }
@@ -81,6 +81,13 @@
     }
 }
 
+/// The job that was handed in last for a model.
+fn newest_job(gateway: &Gateway, model: &str) -> Option<Rc<Job>> {
+    let jobs = gateway.jobs.all().into_iter();
+    jobs.filter(|job| job.ownership.borrow().0.model.as_deref() == Some(model))
+        .max_by_key(|job| job.known_since)
+}
+
 /// Notes an order that some daemon has given.
 pub fn note_order_taken(
     gateway: &Rc<Gateway>,
@@ -159,26 +166,15 @@
         let models = named
             .into_iter()
             .map(|(model, (version, _))| {
-                let (demand, is_pressed) = self.demand(&model);
+                let demand = newest_job(&self.gateway, &model)
+                    .map_or(0, |job| job.ownership.borrow().0.expected_tokens);
+                let is_pressed = self.gateway.versions.is_pressed(&model);
                 (model, ModelState { version, demand, is_pressed })
             })
             .collect();
         plan::loads_due(&models, &self.engines())
     }
 
-    /// Expected tokens of a model's newest step, and whether its steps take long.
-    fn demand(&self, model: &str) -> (u64, bool) {
-        let now = self.gateway.now();
-        let mut jobs = self.gateway.jobs.all();
-        jobs.retain(|job| job.ownership.borrow().0.model.as_deref() == Some(model));
-        jobs.sort_by_key(|job| std::cmp::Reverse(job.known_since));
-        let newest = jobs.first().map_or(0, |job| job.ownership.borrow().0.expected_tokens);
-        let is_slow = |job: &Rc<Job>| {
-            job.ended_since.get().unwrap_or(now).saturating_sub(job.known_since) > SLOW_STEP
-        };
-        (newest, jobs.iter().take(RECENT_STEPS).any(is_slow))
-    }
-
     fn engines(&self) -> Vec<EngineState> {
         let now = self.gateway.now();
         let directory = self.gateway.directory.borrow();
@@ -363,10 +359,11 @@
         let answer = self.call(&server, gateway.dialect.order_call(&order)).await;
         let status = answer.as_ref().map(|answer| answer.status);
         log::info!(
-            "event=order_given server={} model={} version={} fence={fence} expected={} status={}",
+            "event=order_given server={} model={} version={} urgency={:?} fence={fence} expected={} status={}",
             server.id,
             load.model,
             load.version,
+            load.urgency,
             report.sequence,
             status.map_or_else(|| "none".to_owned(), |status| status.as_u16().to_string())
         );
--- a/crates/heronbend-gateway/tests/versions.rs
+++ b/crates/heronbend-gateway/tests/versions.rs
@@ -185,3 +185,24 @@
     loading.models.insert("m".to_owned(), 5);
     assert_eq!(board.fitness(SECOND, &loading, "m", 5), Fitness::Listed);
 }
+
+#[test]
+fn a_model_is_pressed_while_one_of_its_last_steps_took_long() {
+    let board = VersionBoard::default();
+    assert!(!board.is_pressed("m"));
+    board.step_took("m", SECOND * 6);
+    assert!(board.is_pressed("m"));
+    board.step_took("m", SECOND * 3);
+    assert!(board.is_pressed("m"));
+    board.step_took("m", SECOND * 3);
+    assert!(!board.is_pressed("m"));
+    assert!(!board.is_pressed("other"));
+}
+
+#[test]
+fn versions_only_rise() {
+    let board = VersionBoard::default();
+    assert!(board.name(SECOND, "m", 3));
+    assert!(!board.name(SECOND * 2, "m", 2));
+    assert_eq!(board.named()["m"], (3, SECOND));
+}
