--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -8,6 +8,8 @@
 use smol::Timer;
 
 use super::event_stream::{EventReader, ItemText};
+use super::pace::PaceMeter;
+use super::placement::Placement;
 use super::registry::Job;
 use super::result_log::{ItemResult, ItemState};
 use super::reward::{self, Score};
@@ -26,43 +28,16 @@
 const EVENT_LIMIT: Duration = Duration::from_millis(1600);
 /// Time that a server is given for an item, for want of a shorter bound.
 const ITEM_DEADLINE: Duration = Duration::from_secs(30);
-/// Events after which a server's pace is judged anew.
-const PACE_EVENTS: u64 = 8;
 /// A text is moved from a server that takes so many times as long for an event as another one with
 /// a free place. What is there already is read anew, which takes little.
 const SLOW_PACE: u32 = 2;
 /// Half of the rest after the first attempt that added nothing.
 const IDLE_REST: Duration = Duration::from_millis(5);
 const MAX_REST_DOUBLINGS: u32 = 6;
-/// Longest wait until a place is looked for again without news.
-const PLACE_WAIT: Duration = Duration::from_millis(100);
 
 /// Why a text is moved to a faster server.
 const OUTPACED: &str = "outpaced";
 
-/// Measures the time that a server takes for an event.
-struct PaceMeter {
-    since: heronbend::Moment,
-    events: u64,
-}
-
-impl PaceMeter {
-    fn new(now: heronbend::Moment) -> Self {
-        Self { since: now, events: 0 }
-    }
-
-    /// The mean time for an event, once enough have come.
-    fn add(&mut self, now: heronbend::Moment, events: u64) -> Option<Duration> {
-        self.events += events;
-        if self.events < PACE_EVENTS {
-            return None;
-        }
-        let mean = now.saturating_sub(self.since) / u32::try_from(self.events).unwrap_or(u32::MAX);
-        *self = Self::new(now);
-        Some(mean)
-    }
-}
-
 /// How an attempt at one server ended.
 enum RunEnd {
     /// The text is whole.
@@ -85,6 +60,8 @@
     failures: u32,
     /// Attempts in a row that added nothing.
     idle_attempts: u32,
+    /// The service that was drawn for it.
+    service: Option<String>,
     /// The server whose attempt ended last, to be avoided once.
     last_server: Vec<String>,
 }
@@ -104,6 +81,7 @@
         text: ItemText::default(),
         failures: 0,
         idle_attempts: 0,
+        service: None,
         last_server: Vec::new(),
     };
     run.run_whole().await
@@ -116,7 +94,10 @@
             let Some(route) = self.route() else {
                 return self.terminated("route removed");
             };
-            let (server, fitness) = self.place(&route).await;
+            let Some(service) = self.service(&route) else {
+                return self.terminated("route without a service");
+            };
+            let (server, fitness) = self.placement().wait(&service, &self.last_server).await;
             let before = self.text.last_event();
             match self.attempt(&server, fitness, &route).await {
                 RunEnd::Whole => break,
@@ -185,54 +166,24 @@
             .cloned()
     }
 
-    fn model(&self) -> Option<&str> {
-        self.specification.step.as_ref().map(|step| step.model.as_str())
-    }
-
-    fn min_version(&self) -> u64 {
-        self.specification.step.as_ref().map_or(0, |step| step.min_version)
-    }
-
-    /// Waits for a free place at a server that can run the item.
-    async fn place(&self, route: &Route) -> (Rc<Server>, Fitness) {
-        loop {
-            let changed = self.gateway.places_changed.listen();
-            if let Some(place) = self.free_place(route) {
-                return place;
-            }
-            changed
-                .or(async {
-                    Timer::after(PLACE_WAIT).await;
-                })
-                .await;
+    /// The service that runs the item: drawn once, unless the route leads elsewhere meanwhile.
+    fn service(&mut self, route: &Route) -> Option<String> {
+        let is_current = |service: &String| {
+            route.destinations.iter().any(|part| part.service == *service && part.weight > 0)
+        };
+        if !self.service.as_ref().is_some_and(is_current) {
+            let drawn = self.gateway.splitter.borrow_mut().next(route).map(str::to_owned);
+            self.service = drawn;
         }
+        self.service.clone()
     }
 
-    fn free_place(&self, route: &Route) -> Option<(Rc<Server>, Fitness)> {
-        let service = self.gateway.splitter.borrow_mut().next(route)?.to_owned();
-        let now = self.gateway.now();
-        let balancer = self.gateway.balancer.borrow();
-        let candidates: Vec<Rc<Server>> = self
-            .gateway
-            .usable_servers(&service)
-            .into_iter()
-            .filter(|server| balancer.in_flight(&server.id) < server.slots)
-            .filter(|server| !balancer.is_avoided(now, &server.id))
-            .filter(|server| self.fitness(now, server) != Fitness::Unfit)
-            .collect();
-        let zone = &self.gateway.identity.zone;
-        let chosen = balancer
-            .choose(now, &candidates, &self.last_server, zone)
-            .or_else(|| balancer.choose(now, &candidates, &[], zone))?;
-        let fitness = self.fitness(now, &chosen);
-        Some((chosen, fitness))
+    fn placement(&self) -> Placement<'_> {
+        Placement { gateway: self.gateway, step: self.specification.step.as_ref() }
     }
 
-    fn fitness(&self, now: heronbend::Moment, server: &Server) -> Fitness {
-        match self.model() {
-            Some(model) => self.gateway.versions.fitness(now, server, model, self.min_version()),
-            None => Fitness::Listed,
-        }
+    fn min_version(&self) -> u64 {
+        self.specification.step.as_ref().map_or(0, |step| step.min_version)
     }
 
     async fn attempt(&mut self, server: &Rc<Server>, fitness: Fitness, route: &Route) -> RunEnd {
@@ -349,7 +300,7 @@
                     Ok(0) => {}
                     Ok(events) => {
                         limit = EVENT_LIMIT;
-                        if self.is_outpaced(server, &mut pace, events, route) {
+                        if self.is_outpaced(server, &mut pace, events) {
                             break Err(OUTPACED);
                         }
                     }
@@ -377,19 +328,13 @@
     }
 
     /// Whether the text had better go on at another server.
-    fn is_outpaced(
-        &self,
-        server: &Server,
-        pace: &mut PaceMeter,
-        events: usize,
-        route: &Route,
-    ) -> bool {
+    fn is_outpaced(&self, server: &Server, pace: &mut PaceMeter, events: usize) -> bool {
         let now = self.gateway.now();
         let Some(per_event) = pace.add(now, events as u64) else {
             return false;
         };
         self.gateway.balancer.borrow_mut().note(now, &server.id, AttemptEnd::Answered(per_event));
-        let Some((other, _)) = self.free_place(route) else {
+        let Some((other, _)) = self.placement().find(&server.service, &self.last_server) else {
             return false;
         };
         let balancer = self.gateway.balancer.borrow();
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -13,7 +13,7 @@
 //! - [`event_stream`]: the text of an item from a server's events, without I/O.
 //! - [`registry`]: the jobs that this daemon knows.
 //! - [`hand_in`], [`reading`]: the callers' side.
-//! - [`runner`], [`item_run`], [`reward`], [`appender`]: the owner's side.
+//! - [`runner`], [`item_run`], [`placement`], [`pace`], [`reward`], [`appender`]: the owner's side.
 //! - [`ownership_duty`]: who owns what, and jobs taken over.
 
 pub mod appender;
@@ -22,6 +22,8 @@
 pub mod item_run;
 pub mod ownership;
 pub mod ownership_duty;
+pub mod pace;
+pub mod placement;
 pub mod reading;
 pub mod registry;
 pub mod result_log;
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -52,6 +52,10 @@
     pub max_object_bytes: usize,
     /// Longest time from the signal to stop until the process is gone.
     pub stop_limit: Duration,
+    /// Time within which a server that leaves has to be known everywhere.
+    pub drain_notice: Duration,
+    /// Time within which a configuration has to be in force everywhere.
+    pub configuration_notice: Duration,
 }
 
 /// Shared state of one daemon.
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -23,10 +23,11 @@
 use crate::ports::{Change, Dialect, Object, ObjectStore};
 use crate::versions;
 
-/// Changes of servers that come within this time cost one call together.
-const DIRECTORY_GATHERING: Duration = Duration::from_millis(900);
-/// Changes of the configuration that come within this time cost one call together.
-const CONFIGURATION_GATHERING: Duration = Duration::from_millis(300);
+/// Share of the time for a change of servers in which further ones are gathered into one call. The
+/// rest is for the store's answer, and for a call that has to be repeated.
+const DIRECTORY_GATHERING: f64 = 0.5;
+/// The same for the configuration, of which a storm of changes is to be in force soon.
+const CONFIGURATION_GATHERING: f64 = 0.15;
 /// Added to the idle timeout of clients before a kept connection is closed.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 /// Time for the entry to stop sending new connections, after the daemon says it is not ready.
@@ -184,10 +185,12 @@
     let (configurations, servers) = (kinds.configuration, kinds.servers);
     let followed = gateway.clone();
     spawn(Box::pin(async move {
-        mirror::follow(followed, configurations, CONFIGURATION_GATHERING, configuration).await;
+        let gathering = followed.tuning.configuration_notice.mul_f64(CONFIGURATION_GATHERING);
+        mirror::follow(followed, configurations, gathering, configuration).await;
     }) as std::pin::Pin<Box<dyn std::future::Future<Output = ()>>>);
     let directory = DirectorySink(gateway.clone());
-    spawn(Box::pin(mirror::follow(gateway.clone(), servers, DIRECTORY_GATHERING, directory)));
+    let gathering = gateway.tuning.drain_notice.mul_f64(DIRECTORY_GATHERING);
+    spawn(Box::pin(mirror::follow(gateway.clone(), servers, gathering, directory)));
     spawn(Box::pin(mirror::probe_store(gateway.clone())));
     spawn(Box::pin(ownership_duty::follow(gateway.clone())));
     spawn(Box::pin(ownership_duty::adopt_orphans(gateway.clone())));
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -71,6 +71,10 @@
     pub result_retention: Duration,
     /// Longest time from the signal to stop until the process is gone.
     pub stop_limit: Duration,
+    /// Time within which a server that leaves has to be known everywhere.
+    pub drain_notice: Duration,
+    /// Time within which a configuration has to be in force everywhere.
+    pub configuration_notice: Duration,
 }
 
 struct Reader<'a> {
@@ -210,6 +214,8 @@
             lease_pause: reader.millis("lease_pause_ms"),
             result_retention: reader.seconds("result_retention_s"),
             stop_limit: reader.seconds("stop_limit_s"),
+            drain_notice: reader.millis("drain_notice_ms"),
+            configuration_notice: reader.millis("configuration_notice_ms"),
         };
         reader.report_unknown(&table, "");
         if reader.findings.is_empty() {
@@ -251,6 +257,8 @@
             result_retention: self.result_retention,
             max_object_bytes: self.max_object_bytes,
             stop_limit: self.stop_limit,
+            drain_notice: self.drain_notice,
+            configuration_notice: self.configuration_notice,
         }
     }
 }
--- a/crates/heronbend-gateway/tests/settings.rs
+++ b/crates/heronbend-gateway/tests/settings.rs
@@ -10,6 +10,8 @@
 lease_pause_ms = 3000
 result_retention_s = 120
 stop_limit_s = 8.5
+drain_notice_ms = 2000
+configuration_notice_ms = 2000
 
 [listen]
 callers = "10.0.0.1:8161"
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -97,6 +97,8 @@
     result_retention: Duration::from_secs(120),
     max_object_bytes: 1 << 20,
     stop_limit: Duration::from_secs(8),
+    drain_notice: Duration::from_secs(2),
+    configuration_notice: Duration::from_secs(2),
 };
 
 /// A daemon's state over a store that several may share.
