A restarted daemon goes on with its own jobs at once; no item is terminated for want of a configuration

Now it adopts them with its first list. Found by that test before it passed: an item that was run before the first configuration was known was terminated as if its route had been removed; one whose route is not in force here yet as well. Now the first waits, and the second is given up after twice the time for a configuration.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -15,7 +15,7 @@
 use super::reward::{self, Score};
 use super::specification::{Item, JobSpecification};
 use crate::balancer::AttemptEnd;
-use crate::configuration::Route;
+use crate::configuration::{Configuration, Route};
 use crate::directory::Server;
 use crate::exchange::{self, AttemptFailure, CountedAttempt, Outgoing};
 use crate::gateway::Gateway;
@@ -31,6 +31,8 @@
 /// A text is moved from a server that takes so many times as long for an event as another one with
 /// a free place. What is there already is read anew, which takes little.
 const SLOW_PACE: u32 = 2;
+/// Wait for the first configuration.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(50);
 /// Half of the rest after the first attempt that added nothing.
 const IDLE_REST: Duration = Duration::from_millis(5);
 const MAX_REST_DOUBLINGS: u32 = 6;
@@ -60,6 +62,8 @@
     failures: u32,
     /// Attempts in a row that added nothing.
     idle_attempts: u32,
+    /// Since when the configuration in force has no route for it.
+    route_missing: Option<heronbend::Moment>,
     /// The service that was drawn for it.
     service: Option<String>,
     /// The server whose attempt ended last, to be avoided once.
@@ -81,6 +85,7 @@
         text: ItemText::default(),
         failures: 0,
         idle_attempts: 0,
+        route_missing: None,
         service: None,
         last_server: Vec::new(),
     };
@@ -91,9 +96,22 @@
     async fn run_whole(mut self) -> ItemResult {
         let begun = self.gateway.now();
         loop {
-            let Some(route) = self.route() else {
-                return self.terminated("route removed");
+            let Some(configuration) = self.gateway.configuration() else {
+                // A daemon that has just started cannot tell whether the route is still there.
+                Timer::after(CONFIGURATION_WAIT).await;
+                continue;
             };
+            let Some(route) = self.route(&configuration) else {
+                // The daemon that took the job in may know a newer configuration than this one.
+                let missing_since = *self.route_missing.get_or_insert(self.gateway.now());
+                let missing_for = self.gateway.now().saturating_sub(missing_since);
+                if missing_for > self.gateway.tuning.configuration_notice * 2 {
+                    return self.terminated("route removed");
+                }
+                Timer::after(CONFIGURATION_WAIT).await;
+                continue;
+            };
+            self.route_missing = None;
             let Some(service) = self.service(&route) else {
                 return self.terminated("route without a service");
             };
@@ -157,8 +175,7 @@
     }
 
     /// The item's route in force; nothing when it has been removed.
-    fn route(&self) -> Option<Rc<Route>> {
-        let configuration = self.gateway.configuration()?;
+    fn route(&self, configuration: &Configuration) -> Option<Rc<Route>> {
         let path = self.item.path.split('?').next().unwrap_or_default();
         let route = configuration.route(&self.specification.host, path);
         route
--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -44,6 +44,7 @@
             Ok((objects, _)) => {
                 failures = 0;
                 take_list(&gateway, &objects);
+                adopt_from_earlier_run(&gateway).await;
                 doubted.or(asked).or(after(LIST_PERIOD)).await;
                 Timer::after(LOSS_GATHERING).await;
             }
@@ -68,6 +69,18 @@
     start_own_jobs(gateway);
 }
 
+/// Takes over the jobs of an earlier run of this very daemon, which has certainly ended.
+async fn adopt_from_earlier_run(gateway: &Rc<Gateway>) {
+    let me = &gateway.identity.node;
+    for job in gateway.jobs.all() {
+        let owner = job.owner();
+        let is_open = !job.ended.get() && !job.is_complete();
+        if is_open && owner.name == me.name && owner != *me && !gateway.draining.get() {
+            adopt(gateway, &job).await;
+        }
+    }
+}
+
 /// Notes that a daemon was lost: its jobs may be unknown here.
 pub fn note_lost(gateway: &Gateway, node: &NodeId) {
     let mut line = gateway.members.alive();
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use heronbend_gateway::batch::hand_in::{self, HandInError};
+use heronbend_gateway::batch::ownership::Ownership;
 use heronbend_gateway::batch::registry::{chunk_name, results_kind, OWNERSHIPS, SPECIFICATIONS};
-use heronbend_gateway::batch::{appender, reading};
+use heronbend_gateway::batch::{appender, ownership_duty, reading};
 use heronbend_gateway::mirror::{self, MirrorSink};
 use heronbend_gateway::peers::PeerReply;
 use heronbend_gateway::ports::{Change, Object};
@@ -280,3 +281,25 @@
         })
     });
 }
+
+#[test]
+fn a_restarted_daemon_goes_on_with_its_own_jobs_without_waiting_to_hear_of_others() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            let mut earlier = gateway.identity.node.clone();
+            earlier.incarnation.0 -= 1;
+            let ownership = Ownership::new(&job("j", 2), earlier);
+            store.put(SPECIFICATIONS, "j", json!(job("j", 2)));
+            store.put(OWNERSHIPS, "j", json!(ownership));
+            // Only the list is read; the sweep for lost daemons' jobs, which waits, does not run.
+            executor.spawn(ownership_duty::follow(gateway.clone())).detach();
+            let is_mine = || {
+                let job = gateway.jobs.get("j");
+                job.is_some_and(|job| job.owner() == gateway.identity.node && job.running.get())
+            };
+            wait_until("the job is run by this run of the daemon", is_mine).await;
+        })
+    });
+}
