--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -94,8 +94,6 @@
     pub versions: VersionBoard,
     /// Time constants.
     pub tuning: Tuning,
-    /// When the store last answered.
-    pub store_answered: Cell<Moment>,
     /// Since when the store has answered without a failure.
     pub store_reached_since: Cell<Moment>,
     /// Newest version of the configuration that a peer has told of.
@@ -136,7 +134,6 @@
             jobs: JobRegistry::new(move || started.elapsed()),
             versions: VersionBoard::default(),
             tuning,
-            store_answered: Cell::new(Moment::ZERO),
             store_reached_since: Cell::new(Moment::ZERO),
             behind: Cell::new(0),
             watches_doubted: Event::new(),
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -16,6 +16,8 @@
 const BACKOFF_CAP: Duration = Duration::from_millis(640);
 /// Longest time without an answer of the store after which it is probed.
 const PROBE_PERIOD: Duration = Duration::from_millis(1000);
+/// Time between two looks whether a probe is due.
+const PROBE_LOOK: Duration = Duration::from_millis(500);
 const PROBE_RETRY: Duration = Duration::from_millis(400);
 /// Longest wait for the probe before a call is tried all the same.
 const OUTAGE_WAIT: Duration = Duration::from_secs(2);
@@ -112,15 +114,14 @@
 pub async fn probe_store(gateway: Rc<Gateway>) {
     let mut failures = 0;
     loop {
-        let rest = if failures == 0 { PROBE_PERIOD } else { PROBE_RETRY };
+        let rest = if failures == 0 { PROBE_LOOK } else { PROBE_RETRY };
         Timer::after(rest).await;
-        let silent_for = gateway.now().saturating_sub(gateway.store_answered.get());
+        let silent_for = gateway.store.silent_for();
         if failures == 0 && silent_for < PROBE_PERIOD {
             continue;
         }
         match gateway.store.probe().await {
             Ok(()) => {
-                gateway.store_answered.set(gateway.now());
                 if failures > 0 {
                     log::info!("event=store_answers_again probes_failed={failures}");
                     gateway.store_reached_since.set(gateway.now());
@@ -162,7 +163,6 @@
 }
 
 fn note_success(gateway: &Gateway, kind: &str, failures: &mut u32) {
-    gateway.store_answered.set(gateway.now());
     if *failures > 0 {
         gateway.store_reached_since.set(gateway.now());
     }
--- a/crates/heronbend-gateway/src/relayed_store.rs
+++ b/crates/heronbend-gateway/src/relayed_store.rs
@@ -17,6 +17,8 @@
 
 /// Time after a failure in which the own way is taken for lost, unless it works meanwhile.
 const LOST_FOR: Duration = Duration::from_millis(2500);
+/// Time after an answer in which the way to the store is taken to work; probes come more often.
+const ANSWERS_HOLD: Duration = Duration::from_millis(1800);
 /// Time that a peer is given for a call.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Peers that are asked for one call.
@@ -28,12 +30,19 @@
     metrics: Metrics,
     gateway: RefCell<Weak<Gateway>>,
     failed: Cell<Option<Instant>>,
+    answered: Cell<Option<Instant>>,
 }
 
 impl RelayedStore {
     /// A store without peers so far.
     pub fn new(direct: Rc<dyn ObjectStore>, metrics: Metrics) -> Self {
-        Self { direct, metrics, gateway: RefCell::new(Weak::new()), failed: Cell::new(None) }
+        Self {
+            direct,
+            metrics,
+            gateway: RefCell::new(Weak::new()),
+            failed: Cell::new(None),
+            answered: Cell::new(None),
+        }
     }
 
     /// Lets calls go through the peers of a daemon.
@@ -51,16 +60,31 @@
         self.failed.get().is_none_or(|at| at.elapsed() >= LOST_FOR)
     }
 
-    /// Notes how a call by the own way ended.
+    /// Notes how a call by the own way ended. An answer that is lost while others come says nothing
+    /// of the way: a peer's would be lost as well.
     fn note<T>(&self, kind: &str, result: &Result<T, StoreError>) {
         self.metrics.store_call(kind);
+        let now = Instant::now();
         match result {
-            Err(StoreError::Unknown(_)) => self.failed.set(Some(Instant::now())),
-            Err(StoreError::NotDone(_)) => self.failed.set(Some(Instant::now())),
-            _ => self.failed.set(None),
+            Err(StoreError::NotDone(_)) => self.failed.set(Some(now)),
+            Err(StoreError::Unknown(_)) if self.has_answered_lately() => {}
+            Err(StoreError::Unknown(_)) => self.failed.set(Some(now)),
+            _ => {
+                self.answered.set(Some(now));
+                self.failed.set(None);
+            }
         }
     }
 
+    fn has_answered_lately(&self) -> bool {
+        self.answered.get().is_some_and(|at| at.elapsed() < ANSWERS_HOLD)
+    }
+
+    /// How long ago the store answered by the own way.
+    pub fn silent_for(&self) -> Duration {
+        self.answered.get().map_or(Duration::MAX, |at| at.elapsed())
+    }
+
     /// Asks peers to make a call; nothing when none of them could.
     async fn relay(&self, call: StoreCall) -> Option<StoreReply> {
         let gateway = self.gateway.borrow().upgrade()?;
@@ -100,8 +124,8 @@
         }
         let result = direct.await;
         self.note(kind, &result);
-        let is_lost = matches!(result, Err(StoreError::Unknown(_) | StoreError::NotDone(_)));
-        if is_lost && was_reached {
+        let has_no_result = matches!(result, Err(StoreError::Unknown(_) | StoreError::NotDone(_)));
+        if has_no_result && was_reached && !self.is_reached() {
             if let Some(reply) = self.relay(call).await {
                 return take(reply);
             }
