--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -191,7 +191,14 @@
 }
 
 /// Waits until the probe finds that the store answers, or for a while; not all daemons at once.
+///
+/// Where it answers already, a call that was begun before has failed after it, and there is no
+/// further news to wait for.
 pub async fn wait_for_store(gateway: &Gateway) {
+    if gateway.store.is_reached() && gateway.store.silent_for() < PROBE_PERIOD {
+        Timer::after(backoff(1)).await;
+        return;
+    }
     let answers = gateway.watches_doubted.listen();
     let waited = async {
         Timer::after(OUTAGE_WAIT).await;
