--- a/crates/heronbend/src/membership/tests.rs
+++ b/crates/heronbend/src/membership/tests.rs
@@ -229,3 +229,67 @@
         .max();
     assert!(largest.is_some_and(|bytes| bytes < 1400), "{largest:?}");
 }
+
+fn ping_from(from: Member) -> Gossip {
+    Gossip { from, probe: Probe::Ping { sequence: 1 }, head: Head::default(), rumours: Vec::new() }
+}
+
+/// Members that a daemon is told of at once, by the datagrams sent to it.
+fn told(effects: &[Effect], to: SocketAddr) -> BTreeSet<String> {
+    let datagrams = effects.iter().filter_map(|effect| match effect {
+        Effect::Send { to: address, gossip } if *address == to => Some(gossip),
+        _ => None,
+    });
+    let rumours = datagrams.flat_map(|gossip| gossip.rumours.iter());
+    rumours
+        .filter_map(|rumour| match rumour {
+            Rumour::Member(member) => Some(member.id.name.0.clone()),
+            Rumour::Backend(_) => None,
+        })
+        .collect()
+}
+
+#[test]
+fn a_newcomer_is_told_at_once_of_all_members_that_are_alive() {
+    let mut detector = Detector::new(DetectorConfig::default(), member(0, 1), 7);
+    for index in 1..20 {
+        detector.learn(Moment::ZERO, member(index, 1));
+    }
+    let newcomer = member(30, 1);
+    let effects = detector.receive(TICK, newcomer.address, ping_from(newcomer.clone()));
+    let known = told(&effects, newcomer.address);
+    assert!((1..20).all(|index| known.contains(&format!("node-{index}"))), "{known:?}");
+    // A later run of a known daemon has forgotten everything, and is a newcomer as well.
+    let restarted = member(30, 2);
+    let effects = detector.receive(TICK, restarted.address, ping_from(restarted.clone()));
+    assert!(told(&effects, restarted.address).len() >= 19);
+    // Whoever is known is not told again.
+    let again = detector.receive(TICK, restarted.address, ping_from(restarted.clone()));
+    assert_eq!(again.iter().filter(|e| matches!(e, Effect::Send { .. })).count(), 1);
+}
+
+#[test]
+fn a_greeted_daemon_becomes_a_member() {
+    let mut detectors = [
+        Detector::new(DetectorConfig::default(), member(0, 1), 1),
+        Detector::new(DetectorConfig::default(), member(1, 1), 2),
+    ];
+    let Effect::Send { to, gossip } = detectors[0].greet(address(1)) else {
+        panic!("a greeting is a datagram");
+    };
+    assert_eq!(to, address(1));
+    detectors[1].receive(TICK, address(0), *gossip);
+    assert!(detectors[1].members().any(|known| known.id == member(0, 1).id));
+}
+
+#[test]
+fn a_run_outlives_an_earlier_one_whose_clock_was_ahead() {
+    let mut restarted = Detector::new(DetectorConfig::default(), member(0, 100), 1);
+    let mut earlier = member(0, 5_000);
+    earlier.liveness = Liveness::Dead;
+    let mut gossip = ping_from(member(1, 1));
+    gossip.rumours.push(Rumour::Member(earlier.clone()));
+    restarted.receive(TICK, address(1), gossip);
+    assert_eq!(restarted.me().id.incarnation, Incarnation(5_001));
+    assert!(restarted.me().supersedes(&earlier));
+}
