--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -65,7 +65,6 @@
     for object in objects {
         gateway.jobs.learn_object(object);
     }
-    gateway.jobs.known.set(true);
     start_own_jobs(gateway);
 }
 
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -116,8 +116,6 @@
 pub struct JobRegistry {
     jobs: RefCell<HashMap<String, Rc<Job>>>,
     clock: Box<dyn Fn() -> Moment>,
-    /// Whether the ownerships have been read from the store.
-    pub known: Cell<bool>,
     /// Notified when the ownerships are to be listed.
     pub list_wanted: Event,
 }
@@ -125,12 +123,7 @@
 impl JobRegistry {
     /// An empty registry.
     pub fn new(clock: impl Fn() -> Moment + 'static) -> Self {
-        Self {
-            jobs: RefCell::default(),
-            clock: Box::new(clock),
-            known: Cell::new(false),
-            list_wanted: Event::new(),
-        }
+        Self { jobs: RefCell::default(), clock: Box::new(clock), list_wanted: Event::new() }
     }
 
     /// A job by its identifier.
@@ -177,13 +170,6 @@
         }
     }
 
-    /// Notes a job's end, where the job is known.
-    pub fn end(&self, id: &str) {
-        if let Some(job) = self.get(id) {
-            job.end((self.clock)());
-        }
-    }
-
     /// Forgets a job.
     pub fn forget(&self, id: &str) {
         self.jobs.borrow_mut().remove(id);
--- a/crates/heronbend-gateway/src/configuration.rs
+++ b/crates/heronbend-gateway/src/configuration.rs
@@ -126,9 +126,4 @@
             .filter(|route| path.starts_with(&route.path_prefix))
             .max_by_key(|route| route.path_prefix.len())
     }
-
-    /// Whether the servers of a service run models.
-    pub fn is_engine(&self, service: &str) -> bool {
-        self.services.get(service).is_some_and(|service| service.is_engine)
-    }
 }
--- a/crates/heronbend-gateway/src/http/client.rs
+++ b/crates/heronbend-gateway/src/http/client.rs
@@ -88,11 +88,6 @@
         self.state.opened.get()
     }
 
-    /// Closes the kept connections to an address.
-    pub fn forget(&self, address: SocketAddr) {
-        self.state.idle.borrow_mut().remove(&address);
-    }
-
     /// Sends a request; the answer's head has come when this returns.
     pub async fn send(
         &self,
--- a/crates/heronbend-gateway/src/versions/board.rs
+++ b/crates/heronbend-gateway/src/versions/board.rs
@@ -122,11 +122,6 @@
         (!is_shown && is_believed).then(|| order.clone())
     }
 
-    /// Notes that an order is over, whether or not the server's entry shows it.
-    pub fn forget_order(&self, server: &str) {
-        self.orders.borrow_mut().remove(server);
-    }
-
     /// Whether `server` can run requests of `model` under `min_version` or later.
     pub fn fitness(&self, now: Moment, server: &Server, model: &str, min_version: u64) -> Fitness {
         if let Some(order) = self.open_order(now, server).filter(|order| order.model == model) {
