A listener that closes loses nobody: new connections are held off first

A second fault beside it: a connection was counted as open only once its task had first run, so a stop could look past it.

Change: `heronbend-net::closing`. Both daemons' listeners use it. Connections are counted from the moment they are accepted.

--- a/crates/heronbend-gateway/src/http/server.rs
+++ b/crates/heronbend-gateway/src/http/server.rs
@@ -10,6 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use event_listener::Event;
 use futures_lite::FutureExt;
+use heronbend_net::closing;
 use http::header::{HeaderValue, CONNECTION};
 use http::Request;
 use http_body_util::BodyExt;
@@ -81,22 +82,24 @@
         H: Fn(Request<Incoming>) -> F + Clone + 'static,
         F: Future<Output = Answer> + 'static,
     {
-        let closing = self.closing.listen();
+        let closed = self.closing.listen();
+        let serve_one = |connection: smol::net::TcpStream| {
+            let _ = connection.set_nodelay(true);
+            let serving = self.clone().serve_connection(connection, handler.clone());
+            executor.spawn(serving).detach();
+        };
         let accept = async {
             loop {
                 match socket.accept().await {
-                    Ok((connection, _)) => {
-                        let _ = connection.set_nodelay(true);
-                        let serving = self.clone().serve_connection(connection, handler.clone());
-                        executor.spawn(serving).detach();
-                    }
+                    Ok((connection, _)) => serve_one(connection),
                     Err(_) => {
                         Timer::after(ACCEPT_RETRY_DELAY).await;
                     }
                 }
             }
         };
-        accept.or(closing).await;
+        accept.or(closed).await;
+        closing::close(socket, serve_one).await;
     }
 
     async fn serve_connection<H, F>(self: Rc<Self>, socket: smol::net::TcpStream, handler: H)
--- a/crates/heronbend-http/src/server.rs
+++ b/crates/heronbend-http/src/server.rs
@@ -8,6 +8,7 @@
 
 use async_h1::server::{ConnectionStatus, Encoder, Server};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use heronbend_net::closing;
 use http_types::{Method, Request, Response, StatusCode};
 use smol::channel::{bounded, Receiver, Sender};
 use smol::net::{TcpListener, TcpStream};
@@ -94,30 +95,36 @@
         H: Fn(Request) -> F + Clone + 'static,
         F: Future<Output = Response> + 'static,
     {
-        loop {
-            let accepted = async { Some(listener.accept().await) };
-            let stopped = async {
-                let _ = self.accepting.stopped.recv().await;
-                None
-            };
-            let Some(accepted) = accepted.or(stopped).await else {
-                return Ok(());
-            };
-            let Ok((socket, _)) = accepted else {
-                // Out of descriptors, or the peer left early: neither ends the listener.
-                Timer::after(ACCEPT_RETRY_DELAY).await;
-                continue;
-            };
+        let serve_one = |socket: TcpStream| {
             let _ = socket.set_nodelay(true);
             let connections = self.clone();
             let handler = handler.clone();
+            // Counted from now on: a stop that looks before the task has run must see it.
+            let open = Counted::new(&connections.open);
             executor
                 .spawn(async move {
-                    let _open = Counted::new(&connections.open);
+                    let _open = open;
                     connections.serve_socket(socket, limits, handler).await;
                 })
                 .detach();
+        };
+        loop {
+            let accepted = async { Some(listener.accept().await) };
+            let stopped = async {
+                let _ = self.accepting.stopped.recv().await;
+                None
+            };
+            match accepted.or(stopped).await {
+                Some(Ok((socket, _))) => serve_one(socket),
+                // Out of descriptors, or the peer left early: neither ends the listener.
+                Some(Err(_)) => {
+                    Timer::after(ACCEPT_RETRY_DELAY).await;
+                }
+                None => break,
+            }
         }
+        closing::close(listener, serve_one).await;
+        Ok(())
     }
 
     async fn serve_socket<H, F>(&self, socket: TcpStream, limits: ServerLimits, handler: H)
