Streams are passed on event by event, and resumed at another server

Change: `stream` opens a stream and answers once the first events are there; what fails before is answered with a status. Only whole events are passed on. A resumable stream that breaks off, is malformed or falls silent goes on at another server after the last event that the client has, under the head and signature of the first one; the connection to the server before is closed first. One that may not be resumed is cut and runs once. Servers with the newest weights come first; one that is loading gets nothing. An event tells the version where it continues under other weights. `events` is now the one parser for items and streams. Answers have a body type of their own, which need not cross threads.

Found beside it: a stop waited for answers to be handed to their connections and not for them to be written; it waits for the connections now.

--- a/crates/heronbend-gateway/src/batch/event_stream.rs
+++ b/crates/heronbend-gateway/src/batch/event_stream.rs
@@ -3,9 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::result_log::ItemResult;
-
-/// Largest unfinished event in bytes.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+use crate::events::{Malformed, Parser};
 
 /// Why a stream cannot be a continuation of the text.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -18,6 +16,12 @@
     Malformed,
 }
 
+impl From<Malformed> for StreamError {
+    fn from(_: Malformed) -> Self {
+        Self::Malformed
+    }
+}
+
 /// Events of one item, from one or more servers.
 #[derive(Debug, Clone, Default)]
 pub struct ItemText {
@@ -56,78 +60,40 @@
 
 /// Reads the events of one server's stream into an item's text.
 #[derive(Debug)]
-pub struct EventReader<'a> {
-    /// Lower-case name of the field that tells a change of version.
-    version_field: &'a str,
+pub struct EventReader {
+    parser: Parser,
     /// The version that makes the next event; not told by an answer without events.
     version: Option<u64>,
-    unread: Vec<u8>,
 }
 
-impl<'a> EventReader<'a> {
-    /// A reader for a stream that starts under `version`.
-    pub fn new(version_field: &'a str, version: Option<u64>) -> Self {
-        Self { version_field, version, unread: Vec::new() }
+impl EventReader {
+    /// A reader for a stream that starts under `version`; changes are told in `version_field`.
+    pub fn new(version_field: &str, version: Option<u64>) -> Self {
+        Self { parser: Parser::new(version_field), version }
     }
 
     /// Takes in bytes; returns how many whole events they completed.
     pub fn read(&mut self, bytes: &[u8], text: &mut ItemText) -> Result<usize, StreamError> {
-        self.unread.extend_from_slice(bytes);
-        let mut events = 0;
-        while let Some(end) = find(&self.unread, b"\n\n") {
-            let event: Vec<u8> = self.unread.drain(..end + 2).collect();
-            let event = std::str::from_utf8(&event[..end]).map_err(|_| StreamError::Malformed)?;
-            events += usize::from(self.read_event(event, text)?);
-        }
-        if self.unread.len() > MAX_EVENT_BYTES {
-            return Err(StreamError::Malformed);
+        let mut count = 0;
+        for event in self.parser.push(bytes)? {
+            self.version = event.version.or(self.version);
+            let Some(data) = event.data else {
+                continue;
+            };
+            if event.id != Some(text.last_event + 1) {
+                return Err(StreamError::OutOfTurn);
+            }
+            let version = self.version.ok_or(StreamError::Malformed)?;
+            text.last_event += 1;
+            text.events.push(data);
+            text.versions.insert(version);
+            count += 1;
         }
-        Ok(events)
+        Ok(count)
     }
 
     /// Whether the stream ended between two events.
     pub fn is_between_events(&self) -> bool {
-        self.unread.is_empty()
+        self.parser.is_between_events()
     }
-
-    fn read_event(&mut self, event: &str, text: &mut ItemText) -> Result<bool, StreamError> {
-        let mut id = None;
-        let mut data: Option<String> = None;
-        for line in event.split('\n') {
-            let line = line.strip_suffix('\r').unwrap_or(line);
-            let (field, value) = line.split_once(':').unwrap_or((line, ""));
-            let value = value.strip_prefix(' ').unwrap_or(value);
-            match field {
-                "" => {}
-                "id" => id = Some(value.parse::<u64>().map_err(|_| StreamError::Malformed)?),
-                "data" => match &mut data {
-                    Some(data) => {
-                        data.push('\n');
-                        data.push_str(value);
-                    }
-                    None => data = Some(value.to_owned()),
-                },
-                field if field == self.version_field => {
-                    let version = value.trim().parse().map_err(|_| StreamError::Malformed)?;
-                    self.version = Some(version);
-                }
-                _ => {}
-            }
-        }
-        let Some(data) = data else {
-            return Ok(false);
-        };
-        if id != Some(text.last_event + 1) {
-            return Err(StreamError::OutOfTurn);
-        }
-        let version = self.version.ok_or(StreamError::Malformed)?;
-        text.last_event += 1;
-        text.events.push(data);
-        text.versions.insert(version);
-        Ok(true)
-    }
-}
-
-fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).position(|window| window == pattern)
 }
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -18,8 +18,9 @@
 use crate::headers;
 use crate::http::client::WholeAnswer;
 use crate::http::server::{read_body, BodyError};
-use crate::http::{bytes_answer, text_answer, whole, Answer};
+use crate::http::{bytes_answer, text_answer, Answer, AnswerBody};
 use crate::ports::Call;
+use crate::stream::{self, Opened};
 
 /// Longest time that a call of the batch interface tries to reach the store.
 const STORE_PATIENCE: Duration = Duration::from_millis(2500);
@@ -126,6 +127,9 @@
         headers: headers::passed_on(&head.headers),
         body,
     };
+    if route.kind == RouteKind::Stream {
+        return pass_on_stream(gateway, &service, outgoing, allowance, route).await;
+    }
     let result = forward(gateway, &service, outgoing, allowance).await;
     let millis = gateway.now().saturating_sub(arrived).as_millis();
     let outcome = match &result {
@@ -144,6 +148,38 @@
     }
 }
 
+async fn pass_on_stream(
+    gateway: &Rc<Gateway>,
+    service: &str,
+    outgoing: Outgoing,
+    allowance: Allowance,
+    route: &Route,
+) -> Answer {
+    let (id, begun) = (outgoing.id.clone(), gateway.now());
+    let opened = stream::open(gateway, service, outgoing, allowance, route.resumable).await;
+    let outcome = match &opened {
+        Ok(Opened::Events { status, .. }) => status.as_str().to_owned(),
+        Ok(Opened::Whole(answer)) => answer.status.as_str().to_owned(),
+        Err(error) => format!("{error:?}"),
+    };
+    log::info!(
+        "event=stream_opened id={id} route={} service={service} outcome={outcome} first_event_ms={}",
+        route.name,
+        gateway.now().saturating_sub(begun).as_millis()
+    );
+    match opened {
+        Ok(Opened::Events { status, headers, body }) => {
+            let mut answer = Answer::new(body);
+            *answer.status_mut() = status;
+            *answer.headers_mut() = headers;
+            answer
+        }
+        Ok(Opened::Whole(answer)) => server_answer(answer, route),
+        Err(ForwardError::NotRun) => not_run("no server took it"),
+        Err(error) => text_answer(error.status(), "no answer of a server"),
+    }
+}
+
 /// A server's answer as it is passed on. A status that promises that nothing has run is passed on
 /// only where that does not matter.
 fn server_answer(answer: WholeAnswer, route: &Route) -> Answer {
@@ -156,7 +192,7 @@
     if !route.is_repeatable() && promises.contains(&answer.status) {
         return text_answer(StatusCode::BAD_GATEWAY, "the outcome is unknown");
     }
-    let mut passed = Answer::new(whole(answer.body));
+    let mut passed = Answer::new(AnswerBody::whole(answer.body));
     *passed.status_mut() = answer.status;
     *passed.headers_mut() = headers::passed_on(&answer.headers);
     passed
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -17,7 +17,7 @@
 use crate::http::client::WholeAnswer;
 
 /// Pause before a request is offered again after every server refused it.
-const REFUSED_PAUSE: Duration = Duration::from_millis(15);
+pub(crate) const REFUSED_PAUSE: Duration = Duration::from_millis(15);
 /// Share of the target latency after which a repeatable request is also sent to a second server.
 const HEDGE_SHARE: f64 = 0.5;
 /// Share of the target latency that a request waits for a server to be listed.
--- a/crates/heronbend-gateway/src/http/mod.rs
+++ b/crates/heronbend-gateway/src/http/mod.rs
@@ -5,27 +5,22 @@
 //! standalone daemon uses, rewrites targets, cannot read answers without a length and does not
 //! notice a client that leaves; see docs/DESIGN.md.
 //!
+//! - [`body`]: bodies of answers.
 //! - [`client`]: kept connections to servers and peers.
 //! - [`server`]: connections of callers and peers.
 
+pub mod body;
 pub mod client;
 pub mod server;
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
 
-/// The body of an answer to a caller.
-pub type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
+pub use body::AnswerBody;
+
 /// An answer to a caller.
 pub type Answer = Response<AnswerBody>;
 
-/// A body that is already whole.
-pub fn whole(bytes: Bytes) -> AnswerBody {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
-}
-
 /// An answer with a short text.
 pub fn text_answer(status: StatusCode, text: &'static str) -> Answer {
     bytes_answer(status, "text/plain", Bytes::from_static(text.as_bytes()))
@@ -33,7 +28,7 @@
 
 /// An answer with a whole body.
 pub fn bytes_answer(status: StatusCode, content_type: &'static str, bytes: Bytes) -> Answer {
-    let mut answer = Response::new(whole(bytes));
+    let mut answer = Response::new(AnswerBody::whole(bytes));
     *answer.status_mut() = status;
     answer
         .headers_mut()
--- a/crates/heronbend-gateway/src/http/server.rs
+++ b/crates/heronbend-gateway/src/http/server.rs
@@ -40,6 +40,7 @@
 #[derive(Default)]
 pub struct Listener {
     exchanges: Cell<usize>,
+    connections: Cell<usize>,
     draining: Cell<bool>,
     closing: Event,
     limits: RefCell<Option<ListenerLimits>>,
@@ -61,6 +62,11 @@
         self.exchanges.get()
     }
 
+    /// Open connections: while one is open, an answer may still be on its way.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
     /// Ends every connection with its next answer, while new ones are still accepted.
     pub fn start_draining(&self) {
         self.draining.set(true);
@@ -85,7 +91,12 @@
         let closed = self.closing.listen();
         let serve_one = |connection: smol::net::TcpStream| {
             let _ = connection.set_nodelay(true);
+            let open = CountedConnection::new(&self);
             let serving = self.clone().serve_connection(connection, handler.clone());
+            let serving = async move {
+                serving.await;
+                drop(open);
+            };
             executor.spawn(serving).detach();
         };
         let accept = async {
@@ -160,6 +171,21 @@
     }
 }
 
+struct CountedConnection(Rc<Listener>);
+
+impl CountedConnection {
+    fn new(listener: &Rc<Listener>) -> Self {
+        listener.connections.set(listener.connections.get() + 1);
+        Self(listener.clone())
+    }
+}
+
+impl Drop for CountedConnection {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
 /// Why a request's body could not be read.
 #[derive(Debug, Error)]
 pub enum BodyError {
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! store, reached through [`ports::ObjectStore`]; how calls and objects are spelled is behind
 //! [`ports::Dialect`]. An adapter implements both and starts [`service::run`].
 //!
-//! - [`calls`], [`forward`], [`exchange`], [`balancer`], [`split`]: requests passed on.
+//! - [`calls`], [`forward`], [`stream`], [`exchange`], [`balancer`], [`split`]: requests passed on.
+//! - [`events`]: the events of a server's stream.
 //! - [`batch`]: batch jobs.
 //! - [`versions`]: versions of weights.
 //! - [`peers`]: the daemons among themselves.
@@ -18,6 +19,7 @@
 pub mod calls;
 pub mod configuration;
 pub mod directory;
+pub mod events;
 pub mod exchange;
 pub mod explain;
 pub mod forward;
@@ -34,4 +36,5 @@
 pub mod service;
 pub mod settings;
 pub mod split;
+pub mod stream;
 pub mod versions;
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -54,6 +54,8 @@
     pub items_listed: Count,
     /// Items that were continued at another server.
     pub items_resumed: Count,
+    /// Streams that were continued at another server.
+    pub streams_resumed: Count,
     /// Seconds from the hand-in of a batch job to the listing of a result.
     pub item_age: Histogram,
     /// Orders given to servers.
@@ -78,6 +80,7 @@
             jobs_adopted: Count::default(),
             items_listed: Count::default(),
             items_resumed: Count::default(),
+            streams_resumed: Count::default(),
             item_age: histogram(),
             orders: Count::default(),
             log_lines_dropped: Count::default(),
@@ -113,6 +116,8 @@
         registry.register("jobs_adopted", "Batch jobs taken over", self.jobs_adopted.clone());
         registry.register("items_listed", "Results listed", self.items_listed.clone());
         registry.register("items_resumed", "Items continued elsewhere", self.items_resumed.clone());
+        let resumed = self.streams_resumed.clone();
+        registry.register("streams_resumed", "Streams continued elsewhere", resumed);
         registry.register("item_age_seconds", "Age of results", self.item_age.clone());
         registry.register("orders", "Orders given to servers", self.orders.clone());
         registry.register("log_lines_dropped", "Lines dropped", self.log_lines_dropped.clone());
--- a/crates/heronbend-gateway/src/ports/dialect.rs
+++ b/crates/heronbend-gateway/src/ports/dialect.rs
@@ -46,6 +46,8 @@
     pub wait_millis: HeaderName,
     /// The version of the weights that a request has to run under; any other server refuses.
     pub expected_version: HeaderName,
+    /// The model that a request needs.
+    pub model: HeaderName,
     /// Version of the weights that an answer starts under.
     pub weight_version: HeaderName,
 }
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -338,10 +338,14 @@
     Timer::after(STOP_NOTICE).await;
     callers.close();
     let limit = begun + gateway.tuning.stop_limit.saturating_sub(STOP_MARGIN);
-    while gateway.now() < limit && (callers.exchanges() > 0 || runs_jobs(gateway)) {
+    while gateway.now() < limit && (callers.connections() > 0 || runs_jobs(gateway)) {
         Timer::after(STOP_POLL).await;
     }
-    log::info!("event=stopped exchanges_cut={}", callers.exchanges());
+    log::info!(
+        "event=stopped exchanges_cut={} connections_cut={}",
+        callers.exchanges(),
+        callers.connections()
+    );
     log::logger().flush();
 }
 
--- /dev/null
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -0,0 +1,463 @@
+//! Streams of events, passed on to a client event by event.
+//!
+//! Nothing is sent to the client before the first event is there: what fails until then is answered
+//! with a status. A stream that may be resumed goes on at another server when its own breaks off or
+//! falls silent, after the last event that the client was sent. Only whole events are passed on, so
+//! that the continuation fits whatever the first server had begun.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_lite::stream;
+use futures_lite::FutureExt;
+use heronbend::Moment;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use smol::Timer;
+
+use crate::balancer::AttemptEnd;
+use crate::directory::Server;
+use crate::events::Event;
+use crate::events::Parser;
+use crate::exchange;
+use crate::exchange::AttemptFailure;
+use crate::exchange::CountedAttempt;
+use crate::exchange::Outgoing;
+use crate::forward::Allowance;
+use crate::forward::ForwardError;
+use crate::forward::REFUSED_PAUSE;
+use crate::gateway::Gateway;
+use crate::headers;
+use crate::http::client::Exchange;
+use crate::http::client::WholeAnswer;
+use crate::http::AnswerBody;
+use crate::versions::board::Fitness;
+
+/// Silence before the first event after which a resumable stream is moved. A request may wait in
+/// the server's queue.
+const FIRST_SILENCE: Duration = Duration::from_millis(1500);
+/// Silence between events after which it is moved; clients bear two seconds.
+const SILENCE: Duration = Duration::from_millis(1200);
+
+/// The answer to a request for a stream.
+pub enum Opened {
+    /// The first events are there, and others follow.
+    Events {
+        /// Status of the first server.
+        status: StatusCode,
+        /// Headers of the first server.
+        headers: HeaderMap,
+        /// The events.
+        body: AnswerBody,
+    },
+    /// A server answered without a stream.
+    Whole(WholeAnswer),
+}
+
+/// Why a stream ended before its end.
+#[derive(Debug)]
+enum Break {
+    /// A server answered with a failure.
+    Answered(WholeAnswer),
+    /// It failed, or no server took it.
+    Failed(ForwardError),
+}
+
+/// One server's part of a stream.
+struct Run {
+    server: Rc<Server>,
+    exchange: Exchange,
+    counted: CountedAttempt,
+    parser: Parser,
+    events: u32,
+    /// Version of the weights that the answer starts under.
+    version: Option<u64>,
+}
+
+/// What one look at a server's stream gave.
+enum Piece {
+    Events(Vec<Event>),
+    End,
+    Broken(&'static str),
+    /// The time of the request is over.
+    TimeOver,
+}
+
+/// A stream that is being passed on.
+struct Relay {
+    gateway: Rc<Gateway>,
+    outgoing: Outgoing,
+    service: String,
+    allowance: Allowance,
+    is_resumable: bool,
+    /// Number of the last event that was passed on.
+    last_event: u64,
+    /// Whether an event was passed on.
+    has_begun: bool,
+    /// Version of the weights that made the last event.
+    version: Option<u64>,
+    /// Servers that were sent the request.
+    tried: Vec<String>,
+    /// Servers that may have run it.
+    spent: u32,
+    run: Option<Run>,
+    /// Head of the first server.
+    head: Option<(StatusCode, HeaderMap)>,
+    /// Since when no server could be found.
+    unplaced_since: Option<Moment>,
+}
+
+/// Opens a stream; returns once its first events are there.
+pub async fn open(
+    gateway: &Rc<Gateway>,
+    service: &str,
+    outgoing: Outgoing,
+    allowance: Allowance,
+    is_resumable: bool,
+) -> Result<Opened, ForwardError> {
+    let last_event = headers::text(&outgoing.headers, &gateway.dialect.headers().last_event);
+    let mut relay = Relay {
+        gateway: gateway.clone(),
+        last_event: last_event.and_then(|value| value.trim().parse().ok()).unwrap_or(0),
+        outgoing,
+        service: service.to_owned(),
+        allowance,
+        is_resumable,
+        has_begun: false,
+        version: None,
+        tried: Vec::new(),
+        spent: 0,
+        run: None,
+        head: None,
+        unplaced_since: None,
+    };
+    let first = match relay.next().await {
+        Ok(first) => first,
+        Err(Break::Answered(answer)) => return Ok(Opened::Whole(answer)),
+        Err(Break::Failed(error)) => return Err(error),
+    };
+    let (status, headers) = relay.head.take().unwrap_or_default();
+    Ok(Opened::Events { status, headers, body: body(first, relay) })
+}
+
+/// The body of a stream whose first events are `first`.
+fn body(first: Option<Bytes>, relay: Relay) -> AnswerBody {
+    let state = (first, Some(relay));
+    AnswerBody::pieces(stream::unfold(state, |(first, relay)| async move {
+        let mut relay = relay?;
+        if let Some(first) = first {
+            return Some((Ok(first), (None, Some(relay))));
+        }
+        match relay.next().await {
+            Ok(Some(bytes)) => Some((Ok(bytes), (None, Some(relay)))),
+            Ok(None) => None,
+            Err(_) => Some((Err(io::Error::other("the stream broke off")), (None, None))),
+        }
+    }))
+}
+
+impl Relay {
+    /// The next events; nothing at the stream's proper end.
+    async fn next(&mut self) -> Result<Option<Bytes>, Break> {
+        loop {
+            let mut run = match self.run.take() {
+                Some(run) => run,
+                None => self.start().await?,
+            };
+            match self.read(&mut run).await {
+                Piece::Events(events) => match self.take(&mut run, events) {
+                    Ok(bytes) if bytes.is_empty() => self.run = Some(run),
+                    Ok(bytes) => {
+                        self.note_head(&run);
+                        self.run = Some(run);
+                        return Ok(Some(bytes));
+                    }
+                    Err(reason) => self.leave(run, reason)?,
+                },
+                Piece::End => {
+                    self.note_head(&run);
+                    self.finish(run);
+                    return Ok(None);
+                }
+                Piece::Broken(reason) => self.leave(run, reason)?,
+                Piece::TimeOver => {
+                    run.counted.end(AttemptEnd::Abandoned);
+                    self.log_end("time over");
+                    return Err(Break::Failed(ForwardError::TimedOut));
+                }
+            }
+        }
+    }
+
+    /// Waits for what a server sends next.
+    async fn read(&self, run: &mut Run) -> Piece {
+        let now = self.gateway.now();
+        let left = self.allowance.deadline.saturating_sub(now);
+        let silence = if run.events == 0 { FIRST_SILENCE } else { SILENCE };
+        let may_move = self.may_run_again() && self.has_other(&run.server);
+        let limit = if may_move { silence.min(left) } else { left };
+        let bytes = async { Some(run.exchange.next_bytes().await) };
+        let silent = async {
+            Timer::after(limit).await;
+            None
+        };
+        match bytes.or(silent).await {
+            None if limit >= left => Piece::TimeOver,
+            None => Piece::Broken("silent"),
+            Some(Ok(Some(bytes))) => match run.parser.push(&bytes) {
+                Ok(events) => Piece::Events(events),
+                Err(_) => Piece::Broken("malformed"),
+            },
+            Some(Ok(None)) if run.parser.is_between_events() => Piece::End,
+            Some(Ok(None)) => Piece::Broken("cut within an event"),
+            Some(Err(_)) => Piece::Broken("broken off"),
+        }
+    }
+
+    /// Takes events in; the bytes that go to the client.
+    fn take(&mut self, run: &mut Run, events: Vec<Event>) -> Result<Bytes, &'static str> {
+        let mut bytes = BytesMut::new();
+        for event in events {
+            if let Some(id) = event.id {
+                if id != self.last_event + 1 {
+                    return Err("an event is missing or out of turn");
+                }
+                self.last_event = id;
+            }
+            if event.version.is_none() && self.continues_under_another(run) {
+                bytes.extend_from_slice(self.version_line(run).as_bytes());
+            }
+            self.version = event.version.or(run.version.take()).or(self.version);
+            self.has_begun = true;
+            run.events += 1;
+            bytes.extend_from_slice(&event.raw);
+        }
+        Ok(bytes.freeze())
+    }
+
+    /// Whether the next event is the first of a server whose weights differ from those before.
+    fn continues_under_another(&self, run: &Run) -> bool {
+        self.has_begun && run.version.is_some() && run.version != self.version
+    }
+
+    /// The line by which an event tells of other weights than the one before.
+    fn version_line(&self, run: &Run) -> String {
+        let field = &self.gateway.dialect.headers().weight_version;
+        format!("{field}: {}\n", run.version.unwrap_or_default())
+    }
+
+    /// The first server's head is that of the whole answer.
+    fn note_head(&mut self, run: &Run) {
+        if self.head.is_none() {
+            self.head = Some((run.exchange.status, headers::passed_on(&run.exchange.headers)));
+        }
+    }
+
+    fn finish(&mut self, run: Run) {
+        let per_event = run.counted.elapsed() / run.events.max(1);
+        run.counted.end(AttemptEnd::Answered(per_event));
+        run.exchange.keep();
+        self.log_end("whole");
+    }
+
+    /// Leaves a server whose stream broke; an error when the stream cannot go on.
+    fn leave(&mut self, run: Run, reason: &'static str) -> Result<(), Break> {
+        log::info!(
+            "event=stream_left id={} server={} reason=\"{reason}\" last_event={} spent={}",
+            self.outgoing.id,
+            run.server.id,
+            self.last_event,
+            self.spent
+        );
+        run.counted.fail(&AttemptFailure::Unknown(reason));
+        if self.may_run_again() {
+            self.gateway.metrics.streams_resumed.inc();
+            return Ok(());
+        }
+        self.log_end(reason);
+        Err(Break::Failed(ForwardError::Unknown))
+    }
+
+    fn log_end(&self, outcome: &str) {
+        log::info!(
+            "event=stream_ended id={} outcome=\"{outcome}\" last_event={} servers={}",
+            self.outgoing.id,
+            self.last_event,
+            self.spent
+        );
+    }
+
+    /// Whether another server may run it.
+    fn may_run_again(&self) -> bool {
+        let within_budget = self.spent < self.allowance.max_attempts;
+        within_budget
+            && (self.spent == 0 || self.is_resumable)
+            && self.gateway.now() < self.allowance.deadline
+    }
+
+    /// Sends the request to a server, until one has begun to answer.
+    async fn start(&mut self) -> Result<Run, Break> {
+        loop {
+            if !self.may_run_again() {
+                let is_late = self.gateway.now() >= self.allowance.deadline;
+                return Err(Break::Failed(self.reason_to_give_up(is_late)));
+            }
+            let Some((server, fitness)) = self.find() else {
+                self.wait_for_server().await?;
+                continue;
+            };
+            self.tried.push(server.id.clone());
+            self.spent += 1;
+            let counted = CountedAttempt::begin(&self.gateway, &server);
+            match self.send(&server, fitness).await {
+                Ok(exchange) if exchange.status == StatusCode::OK => {
+                    self.unplaced_since = None;
+                    let field = &self.gateway.dialect.headers().weight_version;
+                    let parser = Parser::new(field.as_str());
+                    let version = exchange.header(field).and_then(|value| value.parse().ok());
+                    return Ok(Run { server, exchange, counted, parser, events: 0, version });
+                }
+                Ok(exchange) => self.take_failure(exchange, counted).await?,
+                Err(failure) => self.take_attempt(failure, counted)?,
+            }
+        }
+    }
+
+    async fn send(&self, server: &Server, fitness: Fitness) -> Result<Exchange, AttemptFailure> {
+        let mut outgoing = self.outgoing.clone();
+        let names = self.gateway.dialect.headers();
+        if self.last_event > 0 {
+            let last_event = HeaderValue::from(self.last_event);
+            outgoing.headers.insert(names.last_event.clone(), last_event);
+        }
+        if let Fitness::Expected(version) = fitness {
+            outgoing.headers.insert(names.expected_version.clone(), HeaderValue::from(version));
+        }
+        let left = self.allowance.deadline.saturating_sub(self.gateway.now());
+        let limit = if self.is_resumable { left.min(FIRST_SILENCE) } else { left };
+        let late = async {
+            Timer::after(limit).await;
+            Err(AttemptFailure::Unknown("no head in time"))
+        };
+        exchange::begin(&self.gateway, server, &outgoing, left).or(late).await
+    }
+
+    /// Takes an answer that is not a stream.
+    async fn take_failure(
+        &mut self,
+        exchange: Exchange,
+        counted: CountedAttempt,
+    ) -> Result<(), Break> {
+        let is_retried = exchange.status.is_server_error();
+        let answer = match exchange::read_whole(exchange).await {
+            Ok(answer) => answer,
+            Err(failure) => return self.take_attempt(failure, counted),
+        };
+        counted.end(AttemptEnd::Abandoned);
+        if is_retried && self.may_run_again() {
+            return Ok(());
+        }
+        Err(Break::Answered(answer))
+    }
+
+    /// Takes an attempt that gave no answer.
+    fn take_attempt(
+        &mut self,
+        failure: AttemptFailure,
+        counted: CountedAttempt,
+    ) -> Result<(), Break> {
+        counted.fail(&failure);
+        match failure {
+            AttemptFailure::NotRun | AttemptFailure::NotSent => {
+                self.spent -= 1;
+                Ok(())
+            }
+            AttemptFailure::Unknown(_) if self.may_run_again() => Ok(()),
+            AttemptFailure::Unknown(_) => {
+                let is_late = self.gateway.now() >= self.allowance.deadline;
+                Err(Break::Failed(self.reason_to_give_up(is_late)))
+            }
+        }
+    }
+
+    fn reason_to_give_up(&self, is_late: bool) -> ForwardError {
+        if self.spent == 0 && !self.has_begun {
+            ForwardError::NotRun
+        } else if is_late {
+            ForwardError::TimedOut
+        } else {
+            ForwardError::Unknown
+        }
+    }
+
+    /// Waits before servers are looked at again; an error once that is of no use.
+    async fn wait_for_server(&mut self) -> Result<(), Break> {
+        let now = self.gateway.now();
+        let since = *self.unplaced_since.get_or_insert(now);
+        let give_up_at = (since + self.allowance.target_latency).min(self.allowance.deadline);
+        if now >= give_up_at {
+            let is_late = now >= self.allowance.deadline;
+            return Err(Break::Failed(self.reason_to_give_up(is_late)));
+        }
+        // Servers that refused, or broke off a stream that goes on, may be asked again.
+        self.tried.clear();
+        Timer::after(REFUSED_PAUSE).await;
+        Ok(())
+    }
+
+    /// The model that the request names.
+    fn model(&self) -> Option<&str> {
+        headers::text(&self.outgoing.headers, &self.gateway.dialect.headers().model)
+    }
+
+    /// Whether a server can run the request.
+    fn fitness(&self, server: &Server) -> Fitness {
+        match self.model() {
+            Some(model) if !server.models.is_empty() => {
+                self.gateway.versions.fitness(self.gateway.now(), server, model, 0)
+            }
+            _ => Fitness::Listed,
+        }
+    }
+
+    /// The version of the weights that a server has for the request.
+    fn version_at(&self, server: &Server) -> u64 {
+        match self.fitness(server) {
+            Fitness::Expected(version) => version,
+            _ => self.model().and_then(|model| server.models.get(model)).copied().unwrap_or(0),
+        }
+    }
+
+    /// Servers that can run the request.
+    fn fit(&self) -> Vec<Rc<Server>> {
+        let mut fit = self.gateway.usable_servers(&self.service);
+        fit.retain(|server| self.fitness(server) != Fitness::Unfit);
+        fit
+    }
+
+    fn has_other(&self, server: &Server) -> bool {
+        self.fit().iter().any(|other| other.id != server.id)
+    }
+
+    /// The best server that has not been tried: of those with the newest weights, unless all of
+    /// their places are taken.
+    fn find(&self) -> Option<(Rc<Server>, Fitness)> {
+        let now = self.gateway.now();
+        let fit = self.fit();
+        let balancer = self.gateway.balancer.borrow();
+        let free = fit.iter().filter(|server| balancer.in_flight(&server.id) < server.slots);
+        let newest = free.clone().map(|server| self.version_at(server)).max();
+        let best: Vec<Rc<Server>> =
+            free.filter(|server| Some(self.version_at(server)) == newest).cloned().collect();
+        let zone = &self.gateway.identity.zone;
+        let chosen = balancer
+            .choose(now, &best, &self.tried, zone)
+            .or_else(|| balancer.choose(now, &fit, &self.tried, zone))?;
+        let fitness = self.fitness(&chosen);
+        Some((chosen, fitness))
+    }
+}
--- a/crates/heronbend-gateway/tests/support/own_dialect.rs
+++ b/crates/heronbend-gateway/tests/support/own_dialect.rs
@@ -29,6 +29,7 @@
                 last_event: name("last-event-id"),
                 wait_millis: name("heronbend-wait-ms"),
                 expected_version: name("heronbend-expected-version"),
+                model: name("heronbend-model"),
                 weight_version: name("heronbend-version"),
             },
             kinds: OperatorKinds {
