--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -62,7 +62,7 @@
 #[derive(Debug)]
 enum Break {
     /// A server answered with a failure.
-    Answered(WholeAnswer),
+    Answered(Box<WholeAnswer>),
     /// It failed, or no server took it.
     Failed(ForwardError),
 }
@@ -137,7 +137,7 @@
     };
     let first = match relay.next().await {
         Ok(first) => first,
-        Err(Break::Answered(answer)) => return Ok(Opened::Whole(answer)),
+        Err(Break::Answered(answer)) => return Ok(Opened::Whole(*answer)),
         Err(Break::Failed(error)) => return Err(error),
     };
     let (status, headers) = relay.head.take().unwrap_or_default();
@@ -361,7 +361,7 @@
         if is_retried && self.may_run_again() {
             return Ok(());
         }
-        Err(Break::Answered(answer))
+        Err(Break::Answered(Box::new(answer)))
     }
 
     /// Takes an attempt that gave no answer.
