Loads are shared out among models, and more of them run at a time where there are more servers

Loads were taken in the order of the models' names, two at a time however many servers there are, so that the last model's servers never loaded.

Change: one load at a time for five servers, two at least (8, 9, 14, 35 servers: 2, 2, 2, 7), taken from the model whose servers lag most. Tests: three, which failed before.

--- a/crates/heronbend-gateway/src/versions/plan.rs
+++ b/crates/heronbend-gateway/src/versions/plan.rs
@@ -7,8 +7,15 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-/// Servers that load at the same time without slowing each other.
-pub const LOADS_AT_ONCE: usize = 2;
+/// Of so many servers one may load at a time without slowing another one's load.
+const SERVERS_FOR_A_LOAD: usize = 5;
+/// Loads at a time with however few servers.
+const MIN_LOADS_AT_ONCE: usize = 2;
+
+/// Loads that may be under way at the same time.
+pub fn loads_at_once(servers: usize) -> usize {
+    (servers / SERVERS_FOR_A_LOAD).max(MIN_LOADS_AT_ONCE)
+}
 
 /// A server as the plan sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,20 +65,70 @@
     pub urgency: Urgency,
 }
 
+/// The loads of one model that are due, and how far its servers are.
+struct Queue {
+    /// The most urgent last.
+    due: Vec<Load>,
+    /// Servers that can run a step of the newest version, or will once they have loaded.
+    ready: usize,
+    /// Servers that follow the model.
+    hosts: usize,
+}
+
+impl Queue {
+    /// What is taken first: urgent loads, and among them those of the model whose servers lag most.
+    fn rank(&self) -> Option<(Urgency, usize)> {
+        let next = self.due.last()?;
+        Some((next.urgency, self.ready * RANK_SCALE / self.hosts.max(1)))
+    }
+}
+
+/// Steps in which the share of servers that are ready is told apart.
+const RANK_SCALE: usize = 1000;
+
 /// The loads that are to be ordered now, or when their servers are idle; the most urgent first. As
-/// many urgent ones as may be under way at once.
+/// many as may be under way at once, shared out so that no model's servers lag behind the others'.
 pub fn loads_due(models: &BTreeMap<String, ModelState>, engines: &[EngineState]) -> Vec<Load> {
     let hosts = assign(models, engines);
-    let mut due: Vec<Load> = models
-        .iter()
-        .flat_map(|(model, state)| due_for_model(model, state, &hosts, engines))
-        .collect();
-    due.sort_by_key(|load| load.urgency);
+    let mut queues: Vec<Queue> =
+        models.iter().map(|(model, state)| queue(model, state, &hosts, engines)).collect();
     let under_way = engines.iter().filter(|engine| engine.loading.is_some()).count();
-    due.truncate(LOADS_AT_ONCE.saturating_sub(under_way));
+    let free = loads_at_once(engines.len()).saturating_sub(under_way);
+    let mut due = Vec::new();
+    while due.len() < free {
+        let neediest = queues
+            .iter_mut()
+            .filter_map(|queue| Some((queue.rank()?, queue)))
+            .min_by_key(|(rank, _)| *rank);
+        let Some((_, queue)) = neediest else {
+            break;
+        };
+        queue.ready += 1;
+        due.extend(queue.due.pop());
+    }
     due
 }
 
+fn queue(
+    model: &str,
+    state: &ModelState,
+    hosts: &HashMap<&str, &str>,
+    engines: &[EngineState],
+) -> Queue {
+    let mut due = due_for_model(model, state, hosts, engines);
+    due.sort_by_key(|load| load.urgency);
+    due.reverse();
+    let follows = |engine: &&EngineState| hosts.get(engine.id.as_str()) == Some(&model);
+    let is_ready = |engine: &&EngineState| {
+        let loading = engine.loading.as_ref().filter(|(loading, _)| loading == model);
+        let held = engine.models.get(model).copied().unwrap_or(0);
+        let held = loading.map_or(held, |(_, to)| held.max(*to));
+        held + 1 >= state.version
+    };
+    let mine = engines.iter().filter(follows);
+    Queue { due, ready: mine.clone().filter(is_ready).count(), hosts: mine.count() }
+}
+
 /// The loads of a model's newest version, those of the oldest versions first.
 fn due_for_model(
     model: &str,
--- a/crates/heronbend-gateway/tests/versions.rs
+++ b/crates/heronbend-gateway/tests/versions.rs
@@ -8,7 +8,9 @@
 use heronbend::identity::NodeName;
 use heronbend_gateway::versions::board::{Fitness, VersionBoard, EXPECTED_LOAD};
 use heronbend_gateway::versions::lease::{LeaseHold, LeaseRecord, LEASE_DURATION};
-use heronbend_gateway::versions::plan::{loads_due, EngineState, Load, ModelState, Urgency};
+use heronbend_gateway::versions::plan::{
+    loads_at_once, loads_due, EngineState, Load, ModelState, Urgency,
+};
 use support::server;
 
 const PAUSE: Duration = Duration::from_secs(3);
@@ -206,3 +208,41 @@
     assert!(!board.name(SECOND * 2, "m", 2));
     assert_eq!(board.named()["m"], (3, SECOND));
 }
+
+/// Servers that all hold the first version of three models.
+fn many_engines(count: usize) -> Vec<EngineState> {
+    let name = |number| format!("e{number:02}");
+    let held = [("a", 1), ("b", 1), ("c", 1)];
+    (0..count).map(|number| engine(&name(number), &held)).collect()
+}
+
+#[test]
+fn more_servers_load_at_a_time_where_there_are_more() {
+    assert_eq!([8, 9, 14, 35].map(loads_at_once), [2, 2, 2, 7]);
+    let models = models(&[("a", 3, 100, false)]);
+    assert_eq!(loads_due(&models, &many_engines(35)).len(), 7);
+}
+
+#[test]
+fn no_model_waits_until_the_others_have_loaded() {
+    let models = models(&[("a", 3, 100, false), ("b", 3, 100, false), ("c", 3, 100, false)]);
+    let due = loads_due(&models, &many_engines(35));
+    for model in ["a", "b", "c"] {
+        assert!(due.iter().filter(|load| load.model == model).count() >= 2, "{model}: {due:?}");
+    }
+}
+
+#[test]
+fn the_model_whose_servers_lag_most_loads_first() {
+    let models = models(&[("a", 3, 100, false), ("b", 3, 100, false)]);
+    let mut engines = many_engines(10);
+    // Most servers that follow the first model hold what its newest step allows.
+    for load in load_all(&models, &mut engines.clone()) {
+        if load.model == "a" {
+            let engine = engines.iter_mut().find(|engine| engine.id == load.server).unwrap();
+            engine.models.insert("a".to_owned(), 2);
+        }
+    }
+    let due = loads_due(&models, &engines);
+    assert!(due.iter().all(|load| load.model == "b"), "{due:?}");
+}
