Bodies, connections and retries are bounded

Change: - `memory::Budget`: a quarter of the machine's memory for clients' bodies, counted from the stated length on. What does not fit is refused at once as not run, with a time to come back. - A body that gets no byte for the configuration's idle time is answered 408: nothing ran. - Daemons that are alive share the connections that a server takes. - Half a retry for each request, 20 saved up at most (the library's budget); hedges are not counted. - Found by the test of connections: an attempt was counted only once its task had run, so that requests chosen for at the same moment all saw the server idle. Counted from the choice on.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -288,6 +288,7 @@
             target: self.item.path.parse().ok()?,
             headers,
             body: self.item.decoded_body(),
+            hold: None,
         })
     }
 
--- a/crates/heronbend-gateway/src/batch/reward.rs
+++ b/crates/heronbend-gateway/src/batch/reward.rs
@@ -80,6 +80,7 @@
         target: call.path.parse().ok()?,
         headers,
         body: call.decoded_body(),
+        hold: None,
     };
     let allowance = Allowance::of_route(route, gateway.now(), None);
     Some((outgoing, service, allowance, route.max_attempts.max(1)))
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -17,8 +17,9 @@
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::http::client::WholeAnswer;
-use crate::http::server::{read_body, BodyError};
+use crate::http::server::{read_body, BodyError, BodyLimits};
 use crate::http::{bytes_answer, text_answer, Answer, AnswerBody};
+use crate::memory::Hold;
 use crate::ports::Call;
 use crate::stream::{self, Opened};
 
@@ -87,19 +88,22 @@
         return ("none".to_owned(), text_answer(StatusCode::NOT_FOUND, "no such route"));
     };
     let name = route.name.clone();
-    let bytes = match read_body(body, configuration.limits.max_body_bytes).await {
+    let limits = BodyLimits {
+        max_bytes: configuration.limits.max_body_bytes,
+        idle: configuration.limits.idle_timeout.min(route.timeout),
+    };
+    let mut hold = gateway.memory.hold();
+    let bytes = match read_body(body, limits, &mut hold).await {
         Ok(bytes) => bytes,
-        Err(BodyError::TooLarge(_)) => {
-            return (name, text_answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
-        }
-        Err(BodyError::Cut(_)) => {
-            return (name, text_answer(StatusCode::BAD_REQUEST, "the body was cut"));
+        Err(error) => {
+            log::info!("event=body_refused id={id} route={name} reason=\"{error}\"");
+            return (name, body_refusal(&error));
         }
     };
     let answer = if route.kind == RouteKind::Rollout {
         hand_in_job(gateway, id, &head, &bytes, arrived).await
     } else {
-        pass_on(gateway, id, head, bytes, &route, &configuration, arrived).await
+        pass_on(gateway, id, head, (bytes, hold), &route, &configuration, arrived).await
     };
     (name, answer)
 }
@@ -108,7 +112,7 @@
     gateway: &Rc<Gateway>,
     id: &str,
     head: Parts,
-    body: Bytes,
+    (body, hold): (Bytes, Hold),
     route: &Route,
     configuration: &Configuration,
     arrived: Moment,
@@ -126,6 +130,7 @@
         target: head.uri,
         headers: headers::passed_on(&head.headers),
         body,
+        hold: Some(Rc::new(hold)),
     };
     if route.kind == RouteKind::Stream {
         return pass_on_stream(gateway, &service, outgoing, allowance, route).await;
@@ -198,6 +203,18 @@
     passed
 }
 
+/// The answer to a request whose body was not read whole; nothing of it has run.
+fn body_refusal(error: &BodyError) -> Answer {
+    match error {
+        BodyError::TooLarge(_) => {
+            text_answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+        }
+        BodyError::NoRoom => not_run("no memory for the body"),
+        BodyError::Slow => text_answer(StatusCode::REQUEST_TIMEOUT, "the body did not come"),
+        BodyError::Cut(_) => text_answer(StatusCode::BAD_REQUEST, "the body was cut"),
+    }
+}
+
 /// The answer to a request that has not run and never will.
 fn not_run(reason: &'static str) -> Answer {
     let mut answer = text_answer(StatusCode::SERVICE_UNAVAILABLE, reason);
--- a/crates/heronbend-gateway/src/exchange.rs
+++ b/crates/heronbend-gateway/src/exchange.rs
@@ -12,6 +12,7 @@
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::http::client::{Exchange, ExchangeError, WholeAnswer};
+use crate::memory::Hold;
 
 /// Largest whole answer in bytes.
 pub const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
@@ -29,6 +30,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// The memory that a client's body takes.
+    pub hold: Option<Rc<Hold>>,
 }
 
 /// How an attempt failed.
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -22,6 +22,8 @@
 const HEDGE_SHARE: f64 = 0.5;
 /// Share of the target latency that a request waits for a server to be listed.
 const NO_SERVER_SHARE: f64 = 0.2;
+/// Retries after failures that each request pays for.
+const RETRY_SHARE: f64 = 0.5;
 /// When a refused caller is to come back.
 pub const RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -102,6 +104,7 @@
     outgoing: Outgoing,
     allowance: Allowance,
 ) -> Result<WholeAnswer, ForwardError> {
+    gateway.retries.borrow_mut().deposit(RETRY_SHARE);
     let forwarding = Forwarding {
         gateway: gateway.clone(),
         outgoing: Rc::new(outgoing),
@@ -123,7 +126,7 @@
         let mut open = 0_usize;
         loop {
             if open == 0 {
-                if !self.may_try_again() {
+                if !self.may_try_again() || !self.may_retry() {
                     return self.give_up();
                 }
                 if self.start_one(&sender) {
@@ -186,6 +189,15 @@
         within_budget && may_repeat && self.gateway.now() < self.allowance.deadline
     }
 
+    /// Whether the retries that failures cause are still within their budget.
+    fn may_retry(&self) -> bool {
+        let within_budget = self.spent == 0 || self.gateway.retries.borrow_mut().withdraw();
+        if !within_budget {
+            self.gateway.metrics.retries_withheld.inc();
+        }
+        within_budget
+    }
+
     /// Starts an attempt at the best server that has not been tried.
     fn start_one(&mut self, sender: &Sender<Result<WholeAnswer, AttemptFailure>>) -> bool {
         let Some(server) = self.choose() else {
@@ -195,8 +207,9 @@
         self.spent += 1;
         let (gateway, outgoing) = (self.gateway.clone(), self.outgoing.clone());
         let (sender, deadline) = (sender.clone(), self.allowance.deadline);
+        // Counted from now on: requests that are chosen for before the task has run must see it.
+        let counted = CountedAttempt::begin(&gateway, &server);
         let task = self.gateway.executor.spawn(async move {
-            let counted = CountedAttempt::begin(&gateway, &server);
             let time_left = deadline.saturating_sub(gateway.now());
             let answered = async {
                 let exchange = exchange::begin(&gateway, &server, &outgoing, time_left).await?;
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
+use heronbend::admission::RetryBudget;
 use heronbend::identity::NodeId;
 use heronbend::Moment;
 use rand::Rng;
@@ -18,6 +19,7 @@
 use crate::configuration::Configuration;
 use crate::directory::{Directory, Server};
 use crate::http::client::ConnectionPool;
+use crate::memory::Budget;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::ports::{Dialect, ObjectStore};
@@ -48,6 +50,8 @@
     pub lease_pause: Duration,
     /// How long results stay readable after a job has ended.
     pub result_retention: Duration,
+    /// Most bytes of clients' bodies that are held at once.
+    pub max_held_bytes: usize,
     /// Largest object that the store takes, in bytes.
     pub max_object_bytes: usize,
     /// Longest time from the signal to stop until the process is gone.
@@ -100,6 +104,10 @@
     pub behind: Cell<u64>,
     /// Notified when watches may hear nothing and lists are to be read.
     pub watches_doubted: Event,
+    /// What clients' bodies take of the memory.
+    pub memory: Rc<Budget>,
+    /// Retries that failures may still cause.
+    pub retries: RefCell<RetryBudget>,
     /// Counters.
     pub metrics: Metrics,
     started: Instant,
@@ -137,6 +145,8 @@
             store_reached_since: Cell::new(Moment::ZERO),
             behind: Cell::new(0),
             watches_doubted: Event::new(),
+            memory: Budget::new(tuning.max_held_bytes),
+            retries: RefCell::default(),
             metrics,
             started,
         });
@@ -166,6 +176,19 @@
 
     /// Servers of a service that may get new requests.
     pub fn usable_servers(&self, service: &str) -> Vec<Rc<Server>> {
-        self.directory.borrow().usable(self.now(), service)
+        let mut usable = self.directory.borrow().usable(self.now(), service);
+        let share = self.connection_share(service);
+        let balancer = self.balancer.borrow();
+        usable.retain(|server| balancer.in_flight(&server.id) < share);
+        usable
+    }
+
+    /// Connections that this daemon may have to one server: all daemons that are alive share what
+    /// the server takes.
+    fn connection_share(&self, service: &str) -> u32 {
+        let configuration = self.configuration.borrow();
+        let service = configuration.as_ref().and_then(|known| known.services.get(service));
+        let daemons = u32::try_from(self.members.count_alive() + 1).unwrap_or(u32::MAX);
+        service.map_or(u32::MAX, |service| (service.max_connections / daemons).max(1))
     }
 }
--- a/crates/heronbend-gateway/src/http/server.rs
+++ b/crates/heronbend-gateway/src/http/server.rs
@@ -14,7 +14,7 @@
 use http::header::{HeaderValue, CONNECTION};
 use http::Request;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::service::service_fn;
 use smol::net::TcpListener;
 use smol::{LocalExecutor, Timer};
@@ -22,6 +22,7 @@
 use thiserror::Error;
 
 use super::Answer;
+use crate::memory::Hold;
 
 /// Wait after a connection could not be accepted, as when descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -192,24 +193,66 @@
     /// It is larger than allowed.
     #[error("the body is larger than {0} bytes")]
     TooLarge(usize),
+    /// There is no memory for it now.
+    #[error("there is no memory for the body now")]
+    NoRoom,
+    /// Nothing of it came for too long.
+    #[error("the body did not come in time")]
+    Slow,
     /// The client broke off.
     #[error("the body was cut: {0}")]
     Cut(io::Error),
 }
 
-/// Reads a request's whole body.
-pub async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(BodyError::TooLarge(max_bytes));
+/// Limits on a request's body.
+#[derive(Debug, Clone, Copy)]
+pub struct BodyLimits {
+    /// Most bytes.
+    pub max_bytes: usize,
+    /// Longest time without a byte.
+    pub idle: Duration,
+}
+
+/// Reads a request's whole body, as far as there is memory for it.
+pub async fn read_body(
+    mut body: Incoming,
+    limits: BodyLimits,
+    hold: &mut Hold,
+) -> Result<Bytes, BodyError> {
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if stated > limits.max_bytes {
+        return Err(BodyError::TooLarge(limits.max_bytes));
+    }
+    if !hold.grow(stated) {
+        return Err(BodyError::NoRoom);
     }
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| BodyError::Cut(io::Error::other(error)))?;
+    while let Some(frame) = next_frame(&mut body, limits.idle).await? {
         let Ok(data) = frame.into_data() else { continue };
-        if bytes.len() + data.len() > max_bytes {
-            return Err(BodyError::TooLarge(max_bytes));
+        let length = bytes.len() + data.len();
+        if length > limits.max_bytes {
+            return Err(BodyError::TooLarge(limits.max_bytes));
+        }
+        let unstated = length.saturating_sub(stated.max(bytes.len()));
+        if !hold.grow(unstated) {
+            return Err(BodyError::NoRoom);
         }
         bytes.extend_from_slice(&data);
     }
     Ok(bytes.freeze())
 }
+
+async fn next_frame(
+    body: &mut Incoming,
+    idle: Duration,
+) -> Result<Option<Frame<Bytes>>, BodyError> {
+    let frame = async {
+        let frame = body.frame().await.transpose();
+        frame.map_err(|error| BodyError::Cut(io::Error::other(error)))
+    };
+    let silent = async {
+        Timer::after(idle).await;
+        Err(BodyError::Slow)
+    };
+    frame.or(silent).await
+}
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! - [`calls`], [`forward`], [`stream`], [`exchange`], [`balancer`], [`split`]: requests passed on.
 //! - [`events`]: the events of a server's stream.
+//! - [`memory`]: the bound on what clients make a daemon hold.
 //! - [`batch`]: batch jobs.
 //! - [`versions`]: versions of weights.
 //! - [`peers`]: the daemons among themselves.
@@ -28,6 +29,7 @@
 pub mod http;
 pub mod keeper;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod mirror;
 pub mod peers;
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     pub failures: Count,
     /// Second attempts made while the first was still open.
     pub hedges: Count,
+    /// Retries that were not made because too many others had been.
+    pub retries_withheld: Count,
     /// Answers that did not belong to their request, or were not whole.
     pub foreign_answers: Count,
     /// Calls to the store.
@@ -74,6 +76,7 @@
             refusals: Count::default(),
             failures: Count::default(),
             hedges: Count::default(),
+            retries_withheld: Count::default(),
             foreign_answers: Count::default(),
             store_calls: Family::default(),
             jobs_accepted: Count::default(),
@@ -110,6 +113,8 @@
         registry.register("refusals", "Attempts refused by servers", self.refusals.clone());
         registry.register("failures", "Attempts broken off", self.failures.clone());
         registry.register("hedges", "Second attempts beside the first", self.hedges.clone());
+        let withheld = self.retries_withheld.clone();
+        registry.register("retries_withheld", "Retries over the budget", withheld);
         registry.register("foreign_answers", "Answers dropped", self.foreign_answers.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         registry.register("jobs_accepted", "Batch jobs accepted", self.jobs_accepted.clone());
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -17,7 +17,7 @@
 use super::store_relay;
 use crate::batch::{hand_in, ownership_duty, reading};
 use crate::gateway::Gateway;
-use crate::http::server::read_body;
+use crate::http::server::{read_body, BodyLimits};
 use crate::http::{bytes_answer, text_answer, Answer};
 use crate::versions::duty::note_order_taken;
 
@@ -28,6 +28,8 @@
 const BEHIND_PATIENCE: Duration = Duration::from_millis(700);
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 const MAX_REQUEST_BYTES: usize = 32 * 1024 * 1024;
+/// Longest time without a byte of a peer's request.
+const REQUEST_IDLE: Duration = Duration::from_secs(2);
 
 /// Time constants: a daemon that is lost is known to be dead after about two seconds.
 const DETECTOR: DetectorConfig = DetectorConfig {
@@ -210,7 +212,9 @@
 
 /// Answers a peer's call.
 pub async fn answer_peer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Answer {
-    let Ok(body) = read_body(request.into_body(), MAX_REQUEST_BYTES).await else {
+    let mut hold = gateway.memory.hold();
+    let limits = BodyLimits { max_bytes: MAX_REQUEST_BYTES, idle: REQUEST_IDLE };
+    let Ok(body) = read_body(request.into_body(), limits, &mut hold).await else {
         return text_answer(StatusCode::BAD_REQUEST, "cut");
     };
     let Ok(request) = musli::wire::from_slice::<PeerRequest>(&body) else {
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -59,6 +59,12 @@
             .collect()
     }
 
+    /// How many other daemons are alive.
+    pub fn count_alive(&self) -> usize {
+        let members = self.members.borrow();
+        members.iter().filter(|member| member.liveness == Liveness::Alive).count()
+    }
+
     /// Whether this very run of a daemon has certainly ended or cannot be reached. A daemon that
     /// nothing is known of is lost once this one has had time to hear of all others.
     pub fn is_lost(&self, now: Moment, node: &NodeId) -> bool {
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -11,6 +11,13 @@
 use crate::gateway::{Identity, Tuning};
 use crate::service::Addresses;
 
+/// Memory of a process where the file does not say.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+const BYTES_A_MEGABYTE: usize = 1_000_000;
+/// One part in so many of the memory is for clients' bodies: a job takes several times its body's
+/// size while it is taken in.
+const HELD_SHARE: usize = 4;
+
 /// One thing that is wrong with a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finding {
@@ -63,6 +70,8 @@
     pub metrics: Option<SocketAddr>,
     /// The store.
     pub store: SocketAddr,
+    /// Memory that the process may use, in megabytes.
+    pub memory_limit_mb: usize,
     /// Largest object that the store takes, in bytes.
     pub max_object_bytes: usize,
     /// Pause between the last order of one holder and the first of another.
@@ -170,6 +179,13 @@
         0.0
     }
 
+    fn number_or(&mut self, field: &str, default: f64) -> f64 {
+        if self.optional(field).is_none() {
+            return default;
+        }
+        self.number(field)
+    }
+
     fn millis(&mut self, field: &str) -> Duration {
         Duration::try_from_secs_f64(self.number(field) / 1e3).unwrap_or_default()
     }
@@ -210,6 +226,7 @@
             metrics: reader.address("listen.metrics"),
             seeds: reader.addresses("seeds"),
             store: reader.required_address("store.address"),
+            memory_limit_mb: reader.number_or("memory_limit_mb", DEFAULT_MEMORY_MB) as usize,
             max_object_bytes: reader.number("store.max_object_bytes") as usize,
             lease_pause: reader.millis("lease_pause_ms"),
             result_retention: reader.seconds("result_retention_s"),
@@ -253,6 +270,7 @@
     /// Time constants.
     pub fn tuning(&self) -> Tuning {
         Tuning {
+            max_held_bytes: self.memory_limit_mb * BYTES_A_MEGABYTE / HELD_SHARE,
             lease_pause: self.lease_pause,
             result_retention: self.result_retention,
             max_object_bytes: self.max_object_bytes,
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -93,6 +93,7 @@
 }
 
 pub const TUNING: Tuning = Tuning {
+    max_held_bytes: 64_000_000,
     lease_pause: Duration::from_secs(3),
     result_retention: Duration::from_secs(120),
     max_object_bytes: 1 << 20,
