Reward calls take their turn at servers that callers wait for

Change: all daemons that run jobs share five reward calls for four places (`batch::gate`).

Test: reward_calls_leave_the_servers_queues_..., 48 at a time before, 20 at most after.

--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -13,11 +13,12 @@
 //! - [`event_stream`]: the text of an item from a server's events, without I/O.
 //! - [`registry`]: the jobs that this daemon knows.
 //! - [`hand_in`], [`reading`]: the callers' side.
-//! - [`runner`], [`item_run`], [`placement`], [`pace`], [`reward`], [`appender`]: the owner's side.
+//! - [`runner`], [`item_run`], [`placement`], [`pace`], [`reward`], [`gate`], [`appender`]: the owner's side.
 //! - [`ownership_duty`]: who owns what, and jobs taken over.
 
 pub mod appender;
 pub mod event_stream;
+pub mod gate;
 pub mod hand_in;
 pub mod item_run;
 pub mod ownership;
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use smol::LocalExecutor;
 
 use crate::balancer::Balancer;
+use crate::batch::gate::Gate;
 use crate::batch::registry::JobRegistry;
 use crate::configuration::Configuration;
 use crate::directory::{Directory, Server};
@@ -92,6 +93,8 @@
     pub draining: Cell<bool>,
     /// The other daemons.
     pub members: Peers,
+    /// Reward calls under way.
+    pub reward_gate: Gate,
     /// Batch jobs.
     pub jobs: JobRegistry,
     /// Named versions and orders under way.
@@ -139,6 +142,7 @@
             places_changed: Event::new(),
             draining: Cell::new(false),
             members: Peers::default(),
+            reward_gate: Gate::default(),
             jobs: JobRegistry::new(move || started.elapsed()),
             versions: VersionBoard::default(),
             tuning,
