Settings are read again on a hang-up signal, and when the file has changed

Now `reload` reads the file, refuses one with findings whole (each finding a line), takes seeds, retention, stop limit and object size over at once, and names what waits for the next start. Addresses, names and what a lease rests on stay for a process's life.

--- a/crates/heronbend-gateway/src/batch/hand_in.rs
+++ b/crates/heronbend-gateway/src/batch/hand_in.rs
@@ -59,7 +59,7 @@
     }
     check(&specification)?;
     let content = json!(specification);
-    if content.to_string().len() + OBJECT_OVERHEAD > gateway.tuning.max_object_bytes {
+    if content.to_string().len() + OBJECT_OVERHEAD > gateway.tuning().max_object_bytes {
         return Err(HandInError::TooLarge);
     }
     let mut is_in_doubt = false;
--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -105,7 +105,7 @@
                 // The daemon that took the job in may know a newer configuration than this one.
                 let missing_since = *self.route_missing.get_or_insert(self.gateway.now());
                 let missing_for = self.gateway.now().saturating_sub(missing_since);
-                if missing_for > self.gateway.tuning.configuration_notice * 2 {
+                if missing_for > self.gateway.tuning().configuration_notice * 2 {
                     return self.terminated("route removed");
                 }
                 Timer::after(CONFIGURATION_WAIT).await;
--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -186,7 +186,7 @@
 /// Removes jobs whose results need not be readable any more.
 async fn remove_old_jobs(gateway: &Gateway) {
     let now = gateway.now();
-    let retention = gateway.tuning.result_retention;
+    let retention = gateway.tuning().result_retention;
     for job in gateway.jobs.all() {
         let is_old = job.ended_since.get().is_some_and(|since| now > since + retention);
         if is_old && successor_here(gateway, &job.id) == gateway.identity.node {
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 //! paid for. Nothing is locked; a part borrows what it needs and never holds it across a wait.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -99,8 +100,9 @@
     pub jobs: JobRegistry,
     /// Named versions and orders under way.
     pub versions: VersionBoard,
-    /// Time constants.
-    pub tuning: Tuning,
+    /// Peer addresses of some other daemons, for as long as nobody is known.
+    pub seeds: RefCell<Vec<SocketAddr>>,
+    tuning: Cell<Tuning>,
     /// Since when the store has answered without a failure.
     pub store_reached_since: Cell<Moment>,
     /// Newest version of the configuration that a peer has told of.
@@ -145,7 +147,8 @@
             reward_gate: Gate::default(),
             jobs: JobRegistry::new(move || started.elapsed()),
             versions: VersionBoard::default(),
-            tuning,
+            seeds: RefCell::default(),
+            tuning: Cell::new(tuning),
             store_reached_since: Cell::new(Moment::ZERO),
             behind: Cell::new(0),
             watches_doubted: Event::new(),
@@ -163,6 +166,16 @@
         self.started.elapsed()
     }
 
+    /// Time constants.
+    pub fn tuning(&self) -> Tuning {
+        self.tuning.get()
+    }
+
+    /// Changes the time constants.
+    pub fn set_tuning(&self, tuning: Tuning) {
+        self.tuning.set(tuning);
+    }
+
     /// The configuration in force, if one is known.
     pub fn configuration(&self) -> Option<Rc<Configuration>> {
         self.configuration.borrow().clone()
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -12,7 +12,7 @@
 //! - [`versions`]: versions of weights.
 //! - [`peers`]: the daemons among themselves.
 //! - [`relayed_store`], [`mirror`], [`configuration`], [`directory`]: the store and what it says.
-//! - [`service`], [`keeper`]: the programs.
+//! - [`service`], [`keeper`], [`settings`], [`reload`]: the programs and their settings.
 //! - [`logging`], [`metrics`], [`explain`]: what they tell.
 
 pub mod balancer;
@@ -35,6 +35,7 @@
 pub mod peers;
 pub mod ports;
 pub mod relayed_store;
+pub mod reload;
 pub mod service;
 pub mod settings;
 pub mod split;
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -15,12 +15,13 @@
 use crate::batch::ownership_duty;
 use crate::configuration::Configuration;
 use crate::directory::ServerState;
-use crate::gateway::{Gateway, Identity, Tuning};
+use crate::gateway::Gateway;
 use crate::http::server::{Listener, ListenerLimits};
 use crate::http::{bytes_answer, text_answer, Answer};
 use crate::mirror::{self, MirrorSink};
 use crate::peers;
 use crate::ports::{Change, Dialect, Object, ObjectStore};
+use crate::reload;
 use crate::versions;
 
 /// Share of the time for a change of servers in which further ones are gathered into one call. The
@@ -75,20 +76,20 @@
 
 /// Runs a daemon until it is told to stop and has drained.
 pub fn run(
-    identity: Identity,
-    addresses: Addresses,
-    tuning: Tuning,
     ready_path: ReadyPath,
+    source: reload::Source,
     ports: impl FnOnce(Rc<LocalExecutor<'static>>) -> (Rc<dyn ObjectStore>, Rc<dyn Dialect>),
 ) -> Result<(), StartError> {
     let executor = Rc::new(LocalExecutor::new());
     let (store, dialect) = ports(executor.clone());
     let stop = crate::keeper::stop_signal(&[SIGTERM, SIGINT]).map_err(StartError::Signals)?;
-    let reload = crate::keeper::stop_signal(&[SIGHUP]).map_err(StartError::Signals)?;
+    let hang_up = crate::keeper::stop_signal(&[SIGHUP]).map_err(StartError::Signals)?;
+    let (identity, tuning) = (source.settings.identity(), source.settings.tuning());
+    let addresses = source.settings.addresses();
     let gateway = Gateway::new(identity, store, dialect, executor.clone(), tuning);
     smol::block_on(executor.run(async move {
         let callers = start(&gateway, &addresses, ready_path)?;
-        gateway.executor.spawn(crate::keeper::log_reloads(reload)).detach();
+        gateway.executor.spawn(reload::follow(gateway.clone(), source, hang_up)).detach();
         stop.wait().await;
         drain(&gateway, &callers).await;
         Ok(())
@@ -172,8 +173,8 @@
         refutation: 0,
         liveness: Liveness::Alive,
     };
-    let seeds = addresses.seeds.iter().copied().filter(|seed| *seed != address).collect();
-    let membership = peers::duty::run_membership(gateway.clone(), socket.into(), me, seeds);
+    *gateway.seeds.borrow_mut() = addresses.seeds.clone();
+    let membership = peers::duty::run_membership(gateway.clone(), socket.into(), me);
     gateway.executor.spawn(membership).detach();
     Ok(())
 }
@@ -185,11 +186,11 @@
     let (configurations, servers) = (kinds.configuration, kinds.servers);
     let followed = gateway.clone();
     spawn(Box::pin(async move {
-        let gathering = followed.tuning.configuration_notice.mul_f64(CONFIGURATION_GATHERING);
+        let gathering = followed.tuning().configuration_notice.mul_f64(CONFIGURATION_GATHERING);
         mirror::follow(followed, configurations, gathering, configuration).await;
     }) as std::pin::Pin<Box<dyn std::future::Future<Output = ()>>>);
     let directory = DirectorySink(gateway.clone());
-    let gathering = gateway.tuning.drain_notice.mul_f64(DIRECTORY_GATHERING);
+    let gathering = gateway.tuning().drain_notice.mul_f64(DIRECTORY_GATHERING);
     spawn(Box::pin(mirror::follow(gateway.clone(), servers, gathering, directory)));
     spawn(Box::pin(mirror::probe_store(gateway.clone())));
     spawn(Box::pin(ownership_duty::follow(gateway.clone())));
@@ -337,7 +338,7 @@
     log::info!("event=draining exchanges={}", callers.exchanges());
     Timer::after(STOP_NOTICE).await;
     callers.close();
-    let limit = begun + gateway.tuning.stop_limit.saturating_sub(STOP_MARGIN);
+    let limit = begun + gateway.tuning().stop_limit.saturating_sub(STOP_MARGIN);
     while gateway.now() < limit && (callers.connections() > 0 || runs_jobs(gateway)) {
         Timer::after(STOP_POLL).await;
     }
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -121,7 +121,7 @@
 /// Runs until the daemon ends.
 pub async fn run(gateway: Rc<Gateway>) {
     let me = gateway.identity.node.name.clone();
-    let lease = RefCell::new(LeaseHold::new(me, gateway.tuning.lease_pause));
+    let lease = RefCell::new(LeaseHold::new(me, gateway.tuning().lease_pause));
     let duty = Rc::new(Duty { gateway: gateway.clone(), lease, busy: RefCell::default() });
     duty.read_lease().await;
     loop {
@@ -233,7 +233,7 @@
         let versions = &self.gateway.versions;
         let named = versions.named();
         let newest = named.values().map(|(_, since)| *since).max();
-        let takeover = LEASE_DURATION + self.gateway.tuning.lease_pause;
+        let takeover = LEASE_DURATION + self.gateway.tuning().lease_pause;
         let holder_acts = versions.last_holder().map(|(_, since)| since + takeover);
         let store_reached = Some(self.gateway.store_reached_since.get());
         let begun = [newest, versions.last_order(), holder_acts, store_reached].into_iter().max();
