A takeover of the lease waits from when the last renewal became known

Change: each renewal writes something else (a counter), so that one revision stands for one renewal; the holder tells it to the others by datagram. Who replaces a revision that it has long known knows that its renewal was sent before that, and waits only for what is left. The answer to a renewal that was held up beyond a takeover gives no right to act.

Mended in the state machine, with a test. The bound on states was raised for it, the bounds of the system are as they were.

--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -180,7 +180,9 @@
         Hint::OrderTaken { holder, server, model, version } => {
             note_order_taken(gateway, holder, &server, &model, version);
         }
-        Hint::LeaseTaken { holder } => gateway.versions.set_holder(gateway.now(), holder),
+        Hint::LeaseRenewed { revision, record } => {
+            gateway.versions.lease_told(gateway.now(), revision, record);
+        }
         Hint::JobOwned { job, ownership, revision } => {
             ownership_duty::take_hint(gateway, &job, ownership, revision);
         }
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -8,6 +8,7 @@
 use crate::batch::ownership::Ownership;
 use crate::batch::specification::JobSpecification;
 use crate::batch::ItemResult;
+use crate::versions::lease::LeaseRecord;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -32,10 +33,12 @@
         /// The version.
         version: u64,
     },
-    /// A daemon has taken the lease for orders.
-    LeaseTaken {
-        /// The daemon.
-        holder: NodeName,
+    /// A daemon has taken or renewed the lease for orders.
+    LeaseRenewed {
+        /// The revision of the renewal.
+        revision: u64,
+        /// What it wrote.
+        record: LeaseRecord,
     },
     /// A batch job was taken in, changed hands or was ended.
     JobOwned {
--- a/crates/heronbend-gateway/src/versions/board.rs
+++ b/crates/heronbend-gateway/src/versions/board.rs
@@ -8,7 +8,9 @@
 use heronbend::identity::NodeName;
 use heronbend::Moment;
 
+use super::lease::LeaseRecord;
 use crate::directory::Server;
+use crate::ports::Revision;
 
 /// Time from an order until the server may have loaded the version.
 pub const EXPECTED_LOAD: Duration = Duration::from_millis(850);
@@ -49,6 +51,8 @@
     /// Times that a model's newest steps took, from hand-in to the version that came of it.
     step_times: RefCell<HashMap<String, VecDeque<Duration>>>,
     last_holder: RefCell<Option<(NodeName, Moment)>>,
+    /// The newest renewal of the lease that its holder has told of, and since when.
+    told_lease: RefCell<Option<(Revision, LeaseRecord, Moment)>>,
     /// Notified when a version was named, or an order was taken.
     pub changed: Event,
 }
@@ -105,6 +109,20 @@
         self.orders.borrow().values().map(|order| order.since).max()
     }
 
+    /// Notes a renewal of the lease that its holder tells of.
+    pub fn lease_told(&self, now: Moment, revision: Revision, record: LeaseRecord) {
+        let mut told = self.told_lease.borrow_mut();
+        if told.as_ref().is_none_or(|(known, ..)| *known < revision) {
+            self.set_holder(now, record.holder.clone());
+            *told = Some((revision, record, now));
+        }
+    }
+
+    /// The newest renewal of the lease that was told of, and since when.
+    pub fn told_lease(&self) -> Option<(Revision, LeaseRecord, Moment)> {
+        self.told_lease.borrow().clone()
+    }
+
     /// Notes who holds the lease.
     pub fn set_holder(&self, now: Moment, holder: NodeName) {
         let mut last = self.last_holder.borrow_mut();
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -258,7 +258,8 @@
                     );
                 }
                 self.gateway.versions.set_holder(self.gateway.now(), record.holder.clone());
-                self.lease.borrow_mut().observed(object.revision, record);
+                let now = self.gateway.now();
+                self.lease.borrow_mut().observed(object.revision, record, now);
             }
             Err(error) => log::error!("event=lease_malformed error=\"{error}\""),
         }
@@ -267,6 +268,9 @@
     /// Renews or takes the lease; whether this daemon may act now.
     async fn ensure_lease(&self) -> bool {
         let gateway = &self.gateway;
+        if let Some((revision, record, since)) = gateway.versions.told_lease() {
+            self.lease.borrow_mut().observed(revision, record, since);
+        }
         let sent = gateway.now();
         if self.lease.borrow().token(sent).is_some() {
             return true;
@@ -287,11 +291,11 @@
                 let now = gateway.now();
                 let mut lease = self.lease.borrow_mut();
                 let was_holder = lease.holder() == Some(&gateway.identity.node.name);
-                lease.renewed(object.revision, record, sent, now);
-                let me = gateway.identity.node.name.clone();
-                gateway.versions.set_holder(now, me.clone());
+                lease.renewed(object.revision, record.clone(), sent, now);
+                gateway.versions.set_holder(now, gateway.identity.node.name.clone());
+                let revision = object.revision;
+                gateway.members.tell_all(Hint::LeaseRenewed { revision, record });
                 if !was_holder {
-                    gateway.members.tell_all(Hint::LeaseTaken { holder: me });
                     let wait = lease.waits_until(now).map_or(Duration::ZERO, |until| until - now);
                     log::info!(
                         "event=lease_taken term={} acts_in_ms={}",
--- a/crates/heronbend-gateway/src/versions/lease.rs
+++ b/crates/heronbend-gateway/src/versions/lease.rs
@@ -5,6 +5,10 @@
 //! after it *sent* its last renewal, by its own steady clock. A daemon that takes the lease over
 //! has, by its compare-and-swap, made any further renewal of the former holder fail; it waits for
 //! the former holder's longest right to act, and for the pause that the surroundings demand.
+//!
+//! Each renewal changes the record, so that one revision stands for one renewal. Whoever has known
+//! a revision for some time, and replaces it, knows that its renewal was sent before that time: the
+//! wait counts from when the revision became known and not from the takeover.
 
 use std::time::Duration;
 
@@ -20,13 +24,28 @@
 const ACT_MARGIN: Duration = Duration::from_millis(300);
 
 /// What the lease's object says.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, musli::Encode, musli::Decode,
+)]
 pub struct LeaseRecord {
     /// The machine that holds it. A restarted process of the same machine is the same holder.
     pub holder: NodeName,
     /// Whether the holder has waited until it may act. A process that finds its own machine's name
     /// without this has to wait anew: the process before it may have taken the lease a moment ago.
     pub settled: bool,
+    /// Renewals so far: no two of them write the same, which would be no change in the store.
+    #[serde(default)]
+    #[musli(default)]
+    pub renewals: u64,
+}
+
+/// The record as a daemon last knew it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Known {
+    revision: Revision,
+    record: LeaseRecord,
+    /// When this daemon first knew of this revision: its renewal was sent before.
+    since: Moment,
 }
 
 /// One daemon's hold on the lease.
@@ -34,7 +53,7 @@
 pub struct LeaseHold {
     me: NodeName,
     pause: Duration,
-    known: Option<(Revision, LeaseRecord)>,
+    known: Option<Known>,
     /// From when this daemon may act; none unless it is the holder.
     acts_from: Option<Moment>,
     /// Until when its last acknowledged renewal lets it act.
@@ -50,12 +69,12 @@
 
     /// The revision that a renewal is conditioned on; none when no object is known.
     pub fn revision(&self) -> Option<Revision> {
-        self.known.as_ref().map(|(revision, _)| *revision)
+        self.known.as_ref().map(|known| known.revision)
     }
 
     /// Who holds the lease, as far as is known.
     pub fn holder(&self) -> Option<&NodeName> {
-        self.known.as_ref().map(|(_, record)| &record.holder)
+        self.known.as_ref().map(|known| &known.record.holder)
     }
 
     /// The fencing token, if this daemon may act at `now`.
@@ -74,13 +93,14 @@
         let settled = match (&self.known, self.acts_from) {
             (None, _) => true,
             (Some(_), Some(from)) => from <= now,
-            (Some((_, record)), None) => record.holder == self.me && record.settled,
+            (Some(known), None) => known.record.holder == self.me && known.record.settled,
         };
-        LeaseRecord { holder: self.me.clone(), settled }
+        let renewals = self.known.as_ref().map_or(0, |known| known.record.renewals + 1);
+        LeaseRecord { holder: self.me.clone(), settled, renewals }
     }
 
-    /// Notes what the object says, read or told by a conflict.
-    pub fn observed(&mut self, revision: Revision, record: LeaseRecord) {
+    /// Notes what the object says, read, told by a conflict or by the holder, as known from `since`.
+    pub fn observed(&mut self, revision: Revision, record: LeaseRecord, since: Moment) {
         if self.revision().is_some_and(|known| revision <= known) {
             return;
         }
@@ -88,7 +108,7 @@
             self.acts_from = None;
         }
         self.acts_until = Moment::ZERO;
-        self.known = Some((revision, record));
+        self.known = Some(Known { revision, record, since });
     }
 
     /// Notes that `record`, sent at `sent`, was acknowledged as `revision` at `acknowledged`.
@@ -99,11 +119,17 @@
         sent: Moment,
         acknowledged: Moment,
     ) {
+        if self.revision().is_some_and(|known| revision < known) {
+            // The answer was held up: the lease has changed since.
+            return;
+        }
         if self.acts_from.is_none() {
-            let wait = if record.settled { Duration::ZERO } else { LEASE_DURATION + self.pause };
-            self.acts_from = Some(acknowledged + wait);
+            let former_ends = self.known.as_ref().map_or(acknowledged, |known| known.since);
+            let after_pause = former_ends + LEASE_DURATION + self.pause;
+            let from = if record.settled { acknowledged } else { after_pause.max(acknowledged) };
+            self.acts_from = Some(from);
         }
-        self.known = Some((revision, record));
+        self.known = Some(Known { revision, record, since: acknowledged });
         self.acts_until = sent + LEASE_DURATION;
     }
 
--- a/crates/heronbend-gateway/tests/versions.rs
+++ b/crates/heronbend-gateway/tests/versions.rs
@@ -21,7 +21,7 @@
 }
 
 fn record(name: &str, settled: bool) -> LeaseRecord {
-    LeaseRecord { holder: NodeName(name.to_owned()), settled }
+    LeaseRecord { holder: NodeName(name.to_owned()), settled, renewals: 0 }
 }
 
 /// Renews at `now`, as the store acknowledged it after `delay`.
@@ -43,7 +43,7 @@
 #[test]
 fn a_new_holder_waits_for_the_old_ones_right_to_act_and_the_pause() {
     let mut second = hold("b");
-    second.observed(5, record("a", true));
+    second.observed(5, record("a", true), SECOND);
     renew(&mut second, 6, SECOND, Duration::ZERO);
     let may_act = SECOND + LEASE_DURATION + PAUSE;
     assert_eq!(second.waits_until(SECOND), Some(may_act));
@@ -53,13 +53,47 @@
     assert_eq!(second.token(may_act), Some(7));
 }
 
+#[test]
+fn a_new_holder_that_has_long_known_the_last_renewal_waits_for_what_is_left() {
+    let mut second = hold("b");
+    second.observed(5, record("a", true), SECOND);
+    let taken = SECOND * 4;
+    renew(&mut second, 6, taken, Duration::ZERO);
+    assert_eq!(second.waits_until(taken), Some(SECOND + LEASE_DURATION + PAUSE));
+    let mut late = hold("c");
+    late.observed(5, record("a", true), SECOND);
+    let taken = SECOND * 9;
+    renew(&mut late, 6, taken, Duration::ZERO);
+    assert_eq!(late.token(taken), Some(6));
+}
+
+#[test]
+fn the_late_answer_to_a_renewal_before_a_takeover_gives_no_right_to_act() {
+    let mut first = hold("a");
+    let created = first.next_record(SECOND);
+    first.observed(6, record("b", false), SECOND * 4);
+    first.renewed(5, created, SECOND, SECOND * 4);
+    renew(&mut first, 7, SECOND * 4, Duration::ZERO);
+    assert_eq!(first.token(SECOND * 4), None);
+}
+
+#[test]
+fn each_renewal_writes_something_else() {
+    let mut first = hold("a");
+    renew(&mut first, 5, SECOND, Duration::ZERO);
+    let (one, two) = (first.next_record(SECOND), first.next_record(SECOND * 2));
+    assert_eq!(one, two, "what is not written yet may be written again");
+    renew(&mut first, 6, SECOND * 2, Duration::ZERO);
+    assert_ne!(first.next_record(SECOND * 3), two);
+}
+
 #[test]
 fn a_holder_that_lost_track_does_not_skip_the_pause() {
     let mut second = hold("b");
-    second.observed(5, record("a", true));
+    second.observed(5, record("a", true), SECOND);
     renew(&mut second, 6, SECOND, Duration::ZERO);
     second.lost_track();
-    second.observed(7, record("b", false));
+    second.observed(7, record("b", false), SECOND * 2);
     renew(&mut second, 8, SECOND * 2, Duration::ZERO);
     assert_eq!(second.token(SECOND * 2), None);
     assert_eq!(second.waits_until(SECOND * 2), Some(SECOND + LEASE_DURATION + PAUSE));
@@ -68,7 +102,7 @@
 #[test]
 fn a_process_that_restarts_within_the_pause_waits_anew() {
     let mut restarted = hold("b");
-    restarted.observed(6, record("b", false));
+    restarted.observed(6, record("b", false), Duration::ZERO);
     renew(&mut restarted, 7, Duration::ZERO, Duration::ZERO);
     assert_eq!(restarted.token(SECOND), None);
     assert_eq!(restarted.waits_until(Duration::ZERO), Some(LEASE_DURATION + PAUSE));
@@ -77,7 +111,7 @@
 #[test]
 fn a_process_that_restarts_as_the_settled_holder_goes_on() {
     let mut restarted = hold("a");
-    restarted.observed(6, record("a", true));
+    restarted.observed(6, record("a", true), Duration::ZERO);
     renew(&mut restarted, 7, SECOND, Duration::ZERO);
     assert_eq!(restarted.token(SECOND), Some(7));
 }
@@ -86,7 +120,7 @@
 fn a_holder_that_was_replaced_does_not_act_and_waits_when_it_returns() {
     let mut first = hold("a");
     renew(&mut first, 5, SECOND, Duration::ZERO);
-    first.observed(6, record("b", false));
+    first.observed(6, record("b", false), SECOND);
     assert_eq!(first.token(SECOND), None);
     renew(&mut first, 7, SECOND * 2, Duration::ZERO);
     assert_eq!(first.token(SECOND * 2), None);
--- a/spec/src/order_lease.rs
+++ b/spec/src/order_lease.rs
@@ -32,6 +32,8 @@
     RestartSettles,
     /// The store replaces the record whatever its revision.
     Unconditional,
+    /// Renewals write the same again, which is no change: one revision stands for several of them.
+    SameRenewals,
 }
 
 /// Bounds of an exploration.
@@ -127,11 +129,15 @@
         }
         let mut next = state.clone();
         next.writes_left -= 1;
+        let mut record = state.holds[daemon].next_record(state.time());
+        if self.mutation == Mutation::SameRenewals {
+            record.renewals = 0;
+        }
         next.writes.push(Write {
             daemon,
             run: state.runs[daemon],
             condition: state.holds[daemon].revision(),
-            record: state.holds[daemon].next_record(state.time()),
+            record,
             sent: state.now,
         });
         Some(next)
@@ -171,7 +177,7 @@
             let sent = if counts_from_answer { now } else { TICK * answer.write.sent };
             hold.renewed(answer.revision, record, sent, now);
         } else {
-            hold.observed(answer.revision, answer.record);
+            hold.observed(answer.revision, answer.record, now);
         }
         next
     }
@@ -180,7 +186,7 @@
         let (revision, mut record) = state.object.clone()?;
         let mut next = state.clone();
         record.settled |= self.mutation == Mutation::RestartSettles;
-        next.holds[daemon].observed(revision, record);
+        next.holds[daemon].observed(revision, record, state.time());
         (next != *state).then_some(next)
     }
 
--- a/spec/tests/gateway_protocols.rs
+++ b/spec/tests/gateway_protocols.rs
@@ -5,7 +5,7 @@
 use heronbend_spec::order_lease::{self, Bounds, OrderLease};
 use heronbend_spec::result_log::{self, SharedLog};
 
-const MAX_STATES: usize = 1_500_000;
+const MAX_STATES: usize = 4_000_000;
 
 /// Long enough for a takeover with its pause.
 const LONG: Bounds = Bounds { ticks: 5, writes: 3, restarts: 0 };
@@ -46,8 +46,10 @@
 
 #[test]
 fn every_guard_of_the_lease_is_needed() {
-    use order_lease::Mutation::{CountsFromAnswer, NoPause, RestartSettles, Unconditional};
-    for mutation in [NoPause, CountsFromAnswer, Unconditional] {
+    use order_lease::Mutation::{
+        CountsFromAnswer, NoPause, RestartSettles, SameRenewals, Unconditional,
+    };
+    for mutation in [NoPause, CountsFromAnswer, Unconditional, SameRenewals] {
         fails(&OrderLease { bounds: LONG, mutation });
     }
     fails(&OrderLease { bounds: RESTART, mutation: RestartSettles });
