A daemon that takes a job over seals its log before it answers readers

Traced in the log: the owner froze, another daemon took the job over and read seven chunks; the former owner thawed, appended chunk 7 and showed it; the new owner, confirmed by the store, had nothing to append for 4 s and told readers that there was nothing at 49. Not the lease: the fault is as old as ownership, and a late write of a dead owner does the same.

Change: who takes a job over appends an empty chunk under its own name before it answers. A write of the former owner that is under way finds the number taken; a writer that finds another's chunk appends nothing more until the store says that it owns the job. One write for each takeover.

Ruled out: asking the store before each append (a call for each chunk; and the write may still be late).

--- a/crates/heronbend-gateway/src/batch/appender.rs
+++ b/crates/heronbend-gateway/src/batch/appender.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use serde_json::json;
+use serde_json::{json, Value};
 use smol::Timer;
 
-use super::registry::{chunk_name, results_kind, Job};
+use super::registry::{chunk_name, results_kind, Job, OWNERSHIPS};
 use super::result_log::{Chunk, ItemResult};
 use crate::gateway::Gateway;
 use crate::mirror::{backoff, list_all};
@@ -16,10 +16,30 @@
 /// Results that come within this time are written together: each call to the store has a price.
 const GATHERING: Duration = Duration::from_millis(450);
 
+/// Rest between two looks whether this daemon owns the job again.
+const OWNER_LOOK: Duration = Duration::from_millis(500);
+
+/// Who wrote the chunk that a write found or made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Writer {
+    /// This run of this daemon.
+    Here,
+    /// Another daemon, or an earlier run: it owns the job, or did when it wrote.
+    Another,
+}
+
 /// Appends results for as long as this daemon runs the job.
+///
+/// A chunk of another writer means that the job may have changed hands: nothing more is appended
+/// until the store confirms that this daemon owns it.
 pub async fn run(gateway: Rc<Gateway>, job: Rc<Job>) {
     let mut failures = 0;
+    let mut is_owner_sure = true;
     loop {
+        if !is_owner_sure {
+            is_owner_sure = confirm_owner(&gateway, &job).await;
+            continue;
+        }
         let waits = job.result_waits.listen();
         let chunk = job.log.borrow_mut().start_writing();
         let Some(chunk) = chunk else {
@@ -30,7 +50,10 @@
             continue;
         };
         match write(&gateway, &job, &chunk).await {
-            Ok(()) => failures = 0,
+            Ok(writer) => {
+                failures = 0;
+                is_owner_sure = writer == Writer::Here;
+            }
             Err(error) => {
                 failures += 1;
                 job.log.borrow_mut().write_failed();
@@ -46,6 +69,39 @@
     }
 }
 
+/// Asks the store whether this daemon owns the job; rests where it does not, or cannot be told.
+async fn confirm_owner(gateway: &Gateway, job: &Job) -> bool {
+    let read = gateway.store.get(OWNERSHIPS, &job.id).await;
+    if let Ok(Some(object)) = &read {
+        gateway.jobs.learn_object(object);
+    }
+    let is_owner = matches!(read, Ok(Some(_))) && job.owner() == gateway.identity.node;
+    log::info!(
+        "event=owner_confirmed job={} owner={} is_owner={is_owner} outcome={}",
+        job.id,
+        job.owner(),
+        read.as_ref().map_or_else(ToString::to_string, |_| "read".to_owned())
+    );
+    if !is_owner {
+        Timer::after(OWNER_LOOK).await;
+    }
+    is_owner
+}
+
+/// Appends a chunk without results, so that no write of a former owner can be done any more: one
+/// that is still under way finds its number taken, and a former owner that finds this chunk asks
+/// who owns the job. Until then the log here may lack what a former owner shows to readers.
+pub async fn seal(gateway: &Gateway, job: &Job) -> Result<(), StoreError> {
+    loop {
+        let number = job.log.borrow().chunks();
+        let chunk = Chunk { number, results: Vec::new() };
+        if write(gateway, job, &chunk).await? == Writer::Here {
+            log::info!("event=log_sealed job={} chunk={number}", job.id);
+            return Ok(());
+        }
+    }
+}
+
 /// Whether a waiting result makes the trainer's wait end: with it as many groups are whole as the
 /// trainer wants, or all items are listed.
 fn is_urgent(job: &Job) -> bool {
@@ -83,14 +139,15 @@
         .await;
 }
 
-async fn write(gateway: &Gateway, job: &Job, chunk: &Chunk) -> Result<(), StoreError> {
+async fn write(gateway: &Gateway, job: &Job, chunk: &Chunk) -> Result<Writer, StoreError> {
     let kind = results_kind(&job.id);
     let name = chunk_name(chunk.number);
-    let content = json!({ "results": chunk.results });
+    let writer = gateway.identity.node.to_string();
+    let content = json!({ "results": chunk.results, "writer": writer });
     match gateway.store.create(&kind, &name, content).await {
         Ok(_) => {
             settle(gateway, job, chunk.number, chunk.results.clone());
-            Ok(())
+            Ok(Writer::Here)
         }
         // Written before, by this daemon or by another one that runs the job.
         Err(StoreError::Conflict(Some(object))) => settle_object(gateway, job, &object),
@@ -102,10 +159,12 @@
     }
 }
 
-fn settle_object(gateway: &Gateway, job: &Job, object: &Object) -> Result<(), StoreError> {
+fn settle_object(gateway: &Gateway, job: &Job, object: &Object) -> Result<Writer, StoreError> {
     let (number, results) = parse_chunk(object)?;
     settle(gateway, job, number, results);
-    Ok(())
+    let writer = object.content.get("writer").and_then(Value::as_str);
+    let is_here = writer == Some(gateway.identity.node.to_string().as_str());
+    Ok(if is_here { Writer::Here } else { Writer::Another })
 }
 
 fn settle(gateway: &Gateway, job: &Job, number: u32, results: Vec<Rc<ItemResult>>) {
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -4,7 +4,8 @@
 //! append-only log of objects whose names are consecutive numbers: whoever appends must know all
 //! that stands before, and of two that append the same number only one succeeds. So a daemon that
 //! was paused or lost its ownership can repeat work and never a result, and no lease is needed.
-//! Ownership, a small object for each job, only says who runs it.
+//! Ownership, a small object for each job, says who runs it. Who takes a job over seals the log with
+//! an empty chunk before it answers readers: from then on nobody else appends.
 //!
 //! - [`specification`]: what a job consists of.
 //! - [`result_log`]: the log of results, without I/O.
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -94,6 +94,7 @@
             // A job that was handed in a moment ago has no results yet.
             if !job.is_new.get() {
                 appender::catch_up(gateway, job).await?;
+                appender::seal(gateway, job).await?;
             }
             Ok::<_, StoreError>(specification)
         };
--- a/crates/heronbend-gateway/tests/support/memory_store.rs
+++ b/crates/heronbend-gateway/tests/support/memory_store.rs
@@ -84,6 +84,15 @@
         self.set(kind, name, content, Value::Null);
     }
 
+    pub fn clear_faults(&self) {
+        self.write_faults.borrow_mut().clear();
+    }
+
+    /// Writes that are still to be done.
+    pub fn late_writes(&self) -> usize {
+        self.late.borrow().len()
+    }
+
     pub fn do_late_writes(&self) {
         for (kind, name, content, condition) in self.late.take() {
             // One whose condition does not hold any more has no effect.
