An owner answers for a log only while it knows all that was shown; the specification says so

The specification of the log now has ownership: takeovers, sealed logs, and the invariant that an owner that answers readers knows all that any daemon has ever shown. On the code of the commit before it found three further ways to break it, each with a trace of 4 to 8 steps, each mended with a guard and a test: - an owner whose write was done but not answered, while another daemon reads the store for a reader: an owner whose write is in doubt reads the log instead of answering from memory; - a former owner that has read the new owner's chunk for a reader, and appends behind it: whoever learns another's chunk, however, asks who owns the job first (it was asked on a conflict alone); - a daemon that lost the job while it was taking it over, and seals behind the next owner's seal: it asks after what it has read, and after each chunk that it finds.

Guards shown to be needed: three as before, and NoSeal, NoDoubt, NoInDoubt.

Tests: two more in tests/store_port.rs.

--- a/crates/heronbend-gateway/src/batch/appender.rs
+++ b/crates/heronbend-gateway/src/batch/appender.rs
@@ -34,10 +34,9 @@
 /// until the store confirms that this daemon owns it.
 pub async fn run(gateway: Rc<Gateway>, job: Rc<Job>) {
     let mut failures = 0;
-    let mut is_owner_sure = true;
     loop {
-        if !is_owner_sure {
-            is_owner_sure = confirm_owner(&gateway, &job).await;
+        if job.owner_in_doubt.get() {
+            confirm_owner(&gateway, &job).await;
             continue;
         }
         let waits = job.result_waits.listen();
@@ -50,13 +49,10 @@
             continue;
         };
         match write(&gateway, &job, &chunk).await {
-            Ok(writer) => {
-                failures = 0;
-                is_owner_sure = writer == Writer::Here;
-            }
+            Ok(_) => failures = 0,
             Err(error) => {
                 failures += 1;
-                job.log.borrow_mut().write_failed();
+                job.log.borrow_mut().write_failed(!error.is_not_done());
                 log::warn!(
                     "event=results_not_written job={} chunk={} results={} failures={failures} error=\"{error}\"",
                     job.id,
@@ -70,7 +66,7 @@
 }
 
 /// Asks the store whether this daemon owns the job; rests where it does not, or cannot be told.
-async fn confirm_owner(gateway: &Gateway, job: &Job) -> bool {
+async fn confirm_owner(gateway: &Gateway, job: &Job) {
     let read = gateway.store.get(OWNERSHIPS, &job.id).await;
     if let Ok(Some(object)) = &read {
         gateway.jobs.learn_object(object);
@@ -82,10 +78,11 @@
         job.owner(),
         read.as_ref().map_or_else(ToString::to_string, |_| "read".to_owned())
     );
-    if !is_owner {
+    if is_owner {
+        job.owner_in_doubt.set(false);
+    } else {
         Timer::after(OWNER_LOOK).await;
     }
-    is_owner
 }
 
 /// Appends a chunk without results, so that no write of a former owner can be done any more: one
@@ -93,6 +90,11 @@
 /// who owns the job. Until then the log here may lack what a former owner shows to readers.
 pub async fn seal(gateway: &Gateway, job: &Job) -> Result<(), StoreError> {
     loop {
+        if job.owner_in_doubt.get() {
+            // The chunks that were found may be those of a daemon that took the job over since.
+            confirm_owner(gateway, job).await;
+            continue;
+        }
         let number = job.log.borrow().chunks();
         let chunk = Chunk { number, results: Vec::new() };
         if write(gateway, job, &chunk).await? == Writer::Here {
@@ -162,9 +164,18 @@
 fn settle_object(gateway: &Gateway, job: &Job, object: &Object) -> Result<Writer, StoreError> {
     let (number, results) = parse_chunk(object)?;
     settle(gateway, job, number, results);
-    let writer = object.content.get("writer").and_then(Value::as_str);
-    let is_here = writer == Some(gateway.identity.node.to_string().as_str());
-    Ok(if is_here { Writer::Here } else { Writer::Another })
+    let writer = writer_of(gateway, object);
+    job.owner_in_doubt.set(writer == Writer::Another);
+    Ok(writer)
+}
+
+fn writer_of(gateway: &Gateway, chunk: &Object) -> Writer {
+    let writer = chunk.content.get("writer").and_then(Value::as_str);
+    if writer == Some(gateway.identity.node.to_string().as_str()) {
+        Writer::Here
+    } else {
+        Writer::Another
+    }
 }
 
 fn settle(gateway: &Gateway, job: &Job, number: u32, results: Vec<Rc<ItemResult>>) {
@@ -208,6 +219,10 @@
         let page = gateway.store.list(&kind, after.as_deref()).await?;
         for object in &page.objects {
             let (number, results) = parse_chunk(object)?;
+            let is_news = number >= job.log.borrow().chunks();
+            if is_news && writer_of(gateway, object) == Writer::Another {
+                job.owner_in_doubt.set(true);
+            }
             job.log.borrow_mut().settle(number, results);
         }
         if !page.objects.is_empty() {
--- a/crates/heronbend-gateway/src/batch/reading.rs
+++ b/crates/heronbend-gateway/src/batch/reading.rs
@@ -90,6 +90,7 @@
         {
             let results = results.into_iter().map(Rc::new).collect();
             job.log.borrow_mut().extend(results, chunks);
+            job.owner_in_doubt.set(true);
             job.grew.notify(usize::MAX);
             return Ok(false);
         }
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -57,6 +57,9 @@
     pub running: Cell<bool>,
     /// When the store last confirmed that this daemon runs it and that the log here is complete.
     pub confirmed: Cell<Option<Moment>>,
+    /// Whether a chunk of another writer was found, which may be a newer owner's: nothing is appended
+    /// until the store has confirmed the owner.
+    pub owner_in_doubt: Cell<bool>,
     /// Whether it was made a moment ago, so that it has no results in the store.
     pub is_new: Cell<bool>,
     /// When this daemon first knew of it.
@@ -80,6 +83,7 @@
             stopping: Event::new(),
             running: Cell::new(false),
             confirmed: Cell::new(None),
+            owner_in_doubt: Cell::new(false),
             is_new: Cell::new(false),
             known_since: now,
         })
@@ -94,7 +98,8 @@
     /// daemon that was paused may have lost the job to another one, which has appended since.
     pub fn is_authority(&self, now: Moment) -> bool {
         let confirmed = self.confirmed.get();
-        self.running.get() && confirmed.is_some_and(|at| now < at + CONFIRMATION_HOLDS)
+        let knows_all = !self.log.borrow().is_in_doubt();
+        self.running.get() && knows_all && confirmed.is_some_and(|at| now < at + CONFIRMATION_HOLDS)
     }
 
     /// Whether every item has a settled result.
--- a/crates/heronbend-gateway/src/batch/result_log.rs
+++ b/crates/heronbend-gateway/src/batch/result_log.rs
@@ -75,6 +75,8 @@
     chunk_starts: Vec<usize>,
     pending: Vec<Rc<ItemResult>>,
     writing: bool,
+    /// Whether the store may hold one chunk more than is known here.
+    in_doubt: bool,
 }
 
 impl ResultLog {
@@ -148,9 +150,15 @@
         Some(Chunk { number: self.chunks, results: self.pending[..count].to_vec() })
     }
 
-    /// Notes that a chunk could not be written, or that its outcome is unknown.
-    pub fn write_failed(&mut self) {
+    /// Notes that a chunk could not be written; `is_unknown` where it may have been, or may be yet.
+    pub fn write_failed(&mut self, is_unknown: bool) {
         self.writing = false;
+        self.in_doubt |= is_unknown;
+    }
+
+    /// Whether the store may hold a chunk that is not known here, and that others may have read.
+    pub fn is_in_doubt(&self) -> bool {
+        self.in_doubt
     }
 
     /// Notes that a chunk, of whichever writer, is in the store. Chunks come in order; one that is
@@ -162,6 +170,7 @@
         self.chunks += 1;
         self.chunk_starts.push(self.results.len());
         self.writing = false;
+        self.in_doubt = false;
         for result in results {
             if self.listed.insert(result.item.clone()) {
                 self.results.push(result);
--- a/crates/heronbend-gateway/tests/batch.rs
+++ b/crates/heronbend-gateway/tests/batch.rs
@@ -32,7 +32,8 @@
     let first = log.start_writing().unwrap();
     log.add(result("b"));
     assert!(log.start_writing().is_none());
-    log.write_failed();
+    log.write_failed(true);
+    assert!(log.is_in_doubt());
     let again = log.start_writing().unwrap();
     assert_eq!(again.number, first.number);
 }
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -270,6 +270,49 @@
     });
 }
 
+#[test]
+fn an_owner_that_has_read_anothers_chunk_appends_nothing_until_it_has_asked() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let former = gateway("a", &store, &executor);
+            let new = gateway("b", &store, &executor);
+            let (mine, _task) = appending(&store, &former, &executor);
+            let theirs = take_over(&store, &new).await;
+            // As for a reader of the former owner, which still believes that it owns the job.
+            appender::catch_up(&former, &mine).await.unwrap();
+            add(&mine, "item-0");
+            wait_until("the former owner knows better", || mine.owner() == new.identity.node).await;
+            assert_eq!((mine.log.borrow().len(), theirs.log.borrow().len()), (0, 0));
+        })
+    });
+}
+
+#[test]
+fn an_owner_whose_write_is_in_doubt_does_not_answer_for_the_log() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let owner = gateway("a", &store, &executor);
+            let (mine, task) = appending(&store, &owner, &executor);
+            mine.running.set(true);
+            mine.confirmed.set(Some(owner.now()));
+            assert!(mine.is_authority(owner.now()));
+            store.fail_writes(&[WriteFault::AnswerLost]);
+            store.fail_writes(&[WriteFault::Refused; 40]);
+            add(&mine, "item-0");
+            let is_written = || store.object(&results_kind("j"), &chunk_name(0)).is_some();
+            wait_until("the chunk is written", is_written).await;
+            wait_until("the owner is in doubt", || !mine.is_authority(owner.now())).await;
+            drop(task);
+            appender::catch_up(&owner, &mine).await.unwrap();
+            mine.confirmed.set(Some(owner.now()));
+            assert!(mine.is_authority(owner.now()));
+            assert_eq!(mine.log.borrow().len(), 1);
+        })
+    });
+}
+
 #[test]
 fn a_late_write_of_a_lost_owner_is_not_done_after_the_log_is_sealed() {
     run(|executor| {
--- a/spec/tests/gateway_protocols.rs
+++ b/spec/tests/gateway_protocols.rs
@@ -11,8 +11,21 @@
 const LONG: Bounds = Bounds { ticks: 5, writes: 3, restarts: 0 };
 /// A restart, within the time of a lease.
 const RESTART: Bounds = Bounds { ticks: 2, writes: 3, restarts: 1 };
-const LOG: SharedLog =
-    SharedLog { items: 2, writes: 4, restarts: 1, mutation: result_log::Mutation::None };
+/// Two daemons that both run the job throughout.
+const LOG: SharedLog = SharedLog {
+    items: 2,
+    writes: 4,
+    restarts: 1,
+    takeovers: 0,
+    ownership: false,
+    mutation: result_log::Mutation::None,
+};
+/// The job is taken over, also by a daemon that has just restarted.
+const TAKEN_OVER: SharedLog =
+    SharedLog { writes: 3, restarts: 1, takeovers: 1, ownership: true, ..LOG };
+/// It is taken over again and again.
+const TAKEN_BACK: SharedLog =
+    SharedLog { writes: 2, restarts: 0, takeovers: 3, ownership: true, ..LOG };
 
 fn run<S: System + std::fmt::Debug>(system: &S) -> Report {
     let report = explore(system, MAX_STATES);
@@ -60,10 +73,19 @@
     holds(&LOG);
 }
 
+#[test]
+fn an_owner_that_answers_knows_all_that_was_ever_shown() {
+    holds(&TAKEN_OVER);
+    holds(&TAKEN_BACK);
+}
+
 #[test]
 fn every_guard_of_the_log_is_needed() {
-    use result_log::Mutation::{Overwrites, SkipsReading, TakesUnknownForDone};
+    use result_log::Mutation::{NoDoubt, NoSeal, Overwrites, SkipsReading, TakesUnknownForDone};
     for mutation in [Overwrites, TakesUnknownForDone, SkipsReading] {
         fails(&SharedLog { mutation, ..LOG });
     }
+    for mutation in [NoSeal, NoDoubt, NoInDoubt] {
+        fails(&SharedLog { mutation, ..TAKEN_OVER });
+    }
 }
