--- a/spec/tests/gateway_protocols.rs
+++ b/spec/tests/gateway_protocols.rs
@@ -81,7 +81,9 @@
 
 #[test]
 fn every_guard_of_the_log_is_needed() {
-    use result_log::Mutation::{NoDoubt, NoSeal, Overwrites, SkipsReading, TakesUnknownForDone};
+    use result_log::Mutation::{
+        NoDoubt, NoInDoubt, NoSeal, Overwrites, SkipsReading, TakesUnknownForDone,
+    };
     for mutation in [Overwrites, TakesUnknownForDone, SkipsReading] {
         fails(&SharedLog { mutation, ..LOG });
     }
