--- a/crates/heronbend-gateway/src/logging.rs
+++ b/crates/heronbend-gateway/src/logging.rs
@@ -15,11 +15,58 @@
 /// Lines that come within this time are written together.
 const GATHERING: Duration = Duration::from_millis(50);
 
+/// Lines dropped by this process so far.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines that were dropped since the start.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Lines that wait to be written.
 #[derive(Default)]
-struct Buffer {
+pub struct Buffer {
     waiting: Mutex<Vec<u8>>,
     filled: Condvar,
-    dropped: AtomicU64,
+    /// Lines dropped since the last were told of.
+    untold: AtomicU64,
+}
+
+impl Buffer {
+    /// Adds a line, unless there is no room for it; never waits for room.
+    pub fn push(&self, line: &str) -> bool {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        if waiting.len() + line.len() > CAPACITY_BYTES {
+            self.untold.fetch_add(1, Ordering::Relaxed);
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+            return false;
+        }
+        let was_empty = waiting.is_empty();
+        waiting.extend_from_slice(line.as_bytes());
+        drop(waiting);
+        if was_empty {
+            self.filled.notify_one();
+        }
+        true
+    }
+
+    /// Waits for lines.
+    fn wait(&self) {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        while waiting.is_empty() {
+            waiting = self.filled.wait(waiting).unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+
+    /// The lines that wait, and how many were dropped since the last call.
+    pub fn take(&self) -> (Vec<u8>, u64) {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        (std::mem::take(&mut *waiting), self.untold.swap(0, Ordering::Relaxed))
+    }
+
+    fn is_empty(&self) -> bool {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner).is_empty()
+    }
 }
 
 /// The logger of a daemon.
@@ -52,25 +99,12 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        let line = format!("level={} {}\n", record.level(), record.args());
-        let mut waiting = self.buffer.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        if waiting.len() + line.len() > CAPACITY_BYTES {
-            self.buffer.dropped.fetch_add(1, Ordering::Relaxed);
-            return;
-        }
-        let was_empty = waiting.is_empty();
-        waiting.extend_from_slice(line.as_bytes());
-        drop(waiting);
-        if was_empty {
-            self.buffer.filled.notify_one();
-        }
+        self.buffer.push(&format!("level={} {}\n", record.level(), record.args()));
     }
 
     fn flush(&self) {
         for _ in 0..FLUSH_LOOKS {
-            let is_written =
-                self.buffer.waiting.lock().unwrap_or_else(PoisonError::into_inner).is_empty();
-            if is_written {
+            if self.buffer.is_empty() {
                 return;
             }
             std::thread::sleep(GATHERING);
@@ -84,16 +118,9 @@
 fn write_out(buffer: &Buffer) {
     let mut output = std::io::stdout();
     loop {
-        let mut waiting = buffer.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        while waiting.is_empty() {
-            waiting = buffer.filled.wait(waiting).unwrap_or_else(PoisonError::into_inner);
-        }
-        drop(waiting);
+        buffer.wait();
         std::thread::sleep(GATHERING);
-        let mut waiting = buffer.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        let bytes = std::mem::take(&mut *waiting);
-        drop(waiting);
-        let dropped = buffer.dropped.swap(0, Ordering::Relaxed);
+        let (bytes, dropped) = buffer.take();
         // Nobody reads: there is no other place to say so.
         let _ = output.write_all(&bytes);
         if dropped > 0 {
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -9,6 +9,8 @@
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::Registry;
 
+use crate::logging;
+
 type Count = Counter<u64, AtomicU64>;
 
 /// Labels of an answered request.
@@ -106,6 +108,8 @@
 
     /// The page.
     pub fn page(&self) -> String {
+        let told = self.log_lines_dropped.get();
+        self.log_lines_dropped.inc_by(logging::dropped().saturating_sub(told));
         let mut registry = Registry::with_prefix("heronbend");
         registry.register("answers", "Requests answered", self.answers.clone());
         registry.register("latency_seconds", "Time to answer", self.latency.clone());
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -3,6 +3,8 @@
 mod support;
 
 use std::cell::RefCell;
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +27,13 @@
 const GATHERING: Duration = Duration::from_millis(5);
 const PATIENCE: Duration = Duration::from_millis(700);
 
+/// Runs a test over an empty store.
+fn with_store<T>(
+    test: impl FnOnce(Rc<MemoryStore>, Rc<LocalExecutor<'static>>) -> Pin<Box<dyn Future<Output = T>>>,
+) -> T {
+    run(|executor| test(Rc::new(MemoryStore::default()), executor))
+}
+
 /// Names of the objects that a mirror knows.
 #[derive(Clone, Default)]
 struct Names(Rc<RefCell<Vec<String>>>);
@@ -50,9 +59,8 @@
 
 #[test]
 fn a_watch_that_was_cut_misses_nothing_although_the_next_one_would_be_deaf() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let gateway = gateway("a", &store, &executor);
             store.fail_watches(&[WatchFault::Cut]);
             store.mute_watches();
@@ -72,9 +80,8 @@
 
 #[test]
 fn a_deaf_watch_is_left_when_the_store_is_reached_again_by_another() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let gateway = gateway("a", &store, &executor);
             store.fail_watches(&[WatchFault::Deaf]);
             let deaf = Names::default();
@@ -96,9 +103,8 @@
 
 #[test]
 fn a_daemon_that_peers_are_ahead_of_lists_anew() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let gateway = gateway("a", &store, &executor);
             store.fail_watches(&[WatchFault::Deaf]);
             let names = Names::default();
@@ -115,9 +121,8 @@
 
 #[test]
 fn a_job_whose_creation_is_in_doubt_is_never_said_not_to_run() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let gateway = gateway("a", &store, &executor);
             store.fail_writes(&[WriteFault::Late]);
             store.fail_writes(&[WriteFault::Refused; 20]);
@@ -129,9 +134,8 @@
 
 #[test]
 fn a_job_that_the_store_refused_throughout_is_said_not_to_run() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let gateway = gateway("a", &store, &executor);
             store.fail_writes(&[WriteFault::Refused; 20]);
             let taken = hand_in::hand_in(&gateway, job("j", 2), gateway.now() + PATIENCE).await;
@@ -143,9 +147,8 @@
 
 #[test]
 fn a_job_is_taken_once_although_answers_were_lost() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let first = gateway("a", &store, &executor);
             let second = gateway("b", &store, &executor);
             store.fail_writes(&[WriteFault::AnswerLost, WriteFault::AnswerLost]);
@@ -160,9 +163,8 @@
 
 #[test]
 fn an_end_before_the_job_is_owned_keeps_it_from_ever_running() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let gateway = gateway("a", &store, &executor);
             store.put(SPECIFICATIONS, "j", json!(job("j", 2)));
             let patience = gateway.now() + PATIENCE;
@@ -176,9 +178,8 @@
 
 #[test]
 fn two_daemons_that_run_one_job_never_list_an_item_twice() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let first = gateway("a", &store, &executor);
             let second = gateway("b", &store, &executor);
             let patience = first.now() + PATIENCE;
@@ -249,9 +250,8 @@
 
 #[test]
 fn an_owner_that_was_replaced_shows_nothing_that_the_new_owner_does_not_know() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let former = gateway("a", &store, &executor);
             let new = gateway("b", &store, &executor);
             let (mine, _task) = appending(&store, &former, &executor);
@@ -272,9 +272,8 @@
 
 #[test]
 fn an_owner_that_has_read_anothers_chunk_appends_nothing_until_it_has_asked() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let former = gateway("a", &store, &executor);
             let new = gateway("b", &store, &executor);
             let (mine, _task) = appending(&store, &former, &executor);
@@ -290,9 +289,8 @@
 
 #[test]
 fn an_owner_whose_write_is_in_doubt_does_not_answer_for_the_log() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let owner = gateway("a", &store, &executor);
             let (mine, task) = appending(&store, &owner, &executor);
             mine.running.set(true);
@@ -315,9 +313,8 @@
 
 #[test]
 fn a_late_write_of_a_lost_owner_is_not_done_after_the_log_is_sealed() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let lost = gateway("a", &store, &executor);
             let new = gateway("b", &store, &executor);
             let (mine, task) = appending(&store, &lost, &executor);
@@ -335,9 +332,8 @@
 
 #[test]
 fn a_reader_elsewhere_gets_the_results_from_the_store() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let owner = gateway("a", &store, &executor);
             let reader = gateway("b", &store, &executor);
             let patience = owner.now() + PATIENCE;
@@ -357,9 +353,8 @@
 
 #[test]
 fn a_daemon_that_calls_nothing_notices_an_outage_and_leaves_its_deaf_watch() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let gateway = gateway("a", &store, &executor);
             // Begun while the store was silent: it is never answered.
             store.fail_watches(&[WatchFault::Deaf]);
@@ -381,9 +376,8 @@
 
 #[test]
 fn an_owner_answers_for_a_log_only_once_the_store_has_confirmed_it() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let gateway = gateway("a", &store, &executor);
             let patience = gateway.now() + PATIENCE;
             hand_in::hand_in(&gateway, job("j", 3), patience).await.unwrap();
@@ -405,9 +399,8 @@
 
 #[test]
 fn a_restarted_daemon_goes_on_with_its_own_jobs_without_waiting_to_hear_of_others() {
-    run(|executor| {
+    with_store(|store, executor| {
         Box::pin(async move {
-            let store = Rc::new(MemoryStore::default());
             let gateway = gateway("a", &store, &executor);
             let mut earlier = gateway.identity.node.clone();
             earlier.incarnation.0 -= 1;
