A stream without events runs once; events that are out of turn are fetched again whole

Found on re-reading `stream`: a stream that ended properly without an event was begun anew when its body was polled; and of a piece whose later event is out of turn, the earlier events were counted as passed on and were not, so that the next server left them out.

--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -141,12 +141,17 @@
         Err(Break::Failed(error)) => return Err(error),
     };
     let (status, headers) = relay.head.take().unwrap_or_default();
-    Ok(Opened::Events { status, headers, body: body(first, relay) })
+    let body = match first {
+        Some(first) => body(first, relay),
+        // It ended without an event.
+        None => AnswerBody::whole(Bytes::new()),
+    };
+    Ok(Opened::Events { status, headers, body })
 }
 
 /// The body of a stream whose first events are `first`.
-fn body(first: Option<Bytes>, relay: Relay) -> AnswerBody {
-    let state = (first, Some(relay));
+fn body(first: Bytes, relay: Relay) -> AnswerBody {
+    let state = (Some(first), Some(relay));
     AnswerBody::pieces(stream::unfold(state, |(first, relay)| async move {
         let mut relay = relay?;
         if let Some(first) = first {
@@ -218,16 +223,16 @@
         }
     }
 
-    /// Takes events in; the bytes that go to the client.
+    /// Takes events in; the bytes that go to the client. Of events that are not in turn none counts:
+    /// the next server is asked for all of them.
     fn take(&mut self, run: &mut Run, events: Vec<Event>) -> Result<Bytes, &'static str> {
+        let numbers = events.iter().filter_map(|event| event.id);
+        if numbers.zip(self.last_event + 1..).any(|(number, due)| number != due) {
+            return Err("an event is missing or out of turn");
+        }
         let mut bytes = BytesMut::new();
         for event in events {
-            if let Some(id) = event.id {
-                if id != self.last_event + 1 {
-                    return Err("an event is missing or out of turn");
-                }
-                self.last_event = id;
-            }
+            self.last_event = event.id.unwrap_or(self.last_event);
             if event.version.is_none() && self.continues_under_another(run) {
                 bytes.extend_from_slice(self.version_line(run).as_bytes());
             }
