A chunk of one's own does not end the doubt about who owns a job

Found on re-reading the change: the code cleared the doubt when a write found its own chunk, where the checked specification only sets it. A doubt that a reader's look at the log had raised meanwhile (another's seal behind that chunk) would have been lost, and the former owner would have appended behind the seal. Only the store's word on the owner ends a doubt now, as in the specification (`|=`).

--- a/crates/heronbend-gateway/src/batch/appender.rs
+++ b/crates/heronbend-gateway/src/batch/appender.rs
@@ -165,7 +165,10 @@
     let (number, results) = parse_chunk(object)?;
     settle(gateway, job, number, results);
     let writer = writer_of(gateway, object);
-    job.owner_in_doubt.set(writer == Writer::Another);
+    if writer == Writer::Another {
+        // Only the store's word on the owner ends a doubt.
+        job.owner_in_doubt.set(true);
+    }
     Ok(writer)
 }
 
