Results towards a step's end wait for what makes it whole

Cause: a trainer that has read something rests half a second before its next look, and half a second more before it ends the step. Results listed each 450 ms kept it resting when the deciding ones came: from the last text to the end 0.49 s in the mean, up to 0.9 s. A reader at another daemon got an empty answer at once when the owner told it of earlier results (no wait, then the same rest).

Ruled out: holding readers back; what is listed is told at once, as before.

Readers at other daemons wait.

--- a/crates/heronbend-gateway/src/batch/appender.rs
+++ b/crates/heronbend-gateway/src/batch/appender.rs
@@ -7,15 +7,13 @@
 use serde_json::{json, Value};
 use smol::Timer;
 
+use super::gathering;
 use super::registry::{chunk_name, results_kind, Job, OWNERSHIPS};
 use super::result_log::{Chunk, ItemResult};
 use crate::gateway::Gateway;
 use crate::mirror::{backoff, list_all};
 use crate::ports::{Object, ObjectStore, StoreError};
 
-/// Results that come within this time are written together: each call to the store has a price.
-const GATHERING: Duration = Duration::from_millis(450);
-
 /// Rest between two looks whether this daemon owns the job again.
 const OWNER_LOOK: Duration = Duration::from_millis(500);
 
@@ -40,12 +38,15 @@
             continue;
         }
         let waits = job.result_waits.listen();
-        let chunk = job.log.borrow_mut().start_writing();
-        let Some(chunk) = chunk else {
+        if job.log.borrow().pending() == 0 {
             waits.await;
-            if !is_urgent(&job) {
-                gather(&job).await;
-            }
+            continue;
+        }
+        // A chunk whose outcome is unknown is written, or read, before anything else.
+        if !job.log.borrow().is_in_doubt() {
+            gather(&gateway, &job).await;
+        }
+        let Some(chunk) = job.log.borrow_mut().start_writing() else {
             continue;
         };
         match write(&gateway, &job, &chunk).await {
@@ -104,41 +105,45 @@
     }
 }
 
-/// Whether a waiting result makes the trainer's wait end: with it as many groups are whole as the
-/// trainer wants, or all items are listed.
-fn is_urgent(job: &Job) -> bool {
-    let log = job.log.borrow();
-    if log.len() + log.pending() >= job.total {
-        return true;
+/// Waits for further results for as long as those that wait may wait.
+async fn gather(gateway: &Gateway, job: &Job) {
+    let begun = gateway.now();
+    loop {
+        let waits = job.result_waits.listen();
+        let step = step(gateway, job);
+        let log = job.log.borrow();
+        let is_full = log.len() + log.pending() >= job.total || log.is_chunk_half_full();
+        drop(log);
+        let waited = gateway.now().saturating_sub(begun);
+        let wait = gathering::wait(step.as_ref()).filter(|_| !is_full);
+        let Some(left) = wait.and_then(|wait| wait.checked_sub(waited)) else {
+            return;
+        };
+        waits
+            .or(async {
+                Timer::after(left).await;
+            })
+            .await;
     }
-    let specification = job.specification.borrow();
-    let Some(specification) = specification.as_deref() else {
-        return false;
-    };
-    let Some(step) = &specification.step else {
-        return false;
-    };
-    let settled = specification.whole_groups(|item| log.is_listed(item));
-    let waiting = specification.whole_groups(|item| log.has_result(item));
-    settled < step.desired_groups && waiting >= step.desired_groups
 }
 
-/// Waits for further results, but not for long.
-async fn gather(job: &Job) {
-    let all_wait = async {
-        loop {
-            let waits = job.result_waits.listen();
-            if is_urgent(job) {
-                return;
-            }
-            waits.await;
-        }
-    };
-    all_wait
-        .or(async {
-            Timer::after(GATHERING).await;
-        })
-        .await;
+/// How far the step is that a job is for, if a trainer handed it in.
+fn step(gateway: &Gateway, job: &Job) -> Option<gathering::Step> {
+    let specification = job.specification.borrow();
+    let specification = specification.as_deref()?;
+    let desired = specification.step.as_ref()?.desired_groups;
+    let log = job.log.borrow();
+    let listed = specification.whole_groups(|item| log.is_listed(item));
+    let whole = specification.whole_groups(|item| log.has_result(item));
+    let required = job.required.borrow();
+    let required_missing = required.iter().filter(|item| !log.has_result(item)).count();
+    let required_unlisted = required.iter().filter(|item| !log.is_listed(item)).count();
+    let age = gateway.now().saturating_sub(job.known_since);
+    let due = gateway.configuration().and_then(|configuration| {
+        configuration.route(&specification.host, &specification.path)?.result_deadline
+    });
+    let time_left = due.and_then(|due| due.checked_sub(age));
+    Some(gathering::Step { desired, listed, whole, required_missing, required_unlisted, time_left })
 }
 
 async fn write(gateway: &Gateway, job: &Job, chunk: &Chunk) -> Result<Writer, StoreError> {
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -11,6 +11,7 @@
 //! - [`result_log`]: the log of results, without I/O.
 //! - [`ownership`]: who runs a job, and whether it has ended, without I/O.
 //! - [`schedule`]: the order in which items are begun, without I/O.
+//! - [`gathering`]: how long results wait until they are listed together, without I/O.
 //! - [`event_stream`]: the text of an item from a server's events, without I/O.
 //! - [`registry`]: the jobs that this daemon knows.
 //! - [`hand_in`], [`reading`]: the callers' side.
@@ -20,6 +21,7 @@
 pub mod appender;
 pub mod event_stream;
 pub mod gate;
+pub mod gathering;
 pub mod hand_in;
 pub mod item_run;
 pub mod ownership;
--- a/crates/heronbend-gateway/src/batch/reading.rs
+++ b/crates/heronbend-gateway/src/batch/reading.rs
@@ -32,6 +32,15 @@
 /// Rest between two looks at the store for a job whose owner cannot be asked.
 const STORE_LOOK: Duration = Duration::from_millis(450);
 
+/// Rest between two calls to an owner, which tells of results before the reader's position as well.
+const OWNER_REST: Duration = Duration::from_millis(5);
+
+/// Who told of the results.
+enum Source {
+    Owner,
+    Store,
+}
+
 /// Results from a position on; waits for one until `wait_until`.
 pub async fn results(
     gateway: &Rc<Gateway>,
@@ -58,14 +67,16 @@
             .await;
             continue;
         }
-        let is_current = refresh(gateway, &job, left).await?;
-        if job.log.borrow().len() > from {
+        let source = refresh(gateway, &job, left).await?;
+        if job.log.borrow().len() > from || gateway.now() >= wait_until || job.ended.get() {
             break;
         }
-        if !is_current || gateway.now() >= wait_until || job.ended.get() {
-            break;
-        }
-        Timer::after(STORE_LOOK.min(wait_until.saturating_sub(gateway.now()))).await;
+        // An owner holds a call until it has news; the store answers at once.
+        let rest = match source {
+            Source::Owner => OWNER_REST,
+            Source::Store => STORE_LOOK,
+        };
+        Timer::after(rest.min(wait_until.saturating_sub(gateway.now()))).await;
     }
     let log = job.log.borrow();
     if from > log.len() {
@@ -75,8 +86,8 @@
     Ok(ResultsPage { total: job.total, from, results: log.page(from) })
 }
 
-/// Brings the log of a job that runs elsewhere up to date; true when the store was asked.
-async fn refresh(gateway: &Gateway, job: &Job, wait: Duration) -> Result<bool, ReadError> {
+/// Brings the log of a job that runs elsewhere up to date.
+async fn refresh(gateway: &Gateway, job: &Job, wait: Duration) -> Result<Source, ReadError> {
     let owner = job.owner();
     if owner != gateway.identity.node {
         let chunks = job.log.borrow().chunks();
@@ -92,11 +103,11 @@
             job.log.borrow_mut().extend(results, chunks);
             job.owner_in_doubt.set(true);
             job.grew.notify(usize::MAX);
-            return Ok(false);
+            return Ok(Source::Owner);
         }
     }
     match appender::catch_up(gateway, job).await {
-        Ok(()) => Ok(true),
+        Ok(()) => Ok(Source::Store),
         Err(error) => {
             log::warn!("event=results_not_read job={} error=\"{error}\"", job.id);
             Err(ReadError::Unavailable)
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -1,6 +1,7 @@
 //! The jobs that this daemon knows, each with what it has of its results.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,6 +44,8 @@
     pub ownership: RefCell<(Ownership, Revision)>,
     /// Its items, where they have been read.
     pub specification: RefCell<Option<Rc<JobSpecification>>>,
+    /// Items of groups that an earlier step left behind: the trainer cannot do without them.
+    pub required: RefCell<BTreeSet<String>>,
     /// Its results as far as they are known here.
     pub log: RefCell<ResultLog>,
     /// Notified when the log has grown.
@@ -77,6 +80,7 @@
             ended_since: Cell::new(ownership.ended.then_some(now)),
             ownership: RefCell::new((ownership, revision)),
             specification: RefCell::default(),
+            required: RefCell::default(),
             log: RefCell::default(),
             grew: Event::new(),
             result_waits: Event::new(),
@@ -175,6 +179,23 @@
         }
     }
 
+    /// Notes which items of a job an earlier job has had as well, as far as its items are known here.
+    pub fn note_required(&self, job: &Job, specification: &JobSpecification) {
+        let jobs = self.jobs.borrow();
+        let earlier = jobs
+            .values()
+            .filter(|known| known.id != job.id && known.known_since <= job.known_since);
+        let mut known_items = BTreeSet::new();
+        for known in earlier {
+            let specification = known.specification.borrow();
+            let items = specification.iter().flat_map(|known| known.items.iter());
+            known_items.extend(items.map(|item| item.id.clone()));
+        }
+        let items = specification.items.iter().map(|item| &item.id);
+        *job.required.borrow_mut() =
+            items.filter(|id| known_items.contains(*id)).cloned().collect();
+    }
+
     /// Forgets a job.
     pub fn forget(&self, id: &str) {
         self.jobs.borrow_mut().remove(id);
--- a/crates/heronbend-gateway/src/batch/result_log.rs
+++ b/crates/heronbend-gateway/src/batch/result_log.rs
@@ -59,7 +59,7 @@
 }
 
 /// Most text bytes in one chunk; a chunk is one object, whose size is bounded.
-const MAX_CHUNK_BYTES: usize = 400 * 1024;
+const MAX_CHUNK_BYTES: usize = 480 * 1024;
 /// Most text bytes in one page.
 const MAX_PAGE_BYTES: usize = 900 * 1024;
 /// Bytes of a result apart from its text.
@@ -110,6 +110,13 @@
         self.pending.len()
     }
 
+    /// Whether so many results wait that the next chunk is half full. What comes last is to fit into
+    /// one chunk: a reader that sees a part of it looks again only after a rest.
+    pub fn is_chunk_half_full(&self) -> bool {
+        let bytes = self.pending.iter().map(|result| result.text.len() + RESULT_OVERHEAD);
+        bytes.sum::<usize>() >= MAX_CHUNK_BYTES / 2
+    }
+
     /// Settled results from a position on, as many as fit one answer.
     pub fn page(&self, from: usize) -> Vec<Rc<ItemResult>> {
         let mut bytes = 0;
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -57,6 +57,7 @@
 
 async fn work_on(gateway: &Rc<Gateway>, job: &Rc<Job>) {
     let specification = load(gateway, job).await;
+    gateway.jobs.note_required(job, &specification);
     job.confirmed.set(Some(gateway.now()));
     let _appender = gateway.executor.spawn(appender::run(gateway.clone(), job.clone()));
     let mut tasks: Vec<Task<()>> = Vec::new();
