--- a/crates/heronbend-gateway/src/batch/appender.rs
+++ b/crates/heronbend-gateway/src/batch/appender.rs
@@ -7,6 +7,7 @@
 use serde_json::{json, Value};
 use smol::Timer;
 
+use super::checkpoint;
 use super::gathering;
 use super::registry::{chunk_name, results_kind, Job, OWNERSHIPS};
 use super::result_log::{Chunk, ItemResult};
@@ -111,9 +112,7 @@
     loop {
         let waits = job.result_waits.listen();
         let step = step(gateway, job);
-        let log = job.log.borrow();
-        let is_full = log.len() + log.pending() >= job.total || log.is_chunk_half_full();
-        drop(log);
+        let is_full = is_full(job);
         let waited = gateway.now().saturating_sub(begun);
         let wait = gathering::wait(step.as_ref()).filter(|_| !is_full);
         let Some(left) = wait.and_then(|wait| wait.checked_sub(waited)) else {
@@ -127,6 +126,12 @@
     }
 }
 
+/// Whether there is nothing to wait for: the last result waits, or enough for a chunk.
+fn is_full(job: &Job) -> bool {
+    let log = job.log.borrow();
+    log.len() + log.pending() >= job.total || log.is_chunk_half_full()
+}
+
 /// How far the step is that a job is for, if a trainer handed it in.
 fn step(gateway: &Gateway, job: &Job) -> Option<gathering::Step> {
     let specification = job.specification.borrow();
@@ -244,9 +249,10 @@
 
 /// Removes everything that the store keeps of a job.
 pub async fn remove_all(gateway: &Gateway, job: &str) -> Result<(), StoreError> {
-    let kind = results_kind(job);
-    for chunk in list_all(gateway, &kind).await?.0 {
-        gateway.store.remove(&kind, &chunk.name).await?;
+    for kind in [results_kind(job), checkpoint::kind(job)] {
+        for object in list_all(gateway, &kind).await?.0 {
+            gateway.store.remove(&kind, &object.name).await?;
+        }
     }
     gateway.store.remove(super::registry::SPECIFICATIONS, job).await?;
     gateway.store.remove(super::registry::OWNERSHIPS, job).await
--- a/crates/heronbend-gateway/src/batch/event_stream.rs
+++ b/crates/heronbend-gateway/src/batch/event_stream.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::checkpoint::Segment;
 use super::result_log::ItemResult;
 use crate::events::{Malformed, Parser};
 
@@ -23,22 +24,49 @@
 }
 
 /// Events of one item, from one or more servers.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ItemText {
     events: Vec<String>,
-    versions: BTreeSet<u64>,
-    last_event: u64,
+    /// The version of the weights that made each event.
+    made_by: Vec<u64>,
 }
 
 impl ItemText {
     /// Number of the last event; 0 before the first.
     pub fn last_event(&self) -> u64 {
-        self.last_event
+        self.events.len() as u64
     }
 
     /// Versions of the weights that made an event.
-    pub fn versions(&self) -> &BTreeSet<u64> {
-        &self.versions
+    pub fn versions(&self) -> BTreeSet<u64> {
+        self.made_by.iter().copied().collect()
+    }
+
+    /// The events after number `after`, as a segment of an item's text.
+    pub fn segment(&self, item: usize, after: u64) -> Segment {
+        let from = usize::try_from(after).unwrap_or(usize::MAX).min(self.events.len());
+        Segment {
+            item,
+            after,
+            events: self.events[from..].to_vec(),
+            versions: self.made_by[from..].to_vec(),
+        }
+    }
+
+    /// Takes in the events of a segment that follow what is known; one after a gap adds nothing.
+    pub fn extend_from(&mut self, segment: &Segment) {
+        let Some(known) = self.last_event().checked_sub(segment.after) else {
+            return;
+        };
+        let new = segment.events.iter().zip(&segment.versions);
+        for (event, version) in new.skip(usize::try_from(known).unwrap_or(usize::MAX)) {
+            self.push(event.clone(), *version);
+        }
+    }
+
+    fn push(&mut self, event: String, version: u64) {
+        self.events.push(event);
+        self.made_by.push(version);
     }
 
     /// The data of all events, separated by line feeds.
@@ -47,12 +75,12 @@
     }
 
     /// The result of a whole text.
-    pub fn into_result(self, item: &str, score: Option<String>) -> ItemResult {
+    pub fn result(&self, item: &str, score: Option<String>) -> ItemResult {
         ItemResult {
             item: item.to_owned(),
             state: super::ItemState::Done,
             text: self.text(),
-            versions: self.versions.into_iter().collect(),
+            versions: self.versions().into_iter().collect(),
             score,
         }
     }
@@ -80,13 +108,11 @@
             let Some(data) = event.data else {
                 continue;
             };
-            if event.id != Some(text.last_event + 1) {
+            if event.id != Some(text.last_event() + 1) {
                 return Err(StreamError::OutOfTurn);
             }
             let version = self.version.ok_or(StreamError::Malformed)?;
-            text.last_event += 1;
-            text.events.push(data);
-            text.versions.insert(version);
+            text.push(data, version);
             count += 1;
         }
         Ok(count)
--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -1,5 +1,6 @@
 //! Runs one item: its text at one or more servers, then its score.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -58,7 +59,7 @@
     job: &'a Job,
     specification: &'a JobSpecification,
     item: &'a Item,
-    text: ItemText,
+    text: Rc<RefCell<ItemText>>,
     failures: u32,
     /// Attempts in a row that added nothing.
     idle_attempts: u32,
@@ -70,19 +71,20 @@
     last_server: Vec<String>,
 }
 
-/// Runs an item until it has a result.
+/// Runs an item until it has a result; goes on with `text`, which may have been begun elsewhere.
 pub async fn run(
     gateway: &Rc<Gateway>,
     job: &Job,
     specification: &JobSpecification,
     item: &Item,
+    text: Rc<RefCell<ItemText>>,
 ) -> ItemResult {
     let run = ItemRun {
         gateway,
         job,
         specification,
         item,
-        text: ItemText::default(),
+        text,
         failures: 0,
         idle_attempts: 0,
         route_missing: None,
@@ -116,7 +118,7 @@
                 return self.terminated("route without a service");
             };
             let (server, fitness) = self.placement().wait(&service, &self.last_server).await;
-            let before = self.text.last_event();
+            let before = self.last_event();
             match self.attempt(&server, fitness, &route).await {
                 RunEnd::Whole => break,
                 RunEnd::Again => self.rest(before).await,
@@ -140,16 +142,16 @@
             "event=item_done job={} item={} events={} versions={:?} text_ms={text_millis} total_ms={}",
             self.job.id,
             self.item.id,
-            self.text.last_event(),
-            self.text.versions(),
+            self.last_event(),
+            self.text.borrow().versions(),
             (self.gateway.now() - begun).as_millis()
         );
-        self.text.into_result(&self.item.id, score)
+        self.text.borrow().result(&self.item.id, score)
     }
 
     /// Rests after an attempt that added nothing to the text, longer after each one in a row.
     async fn rest(&mut self, before: u64) {
-        if self.text.last_event() > before {
+        if self.last_event() > before {
             self.idle_attempts = 0;
             return;
         }
@@ -195,6 +197,10 @@
         self.service.clone()
     }
 
+    fn last_event(&self) -> u64 {
+        self.text.borrow().last_event()
+    }
+
     fn placement(&self) -> Placement<'_> {
         Placement { gateway: self.gateway, step: self.specification.step.as_ref() }
     }
@@ -208,7 +214,7 @@
         let Some(outgoing) = self.outgoing(fitness) else {
             return RunEnd::Impossible;
         };
-        let first_event = self.text.last_event();
+        let first_event = self.last_event();
         let answer = exchange::begin(self.gateway, server, &outgoing, ITEM_DEADLINE);
         let answer = answer.or(async {
             Timer::after(FIRST_EVENT_LIMIT).await;
@@ -236,7 +242,7 @@
             self.gateway.metrics.items_resumed.inc();
         }
         let outcome = self.read_events(server, exchange, route).await;
-        let events = self.text.last_event().saturating_sub(first_event);
+        let events = self.last_event().saturating_sub(first_event);
         match outcome {
             Ok(()) => {
                 let per_event = counted.elapsed() / u32::try_from(events.max(1)).unwrap_or(1);
@@ -262,7 +268,7 @@
             self.job.id,
             self.item.id,
             server.id,
-            self.text.last_event()
+            self.last_event()
         );
     }
 
@@ -276,8 +282,8 @@
         headers.insert(names.request_id.clone(), HeaderValue::from_str(&self.item.id).ok()?);
         let host = HeaderValue::from_str(&self.specification.host).ok()?;
         headers.insert(http::header::HOST, host);
-        if self.text.last_event() > 0 {
-            headers.insert(names.last_event.clone(), HeaderValue::from(self.text.last_event()));
+        if self.last_event() > 0 {
+            headers.insert(names.last_event.clone(), HeaderValue::from(self.last_event()));
         }
         if let Fitness::Expected(version) = fitness {
             headers.insert(names.expected_version.clone(), HeaderValue::from(version));
@@ -306,7 +312,6 @@
         let version = exchange.header(&names.weight_version).and_then(|value| value.parse().ok());
         let field = names.weight_version.as_str();
         let mut reader = EventReader::new(field, version);
-        let mut text = self.text.clone();
         let mut limit = FIRST_EVENT_LIMIT;
         let outcome = loop {
             let bytes = exchange.next_bytes().or(async {
@@ -314,7 +319,7 @@
                 Err(ExchangeError::Timeout)
             });
             match bytes.await {
-                Ok(Some(bytes)) => match reader.read(&bytes, &mut text) {
+                Ok(Some(bytes)) => match reader.read(&bytes, &mut self.text.borrow_mut()) {
                     Ok(0) => {}
                     Ok(events) => {
                         limit = EVENT_LIMIT;
@@ -324,20 +329,18 @@
                     }
                     Err(_) => break Err("malformed stream"),
                 },
-                Ok(None) if text.last_event() == 0 => break Err("no events"),
+                Ok(None) if self.last_event() == 0 => break Err("no events"),
                 Ok(None) if reader.is_between_events() => break Ok(()),
                 Ok(None) => break Err("cut within an event"),
                 Err(ExchangeError::Timeout) => break Err("silent"),
                 Err(_) => break Err("broken off"),
             }
-            if !self.versions_fit(&text, route) {
+            if !self.versions_fit(route) {
                 break Err("versions do not fit");
             }
         };
-        if self.versions_fit(&text, route) {
-            self.text = text;
-        } else {
-            self.text = ItemText::default();
+        if !self.versions_fit(route) {
+            *self.text.borrow_mut() = ItemText::default();
         }
         if outcome.is_ok() {
             exchange.keep();
@@ -360,10 +363,11 @@
         other.id != server.id && others.is_some_and(|others| per_event > others * SLOW_PACE)
     }
 
-    fn versions_fit(&self, text: &ItemText, route: &Route) -> bool {
+    fn versions_fit(&self, route: &Route) -> bool {
         let min_version = self.min_version();
-        let is_fresh = text.versions().iter().all(|version| *version >= min_version);
-        let is_single = !route.single_version || text.versions().len() <= 1;
+        let versions = self.text.borrow().versions();
+        let is_fresh = versions.iter().all(|version| *version >= min_version);
+        let is_single = !route.single_version || versions.len() <= 1;
         is_fresh && is_single
     }
 }
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -13,12 +13,14 @@
 //! - [`schedule`]: the order in which items are begun, without I/O.
 //! - [`gathering`]: how long results wait until they are listed together, without I/O.
 //! - [`event_stream`]: the text of an item from a server's events, without I/O.
+//! - [`checkpoint`]: texts under way, saved for whoever takes a job over.
 //! - [`registry`]: the jobs that this daemon knows.
 //! - [`hand_in`], [`reading`]: the callers' side.
 //! - [`runner`], [`item_run`], [`placement`], [`pace`], [`reward`], [`gate`], [`appender`]: the owner's side.
 //! - [`ownership_duty`]: who owns what, and jobs taken over.
 
 pub mod appender;
+pub mod checkpoint;
 pub mod event_stream;
 pub mod gate;
 pub mod gathering;
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -10,6 +10,7 @@
 use heronbend::identity::NodeId;
 use heronbend::Moment;
 
+use super::checkpoint::Texts;
 use super::ownership::Ownership;
 use super::result_log::ResultLog;
 use super::specification::JobSpecification;
@@ -48,6 +49,8 @@
     pub required: RefCell<BTreeSet<String>>,
     /// Its results as far as they are known here.
     pub log: RefCell<ResultLog>,
+    /// Texts of its items, while it is run here.
+    pub texts: RefCell<Texts>,
     /// Notified when the log has grown.
     pub grew: Event,
     /// Notified when a result waits to be written.
@@ -82,6 +85,7 @@
             specification: RefCell::default(),
             required: RefCell::default(),
             log: RefCell::default(),
+            texts: RefCell::default(),
             grew: Event::new(),
             result_waits: Event::new(),
             stopping: Event::new(),
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -5,10 +5,11 @@
 use futures_lite::FutureExt;
 use smol::{Task, Timer};
 
+use super::checkpoint::Texts;
 use super::registry::{Job, SPECIFICATIONS};
 use super::schedule::begin_order;
 use super::specification::JobSpecification;
-use super::{appender, item_run, ownership_duty};
+use super::{appender, checkpoint, item_run, ownership_duty};
 use crate::gateway::Gateway;
 use crate::mirror::backoff;
 use crate::ports::{ObjectStore, StoreError};
@@ -60,6 +61,7 @@
     gateway.jobs.note_required(job, &specification);
     job.confirmed.set(Some(gateway.now()));
     let _appender = gateway.executor.spawn(appender::run(gateway.clone(), job.clone()));
+    let _checkpoints = gateway.executor.spawn(checkpoint::run(gateway.clone(), job.clone()));
     let mut tasks: Vec<Task<()>> = Vec::new();
     for position in begin_order(&specification.items) {
         if job.log.borrow().is_listed(&specification.items[position].id) {
@@ -67,9 +69,10 @@
         }
         let (gateway, job) = (gateway.clone(), job.clone());
         let specification = specification.clone();
+        let text = job.texts.borrow().get(position);
         tasks.push(gateway.clone().executor.spawn(async move {
             let item = &specification.items[position];
-            let result = item_run::run(&gateway, &job, &specification, item).await;
+            let result = item_run::run(&gateway, &job, &specification, item, text).await;
             job.log.borrow_mut().add(result);
             job.result_waits.notify(usize::MAX);
         }));
@@ -92,10 +95,12 @@
     loop {
         let loaded = async {
             let specification = specification(gateway, job).await?;
+            *job.texts.borrow_mut() = Texts::new(specification.items.len());
             // A job that was handed in a moment ago has no results yet.
             if !job.is_new.get() {
                 appender::catch_up(gateway, job).await?;
                 appender::seal(gateway, job).await?;
+                checkpoint::restore(gateway, job).await?;
             }
             Ok::<_, StoreError>(specification)
         };
