Few daemons of a zone watch the store, the others follow them; refused machines back off

Weighed: a tree (a dead inner node costs its whole branch), gossip of changes (no bound by itself), longer gathering (the bounds). Chosen: two watchers a zone by hash; the others hold a call at both, whose ends each 0.5 s are the heartbeat; who hears nothing watches for itself; who is refused follows watchers of other zones too. Zones of three daemons or fewer all watch. News carries the store's revision; older news is not taken.

--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -51,7 +51,7 @@
             Err(error) => {
                 failures += 1;
                 log::warn!("event=ownerships_not_listed failures={failures} error=\"{error}\"");
-                wait_for_store(&gateway).await;
+                wait_for_store(&gateway, failures).await;
             }
         }
     }
--- /dev/null
+++ b/crates/heronbend-gateway/src/dissemination.rs
@@ -0,0 +1,304 @@
+//! News of the store by way of peers.
+//!
+//! Each daemon has to know the servers and the configuration; a watch at each of them costs a call
+//! for each daemon and change. So a few daemons of each zone watch the store, and the others follow
+//! two of them: calls that are held until there is news, and whose regular ends are the heartbeat.
+//! A daemon that no watcher answers watches for itself. So does every daemon of a small zone. A
+//! daemon that the store refuses follows the watchers, of other zones as well.
+//!
+//! What a follower knows never runs backward: each piece of news says up to which revision of the
+//! store it goes, and is taken in only if that is later than what is known.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use heronbend::identity::NodeId;
+use heronbend::membership::Member;
+use rapidhash::v3::rapidhash_v3;
+use smol::Timer;
+
+use crate::gateway::Gateway;
+use crate::peers::client;
+use crate::peers::store_relay::RelayedObject;
+use crate::peers::PeerReply;
+use crate::peers::PeerRequest;
+use crate::ports::Change;
+use crate::ports::Changes;
+use crate::ports::Object;
+use crate::ports::Revision;
+
+/// Watchers of a zone.
+const WATCHERS: usize = 2;
+/// Daemons of a zone that all watch for themselves: to follow would save little.
+const SMALL_ZONE: usize = 3;
+/// Watchers that a daemon follows at most.
+const UPSTREAMS: usize = 3;
+/// Longest time that a watcher holds a call without news.
+const HOLD: Duration = Duration::from_millis(500);
+/// Time after which a watcher that failed is followed again.
+const FAILED_REST: Duration = Duration::from_millis(1500);
+/// A watcher that has not heard from the store for so long tells nothing: it may have missed news.
+const FRESHNESS: Duration = Duration::from_millis(1800);
+/// Removed objects that are remembered; followers that are further behind get everything.
+const MAX_REMOVED: usize = 512;
+
+/// All objects of one kind as they are known here, in a form that peers can follow.
+#[derive(Debug, Default)]
+pub struct Replica {
+    objects: BTreeMap<String, Object>,
+    /// Names of removed objects, with the revision at which their removal was known.
+    removed: VecDeque<(Revision, String)>,
+    at: Revision,
+    /// Removals up to this revision are no longer remembered.
+    forgotten: Revision,
+}
+
+/// What has changed since a revision.
+#[derive(Debug, Clone, PartialEq)]
+pub struct News {
+    /// Whether `objects` are all that there are.
+    pub is_whole: bool,
+    /// Objects that were made or replaced.
+    pub objects: Vec<Object>,
+    /// Names of objects that were removed.
+    pub removed: Vec<String>,
+    /// Revision up to which this goes.
+    pub at: Revision,
+}
+
+impl Replica {
+    /// Takes in a list of all objects.
+    pub fn reset(&mut self, objects: &[Object], at: Revision) {
+        let names: BTreeSet<&str> = objects.iter().map(|object| object.name.as_str()).collect();
+        let gone: Vec<String> =
+            self.objects.keys().filter(|name| !names.contains(name.as_str())).cloned().collect();
+        for name in gone {
+            self.remove(name, at);
+        }
+        for object in objects {
+            self.objects.insert(object.name.clone(), object.clone());
+        }
+        self.at = self.at.max(at);
+    }
+
+    /// Takes in changes up to a revision.
+    pub fn apply(&mut self, changes: &[Change], at: Revision) {
+        for change in changes {
+            match change {
+                Change::Set(object) => {
+                    self.objects.insert(object.name.clone(), object.clone());
+                }
+                Change::Removed(name) => self.remove(name.clone(), at),
+            }
+        }
+        self.at = self.at.max(at);
+    }
+
+    fn remove(&mut self, name: String, at: Revision) {
+        self.objects.remove(&name);
+        self.removed.push_back((at, name));
+        if self.removed.len() > MAX_REMOVED {
+            if let Some((forgotten, _)) = self.removed.pop_front() {
+                self.forgotten = forgotten;
+            }
+        }
+    }
+
+    /// Revision up to which the objects are known.
+    pub fn at(&self) -> Revision {
+        self.at
+    }
+
+    /// What has changed since a revision; nothing where that is all that is known.
+    pub fn since(&self, revision: Revision) -> Option<News> {
+        if revision >= self.at {
+            return None;
+        }
+        let is_whole = revision == 0 || revision < self.forgotten;
+        let is_news = |object: &&Object| is_whole || object.revision > revision;
+        let removed = self
+            .removed
+            .iter()
+            .filter(|(at, name)| !is_whole && *at > revision && !self.objects.contains_key(name));
+        Some(News {
+            is_whole,
+            objects: self.objects.values().filter(is_news).cloned().collect(),
+            removed: removed.map(|(_, name)| name.clone()).collect(),
+            at: self.at,
+        })
+    }
+}
+
+impl News {
+    /// The changes, for a follower that knows what stood before.
+    fn into_changes(self) -> Changes {
+        let removed = self.removed.into_iter().map(Change::Removed);
+        let set = self.objects.into_iter().map(Change::Set);
+        Changes { changes: removed.chain(set).collect(), at: self.at }
+    }
+}
+
+/// A wait for news.
+type Listening<'a> = Pin<Box<dyn Future<Output = Option<News>> + 'a>>;
+
+/// The daemons of a zone that watch the store for the others, first choice first.
+pub fn watchers(zone: &str, alive: &[Member]) -> Vec<NodeId> {
+    let mut line: Vec<&Member> = alive.iter().filter(|member| member.zone == zone).collect();
+    let count = if line.len() > SMALL_ZONE { WATCHERS } else { line.len() };
+    line.sort_by_key(|member| rapidhash_v3(member.id.name.0.as_bytes()));
+    line.truncate(count);
+    line.into_iter().map(|member| member.id.clone()).collect()
+}
+
+/// Whom this daemon follows; nobody where it watches for itself.
+pub fn upstreams(gateway: &Gateway) -> Vec<NodeId> {
+    let me = &gateway.identity;
+    let alive = gateway.members.alive_with(&gateway.me());
+    let mut line = watchers(&me.zone, &alive);
+    let is_watcher = line.contains(&me.node);
+    let is_served = gateway.store.is_reached();
+    if is_served && is_watcher {
+        return Vec::new();
+    }
+    if !is_served {
+        let zones: BTreeSet<&str> = alive.iter().map(|member| member.zone.as_str()).collect();
+        for zone in zones.into_iter().filter(|zone| *zone != me.zone) {
+            line.extend(watchers(zone, &alive).into_iter().take(1));
+        }
+    }
+    let now = gateway.now();
+    line.retain(|node| *node != me.node && !gateway.members.has_failed_to_tell(now, node));
+    line.truncate(UPSTREAMS);
+    line
+}
+
+/// Waits for changes of a kind at the watchers that this daemon follows; nothing when none of them
+/// tells any.
+pub async fn changes(
+    gateway: &Gateway,
+    kind: &'static str,
+    since: Revision,
+    upstreams: &[NodeId],
+) -> Option<Changes> {
+    // A whole state can't be told as changes: the caller lists.
+    let news = first_news(gateway, kind, since, upstreams).await?;
+    (!news.is_whole).then(|| news.into_changes())
+}
+
+/// All objects of a kind, from a watcher that this daemon follows; nothing from one that knows less
+/// than this daemon does.
+pub async fn whole(
+    gateway: &Gateway,
+    kind: &'static str,
+    upstreams: &[NodeId],
+) -> Option<(Vec<Object>, Revision)> {
+    let news = first_news(gateway, kind, 0, upstreams).await?;
+    let known = gateway.replicas.borrow().get(kind).map_or(0, Replica::at);
+    (news.at >= known).then_some((news.objects, news.at))
+}
+
+/// The news of whichever watcher has some first; nothing once all have failed.
+async fn first_news(
+    gateway: &Gateway,
+    kind: &'static str,
+    since: Revision,
+    upstreams: &[NodeId],
+) -> Option<News> {
+    if upstreams.is_empty() {
+        return None;
+    }
+    let failed = Cell::new(0);
+    let mut first: Listening = Box::pin(futures_lite::future::pending());
+    for upstream in upstreams {
+        let failed = &failed;
+        let one = async move {
+            match listen(gateway, kind, since, upstream).await {
+                Some(news) => Some(news),
+                None => {
+                    gateway.members.note_failed_to_tell(gateway.now() + FAILED_REST, upstream);
+                    failed.set(failed.get() + 1);
+                    if failed.get() < upstreams.len() {
+                        futures_lite::future::pending::<()>().await;
+                    }
+                    None
+                }
+            }
+        };
+        first = Box::pin(first.or(one));
+    }
+    first.await
+}
+
+/// Asks one watcher until it has news; nothing when it fails.
+async fn listen(
+    gateway: &Gateway,
+    kind: &'static str,
+    since: Revision,
+    upstream: &NodeId,
+) -> Option<News> {
+    loop {
+        let wait_millis = u64::try_from(HOLD.as_millis()).unwrap_or(0);
+        let request = PeerRequest::Follow { kind: kind.to_owned(), since, wait_millis };
+        let reply = client::call(gateway, upstream, &request, HOLD).await;
+        let Some(PeerReply::News { is_whole, objects, removed, at }) = reply else {
+            return None;
+        };
+        if at <= since {
+            continue;
+        }
+        let objects: Result<Vec<Object>, _> =
+            objects.into_iter().map(RelayedObject::into_object).collect();
+        return Some(News { is_whole, objects: objects.ok()?, removed, at });
+    }
+}
+
+/// Answers a daemon that follows this one.
+pub async fn answer(
+    gateway: &Rc<Gateway>,
+    kind: &str,
+    since: Revision,
+    wait: Duration,
+) -> PeerReply {
+    let until = gateway.now() + wait.min(HOLD);
+    loop {
+        let changed = gateway.replica_changed.listen();
+        if !is_informed(gateway) {
+            return PeerReply::NotOwner;
+        }
+        let news = match gateway.replicas.borrow().get(kind) {
+            Some(replica) => replica.since(since),
+            None => return PeerReply::NotOwner,
+        };
+        let left = until.saturating_sub(gateway.now());
+        if let Some(news) = news {
+            return PeerReply::News {
+                is_whole: news.is_whole,
+                objects: news.objects.iter().map(Into::into).collect(),
+                removed: news.removed,
+                at: news.at,
+            };
+        }
+        if left.is_zero() {
+            let (objects, removed) = (Vec::new(), Vec::new());
+            return PeerReply::News { is_whole: false, objects, removed, at: 0 };
+        }
+        changed
+            .or(async {
+                Timer::after(left).await;
+            })
+            .await;
+    }
+}
+
+/// Whether this daemon watches the store and has heard from it lately.
+fn is_informed(gateway: &Gateway) -> bool {
+    let is_fresh = gateway.store.is_reached() && gateway.store.silent_for() < FRESHNESS;
+    is_fresh && upstreams(gateway).is_empty()
+}
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 //! paid for. Nothing is locked; a part borrows what it needs and never holds it across a wait.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -11,6 +12,8 @@
 use event_listener::Event;
 use heronbend::admission::RetryBudget;
 use heronbend::identity::NodeId;
+use heronbend::membership::Liveness;
+use heronbend::membership::Member;
 use heronbend::Moment;
 use rand::Rng;
 use smol::LocalExecutor;
@@ -21,6 +24,7 @@
 use crate::batch::registry::JobRegistry;
 use crate::configuration::Configuration;
 use crate::directory::{Directory, Server};
+use crate::dissemination::Replica;
 use crate::http::client::ConnectionPool;
 use crate::memory::Budget;
 use crate::metrics::Metrics;
@@ -79,6 +83,10 @@
     pub servers: ConnectionPool,
     /// Connections to peers.
     pub peers: ConnectionPool,
+    /// Objects of the store that peers may follow here, by kind.
+    pub replicas: RefCell<HashMap<&'static str, Replica>>,
+    /// Notified when a replica has changed.
+    pub replica_changed: Event,
     /// The newest configuration.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
     /// Known servers.
@@ -139,6 +147,8 @@
             servers: ConnectionPool::new(executor.clone(), SERVER_CONNECT_TIMEOUT),
             peers: ConnectionPool::new(executor.clone(), PEER_CONNECT_TIMEOUT),
             executor,
+            replicas: RefCell::default(),
+            replica_changed: Event::new(),
             configuration: RefCell::default(),
             directory: RefCell::default(),
             directory_known: Cell::new(false),
@@ -170,6 +180,20 @@
         self.started.elapsed()
     }
 
+    /// This daemon as a member among the others. Its addresses are of no use to itself.
+    pub fn me(&self) -> Member {
+        let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+        Member {
+            id: self.identity.node.clone(),
+            address: nowhere,
+            http_address: nowhere,
+            zone: self.identity.zone.clone(),
+            region: self.identity.region.clone(),
+            refutation: 0,
+            liveness: Liveness::Alive,
+        }
+    }
+
     /// Time constants.
     pub fn tuning(&self) -> Tuning {
         self.tuning.get()
--- a/crates/heronbend-gateway/src/keeper.rs
+++ b/crates/heronbend-gateway/src/keeper.rs
@@ -11,7 +11,7 @@
 use smol::{LocalExecutor, Timer};
 
 use crate::gateway::{Gateway, Identity, Tuning};
-use crate::mirror::{self, MirrorSink};
+use crate::mirror::{self, MirrorSink, Source};
 use crate::ports::{Change, Condition, Dialect, Object, ObjectStore};
 use crate::service::StartError;
 
@@ -64,7 +64,9 @@
         log::info!("event=started node={}", gateway.identity.node);
         let kind = gateway.dialect.kinds().retirements;
         let sink = RetirementSink { gateway: gateway.clone(), open: RefCell::default() };
-        executor.spawn(mirror::follow(gateway.clone(), kind, GATHERING, sink)).detach();
+        executor
+            .spawn(mirror::follow(gateway.clone(), kind, Source::Store, GATHERING, sink))
+            .detach();
         executor.spawn(log_reloads(reload)).detach();
         stop.wait().await;
         log::info!("event=stopped");
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod calls;
 pub mod configuration;
 pub mod directory;
+pub mod dissemination;
 pub mod events;
 pub mod exchange;
 pub mod explain;
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use heronbend::identity::NodeId;
 use rand::Rng;
 use smol::Timer;
 
+use crate::dissemination;
+use crate::dissemination::Replica;
 use crate::gateway::Gateway;
-use crate::ports::{Change, Object, ObjectStore, Revision, StoreError};
+use crate::ports::{Change, Changes, Object, ObjectStore, Revision, StoreError};
 
 /// Longest wait of one watch. A dead path is noticed by probes on the connection and not by this.
 const WATCH_WAIT: Duration = Duration::from_secs(29);
@@ -36,28 +39,89 @@
     fn applied(&self) {}
 }
 
+/// Where a mirror hears of its kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// From the store alone.
+    Store,
+    /// From the daemons that watch the store for others, where there are such.
+    Watchers,
+}
+
 /// Follows a kind until the daemon ends. Changes that come within `gathering` of each other cost
 /// one call together.
 pub async fn follow(
     gateway: Rc<Gateway>,
     kind: &'static str,
+    source: Source,
     gathering: Duration,
     sink: impl MirrorSink,
 ) {
     let mut failures = 0;
     loop {
-        match list_all(&gateway, kind).await {
+        match list(&gateway, kind, source).await {
             Ok((objects, at)) => {
-                note_success(&gateway, kind, &mut failures);
+                if gateway.store.is_reached() {
+                    note_success(&gateway, kind, &mut failures);
+                }
+                replicate(&gateway, kind, source, |replica| replica.reset(&objects, at));
                 sink.reset(objects);
                 sink.applied();
-                watch_from(&gateway, kind, at, gathering, &sink, &mut failures).await;
+                watch_from(&gateway, kind, source, at, gathering, &sink, &mut failures).await;
             }
             Err(error) => note_failure(&gateway, kind, &error, &mut failures).await,
         }
     }
 }
 
+/// Keeps what peers may follow here.
+fn replicate(
+    gateway: &Gateway,
+    kind: &'static str,
+    source: Source,
+    change: impl FnOnce(&mut Replica),
+) {
+    if source == Source::Watchers {
+        change(gateway.replicas.borrow_mut().entry(kind).or_default());
+        gateway.replica_changed.notify(usize::MAX);
+    }
+}
+
+fn upstreams(gateway: &Gateway, source: Source) -> Vec<NodeId> {
+    match source {
+        Source::Store => Vec::new(),
+        Source::Watchers => dissemination::upstreams(gateway),
+    }
+}
+
+/// All objects of a kind, from a watcher if this daemon follows some, else from the store.
+async fn list(
+    gateway: &Gateway,
+    kind: &'static str,
+    source: Source,
+) -> Result<(Vec<Object>, Revision), StoreError> {
+    let upstreams = upstreams(gateway, source);
+    match dissemination::whole(gateway, kind, &upstreams).await {
+        Some(whole) => Ok(whole),
+        None => list_all(gateway, kind).await,
+    }
+}
+
+/// Waits for changes, by the same way.
+async fn watch(
+    gateway: &Gateway,
+    kind: &'static str,
+    source: Source,
+    at: Revision,
+) -> Result<Changes, StoreError> {
+    let upstreams = upstreams(gateway, source);
+    if upstreams.is_empty() {
+        return gateway.store.watch(kind, at, WATCH_WAIT).await;
+    }
+    let changes = dissemination::changes(gateway, kind, at, &upstreams).await;
+    changes.ok_or_else(|| StoreError::NotDone("no watcher tells".to_owned()))
+}
+
 /// Watches until a list is needed: the history is gone, the watch was cut, or there is reason to
 /// believe that it hears nothing.
 ///
@@ -66,6 +130,7 @@
 async fn watch_from(
     gateway: &Gateway,
     kind: &'static str,
+    source: Source,
     mut at: Revision,
     gathering: Duration,
     sink: &impl MirrorSink,
@@ -73,7 +138,7 @@
 ) {
     loop {
         let doubted = gateway.watches_doubted.listen();
-        let watched = async { Some(gateway.store.watch(kind, at, WATCH_WAIT).await) };
+        let watched = async { Some(watch(gateway, kind, source, at).await) };
         let interrupted = async {
             doubted.await;
             None
@@ -82,6 +147,7 @@
             Some(Ok(changes)) => {
                 note_success(gateway, kind, failures);
                 at = changes.at.max(at);
+                replicate(gateway, kind, source, |replica| replica.apply(&changes.changes, at));
                 if changes.changes.is_empty() {
                     continue;
                 }
@@ -117,7 +183,8 @@
         let rest = if failures == 0 { PROBE_LOOK } else { PROBE_RETRY };
         Timer::after(rest).await;
         let silent_for = gateway.store.silent_for();
-        if failures == 0 && silent_for < PROBE_PERIOD {
+        let is_told_by_others = !dissemination::upstreams(&gateway).is_empty();
+        if failures == 0 && (silent_for < PROBE_PERIOD || is_told_by_others) {
             continue;
         }
         match gateway.store.probe().await {
@@ -186,17 +253,17 @@
     if *failures == 1 {
         Timer::after(backoff(*failures)).await;
     } else {
-        wait_for_store(gateway).await;
+        wait_for_store(gateway, *failures).await;
     }
 }
 
 /// Waits until the probe finds that the store answers, or for a while; not all daemons at once.
 ///
 /// Where it answers already, a call that was begun before has failed after it, and there is no
-/// further news to wait for.
-pub async fn wait_for_store(gateway: &Gateway) {
+/// further news to wait for: `failures` in a row say how long to rest.
+pub async fn wait_for_store(gateway: &Gateway, failures: u32) {
     if gateway.store.is_reached() && gateway.store.silent_for() < PROBE_PERIOD {
-        Timer::after(backoff(1)).await;
+        Timer::after(backoff(failures)).await;
         return;
     }
     let answers = gateway.watches_doubted.listen();
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -16,6 +16,7 @@
 use super::messages::{Datagram, Hint, PeerReply, PeerRequest};
 use super::store_relay;
 use crate::batch::{hand_in, ownership_duty, reading};
+use crate::dissemination;
 use crate::gateway::Gateway;
 use crate::http::server::{read_body, BodyLimits};
 use crate::http::{bytes_answer, text_answer, Answer};
@@ -225,6 +226,10 @@
             hand_in::run_here(&gateway, ownership, revision, specification, false)
         }
         PeerRequest::Store(call) => PeerReply::Store(store_relay::answer(&gateway, call).await),
+        PeerRequest::Follow { kind, since, wait_millis } => {
+            let wait = Duration::from_millis(wait_millis);
+            dissemination::answer(&gateway, &kind, since, wait).await
+        }
         PeerRequest::ReadResults { job, chunks, wait_millis } => {
             let wait = Duration::from_millis(wait_millis);
             reading::answer_peer(&gateway, &job, chunks, wait).await
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -4,7 +4,7 @@
 use heronbend::membership::Gossip;
 use musli::{Decode, Encode};
 
-use super::store_relay::{StoreCall, StoreReply};
+use super::store_relay::{RelayedObject, StoreCall, StoreReply};
 use crate::batch::ownership::Ownership;
 use crate::batch::specification::JobSpecification;
 use crate::batch::ItemResult;
@@ -65,6 +65,15 @@
     },
     /// Makes a call to the store for a daemon that cannot reach it.
     Store(StoreCall),
+    /// Follows the objects of a kind that the peer watches.
+    Follow {
+        /// Kind.
+        kind: String,
+        /// The store's revision up to which the follower knows them; 0 before it knows any.
+        since: u64,
+        /// How long to wait for news, in milliseconds.
+        wait_millis: u64,
+    },
     /// Reads settled results of a job that the peer runs.
     ReadResults {
         /// The batch job.
@@ -88,8 +97,19 @@
     },
     /// What became of a call to the store.
     Store(StoreReply),
+    /// What has changed of the objects of a kind.
+    News {
+        /// Whether the objects are all that there are.
+        is_whole: bool,
+        /// Objects that were made or replaced.
+        objects: Vec<RelayedObject>,
+        /// Names of objects that were removed.
+        removed: Vec<String>,
+        /// The store's revision up to which this goes; 0 where there is no news.
+        at: u64,
+    },
     /// The peer runs the job.
     Running,
-    /// The peer does not run this job.
+    /// The peer does not run this job, or does not watch this kind.
     NotOwner,
 }
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -9,6 +9,7 @@
 pub mod store_relay;
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +31,8 @@
 /// What this daemon knows of the others.
 pub struct Peers {
     members: RefCell<Vec<Member>>,
+    /// Daemons that failed to tell news of the store, and until when they are not asked.
+    untold: RefCell<HashMap<NodeId, Moment>>,
     hints: Sender<Hint>,
     hints_to_send: Receiver<Hint>,
     /// Notified when a member's state has changed.
@@ -39,7 +42,8 @@
 impl Default for Peers {
     fn default() -> Self {
         let (hints, hints_to_send) = bounded(HINT_CAPACITY);
-        Self { members: RefCell::default(), hints, hints_to_send, changed: Event::new() }
+        let (members, untold) = (RefCell::default(), RefCell::default());
+        Self { members, untold, hints, hints_to_send, changed: Event::new() }
     }
 }
 
@@ -59,6 +63,23 @@
             .collect()
     }
 
+    /// All daemons that are alive, this one among them.
+    pub fn alive_with(&self, me: &Member) -> Vec<Member> {
+        let members = self.members.borrow();
+        let others = members.iter().filter(|member| member.liveness == Liveness::Alive);
+        others.filter(|member| member.id != me.id).chain([me]).cloned().collect()
+    }
+
+    /// Notes that a daemon failed to tell news of the store: it is not asked until then.
+    pub fn note_failed_to_tell(&self, until: Moment, node: &NodeId) {
+        self.untold.borrow_mut().insert(node.clone(), until);
+    }
+
+    /// Whether a daemon has failed to tell news a moment ago.
+    pub fn has_failed_to_tell(&self, now: Moment, node: &NodeId) -> bool {
+        self.untold.borrow().get(node).is_some_and(|until| now < *until)
+    }
+
     /// How many other daemons are alive.
     pub fn count_alive(&self) -> usize {
         let members = self.members.borrow();
--- a/crates/heronbend-gateway/src/peers/store_relay.rs
+++ b/crates/heronbend-gateway/src/peers/store_relay.rs
@@ -92,7 +92,8 @@
 }
 
 impl RelayedObject {
-    fn into_object(self) -> Result<Object, StoreError> {
+    /// The object; an error where its texts are not JSON.
+    pub fn into_object(self) -> Result<Object, StoreError> {
         let parse = |text: &str| {
             serde_json::from_str(text).map_err(|error| StoreError::Malformed(error.to_string()))
         };
--- a/crates/heronbend-gateway/src/relayed_store.rs
+++ b/crates/heronbend-gateway/src/relayed_store.rs
@@ -19,6 +19,8 @@
 const LOST_FOR: Duration = Duration::from_millis(2500);
 /// Time after an answer in which the way to the store is taken to work; probes come more often.
 const ANSWERS_HOLD: Duration = Duration::from_millis(1800);
+/// Refusals in a row after which the own way is taken for lost.
+const REFUSALS_TO_LOSE: u32 = 3;
 /// Time that a peer is given for a call.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Peers that are asked for one call.
@@ -30,6 +32,8 @@
     metrics: Metrics,
     gateway: RefCell<Weak<Gateway>>,
     failed: Cell<Option<Instant>>,
+    /// Calls in a row that were refused for now.
+    refused: Cell<u32>,
     answered: Cell<Option<Instant>>,
 }
 
@@ -41,6 +45,7 @@
             metrics,
             gateway: RefCell::new(Weak::new()),
             failed: Cell::new(None),
+            refused: Cell::new(0),
             answered: Cell::new(None),
         }
     }
@@ -61,17 +66,25 @@
     }
 
     /// Notes how a call by the own way ended. An answer that is lost while others come says nothing
-    /// of the way: a peer's would be lost as well.
+    /// of the way: a peer's would be lost as well. One call that is refused for now says little
+    /// either; several in a row say that this daemon is refused.
     fn note<T>(&self, kind: &str, result: &Result<T, StoreError>) {
         self.metrics.store_call(kind);
         let now = Instant::now();
         match result {
+            Err(StoreError::Throttled) => {
+                self.refused.set(self.refused.get().saturating_add(1));
+                if self.refused.get() >= REFUSALS_TO_LOSE {
+                    self.failed.set(Some(now));
+                }
+            }
             Err(StoreError::NotDone(_)) => self.failed.set(Some(now)),
             Err(StoreError::Unknown(_)) if self.has_answered_lately() => {}
             Err(StoreError::Unknown(_)) => self.failed.set(Some(now)),
             _ => {
                 self.answered.set(Some(now));
                 self.failed.set(None);
+                self.refused.set(0);
             }
         }
     }
@@ -124,7 +137,10 @@
         }
         let result = direct.await;
         self.note(kind, &result);
-        let has_no_result = matches!(result, Err(StoreError::Unknown(_) | StoreError::NotDone(_)));
+        let has_no_result = matches!(
+            result,
+            Err(StoreError::Unknown(_) | StoreError::NotDone(_) | StoreError::Throttled)
+        );
         if has_no_result && was_reached && !self.is_reached() {
             if let Some(reply) = self.relay(call).await {
                 return take(reply);
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -18,7 +18,7 @@
 use crate::gateway::Gateway;
 use crate::http::server::{Listener, ListenerLimits};
 use crate::http::{bytes_answer, text_answer, Answer};
-use crate::mirror::{self, MirrorSink};
+use crate::mirror::{self, MirrorSink, Source};
 use crate::peers;
 use crate::ports::{Change, Dialect, Object, ObjectStore};
 use crate::reload;
@@ -187,11 +187,17 @@
     let followed = gateway.clone();
     spawn(Box::pin(async move {
         let gathering = followed.tuning().configuration_notice.mul_f64(CONFIGURATION_GATHERING);
-        mirror::follow(followed, configurations, gathering, configuration).await;
+        mirror::follow(followed, configurations, Source::Watchers, gathering, configuration).await;
     }) as std::pin::Pin<Box<dyn std::future::Future<Output = ()>>>);
     let directory = DirectorySink(gateway.clone());
     let gathering = gateway.tuning().drain_notice.mul_f64(DIRECTORY_GATHERING);
-    spawn(Box::pin(mirror::follow(gateway.clone(), servers, gathering, directory)));
+    spawn(Box::pin(mirror::follow(
+        gateway.clone(),
+        servers,
+        Source::Watchers,
+        gathering,
+        directory,
+    )));
     spawn(Box::pin(mirror::probe_store(gateway.clone())));
     spawn(Box::pin(ownership_duty::follow(gateway.clone())));
     spawn(Box::pin(ownership_duty::adopt_orphans(gateway.clone())));
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -19,7 +19,7 @@
 use crate::directory::{Server, ServerState};
 use crate::gateway::Gateway;
 use crate::http::client::WholeAnswer;
-use crate::mirror::{self, MirrorSink};
+use crate::mirror::{self, MirrorSink, Source};
 use crate::peers::Hint;
 use crate::peers::INTRODUCTION;
 use crate::ports::dialect::ServerCall;
@@ -488,7 +488,8 @@
             continue;
         }
         let sink = VersionSink(gateway.clone());
-        let follow = mirror::follow(gateway.clone(), kind, Duration::from_millis(5), sink);
+        let follow =
+            mirror::follow(gateway.clone(), kind, Source::Store, Duration::from_millis(5), sink);
         let dismissed = async {
             while is_candidate(&gateway) {
                 gateway.members.changed.listen().or(rest()).await;
--- /dev/null
+++ b/crates/heronbend-gateway/tests/dissemination.rs
@@ -0,0 +1,106 @@
+//! News of the store by way of peers.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use heronbend::identity::NodeId;
+use heronbend::membership::Liveness;
+use heronbend::membership::Member;
+use heronbend_gateway::dissemination::watchers;
+use heronbend_gateway::dissemination::Replica;
+use heronbend_gateway::ports::Change;
+use heronbend_gateway::ports::Object;
+use heronbend_gateway::ports::Revision;
+use serde_json::Value;
+use support::node;
+
+fn object(name: &str, revision: Revision) -> Object {
+    Object { name: name.to_owned(), revision, content: Value::from(revision), status: Value::Null }
+}
+
+fn member(name: &str, zone: &str) -> Member {
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    Member {
+        id: node(name),
+        address,
+        http_address: address,
+        zone: zone.to_owned(),
+        region: "r".to_owned(),
+        refutation: 0,
+        liveness: Liveness::Alive,
+    }
+}
+
+fn names(objects: &[Object]) -> Vec<&str> {
+    objects.iter().map(|object| object.name.as_str()).collect()
+}
+
+#[test]
+fn a_follower_gets_what_changed_since_it_was_told_and_nothing_else() {
+    let mut replica = Replica::default();
+    replica.reset(&[object("a", 1), object("b", 2)], 2);
+    let whole = replica.since(0).unwrap();
+    assert!(whole.is_whole);
+    assert_eq!((names(&whole.objects), whole.at), (vec!["a", "b"], 2));
+    assert_eq!(replica.since(2), None);
+    replica.apply(&[Change::Set(object("c", 4)), Change::Removed("a".to_owned())], 5);
+    let news = replica.since(2).unwrap();
+    assert!(!news.is_whole);
+    assert_eq!((names(&news.objects), news.removed, news.at), (vec!["c"], vec!["a".to_owned()], 5));
+    // A follower that another watcher has told more gets nothing older.
+    assert_eq!(replica.since(6), None);
+}
+
+#[test]
+fn what_a_list_lacks_is_told_as_removed() {
+    let mut replica = Replica::default();
+    replica.reset(&[object("a", 1), object("b", 2)], 2);
+    replica.reset(&[object("b", 2)], 9);
+    assert_eq!(replica.since(2).unwrap().removed, ["a"]);
+}
+
+#[test]
+fn an_object_that_came_back_is_not_told_as_removed() {
+    let mut replica = Replica::default();
+    replica.reset(&[object("a", 1)], 1);
+    replica.apply(&[Change::Removed("a".to_owned())], 2);
+    replica.apply(&[Change::Set(object("a", 3))], 3);
+    let news = replica.since(1).unwrap();
+    assert_eq!((names(&news.objects), news.removed.len()), (vec!["a"], 0));
+}
+
+#[test]
+fn a_follower_that_is_far_behind_gets_everything() {
+    let mut replica = Replica::default();
+    replica.reset(&[object("kept", 1)], 1);
+    for revision in 2..2000 {
+        replica.apply(&[Change::Removed(format!("gone-{revision}"))], revision);
+    }
+    assert!(replica.since(5).unwrap().is_whole);
+    assert!(!replica.since(1990).unwrap().is_whole);
+}
+
+#[test]
+fn a_list_that_is_older_than_what_is_known_is_not_told_to_those_who_know_more() {
+    let mut replica = Replica::default();
+    replica.reset(&[object("a", 1)], 8);
+    replica.reset(&[object("a", 1)], 4);
+    assert_eq!(replica.since(8), None);
+}
+
+#[test]
+fn two_daemons_of_a_large_zone_watch_and_all_of_a_small_one() {
+    let mut alive: Vec<Member> = (0..9).map(|n| member(&format!("l{n}"), "large")).collect();
+    alive.extend((0..3).map(|n| member(&format!("s{n}"), "small")));
+    assert_eq!(watchers("small", &alive).len(), 3);
+    let chosen = watchers("large", &alive);
+    assert_eq!(chosen.len(), 2);
+    // All daemons agree, in whatever order they know each other.
+    alive.reverse();
+    assert_eq!(watchers("large", &alive), chosen);
+    // One that is lost is replaced, and the other goes on.
+    alive.retain(|member| member.id != chosen[0]);
+    let after: Vec<NodeId> = watchers("large", &alive);
+    assert_eq!((after.len(), &after[0]), (2, &chosen[1]));
+}
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -15,7 +15,7 @@
 };
 use heronbend_gateway::batch::{appender, ownership_duty, reading};
 use heronbend_gateway::gateway::Gateway;
-use heronbend_gateway::mirror::{self, MirrorSink};
+use heronbend_gateway::mirror::{self, MirrorSink, Source};
 use heronbend_gateway::peers::PeerReply;
 use heronbend_gateway::ports::{Change, Object};
 use serde_json::json;
@@ -65,7 +65,9 @@
             store.fail_watches(&[WatchFault::Cut]);
             store.mute_watches();
             let names = Names::default();
-            executor.spawn(mirror::follow(gateway, KIND, GATHERING, names.clone())).detach();
+            executor
+                .spawn(mirror::follow(gateway, KIND, Source::Store, GATHERING, names.clone()))
+                .detach();
             wait_until("the watch has been cut", || store.calls.get() >= 2).await;
             store.put(KIND, "missed", json!(1));
             // A watch that was begun again from where the first one stood waits by now.
@@ -85,12 +87,26 @@
             let gateway = gateway("a", &store, &executor);
             store.fail_watches(&[WatchFault::Deaf]);
             let deaf = Names::default();
-            executor.spawn(mirror::follow(gateway.clone(), KIND, GATHERING, deaf.clone())).detach();
+            executor
+                .spawn(mirror::follow(
+                    gateway.clone(),
+                    KIND,
+                    Source::Store,
+                    GATHERING,
+                    deaf.clone(),
+                ))
+                .detach();
             smol::Timer::after(Duration::from_millis(30)).await;
             store.set_down(true);
             let other = Names::default();
             executor
-                .spawn(mirror::follow(gateway.clone(), "others", GATHERING, other.clone()))
+                .spawn(mirror::follow(
+                    gateway.clone(),
+                    "others",
+                    Source::Store,
+                    GATHERING,
+                    other.clone(),
+                ))
                 .detach();
             let calls = store.calls.get();
             wait_until("several calls have failed", || store.calls.get() >= calls + 3).await;
@@ -109,7 +125,13 @@
             store.fail_watches(&[WatchFault::Deaf]);
             let names = Names::default();
             executor
-                .spawn(mirror::follow(gateway.clone(), KIND, GATHERING, names.clone()))
+                .spawn(mirror::follow(
+                    gateway.clone(),
+                    KIND,
+                    Source::Store,
+                    GATHERING,
+                    names.clone(),
+                ))
                 .detach();
             smol::Timer::after(Duration::from_millis(30)).await;
             store.put(KIND, "missed", json!(1));
@@ -360,7 +382,13 @@
             store.fail_watches(&[WatchFault::Deaf]);
             let names = Names::default();
             executor
-                .spawn(mirror::follow(gateway.clone(), KIND, GATHERING, names.clone()))
+                .spawn(mirror::follow(
+                    gateway.clone(),
+                    KIND,
+                    Source::Store,
+                    GATHERING,
+                    names.clone(),
+                ))
                 .detach();
             executor.spawn(mirror::probe_store(gateway.clone())).detach();
             smol::Timer::after(Duration::from_millis(30)).await;
