--- a/crates/heronbend-gateway/src/versions/plan.rs
+++ b/crates/heronbend-gateway/src/versions/plan.rs
@@ -154,7 +154,7 @@
         let fills_half = missing_in_half > 0;
         missing_in_half = missing_in_half.saturating_sub(1);
         let urgency = match (cannot_serve, fills_half, state.is_pressed) {
-            (true, _, _) | (_, true, false) => Urgency::Now,
+            (true, _, _) | (_, true, _) => Urgency::Now,
             (false, _, true) => Urgency::WhenIdle,
             (false, false, false) => continue,
         };
