Who is next in line takes a lost daemon's job over after 0.8 s

Cause: only the first in line for a lost daemon's job took it over.

Two that take it over at once are told apart by the compare-and-swap, as before.

--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -14,7 +14,7 @@
 use smol::Timer;
 
 use super::appender;
-use super::ownership::{successor, Ownership};
+use super::ownership::{place_in_line, successor, Ownership};
 use super::registry::{Job, OWNERSHIPS};
 use super::runner::start_own_jobs;
 use crate::gateway::Gateway;
@@ -27,6 +27,8 @@
 /// Time between two looks of an owner at its job's object. Bounds how long items of a job that was
 /// ended elsewhere still go out when the hint was lost.
 const OWN_LOOK: Duration = Duration::from_millis(1300);
+/// Time that each daemon in line for a lost daemon's job is given before the next one takes it over.
+const LINE_WAIT: Duration = Duration::from_millis(800);
 /// Longest time between two lists.
 const LIST_PERIOD: Duration = Duration::from_secs(20);
 /// Wait after a daemon was lost, so that one list serves for several that are lost together.
@@ -139,13 +141,23 @@
     }
 }
 
+/// Whether it falls to this daemon to take a job over. Those behind the first in line wait for it: it
+/// may not know the job yet, or may be cut off from the store without the others knowing.
 fn is_mine_to_adopt(gateway: &Gateway, job: &Job) -> bool {
     let owner = job.owner();
     let me = &gateway.identity.node;
-    if gateway.draining.get() || job.ended.get() || job.is_complete() || owner == *me {
+    let now = gateway.now();
+    let is_open = !job.ended.get() && !job.is_complete();
+    if !is_open || owner == *me || !gateway.members.is_lost(now, &owner) {
+        job.orphaned_since.set(None);
         return false;
     }
-    gateway.members.is_lost(gateway.now(), &owner) && successor_here(gateway, &job.id) == *me
+    let since = job.orphaned_since.get().unwrap_or(now);
+    job.orphaned_since.set(Some(since));
+    let mut alive = gateway.members.alive();
+    alive.push(me.clone());
+    let place = u32::try_from(place_in_line(&job.id, me, &alive)).unwrap_or(u32::MAX);
+    !gateway.draining.get() && now >= since + LINE_WAIT * place
 }
 
 fn successor_here(gateway: &Gateway, job: &str) -> NodeId {
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -70,6 +70,8 @@
     pub is_new: Cell<bool>,
     /// When this daemon first knew of it.
     pub known_since: Moment,
+    /// Since when it is seen to have no living owner.
+    pub orphaned_since: Cell<Option<Moment>>,
     /// When this daemon learnt of its end.
     pub ended_since: Cell<Option<Moment>>,
 }
@@ -94,6 +96,7 @@
             owner_in_doubt: Cell::new(false),
             is_new: Cell::new(false),
             known_since: now,
+            orphaned_since: Cell::new(None),
         })
     }
 
--- a/crates/heronbend-gateway/tests/batch.rs
+++ b/crates/heronbend-gateway/tests/batch.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use heronbend_gateway::batch::event_stream::{EventReader, ItemText, StreamError};
+use heronbend_gateway::batch::ownership::place_in_line;
 use heronbend_gateway::batch::ownership::successor;
 use heronbend_gateway::batch::schedule::begin_order;
 use heronbend_gateway::batch::ResultLog;
@@ -165,3 +166,13 @@
     assert!(reader.is_between_events());
     assert_eq!(reader.read(b"id: 1\ndata: one\n\n", &mut text), Err(StreamError::Malformed));
 }
+
+#[test]
+fn daemons_stand_in_line_for_a_job_with_its_successor_first() {
+    let alive: Vec<_> = ["a", "b", "c", "d"].map(node).to_vec();
+    let mut places: Vec<usize> = alive.iter().map(|me| place_in_line("j", me, &alive)).collect();
+    let first = successor("j", alive.iter()).unwrap();
+    assert_eq!(place_in_line("j", first, &alive), 0);
+    places.sort_unstable();
+    assert_eq!(places, [0, 1, 2, 3]);
+}
