Readers at other daemons are told only the results that they ask for

Cause: a daemon that was asked for results from a position on fetched all results before it as well, 1.3 MB a job, from an owner in another zone; trainers and other clients read at any daemon.

Now the question names a position; the answer is a page from there. What continues a daemon's own copy is kept, other pages are passed on.

--- a/crates/heronbend-gateway/src/batch/reading.rs
+++ b/crates/heronbend-gateway/src/batch/reading.rs
@@ -14,6 +14,7 @@
 use super::appender;
 use super::hand_in::item_body;
 use super::registry::{Job, OWNERSHIPS};
+use super::result_log::ItemResult;
 use super::result_log::ResultsPage;
 use super::runner;
 use crate::gateway::Gateway;
@@ -35,12 +36,6 @@
 /// Rest between two calls to an owner, which tells of results before the reader's position as well.
 const OWNER_REST: Duration = Duration::from_millis(5);
 
-/// Who told of the results.
-enum Source {
-    Owner,
-    Store,
-}
-
 /// Results from a position on; waits for one until `wait_until`.
 pub async fn results(
     gateway: &Rc<Gateway>,
@@ -52,32 +47,44 @@
     loop {
         let grew = job.grew.listen();
         if job.log.borrow().len() > from || job.is_complete() {
-            break;
+            return page_here(&job, from);
         }
         let now = gateway.now();
         let left = wait_until.saturating_sub(now);
         if job.is_authority(now) {
-            let is_over = left.is_zero() || job.ended.get();
-            if is_over {
-                break;
+            if left.is_zero() || job.ended.get() {
+                return page_here(&job, from);
             }
-            grew.or(async {
+            let waited = async {
                 Timer::after(left).await;
-            })
-            .await;
+            };
+            grew.or(waited).await;
             continue;
         }
-        let source = refresh(gateway, &job, left).await?;
-        if job.log.borrow().len() > from || gateway.now() >= wait_until || job.ended.get() {
-            break;
-        }
         // An owner holds a call until it has news; the store answers at once.
-        let rest = match source {
-            Source::Owner => OWNER_REST,
-            Source::Store => STORE_LOOK,
+        let rest = match ask_owner(gateway, &job, from, left).await {
+            Some(page) => {
+                let page = page?;
+                if !page.results.is_empty() || gateway.now() >= wait_until || job.ended.get() {
+                    return Ok(page);
+                }
+                OWNER_REST
+            }
+            None => {
+                catch_up(gateway, &job).await?;
+                let has_news = job.log.borrow().len() > from;
+                if has_news || gateway.now() >= wait_until || job.ended.get() {
+                    return page_here(&job, from);
+                }
+                STORE_LOOK
+            }
         };
         Timer::after(rest.min(wait_until.saturating_sub(gateway.now()))).await;
     }
+}
+
+/// What is known here from a position on.
+fn page_here(job: &Job, from: usize) -> Result<ResultsPage, ReadError> {
     let log = job.log.borrow();
     if from > log.len() {
         // The reader has seen more than is known here.
@@ -86,40 +93,50 @@
     Ok(ResultsPage { total: job.total, from, results: log.page(from) })
 }
 
-/// Brings the log of a job that runs elsewhere up to date.
-async fn refresh(gateway: &Gateway, job: &Job, wait: Duration) -> Result<Source, ReadError> {
+/// Asks the owner of a job that runs elsewhere for results from a position on, and for no others:
+/// texts are long, and their bytes between zones have a price. Nothing when it cannot tell.
+async fn ask_owner(
+    gateway: &Gateway,
+    job: &Job,
+    from: usize,
+    wait: Duration,
+) -> Option<Result<ResultsPage, ReadError>> {
     let owner = job.owner();
-    if owner != gateway.identity.node {
-        let chunks = job.log.borrow().chunks();
-        let request = PeerRequest::ReadResults {
-            job: job.id.clone(),
-            chunks,
-            wait_millis: u64::try_from(wait.as_millis()).unwrap_or(0),
-        };
-        if let Some(PeerReply::Results { results, chunks }) =
-            client::call(gateway, &owner, &request, wait).await
-        {
-            let results = results.into_iter().map(Rc::new).collect();
-            job.log.borrow_mut().extend(results, chunks);
-            job.owner_in_doubt.set(true);
-            job.grew.notify(usize::MAX);
-            return Ok(Source::Owner);
-        }
+    if owner == gateway.identity.node {
+        return None;
     }
-    match appender::catch_up(gateway, job).await {
-        Ok(()) => Ok(Source::Store),
-        Err(error) => {
-            log::warn!("event=results_not_read job={} error=\"{error}\"", job.id);
-            Err(ReadError::Unavailable)
-        }
+    let wait_millis = u64::try_from(wait.as_millis()).unwrap_or(0);
+    let request = PeerRequest::ReadResults { job: job.id.clone(), from, wait_millis };
+    let reply = client::call(gateway, &owner, &request, wait).await;
+    let Some(PeerReply::Results { results, settled, chunks }) = reply else {
+        return None;
+    };
+    if from > settled {
+        return Some(Err(ReadError::Unavailable));
+    }
+    let results: Vec<Rc<ItemResult>> = results.into_iter().map(Rc::new).collect();
+    let continues = job.log.borrow().len() == from && from + results.len() == settled;
+    if continues && !results.is_empty() {
+        job.log.borrow_mut().extend(results.clone(), chunks);
+        job.owner_in_doubt.set(true);
+        job.grew.notify(usize::MAX);
     }
+    Some(Ok(ResultsPage { total: job.total, from, results }))
+}
+
+/// Brings the log of a job up to date from the store.
+async fn catch_up(gateway: &Gateway, job: &Job) -> Result<(), ReadError> {
+    appender::catch_up(gateway, job).await.map_err(|error| {
+        log::warn!("event=results_not_read job={} error=\"{error}\"", job.id);
+        ReadError::Unavailable
+    })
 }
 
 /// Answers a peer that reads a job which runs here.
 pub async fn answer_peer(
     gateway: &Rc<Gateway>,
     id: &str,
-    chunks: u32,
+    from: usize,
     wait: Duration,
 ) -> PeerReply {
     let job = gateway.jobs.get(id).filter(|job| job.owner() == gateway.identity.node);
@@ -130,7 +147,7 @@
     loop {
         let grew = job.grew.listen();
         let left = until.saturating_sub(gateway.now());
-        let has_news = job.log.borrow().chunks() > chunks;
+        let has_news = job.log.borrow().len() > from;
         if has_news || left.is_zero() || job.ended.get() || !job.running.get() {
             break;
         }
@@ -140,8 +157,8 @@
         .await;
     }
     let log = job.log.borrow();
-    let results = log.after_chunk(chunks).iter().map(|result| (**result).clone()).collect();
-    PeerReply::Results { results, chunks: log.chunks() }
+    let results = log.page(from).iter().map(|result| (**result).clone()).collect();
+    PeerReply::Results { results, settled: log.len(), chunks: log.chunks() }
 }
 
 /// The body of an item.
--- a/crates/heronbend-gateway/src/batch/result_log.rs
+++ b/crates/heronbend-gateway/src/batch/result_log.rs
@@ -71,8 +71,6 @@
     results: Vec<Rc<ItemResult>>,
     listed: BTreeSet<String>,
     chunks: u32,
-    /// Number of results that were settled before each chunk.
-    chunk_starts: Vec<usize>,
     pending: Vec<Rc<ItemResult>>,
     writing: bool,
     /// Whether the store may hold one chunk more than is known here.
@@ -175,7 +173,6 @@
             return number < self.chunks;
         }
         self.chunks += 1;
-        self.chunk_starts.push(self.results.len());
         self.writing = false;
         self.in_doubt = false;
         for result in results {
@@ -188,26 +185,16 @@
         true
     }
 
-    /// Results of the chunks from number `chunks` on.
-    pub fn after_chunk(&self, chunks: u32) -> &[Rc<ItemResult>] {
-        let start = usize::try_from(chunks).ok().and_then(|number| self.chunk_starts.get(number));
-        &self.results[start.copied().unwrap_or(self.results.len())..]
-    }
-
     /// Takes in results that another daemon has settled, up to chunk number `chunks`.
     pub fn extend(&mut self, results: Vec<Rc<ItemResult>>, chunks: u32) {
         if chunks <= self.chunks {
             return;
         }
-        let start = self.results.len();
         for result in results {
             if self.listed.insert(result.item.clone()) {
                 self.results.push(result);
             }
         }
-        let known = usize::try_from(chunks).unwrap_or(usize::MAX);
-        self.chunk_starts.resize(known - 1, start);
-        self.chunk_starts.push(start);
         self.chunks = chunks;
     }
 }
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -230,9 +230,9 @@
             let wait = Duration::from_millis(wait_millis);
             dissemination::answer(&gateway, &kind, since, wait).await
         }
-        PeerRequest::ReadResults { job, chunks, wait_millis } => {
+        PeerRequest::ReadResults { job, from, wait_millis } => {
             let wait = Duration::from_millis(wait_millis);
-            reading::answer_peer(&gateway, &job, chunks, wait).await
+            reading::answer_peer(&gateway, &job, from, wait).await
         }
     };
     encode(&reply)
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -78,8 +78,8 @@
     ReadResults {
         /// The batch job.
         job: String,
-        /// Chunks that the reader has.
-        chunks: u32,
+        /// Position of the first result that the reader wants.
+        from: usize,
         /// How long to wait for another one, in milliseconds.
         wait_millis: u64,
     },
@@ -90,9 +90,11 @@
 pub enum PeerReply {
     /// Settled results.
     Results {
-        /// All results from the first that the reader lacks.
+        /// Results from the position on, as many as fit one page.
         results: Vec<ItemResult>,
-        /// Chunks that the reader then has.
+        /// Results that are settled.
+        settled: usize,
+        /// Chunks that hold them.
         chunks: u32,
     },
     /// What became of a call to the store.
--- a/crates/heronbend-gateway/tests/batch.rs
+++ b/crates/heronbend-gateway/tests/batch.rs
@@ -71,19 +71,19 @@
 }
 
 #[test]
-fn a_reader_that_has_some_chunks_gets_the_others_once() {
+fn a_reader_that_has_some_results_gets_the_others_once() {
     let mut owner = ResultLog::default();
     for (number, name) in ["a", "b", "c"].iter().enumerate() {
         owner.settle(number as u32, vec![Rc::new(result(name))]);
     }
     let mut reader = ResultLog::default();
     reader.settle(0, vec![Rc::new(result("a"))]);
-    reader.extend(owner.after_chunk(1).to_vec(), owner.chunks());
+    reader.extend(owner.page(1), owner.chunks());
     // A late answer to an earlier question changes nothing.
-    reader.extend(owner.after_chunk(0)[..2].to_vec(), 2);
+    reader.extend(owner.page(0)[..2].to_vec(), 2);
     assert_eq!(items(&reader), ["a", "b", "c"]);
     assert_eq!(reader.chunks(), 3);
-    assert!(reader.after_chunk(3).is_empty());
+    assert!(reader.page(3).is_empty());
 }
 
 #[test]
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -421,6 +421,10 @@
             job.confirmed.set(Some(gateway.now()));
             let reply = reading::answer_peer(&gateway, "j", 0, Duration::ZERO).await;
             assert!(matches!(reply, PeerReply::Results { chunks: 1, .. }), "{reply:?}");
+            // Only what the reader asks for crosses, and how much there is.
+            let reply = reading::answer_peer(&gateway, "j", 1, Duration::ZERO).await;
+            let nothing = PeerReply::Results { results: Vec::new(), settled: 1, chunks: 1 };
+            assert_eq!(reply, nothing);
         })
     });
 }
