--- a/crates/heronbend-gateway/src/dissemination.rs
+++ b/crates/heronbend-gateway/src/dissemination.rs
@@ -179,6 +179,23 @@
     line
 }
 
+/// Logs where news of a kind comes from, whenever that has changed.
+pub fn note_upstreams(gateway: &Gateway, kind: &'static str, upstreams: &[NodeId]) {
+    let mut followed = gateway.followed.borrow_mut();
+    let known = followed.entry(kind).or_default();
+    if known.as_slice() == upstreams {
+        return;
+    }
+    let names: Vec<&str> = upstreams.iter().map(|node| node.name.0.as_str()).collect();
+    let source = if names.is_empty() { "store".to_owned() } else { names.join(",") };
+    log::info!(
+        "event=news_source kind={kind} source={source} store_reached={} daemons={}",
+        gateway.store.is_reached(),
+        gateway.members.count_alive() + 1
+    );
+    *known = upstreams.to_vec();
+}
+
 /// Waits for changes of a kind at the watchers that this daemon follows; nothing when none of them
 /// tells any.
 pub async fn changes(
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -85,6 +85,8 @@
     pub peers: ConnectionPool,
     /// Objects of the store that peers may follow here, by kind.
     pub replicas: RefCell<HashMap<&'static str, Replica>>,
+    /// The daemons whose news this one follows, by kind; none where it watches the store.
+    pub followed: RefCell<HashMap<&'static str, Vec<NodeId>>>,
     /// Notified when a replica has changed.
     pub replica_changed: Event,
     /// The newest configuration.
@@ -148,6 +150,7 @@
             peers: ConnectionPool::new(executor.clone(), PEER_CONNECT_TIMEOUT),
             executor,
             replicas: RefCell::default(),
+            followed: RefCell::default(),
             replica_changed: Event::new(),
             configuration: RefCell::default(),
             directory: RefCell::default(),
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -115,6 +115,7 @@
     at: Revision,
 ) -> Result<Changes, StoreError> {
     let upstreams = upstreams(gateway, source);
+    dissemination::note_upstreams(gateway, kind, &upstreams);
     if upstreams.is_empty() {
         return gateway.store.watch(kind, at, WATCH_WAIT).await;
     }
