--- a/crates/heronbend-gateway/src/explain.rs
+++ b/crates/heronbend-gateway/src/explain.rs
@@ -8,7 +8,7 @@
 const LEADS: [(&str, &str); 2] = [("item", "job"), ("reward", "item")];
 
 /// The value of a key in a line of `key=value` pairs.
-fn value<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+pub(crate) fn value<'a>(line: &'a str, key: &str) -> Option<&'a str> {
     line.split_whitespace().find_map(|word| word.strip_prefix(key)?.strip_prefix('='))
 }
 
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -40,5 +40,6 @@
 pub mod service;
 pub mod settings;
 pub mod split;
+pub mod steps;
 pub mod stream;
 pub mod versions;
--- /dev/null
+++ b/crates/heronbend-gateway/tests/steps.rs
@@ -0,0 +1,43 @@
+//! From log lines to the time of each step by part.
+
+use heronbend_gateway::steps::steps;
+
+const LINES: [&str; 14] = [
+    " 10.1 front-1 level=INFO event=job_handed_in job=j1 items=2 step=4 model=m outcome=Ok(()) ms=100",
+    " 10.2 front-1 level=INFO event=item_attempt job=j1 item=i2 server=s outcome=\"outpaced\" events=9",
+    " 12.0 front-1 level=INFO event=job_handed_in job=j1 items=2 step=4 model=m outcome=Ok(()) ms=20",
+    " 14.1 front-1 level=INFO event=item_done job=j1 item=i1 events=100 text_ms=3990 total_ms=4000",
+    " 14.2 front-1 level=INFO event=results_listed job=j1 chunk=0 positions=0..1",
+    " 16.1 front-1 level=INFO event=item_done job=j1 item=i2 events=150 text_ms=5990 total_ms=6000",
+    " 16.2 front-1 level=INFO event=results_listed job=j1 chunk=1 positions=1..2",
+    " 16.5 front-2 level=INFO event=job_end_asked job=j1 outcome=Ok(())",
+    " 17.0 front-1 level=INFO event=item_done job=j1 item=i3 events=160 text_ms=1 total_ms=7000",
+    " 18.0 front-2 level=INFO event=job_end_asked job=j1 outcome=Ok(())",
+    " 11.0 front-1 level=INFO event=job_handed_in job=j2 items=1 outcome=Err(Unknown) ms=2500",
+    "level=INFO event=job_handed_in job=j3 items=1 outcome=Ok(()) ms=1",
+    "a line of another program",
+    " 19.0 front-1 level=INFO event=item_done job=j4",
+];
+
+#[test]
+fn a_steps_time_is_split_at_the_text_that_decided() {
+    let found = steps(LINES.into_iter());
+    let [step] = found.as_slice() else {
+        panic!("one step was handed in and ended: {found:?}");
+    };
+    assert_eq!((step.job.as_str(), step.number.as_str()), ("j1", "4"));
+    let parts = [step.handed_in, step.hand_in, step.texts, step.listing, step.end, step.total()];
+    for (part, expected) in parts.into_iter().zip([10.0, 0.1, 6.0, 0.1, 0.3, 6.5]) {
+        assert!((part - expected).abs() < 1e-6, "{part} instead of {expected}");
+    }
+    assert_eq!(step.decided_by.item, "i2");
+    assert_eq!(step.decided_by.attempts, ["outpaced"]);
+    // The longest text before the end, at the pace of the fastest that ran at one server.
+    assert!((step.bound - 150.0 * 0.04).abs() < 1e-6, "{}", step.bound);
+}
+
+#[test]
+fn a_row_names_the_deciding_text_and_its_attempts() {
+    let row = steps(LINES.into_iter())[0].to_string();
+    assert!(row.ends_with("i2 (150 events, 6000 ms: outpaced)"), "{row}");
+}
