One piece of code for waits, places in line and watchers; texts go when their run is over

What a second reading of the change found. No policy, bound or assertion changes.

- The order of daemons for a lost daemon's job, for the lease and for who lists was walked out in three places; all call ownership::place_in_line now, which counts instead of sorting out one daemon after the other.
- Watchers were chosen from copies of all members, with this daemon made up as one of them, at each held call: now from the names of the daemons of the zone in question.
- The versions of a text were gathered into a set at each read: versions_fit looks at them in place.
- A job kept its texts after its run was over, beside the results: dropped.
Daemons that failed to tell news were remembered for ever: forgotten once they may be asked again.

Left: set-up lines of tests in store_port, jobs and streams that look alike and say what each test does.

--- a/crates/heronbend-gateway/src/batch/appender.rs
+++ b/crates/heronbend-gateway/src/batch/appender.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_lite::FutureExt;
 use serde_json::{json, Value};
 use smol::Timer;
 
@@ -14,6 +13,7 @@
 use crate::gateway::Gateway;
 use crate::mirror::{backoff, list_all};
 use crate::ports::{Object, ObjectStore, StoreError};
+use crate::wait;
 
 /// Rest between two looks whether this daemon owns the job again.
 const OWNER_LOOK: Duration = Duration::from_millis(500);
@@ -114,15 +114,11 @@
         let step = step(gateway, job);
         let is_full = is_full(job);
         let waited = gateway.now().saturating_sub(begun);
-        let wait = gathering::wait(step.as_ref()).filter(|_| !is_full);
-        let Some(left) = wait.and_then(|wait| wait.checked_sub(waited)) else {
+        let limit = gathering::wait(step.as_ref()).filter(|_| !is_full);
+        let Some(left) = limit.and_then(|limit| limit.checked_sub(waited)) else {
             return;
         };
-        waits
-            .or(async {
-                Timer::after(left).await;
-            })
-            .await;
+        wait::at_most(left, waits).await;
     }
 }
 
--- a/crates/heronbend-gateway/src/batch/checkpoint.rs
+++ b/crates/heronbend-gateway/src/batch/checkpoint.rs
@@ -29,7 +29,6 @@
 const MIN_EVENTS: u64 = 16;
 /// Most bytes of events in one checkpoint, which is one object. The rest goes into the next one.
 const MAX_BYTES: usize = 400 * 1024;
-
 /// Most checkpoints in one period.
 const MOST_AT_ONCE: usize = 3;
 
@@ -181,9 +180,7 @@
 
 /// The segments of a checkpoint; one that cannot be understood is passed over.
 fn segments(object: &Object) -> Vec<Segment> {
-    let segments = object.content.get("segments").cloned().unwrap_or_default();
-    let parsed: Result<Vec<Segment>, _> = serde_json::from_value(segments);
-    parsed.unwrap_or_else(|error| {
+    Vec::deserialize(&object.content["segments"]).unwrap_or_else(|error| {
         log::warn!("event=checkpoint_malformed name={} error=\"{error}\"", object.name);
         Vec::new()
     })
--- a/crates/heronbend-gateway/src/batch/event_stream.rs
+++ b/crates/heronbend-gateway/src/batch/event_stream.rs
@@ -42,6 +42,14 @@
         self.made_by.iter().copied().collect()
     }
 
+    /// Whether all events were made under `min_version` or later, and under one version alone where
+    /// `is_single` asks for that.
+    pub fn versions_fit(&self, min_version: u64, is_single: bool) -> bool {
+        let first = self.made_by.first();
+        let is_mixed = self.made_by.iter().any(|version| Some(version) != first);
+        self.made_by.iter().all(|version| *version >= min_version) && !(is_single && is_mixed)
+    }
+
     /// The events after number `after`, as a segment of an item's text.
     pub fn segment(&self, item: usize, after: u64) -> Segment {
         let from = usize::try_from(after).unwrap_or(usize::MAX).min(self.events.len());
--- a/crates/heronbend-gateway/src/batch/gate.rs
+++ b/crates/heronbend-gateway/src/batch/gate.rs
@@ -10,10 +10,9 @@
 use std::time::Duration;
 
 use event_listener::Event;
-use futures_lite::FutureExt;
-use smol::Timer;
 
 use crate::gateway::Gateway;
+use crate::wait;
 
 /// Reward calls that may be under way for each place at a service's servers. Fewer would let texts
 /// wait for their scores; more would fill the servers' queues.
@@ -60,10 +59,7 @@
     let gate = &gateway.reward_gate;
     while gate.running(service) >= limit(gateway, service) {
         let left = gate.left.listen();
-        let recount = async {
-            Timer::after(RECOUNT).await;
-        };
-        left.or(recount).await;
+        wait::at_most(RECOUNT, left).await;
     }
     gate.add(service);
     Pass { gateway: gateway.clone(), service: service.to_owned() }
--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -366,10 +366,6 @@
     }
 
     fn versions_fit(&self, route: &Route) -> bool {
-        let min_version = self.min_version();
-        let versions = self.text.borrow().versions();
-        let is_fresh = versions.iter().all(|version| *version >= min_version);
-        let is_single = !route.single_version || versions.len() <= 1;
-        is_fresh && is_single
+        self.text.borrow().versions_fit(self.min_version(), route.single_version)
     }
 }
--- a/crates/heronbend-gateway/src/batch/ownership.rs
+++ b/crates/heronbend-gateway/src/batch/ownership.rs
@@ -37,23 +37,20 @@
     }
 }
 
+/// Which of the daemons that are alive takes over a job: the first in an order that differs from
+/// job to job, so that the jobs of a lost daemon are spread.
+pub fn successor<'a>(job: &str, alive: impl Iterator<Item = &'a NodeId>) -> Option<&'a NodeId> {
+    alive.max_by_key(|node| rank(job, node))
+}
+
 /// The place of a daemon, counted from 0, among those that may take a job over.
 pub fn place_in_line(job: &str, me: &NodeId, alive: &[NodeId]) -> usize {
-    let mut line: Vec<&NodeId> = alive.iter().collect();
-    let mut place = 0;
-    while let Some(next) = successor(job, line.iter().copied()).filter(|next| *next != me) {
-        let next = next.clone();
-        line.retain(|node| **node != next);
-        place += 1;
-    }
-    place
+    let mine = rank(job, me);
+    alive.iter().filter(|node| rank(job, node) > mine).count()
 }
 
-/// Which of the daemons that are alive takes over a job: the first in an order that differs from
-/// job to job, so that the jobs of a lost daemon are spread.
-pub fn successor<'a>(job: &str, alive: impl Iterator<Item = &'a NodeId>) -> Option<&'a NodeId> {
-    alive.max_by_key(|node| {
-        let key = format!("{job}/{}", node.name);
-        (rapidhash::v3::rapidhash_v3(key.as_bytes()), (*node).clone())
-    })
+/// What the order for a job goes by; the largest comes first.
+fn rank(job: &str, node: &NodeId) -> (u64, NodeId) {
+    let key = format!("{job}/{}", node.name);
+    (rapidhash::v3::rapidhash_v3(key.as_bytes()), node.clone())
 }
--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -21,6 +21,7 @@
 use crate::mirror::{list_all, wait_for_store};
 use crate::peers::{Hint, INTRODUCTION};
 use crate::ports::{Condition, Object, ObjectStore, Revision, StoreError};
+use crate::wait;
 
 /// Time between two looks for jobs without a living owner.
 const SWEEP: Duration = Duration::from_millis(500);
@@ -47,7 +48,7 @@
                 failures = 0;
                 take_list(&gateway, &objects);
                 adopt_from_earlier_run(&gateway).await;
-                doubted.or(asked).or(after(LIST_PERIOD)).await;
+                wait::at_most(LIST_PERIOD, doubted.or(asked)).await;
                 Timer::after(LOSS_GATHERING).await;
             }
             Err(error) => {
@@ -59,10 +60,6 @@
     }
 }
 
-async fn after(time: Duration) {
-    Timer::after(time).await;
-}
-
 fn take_list(gateway: &Rc<Gateway>, objects: &[Object]) {
     for object in objects {
         gateway.jobs.learn_object(object);
@@ -86,15 +83,8 @@
 pub fn note_lost(gateway: &Gateway, node: &NodeId) {
     let mut line = gateway.members.alive();
     line.push(gateway.identity.node.clone());
-    for _ in 0..LISTERS {
-        let Some(next) = successor(&node.name.0, line.iter()).cloned() else {
-            return;
-        };
-        if next == gateway.identity.node {
-            gateway.jobs.list_wanted.notify(usize::MAX);
-            return;
-        }
-        line.retain(|node| *node != next);
+    if place_in_line(&node.name.0, &gateway.identity.node, &line) < LISTERS {
+        gateway.jobs.list_wanted.notify(usize::MAX);
     }
 }
 
--- a/crates/heronbend-gateway/src/batch/placement.rs
+++ b/crates/heronbend-gateway/src/batch/placement.rs
@@ -4,14 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_lite::FutureExt;
 use heronbend::Moment;
-use smol::Timer;
 
 use super::specification::TrainerStep;
 use crate::directory::Server;
 use crate::gateway::Gateway;
 use crate::versions::board::Fitness;
+use crate::wait;
 
 /// Longest wait until a place is looked for again without news.
 const PLACE_WAIT: Duration = Duration::from_millis(100);
@@ -39,18 +38,15 @@
             if let Some(place) = self.find(service, avoided) {
                 return place;
             }
-            changed
-                .or(async {
-                    Timer::after(PLACE_WAIT).await;
-                })
-                .await;
+            wait::at_most(PLACE_WAIT, changed).await;
         }
     }
 
     /// A free place, if there is one; not at one of `avoided` unless there is no other.
     pub fn find(&self, service: &str, avoided: &[String]) -> Option<(Rc<Server>, Fitness)> {
         let now = self.gateway.now();
-        let chosen = self.choose(now, &self.candidates(now, service), avoided)?;
+        let usable = self.gateway.usable_servers(service);
+        let chosen = self.choose(now, &self.candidates(now, usable.iter()), avoided)?;
         let fitness = self.fitness(now, &chosen);
         Some((chosen, fitness))
     }
@@ -59,24 +55,28 @@
     /// where an event takes `per_event` at its own.
     pub fn gain(&self, server: &Server, per_event: Duration, remaining: u32) -> Option<Duration> {
         let now = self.gateway.now();
-        let candidates = self.candidates(now, &server.service);
+        let all = self.gateway.usable_servers(&server.service);
+        let candidates = self.candidates(now, all.iter());
         let here = [server.id.clone()];
         let other = self.choose(now, &candidates, &here).filter(|other| other.id != server.id)?;
-        let all = self.gateway.usable_servers(&server.service);
         let balancer = self.gateway.balancer.borrow();
         let there = balancer.expected_latency(now, &other.id, &all)?;
         let is_faster = per_event.as_secs_f64() > there.as_secs_f64() * FASTER;
         is_faster.then(|| (per_event - there) * remaining)
     }
 
-    /// Servers that can run the item, have a free place and are not being avoided.
-    fn candidates(&self, now: Moment, service: &str) -> Vec<Rc<Server>> {
+    /// Those of some servers that can run the item, have a free place and are not being avoided.
+    fn candidates<'s>(
+        &self,
+        now: Moment,
+        servers: impl Iterator<Item = &'s Rc<Server>>,
+    ) -> Vec<Rc<Server>> {
         let balancer = self.gateway.balancer.borrow();
-        let usable = self.gateway.usable_servers(service).into_iter();
-        usable
+        servers
             .filter(|server| balancer.in_flight(&server.id) < server.slots)
             .filter(|server| !balancer.is_avoided(now, &server.id))
             .filter(|server| self.fitness(now, server) != Fitness::Unfit)
+            .cloned()
             .collect()
     }
 
--- a/crates/heronbend-gateway/src/batch/reading.rs
+++ b/crates/heronbend-gateway/src/batch/reading.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_lite::FutureExt;
 use heronbend::Moment;
 use smol::Timer;
 
@@ -20,6 +19,7 @@
 use crate::gateway::Gateway;
 use crate::peers::{client, PeerReply, PeerRequest};
 use crate::ports::{ObjectStore, StoreError};
+use crate::wait;
 
 /// Why nothing can be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,10 +55,7 @@
             if left.is_zero() || job.ended.get() {
                 return page_here(&job, from);
             }
-            let waited = async {
-                Timer::after(left).await;
-            };
-            grew.or(waited).await;
+            wait::at_most(left, grew).await;
             continue;
         }
         // An owner holds a call until it has news; the store answers at once.
@@ -99,15 +96,15 @@
     gateway: &Gateway,
     job: &Job,
     from: usize,
-    wait: Duration,
+    limit: Duration,
 ) -> Option<Result<ResultsPage, ReadError>> {
     let owner = job.owner();
     if owner == gateway.identity.node {
         return None;
     }
-    let wait_millis = u64::try_from(wait.as_millis()).unwrap_or(0);
+    let wait_millis = u64::try_from(limit.as_millis()).unwrap_or(0);
     let request = PeerRequest::ReadResults { job: job.id.clone(), from, wait_millis };
-    let reply = client::call(gateway, &owner, &request, wait).await;
+    let reply = client::call(gateway, &owner, &request, limit).await;
     let Some(PeerReply::Results { results, settled, chunks }) = reply else {
         return None;
     };
@@ -137,13 +134,13 @@
     gateway: &Rc<Gateway>,
     id: &str,
     from: usize,
-    wait: Duration,
+    limit: Duration,
 ) -> PeerReply {
     let job = gateway.jobs.get(id).filter(|job| job.owner() == gateway.identity.node);
     let Some(job) = job.filter(|job| job.is_authority(gateway.now()) || job.is_complete()) else {
         return PeerReply::NotOwner;
     };
-    let until = gateway.now() + wait;
+    let until = gateway.now() + limit;
     loop {
         let grew = job.grew.listen();
         let left = until.saturating_sub(gateway.now());
@@ -151,10 +148,7 @@
         if has_news || left.is_zero() || job.ended.get() || !job.running.get() {
             break;
         }
-        grew.or(async {
-            Timer::after(left).await;
-        })
-        .await;
+        wait::at_most(left, grew).await;
     }
     let log = job.log.borrow();
     let results = log.page(from).iter().map(|result| (**result).clone()).collect();
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -54,6 +54,8 @@
     );
     job.running.set(false);
     job.confirmed.set(None);
+    // What is listed stands in the log; a later run restores the rest.
+    job.texts.take();
 }
 
 async fn work_on(gateway: &Rc<Gateway>, job: &Rc<Job>) {
--- a/crates/heronbend-gateway/src/dissemination.rs
+++ b/crates/heronbend-gateway/src/dissemination.rs
@@ -20,9 +20,7 @@
 
 use futures_lite::FutureExt;
 use heronbend::identity::NodeId;
-use heronbend::membership::Member;
 use rapidhash::v3::rapidhash_v3;
-use smol::Timer;
 
 use crate::gateway::Gateway;
 use crate::peers::client;
@@ -33,6 +31,7 @@
 use crate::ports::Changes;
 use crate::ports::Object;
 use crate::ports::Revision;
+use crate::wait;
 
 /// Watchers of a zone.
 const WATCHERS: usize = 2;
@@ -148,29 +147,28 @@
 /// A wait for news.
 type Listening<'a> = Pin<Box<dyn Future<Output = Option<News>> + 'a>>;
 
-/// The daemons of a zone that watch the store for the others, first choice first.
-pub fn watchers(zone: &str, alive: &[Member]) -> Vec<NodeId> {
-    let mut line: Vec<&Member> = alive.iter().filter(|member| member.zone == zone).collect();
-    let count = if line.len() > SMALL_ZONE { WATCHERS } else { line.len() };
-    line.sort_by_key(|member| rapidhash_v3(member.id.name.0.as_bytes()));
-    line.truncate(count);
-    line.into_iter().map(|member| member.id.clone()).collect()
+/// Those of a zone's daemons that watch the store for the others, first choice first.
+pub fn watchers(mut zone: Vec<NodeId>) -> Vec<NodeId> {
+    let count = if zone.len() > SMALL_ZONE { WATCHERS } else { zone.len() };
+    zone.sort_by_key(|node| rapidhash_v3(node.name.0.as_bytes()));
+    zone.truncate(count);
+    zone
 }
 
 /// Whom this daemon follows; nobody where it watches for itself.
 pub fn upstreams(gateway: &Gateway) -> Vec<NodeId> {
     let me = &gateway.identity;
-    let alive = gateway.members.alive_with(&gateway.me());
-    let mut line = watchers(&me.zone, &alive);
-    let is_watcher = line.contains(&me.node);
+    let mut zone = gateway.members.alive_in(&me.zone);
+    zone.push(me.node.clone());
+    let mut line = watchers(zone);
     let is_served = gateway.store.is_reached();
-    if is_served && is_watcher {
+    if is_served && line.contains(&me.node) {
         return Vec::new();
     }
     if !is_served {
-        let zones: BTreeSet<&str> = alive.iter().map(|member| member.zone.as_str()).collect();
-        for zone in zones.into_iter().filter(|zone| *zone != me.zone) {
-            line.extend(watchers(zone, &alive).into_iter().take(1));
+        let zones = gateway.members.zones().into_iter();
+        for zone in zones.filter(|zone| *zone != me.zone) {
+            line.extend(watchers(gateway.members.alive_in(&zone)).into_iter().take(1));
         }
     }
     let now = gateway.now();
@@ -239,7 +237,7 @@
             match listen(gateway, kind, since, upstream).await {
                 Some(news) => Some(news),
                 None => {
-                    gateway.members.note_failed_to_tell(gateway.now() + FAILED_REST, upstream);
+                    gateway.members.note_failed_to_tell(gateway.now(), FAILED_REST, upstream);
                     failed.set(failed.get() + 1);
                     if failed.get() < upstreams.len() {
                         futures_lite::future::pending::<()>().await;
@@ -281,9 +279,9 @@
     gateway: &Rc<Gateway>,
     kind: &str,
     since: Revision,
-    wait: Duration,
+    limit: Duration,
 ) -> PeerReply {
-    let until = gateway.now() + wait.min(HOLD);
+    let until = gateway.now() + limit.min(HOLD);
     loop {
         let changed = gateway.replica_changed.listen();
         if !is_informed(gateway) {
@@ -306,11 +304,7 @@
             let (objects, removed) = (Vec::new(), Vec::new());
             return PeerReply::News { is_whole: false, objects, removed, at: 0 };
         }
-        changed
-            .or(async {
-                Timer::after(left).await;
-            })
-            .await;
+        wait::at_most(left, changed).await;
     }
 }
 
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -12,8 +12,6 @@
 use event_listener::Event;
 use heronbend::admission::RetryBudget;
 use heronbend::identity::NodeId;
-use heronbend::membership::Liveness;
-use heronbend::membership::Member;
 use heronbend::Moment;
 use rand::Rng;
 use smol::LocalExecutor;
@@ -183,20 +181,6 @@
         self.started.elapsed()
     }
 
-    /// This daemon as a member among the others. Its addresses are of no use to itself.
-    pub fn me(&self) -> Member {
-        let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-        Member {
-            id: self.identity.node.clone(),
-            address: nowhere,
-            http_address: nowhere,
-            zone: self.identity.zone.clone(),
-            region: self.identity.region.clone(),
-            refutation: 0,
-            liveness: Liveness::Alive,
-        }
-    }
-
     /// Time constants.
     pub fn tuning(&self) -> Tuning {
         self.tuning.get()
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -43,3 +43,4 @@
 pub mod steps;
 pub mod stream;
 pub mod versions;
+pub mod wait;
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -12,6 +12,7 @@
 use crate::dissemination::Replica;
 use crate::gateway::Gateway;
 use crate::ports::{Change, Changes, Object, ObjectStore, Revision, StoreError};
+use crate::wait;
 
 /// Longest wait of one watch. A dead path is noticed by probes on the connection and not by this.
 const WATCH_WAIT: Duration = Duration::from_secs(29);
@@ -268,10 +269,7 @@
         return;
     }
     let answers = gateway.watches_doubted.listen();
-    let waited = async {
-        Timer::after(OUTAGE_WAIT).await;
-    };
-    answers.or(waited).await;
+    wait::at_most(OUTAGE_WAIT, answers).await;
     Timer::after(backoff(1)).await;
 }
 
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -9,6 +9,7 @@
 pub mod store_relay;
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -63,16 +64,25 @@
             .collect()
     }
 
-    /// All daemons that are alive, this one among them.
-    pub fn alive_with(&self, me: &Member) -> Vec<Member> {
+    /// The zones of the other daemons that are alive.
+    pub fn zones(&self) -> BTreeSet<String> {
         let members = self.members.borrow();
-        let others = members.iter().filter(|member| member.liveness == Liveness::Alive);
-        others.filter(|member| member.id != me.id).chain([me]).cloned().collect()
+        let alive = members.iter().filter(|member| member.liveness == Liveness::Alive);
+        alive.map(|member| member.zone.clone()).collect()
     }
 
-    /// Notes that a daemon failed to tell news of the store: it is not asked until then.
-    pub fn note_failed_to_tell(&self, until: Moment, node: &NodeId) {
-        self.untold.borrow_mut().insert(node.clone(), until);
+    /// The other daemons of a zone that are alive.
+    pub fn alive_in(&self, zone: &str) -> Vec<NodeId> {
+        let members = self.members.borrow();
+        let alive = members.iter().filter(|member| member.liveness == Liveness::Alive);
+        alive.filter(|member| member.zone == zone).map(|member| member.id.clone()).collect()
+    }
+
+    /// Notes that a daemon failed to tell news of the store: it is not asked for a time.
+    pub fn note_failed_to_tell(&self, now: Moment, rest: Duration, node: &NodeId) {
+        let mut untold = self.untold.borrow_mut();
+        untold.retain(|_, until| now < *until);
+        untold.insert(node.clone(), now + rest);
     }
 
     /// Whether a daemon has failed to tell news a moment ago.
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -14,7 +14,7 @@
 use super::lease::{LeaseHold, LeaseRecord, LEASE_DURATION};
 use super::plan::{self, EngineState, Load, ModelState, Urgency};
 use super::{EngineReport, SwapMode, VersionOrder};
-use crate::batch::ownership::successor;
+use crate::batch::ownership;
 use crate::batch::registry::Job;
 use crate::directory::{Server, ServerState};
 use crate::gateway::Gateway;
@@ -24,6 +24,7 @@
 use crate::peers::INTRODUCTION;
 use crate::ports::dialect::ServerCall;
 use crate::ports::{Change, Condition, Object, ObjectStore, StoreError};
+use crate::wait;
 
 /// Kind and name of the lease's object.
 const LEASE_KIND: &str = "heronbend-leases";
@@ -134,11 +135,7 @@
                 .insert(load.server.clone(), Some((load.model.clone(), load.version)));
             gateway.executor.spawn(duty.clone().carry_out(load)).detach();
         }
-        changed
-            .or(async {
-                Timer::after(IDLE_WAIT).await;
-            })
-            .await;
+        wait::at_most(IDLE_WAIT, changed).await;
     }
 }
 
@@ -516,13 +513,5 @@
     let mut line: Vec<NodeId> = gateway.members.alive();
     line.push(me.clone());
     line.retain(|node| Some(&node.name) != holder);
-    let mut place = 0;
-    while let Some(next) = successor(LEASE_NAME, line.iter()).cloned() {
-        if next == *me {
-            break;
-        }
-        line.retain(|node| *node != next);
-        place += 1;
-    }
-    place
+    ownership::place_in_line(LEASE_NAME, me, &line)
 }
--- a/crates/heronbend-gateway/src/versions/plan.rs
+++ b/crates/heronbend-gateway/src/versions/plan.rs
@@ -153,10 +153,12 @@
         let cannot_serve = held(engine) + 1 < version;
         let fills_half = missing_in_half > 0;
         missing_in_half = missing_in_half.saturating_sub(1);
-        let urgency = match (cannot_serve, fills_half, state.is_pressed) {
-            (true, _, _) | (_, true, _) => Urgency::Now,
-            (false, _, true) => Urgency::WhenIdle,
-            (false, false, false) => continue,
+        let urgency = if cannot_serve || fills_half {
+            Urgency::Now
+        } else if state.is_pressed {
+            Urgency::WhenIdle
+        } else {
+            continue;
         };
         let (server, model) = (engine.id.clone(), model.to_owned());
         due.push(Load { server, model, version, urgency });
--- a/crates/heronbend-gateway/tests/checkpoint.rs
+++ b/crates/heronbend-gateway/tests/checkpoint.rs
@@ -116,3 +116,16 @@
     let order: Vec<usize> = texts.unsaved(|_| false).iter().map(|segment| segment.item).collect();
     assert_eq!(order, [1, 2, 0]);
 }
+
+#[test]
+fn a_text_fits_where_each_event_was_made_under_a_version_that_does() {
+    let texts = Texts::new(1);
+    let text = texts.get(0);
+    assert!(text.borrow().versions_fit(9, true));
+    make(&texts, 0, 1..=3, 4);
+    assert!(text.borrow().versions_fit(4, true));
+    assert!(!text.borrow().versions_fit(5, false));
+    make(&texts, 0, 4..=5, 5);
+    assert!(text.borrow().versions_fit(4, false));
+    assert!(!text.borrow().versions_fit(4, true));
+}
--- a/crates/heronbend-gateway/tests/dissemination.rs
+++ b/crates/heronbend-gateway/tests/dissemination.rs
@@ -2,11 +2,7 @@
 
 mod support;
 
-use std::net::SocketAddr;
-
 use heronbend::identity::NodeId;
-use heronbend::membership::Liveness;
-use heronbend::membership::Member;
 use heronbend_gateway::dissemination::watchers;
 use heronbend_gateway::dissemination::Replica;
 use heronbend_gateway::ports::Change;
@@ -19,19 +15,6 @@
     Object { name: name.to_owned(), revision, content: Value::from(revision), status: Value::Null }
 }
 
-fn member(name: &str, zone: &str) -> Member {
-    let address = SocketAddr::from(([127, 0, 0, 1], 9));
-    Member {
-        id: node(name),
-        address,
-        http_address: address,
-        zone: zone.to_owned(),
-        region: "r".to_owned(),
-        refutation: 0,
-        liveness: Liveness::Alive,
-    }
-}
-
 fn names(objects: &[Object]) -> Vec<&str> {
     objects.iter().map(|object| object.name.as_str()).collect()
 }
@@ -91,16 +74,16 @@
 
 #[test]
 fn two_daemons_of_a_large_zone_watch_and_all_of_a_small_one() {
-    let mut alive: Vec<Member> = (0..9).map(|n| member(&format!("l{n}"), "large")).collect();
-    alive.extend((0..3).map(|n| member(&format!("s{n}"), "small")));
-    assert_eq!(watchers("small", &alive).len(), 3);
-    let chosen = watchers("large", &alive);
+    let mut large: Vec<NodeId> = (0..9).map(|n| node(&format!("l{n}"))).collect();
+    let small: Vec<NodeId> = (0..3).map(|n| node(&format!("s{n}"))).collect();
+    assert_eq!(watchers(small).len(), 3);
+    let chosen = watchers(large.clone());
     assert_eq!(chosen.len(), 2);
     // All daemons agree, in whatever order they know each other.
-    alive.reverse();
-    assert_eq!(watchers("large", &alive), chosen);
+    large.reverse();
+    assert_eq!(watchers(large.clone()), chosen);
     // One that is lost is replaced, and the other goes on.
-    alive.retain(|member| member.id != chosen[0]);
-    let after: Vec<NodeId> = watchers("large", &alive);
+    large.retain(|node| *node != chosen[0]);
+    let after = watchers(large);
     assert_eq!((after.len(), &after[0]), (2, &chosen[1]));
 }
--- a/crates/heronbend-gateway/tests/placement.rs
+++ b/crates/heronbend-gateway/tests/placement.rs
@@ -26,6 +26,13 @@
     gateway.balancer.borrow_mut().note(now, id, AttemptEnd::Answered(per_event));
 }
 
+/// Places at a fast server and a slow one.
+fn fast_and_slow(gateway: &Rc<Gateway>) -> Placement<'_> {
+    add(gateway, "fast", FAST);
+    add(gateway, "slow", SLOW);
+    Placement { gateway, step: None }
+}
+
 fn with_gateway(test: impl FnOnce(&Rc<Gateway>) + 'static) {
     run(|executor| {
         Box::pin(async move {
@@ -38,9 +45,7 @@
 #[test]
 fn fast_servers_are_filled_before_slow_ones() {
     with_gateway(|gateway| {
-        add(gateway, "fast", FAST);
-        add(gateway, "slow", SLOW);
-        let placement = Placement { gateway, step: None };
+        let placement = fast_and_slow(gateway);
         let chosen: Vec<String> = (0..9)
             .map(|_| {
                 let (server, _) = placement.find("app", &[]).unwrap();
@@ -56,9 +61,7 @@
 #[test]
 fn a_long_rest_is_worth_a_move_to_a_faster_server_and_a_short_one_is_not() {
     with_gateway(|gateway| {
-        add(gateway, "fast", FAST);
-        add(gateway, "slow", SLOW);
-        let placement = Placement { gateway, step: None };
+        let placement = fast_and_slow(gateway);
         let slow = server("slow", "app");
         let long = placement.gain(&slow, SLOW, 100).unwrap();
         let short = placement.gain(&slow, SLOW, 5).unwrap();
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// Mirrors a kind from the store.
+fn follow(
+    executor: &LocalExecutor<'static>,
+    gateway: &Rc<Gateway>,
+    kind: &'static str,
+    names: &Names,
+) {
+    let mirror = mirror::follow(gateway.clone(), kind, Source::Store, GATHERING, names.clone());
+    executor.spawn(mirror).detach();
+}
+
 #[test]
 fn a_watch_that_was_cut_misses_nothing_although_the_next_one_would_be_deaf() {
     with_store(|store, executor| {
@@ -65,9 +76,7 @@
             store.fail_watches(&[WatchFault::Cut]);
             store.mute_watches();
             let names = Names::default();
-            executor
-                .spawn(mirror::follow(gateway, KIND, Source::Store, GATHERING, names.clone()))
-                .detach();
+            follow(&executor, &gateway, KIND, &names);
             wait_until("the watch has been cut", || store.calls.get() >= 2).await;
             store.put(KIND, "missed", json!(1));
             // A watch that was begun again from where the first one stood waits by now.
@@ -87,27 +96,11 @@
             let gateway = gateway("a", &store, &executor);
             store.fail_watches(&[WatchFault::Deaf]);
             let deaf = Names::default();
-            executor
-                .spawn(mirror::follow(
-                    gateway.clone(),
-                    KIND,
-                    Source::Store,
-                    GATHERING,
-                    deaf.clone(),
-                ))
-                .detach();
+            follow(&executor, &gateway, KIND, &deaf);
             smol::Timer::after(Duration::from_millis(30)).await;
             store.set_down(true);
             let other = Names::default();
-            executor
-                .spawn(mirror::follow(
-                    gateway.clone(),
-                    "others",
-                    Source::Store,
-                    GATHERING,
-                    other.clone(),
-                ))
-                .detach();
+            follow(&executor, &gateway, "others", &other);
             let calls = store.calls.get();
             wait_until("several calls have failed", || store.calls.get() >= calls + 3).await;
             store.put(KIND, "missed", json!(1));
@@ -124,15 +117,7 @@
             let gateway = gateway("a", &store, &executor);
             store.fail_watches(&[WatchFault::Deaf]);
             let names = Names::default();
-            executor
-                .spawn(mirror::follow(
-                    gateway.clone(),
-                    KIND,
-                    Source::Store,
-                    GATHERING,
-                    names.clone(),
-                ))
-                .detach();
+            follow(&executor, &gateway, KIND, &names);
             smol::Timer::after(Duration::from_millis(30)).await;
             store.put(KIND, "missed", json!(1));
             gateway.watches_doubted.notify(usize::MAX);
@@ -381,15 +366,7 @@
             // Begun while the store was silent: it is never answered.
             store.fail_watches(&[WatchFault::Deaf]);
             let names = Names::default();
-            executor
-                .spawn(mirror::follow(
-                    gateway.clone(),
-                    KIND,
-                    Source::Store,
-                    GATHERING,
-                    names.clone(),
-                ))
-                .detach();
+            follow(&executor, &gateway, KIND, &names);
             executor.spawn(mirror::probe_store(gateway.clone())).detach();
             smol::Timer::after(Duration::from_millis(30)).await;
             store.set_down(true);
