Checkpoints say which events they continue

A segment was joined to what was known by its number alone. Two owners that went on from one event, a late write of a former owner, and a text that was begun anew and outgrew what was saved of it, each made a text of two runs. A segment now names by a chained digest of events and versions what it follows; it is joined to those events alone, and the longest text is restored. A writer goes on from what it saved only if its text still does. A daemon that gets a job back names its checkpoints anew; it began at the first name again and lost a period.

Ruled out: events of a moved text (Last-Event-Id names them; test), the log of results (sealed, specified). Tests that failed first: two owners, a late write, begun anew and outgrown, begun anew while a write is under way, another order of reading, a property over 2,000 random histories, names after a job comes back.

--- a/crates/heronbend-gateway/src/batch/checkpoint.rs
+++ b/crates/heronbend-gateway/src/batch/checkpoint.rs
@@ -3,7 +3,8 @@
 //! A checkpoint holds the events that long texts have gained since the one before it, each with the
 //! version of the weights that made it. It promises nothing: a text that is lost, or saved in part, is
 //! made again from where the saved part ends. So checkpoints need no order among writers and no
-//! condition: a segment is used as far as it continues what is known already.
+//! condition. Several daemons may save texts of one job, each of its own runs: a segment says by a
+//! digest which events it continues, and is joined to those alone.
 
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -15,6 +16,7 @@
 use serde_json::json;
 use smol::Timer;
 
+use super::digest::Digest;
 use super::event_stream::ItemText;
 use super::registry::Job;
 use crate::gateway::Gateway;
@@ -38,30 +40,65 @@
 }
 
 /// Consecutive events of one item's text.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Segment {
     /// Position of the item in its job.
     pub item: usize,
     /// Number of the event that it follows; 0 at the start of the text.
     pub after: u64,
+    /// The digest of the text up to that event.
+    #[serde(default)]
+    pub follows: Digest,
     /// The data of its events.
     pub events: Vec<String>,
     /// The version of the weights that made each event.
     pub versions: Vec<u64>,
 }
 
+/// How much of a text is in checkpoints.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Saved {
+    /// Number of the last event that is saved.
+    pub events: u64,
+    /// The digest of the text up to that event.
+    pub digest: Digest,
+}
+
+impl Saved {
+    /// All of a text.
+    pub fn all_of(text: &ItemText) -> Self {
+        let events = text.last_event();
+        Self { events, digest: text.digest_at(events).unwrap_or_default() }
+    }
+
+    /// What is saved once a segment is.
+    pub fn through(segment: &Segment) -> Self {
+        let events = segment.events.iter().zip(&segment.versions);
+        let digest =
+            events.fold(segment.follows, |digest, (event, version)| digest.then(event, *version));
+        Self { events: segment.after + segment.events.len() as u64, digest }
+    }
+
+    /// What a text has gained: all of it where it was begun anew since.
+    pub fn unsaved(&self, item: usize, text: &ItemText) -> Segment {
+        let goes_on = text.digest_at(self.events) == Some(self.digest);
+        text.segment(item, if goes_on { self.events } else { 0 })
+    }
+}
+
 /// The texts of one job that is being run here, by position of their item.
 #[derive(Debug, Default)]
 pub struct Texts {
     texts: Vec<Rc<RefCell<ItemText>>>,
-    /// Events of each text that are in a checkpoint.
-    saved: Vec<u64>,
+    /// What of each text is in checkpoints.
+    saved: Vec<Saved>,
 }
 
 impl Texts {
     /// Empty texts for so many items.
     pub fn new(items: usize) -> Self {
-        Self { texts: (0..items).map(|_| Rc::default()).collect(), saved: vec![0; items] }
+        let texts = (0..items).map(|_| Rc::default()).collect();
+        Self { texts, saved: vec![Saved::default(); items] }
     }
 
     /// The text of an item.
@@ -69,32 +106,37 @@
         self.texts.get(item).cloned().unwrap_or_default()
     }
 
-    /// Continues a text as far as the segment goes on from what is known of it.
-    pub fn restore(&mut self, segment: &Segment) {
-        let Some(text) = self.texts.get(segment.item) else {
-            return;
-        };
-        let mut text = text.borrow_mut();
-        text.extend_from(segment);
-        self.saved[segment.item] = text.last_event();
+    /// Sets each text to the longest one that the segments of one or more writers make.
+    pub fn restore(&mut self, segments: &[Segment]) {
+        for (item, text) in self.texts.iter().enumerate() {
+            let of_item: Vec<&Segment> =
+                segments.iter().filter(|segment| segment.item == item).collect();
+            if of_item.is_empty() {
+                continue;
+            }
+            let longest = longest_text(&text.borrow(), of_item);
+            self.saved[item] = Saved::all_of(&longest);
+            *text.borrow_mut() = longest;
+        }
     }
 
     /// What long texts have gained since they were saved last, the longest first, as much as fits one
     /// checkpoint.
     pub fn unsaved(&self, is_listed: impl Fn(usize) -> bool) -> Vec<Segment> {
         let length = |item: usize| self.texts[item].borrow().last_event();
-        let is_due = |item: &usize| {
-            length(*item) >= MIN_EVENTS && length(*item) != self.saved[*item] && !is_listed(*item)
+        let is_saved = |item: usize| {
+            let text = self.texts[item].borrow();
+            self.saved[item] == Saved::all_of(&text)
         };
+        let is_due =
+            |item: &usize| length(*item) >= MIN_EVENTS && !is_saved(*item) && !is_listed(*item);
         let mut due: Vec<usize> = (0..self.texts.len()).filter(is_due).collect();
         due.sort_by_key(|item| Reverse(length(*item)));
         let mut bytes = 0;
         let mut segments = Vec::new();
         for item in due {
             let text = self.texts[item].borrow();
-            // A text that was begun anew is shorter than what was saved of it.
-            let after = if text.last_event() < self.saved[item] { 0 } else { self.saved[item] };
-            let segment = text.segment(item, after);
+            let segment = self.saved[item].unsaved(item, &text);
             bytes += segment.events.iter().map(String::len).sum::<usize>();
             if bytes > MAX_BYTES && !segments.is_empty() {
                 break;
@@ -107,31 +149,55 @@
     /// Notes that segments are in the store.
     pub fn saved(&mut self, segments: &[Segment]) {
         for segment in segments {
-            self.saved[segment.item] = segment.after + segment.events.len() as u64;
+            self.saved[segment.item] = Saved::through(segment);
+        }
+    }
+}
+
+/// The longest text that segments make from a known one, in whatever order they come.
+pub fn longest_text(known: &ItemText, mut segments: Vec<&Segment>) -> ItemText {
+    let mut branches = vec![known.clone()];
+    loop {
+        let before = segments.len();
+        segments.retain(|segment| !add(&mut branches, segment));
+        if segments.is_empty() || segments.len() == before {
+            break;
         }
     }
+    branches.into_iter().max_by_key(ItemText::last_event).unwrap_or_default()
+}
+
+/// Adds a segment to the texts that were made so far; false where none has the events that it follows.
+fn add(branches: &mut Vec<ItemText>, segment: &Segment) -> bool {
+    let Some(made) = branches.iter().find_map(|text| text.continued_by(segment)) else {
+        return false;
+    };
+    if !branches.iter().any(|text| made.is_start_of(text)) {
+        branches.retain(|text| !text.is_start_of(&made));
+        branches.push(made);
+    }
+    true
 }
 
 /// Saves a job's texts for as long as this daemon runs it.
 pub async fn run(gateway: Rc<Gateway>, job: Rc<Job>) {
-    let mut number = 0;
     loop {
         Timer::after(PERIOD).await;
         for _ in 0..MOST_AT_ONCE {
             let segments = unsaved(&job);
-            if segments.is_empty() || !save(&gateway, &job, number, &segments).await {
+            if segments.is_empty() || !save(&gateway, &job, &segments).await {
                 break;
             }
-            number += 1;
         }
-        // One that failed may have been written, or may be yet: its name is not used again.
-        number += 1;
     }
 }
 
 /// Writes one checkpoint; false when it may not have been written.
-async fn save(gateway: &Gateway, job: &Job, number: u32, segments: &[Segment]) -> bool {
+async fn save(gateway: &Gateway, job: &Job, segments: &[Segment]) -> bool {
     let node = &gateway.identity.node;
+    // A name is not used again: a write that failed may have been done, or may be yet, and the job
+    // may come back to this daemon.
+    let number = job.next_checkpoint.replace(job.next_checkpoint.get() + 1);
     let name = format!("{}-{}-{number:06}", node.name, node.incarnation.0);
     let written =
         gateway.store.create(&kind(&job.id), &name, json!({ "segments": segments })).await;
@@ -158,13 +224,10 @@
 
 /// Restores the texts that former owners of a job have saved.
 pub async fn restore(gateway: &Gateway, job: &Job) -> Result<(), StoreError> {
-    let (mut objects, _) = list_all(gateway, &kind(&job.id)).await?;
-    // In the order in which they were written: a writer's own follow each other.
-    objects.sort_by_key(|object| object.revision);
+    let (objects, _) = list_all(gateway, &kind(&job.id)).await?;
+    let segments: Vec<Segment> = objects.iter().flat_map(segments).collect();
     let mut texts = job.texts.borrow_mut();
-    for segment in objects.iter().flat_map(segments) {
-        texts.restore(&segment);
-    }
+    texts.restore(&segments);
     let (count, events) = texts
         .texts
         .iter()
--- a/crates/heronbend-gateway/src/batch/event_stream.rs
+++ b/crates/heronbend-gateway/src/batch/event_stream.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::checkpoint::Segment;
+use super::digest::Digest;
 use super::result_log::ItemResult;
 use crate::events::{Malformed, Parser};
 
@@ -24,11 +25,13 @@
 }
 
 /// Events of one item, from one or more servers.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct ItemText {
     events: Vec<String>,
     /// The version of the weights that made each event.
     made_by: Vec<u64>,
+    /// The digest of the text up to each event.
+    digests: Vec<Digest>,
 }
 
 impl ItemText {
@@ -50,29 +53,51 @@
         self.made_by.iter().all(|version| *version >= min_version) && !(is_single && is_mixed)
     }
 
+    /// The digest of the events up to number `event`; nothing where the text is shorter.
+    pub fn digest_at(&self, event: u64) -> Option<Digest> {
+        match usize::try_from(event).ok()?.checked_sub(1) {
+            None => Some(Digest::EMPTY),
+            Some(index) => self.digests.get(index).copied(),
+        }
+    }
+
+    /// Whether `other` has the same events as far as this text goes.
+    pub fn is_start_of(&self, other: &Self) -> bool {
+        other.digest_at(self.last_event()) == self.digest_at(self.last_event())
+    }
+
     /// The events after number `after`, as a segment of an item's text.
     pub fn segment(&self, item: usize, after: u64) -> Segment {
         let from = usize::try_from(after).unwrap_or(usize::MAX).min(self.events.len());
         Segment {
             item,
             after,
+            follows: self.digest_at(after).unwrap_or_default(),
             events: self.events[from..].to_vec(),
             versions: self.made_by[from..].to_vec(),
         }
     }
 
-    /// Takes in the events of a segment that follow what is known; one after a gap adds nothing.
-    pub fn extend_from(&mut self, segment: &Segment) {
-        let Some(known) = self.last_event().checked_sub(segment.after) else {
-            return;
-        };
-        let new = segment.events.iter().zip(&segment.versions);
-        for (event, version) in new.skip(usize::try_from(known).unwrap_or(usize::MAX)) {
-            self.push(event.clone(), *version);
+    /// The text that a segment makes of the events that it continues; nothing where these are not
+    /// the first ones of this text.
+    pub fn continued_by(&self, segment: &Segment) -> Option<Self> {
+        if self.digest_at(segment.after) != Some(segment.follows) {
+            return None;
+        }
+        let known = usize::try_from(segment.after).ok()?;
+        let mut text = self.clone();
+        text.events.truncate(known);
+        text.made_by.truncate(known);
+        text.digests.truncate(known);
+        for (event, version) in segment.events.iter().zip(&segment.versions) {
+            text.push(event.clone(), *version);
         }
+        Some(text)
     }
 
     fn push(&mut self, event: String, version: u64) {
+        let before = self.digests.last().copied().unwrap_or(Digest::EMPTY);
+        self.digests.push(before.then(&event, version));
         self.events.push(event);
         self.made_by.push(version);
     }
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -14,7 +14,7 @@
 //! - [`length`]: how long texts are expected to become, without I/O.
 //! - [`gathering`]: how long results wait until they are listed together, without I/O.
 //! - [`event_stream`]: the text of an item from a server's events, without I/O.
-//! - [`checkpoint`]: texts under way, saved for whoever takes a job over.
+//! - [`checkpoint`], [`digest`]: texts under way, saved for whoever takes a job over.
 //! - [`registry`]: the jobs that this daemon knows.
 //! - [`hand_in`], [`reading`]: the callers' side.
 //! - [`runner`], [`item_run`], [`placement`], [`pace`], [`reward`], [`gate`], [`appender`]: the owner's side.
@@ -22,6 +22,7 @@
 
 pub mod appender;
 pub mod checkpoint;
+pub mod digest;
 pub mod event_stream;
 pub mod gate;
 pub mod gathering;
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -51,6 +51,8 @@
     pub log: RefCell<ResultLog>,
     /// Texts of its items, while it is run here.
     pub texts: RefCell<Texts>,
+    /// Number of the next checkpoint of its texts that this run of the daemon writes.
+    pub next_checkpoint: Cell<u32>,
     /// Notified when the log has grown.
     pub grew: Event,
     /// Notified when a result waits to be written.
@@ -88,6 +90,7 @@
             required: RefCell::default(),
             log: RefCell::default(),
             texts: RefCell::default(),
+            next_checkpoint: Cell::new(0),
             grew: Event::new(),
             result_waits: Event::new(),
             stopping: Event::new(),
@@ -134,12 +137,19 @@
     clock: Box<dyn Fn() -> Moment>,
     /// Notified when the ownerships are to be listed.
     pub list_wanted: Event,
+    /// Whether the ownerships have been listed here, or by a daemon that told them.
+    pub is_listed: Cell<bool>,
 }
 
 impl JobRegistry {
     /// An empty registry.
     pub fn new(clock: impl Fn() -> Moment + 'static) -> Self {
-        Self { jobs: RefCell::default(), clock: Box::new(clock), list_wanted: Event::new() }
+        Self {
+            jobs: RefCell::default(),
+            clock: Box::new(clock),
+            list_wanted: Event::new(),
+            is_listed: Cell::new(false),
+        }
     }
 
     /// A job by its identifier.
--- a/crates/heronbend-gateway/tests/checkpoint.rs
+++ b/crates/heronbend-gateway/tests/checkpoint.rs
@@ -5,6 +5,10 @@
 use heronbend_gateway::batch::checkpoint::Segment;
 use heronbend_gateway::batch::checkpoint::Texts;
 use heronbend_gateway::batch::event_stream::EventReader;
+use heronbend_gateway::batch::event_stream::ItemText;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
 
 /// Adds events to a text, as a server under `version` would send them.
 fn make(texts: &Texts, item: usize, events: std::ops::RangeInclusive<u64>, version: u64) {
@@ -18,7 +22,7 @@
 
 fn restored(items: usize, segments: &[Segment]) -> Texts {
     let mut texts = Texts::new(items);
-    segments.iter().for_each(|segment| texts.restore(segment));
+    texts.restore(segments);
     texts
 }
 
@@ -129,3 +133,191 @@
     assert!(text.borrow().versions_fit(4, false));
     assert!(!text.borrow().versions_fit(4, true));
 }
+
+/// Adds events of one run at a server to a text, after `after` of the events that it has.
+fn make_by(run: &str, text: &mut ItemText, count: u64) {
+    let mut reader = EventReader::new("weights", Some(1));
+    let after = text.last_event();
+    for number in after + 1..=after + count {
+        let event = format!("id: {number}\ndata: {run}:{after}:{number}\n\n");
+        reader.read(event.as_bytes(), text).unwrap();
+    }
+}
+
+/// What is wrong with a text whose events name their run, what that was asked to follow, and their
+/// number; a run follows the event that it was asked to follow.
+fn fault(text: &ItemText) -> Option<String> {
+    let text = text.text();
+    let events: Vec<Vec<&str>> = text.lines().map(|event| event.split(':').collect()).collect();
+    for (index, event) in events.iter().enumerate() {
+        let is_next = event[2] == (index + 1).to_string();
+        let begins = index == 0 || events[index - 1][0] != event[0];
+        let was_asked = !begins || event[1] == index.to_string();
+        if !is_next || !was_asked {
+            return Some(format!("event {} is {event:?}", index + 1));
+        }
+    }
+    None
+}
+
+/// Saves what is unsaved of the texts.
+fn save(texts: &mut Texts) -> Vec<Segment> {
+    let segments = texts.unsaved(|_| false);
+    texts.saved(&segments);
+    segments
+}
+
+#[test]
+fn texts_of_two_owners_that_went_on_from_one_event_are_not_joined() {
+    let mut first = Texts::new(1);
+    make_by("a", &mut first.get(0).borrow_mut(), 40);
+    let mut segments = save(&mut first);
+    let mut second = restored(1, &segments);
+    make_by("b", &mut first.get(0).borrow_mut(), 10);
+    make_by("c", &mut second.get(0).borrow_mut(), 30);
+    // The former owner's last checkpoint is there before the new owner's first.
+    segments.extend(save(&mut first));
+    segments.extend(save(&mut second));
+    let third = restored(1, &segments);
+    assert_eq!(fault(&third.get(0).borrow()), None);
+    assert_eq!(third.get(0).borrow().last_event(), 70, "the longer one goes on");
+}
+
+#[test]
+fn a_late_checkpoint_of_a_former_owner_is_not_joined() {
+    let mut first = Texts::new(1);
+    make_by("a", &mut first.get(0).borrow_mut(), 20);
+    let mut segments = save(&mut first);
+    let mut second = restored(1, &segments);
+    make_by("b", &mut first.get(0).borrow_mut(), 10);
+    let late = save(&mut first);
+    make_by("c", &mut second.get(0).borrow_mut(), 5);
+    segments.extend(save(&mut second));
+    segments.extend(late);
+    make_by("c", &mut second.get(0).borrow_mut(), 1);
+    segments.extend(save(&mut second));
+    assert_eq!(fault(&restored(1, &segments).get(0).borrow()), None);
+}
+
+#[test]
+fn a_text_that_was_begun_anew_and_outgrew_the_saved_one_is_saved_from_its_start() {
+    let mut texts = Texts::new(1);
+    make_by("a", &mut texts.get(0).borrow_mut(), 20);
+    let mut segments = save(&mut texts);
+    texts.get(0).take();
+    make_by("b", &mut texts.get(0).borrow_mut(), 45);
+    segments.extend(save(&mut texts));
+    make_by("b", &mut texts.get(0).borrow_mut(), 5);
+    segments.extend(save(&mut texts));
+    let next = restored(1, &segments);
+    assert_eq!(fault(&next.get(0).borrow()), None);
+    assert_eq!(next.get(0).borrow().last_event(), 50);
+}
+
+#[test]
+fn a_text_that_was_begun_anew_while_its_checkpoint_was_written_is_saved_from_its_start() {
+    let mut texts = Texts::new(1);
+    make_by("a", &mut texts.get(0).borrow_mut(), 20);
+    let mut segments = texts.unsaved(|_| false);
+    texts.get(0).take();
+    make_by("b", &mut texts.get(0).borrow_mut(), 25);
+    texts.saved(&segments);
+    segments.extend(save(&mut texts));
+    assert_eq!(fault(&restored(1, &segments).get(0).borrow()), None);
+}
+
+#[test]
+fn a_text_that_was_moved_between_servers_goes_on_whole() {
+    let mut texts = Texts::new(1);
+    make_by("a", &mut texts.get(0).borrow_mut(), 20);
+    let mut segments = save(&mut texts);
+    make_by("b", &mut texts.get(0).borrow_mut(), 7);
+    segments.extend(save(&mut texts));
+    make_by("c", &mut texts.get(0).borrow_mut(), 7);
+    segments.extend(save(&mut texts));
+    let next = restored(1, &segments);
+    assert_eq!(*next.get(0).borrow(), *texts.get(0).borrow());
+}
+
+#[test]
+fn checkpoints_that_are_read_in_another_order_make_the_same_text() {
+    let mut texts = Texts::new(1);
+    let mut segments = Vec::new();
+    for _ in 0..3 {
+        make_by("a", &mut texts.get(0).borrow_mut(), 20);
+        segments.extend(save(&mut texts));
+    }
+    segments.reverse();
+    assert_eq!(restored(1, &segments).get(0).borrow().last_event(), 60);
+}
+
+/// Some owners of one job that may all be at work at once, and what they have saved.
+struct Owners {
+    random: SmallRng,
+    owners: Vec<Texts>,
+    /// What the store holds.
+    stored: Vec<Segment>,
+    /// Writes that may be done later, or never.
+    under_way: Vec<Vec<Segment>>,
+    runs: u32,
+}
+
+const ITEMS: usize = 2;
+const OWNERS: usize = 3;
+
+impl Owners {
+    fn new(seed: u64) -> Self {
+        Self {
+            random: SmallRng::seed_from_u64(seed),
+            owners: (0..OWNERS).map(|_| Texts::new(ITEMS)).collect(),
+            stored: Vec::new(),
+            under_way: Vec::new(),
+            runs: 0,
+        }
+    }
+
+    fn step(&mut self) {
+        let owner = self.random.random_range(0..OWNERS);
+        let item = self.random.random_range(0..ITEMS);
+        let text = self.owners[owner].get(item);
+        match self.random.random_range(0..10) {
+            0..=4 => {
+                self.runs += 1;
+                let count = self.random.random_range(1..25);
+                make_by(&format!("r{}", self.runs), &mut text.borrow_mut(), count);
+            }
+            5 => {
+                text.take();
+            }
+            6 => {
+                let segments = save(&mut self.owners[owner]);
+                self.stored.extend(segments);
+            }
+            // Without an answer: the same events are saved again.
+            7 => self.under_way.push(self.owners[owner].unsaved(|_| false)),
+            8 => {
+                if let Some(late) = self.under_way.pop() {
+                    self.stored.extend(late);
+                }
+            }
+            _ => self.owners[owner] = restored(ITEMS, &self.stored),
+        }
+    }
+}
+
+#[test]
+fn whatever_is_restored_is_one_text_whoever_wrote_and_lost_what() {
+    let seed: u64 = rand::random();
+    println!("first seed {seed}");
+    for seed in (0..2000).map(|number| seed.wrapping_add(number)) {
+        let mut owners = Owners::new(seed);
+        for _ in 0..60 {
+            owners.step();
+            let restored = restored(ITEMS, &owners.stored);
+            for item in 0..ITEMS {
+                let text = restored.get(item);
+                assert_eq!(fault(&text.borrow()), None, "item {item}, seed {seed}");
+            }
+        }
+    }
+}
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -8,6 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use heronbend_gateway::batch::checkpoint::{self, Texts};
+use heronbend_gateway::batch::event_stream::EventReader;
 use heronbend_gateway::batch::hand_in::{self, HandInError};
 use heronbend_gateway::batch::ownership::Ownership;
 use heronbend_gateway::batch::registry::{
@@ -17,7 +19,7 @@
 use heronbend_gateway::gateway::Gateway;
 use heronbend_gateway::mirror::{self, MirrorSink, Source};
 use heronbend_gateway::peers::PeerReply;
-use heronbend_gateway::ports::{Change, Object};
+use heronbend_gateway::ports::{Change, Object, ObjectStore};
 use serde_json::json;
 use smol::LocalExecutor;
 use support::memory_store::{MemoryStore, WatchFault, WriteFault};
@@ -426,3 +428,31 @@
         })
     });
 }
+
+#[test]
+fn a_daemon_that_gets_a_job_back_saves_texts_under_new_names() {
+    with_store(|store, executor| {
+        Box::pin(async move {
+            let gateway = gateway("a", &store, &executor);
+            let ownership = Ownership::new(&job("j", 1), gateway.identity.node.clone());
+            let job_here = gateway.jobs.learn("j", ownership, 1);
+            *job_here.specification.borrow_mut() = Some(Rc::new(job("j", 1)));
+            for saved in 1..=2 {
+                *job_here.texts.borrow_mut() = Texts::new(1);
+                let text = job_here.texts.borrow().get(0);
+                for number in 1..=20 {
+                    let event = format!("id: {number}\ndata: e\n\n");
+                    let mut reader = EventReader::new("weights", Some(1));
+                    reader.read(event.as_bytes(), &mut text.borrow_mut()).unwrap();
+                }
+                let calls = store.calls.get();
+                let saving = checkpoint::run(gateway.clone(), job_here.clone());
+                let saving = executor.spawn(saving);
+                wait_until("a checkpoint is written", || store.calls.get() > calls).await;
+                drop(saving);
+                let written = store.list(&checkpoint::kind("j"), None).await.unwrap();
+                assert_eq!(written.objects.len(), saved, "the first write is under a free name");
+            }
+        })
+    });
+}
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -18,9 +18,10 @@
 //! counterexample.
 
 //!
-//! The gateway's two protocols at the store are models of their own, explored by [`explore`]:
-//! [`order_lease`], under which one daemon at a time gives orders, and [`result_log`], which two
-//! daemons may append to at once. They drive the gateway's own state machines as well.
+//! The gateway's protocols at the store are models of their own, explored by [`explore`]:
+//! [`order_lease`], under which one daemon at a time gives orders, [`result_log`], which two
+//! daemons may append to at once, and [`saved_texts`], the checkpoints of texts under way. They
+//! drive the gateway's own state machines as well.
 
 pub mod check;
 pub mod explore;
@@ -28,4 +29,5 @@
 pub mod model;
 pub mod order_lease;
 pub mod result_log;
+pub mod saved_texts;
 pub mod scenario;
--- a/spec/tests/gateway_protocols.rs
+++ b/spec/tests/gateway_protocols.rs
@@ -4,6 +4,8 @@
 use heronbend_spec::explore::{explore, System};
 use heronbend_spec::order_lease::{self, Bounds, OrderLease};
 use heronbend_spec::result_log::{self, SharedLog};
+use heronbend_spec::saved_texts;
+use heronbend_spec::saved_texts::SavedTexts;
 
 const MAX_STATES: usize = 4_000_000;
 
@@ -26,6 +28,15 @@
 /// It is taken over again and again.
 const TAKEN_BACK: SharedLog =
     SharedLog { writes: 2, restarts: 0, takeovers: 3, ownership: true, ..LOG };
+/// Two daemons that may run a job at once.
+const TEXTS: SavedTexts = SavedTexts {
+    daemons: 2,
+    events: 3,
+    runs: 3,
+    writes: 3,
+    takeovers: 1,
+    mutation: saved_texts::Mutation::None,
+};
 
 fn run<S: System + std::fmt::Debug>(system: &S) -> Report {
     let report = explore(system, MAX_STATES);
@@ -91,3 +102,17 @@
         fails(&SharedLog { mutation, ..TAKEN_OVER });
     }
 }
+
+#[test]
+fn a_text_that_is_restored_joins_no_runs_that_do_not_follow_each_other() {
+    holds(&TEXTS);
+    holds(&SavedTexts { daemons: 1, takeovers: 2, ..TEXTS });
+}
+
+#[test]
+fn every_guard_of_the_checkpoints_is_needed() {
+    use saved_texts::Mutation::{GoesByLength, JoinsByNumber, SavedWhenSent};
+    for mutation in [JoinsByNumber, GoesByLength, SavedWhenSent] {
+        fails(&SavedTexts { mutation, ..TEXTS });
+    }
+}
