A suspect is asked once more before it is declared dead

Cause: among 250 daemons a rumour takes as long to reach all as a suspect has to refute it. Now each daemon asks a suspect 0.3 s before it would declare it dead, with what is believed of it; the answer refutes it. A refutation is announced at once.

--- a/crates/heronbend/src/membership/detector.rs
+++ b/crates/heronbend/src/membership/detector.rs
@@ -67,6 +67,8 @@
     },
     /// A member's state has changed.
     Changed(MemberChange),
+    /// Others took this daemon for lost, or for an earlier run, which it now refutes.
+    Refuted,
     /// A back end's phase was heard of.
     Backend(StatedPhase),
     /// A peer holds newer control data.
@@ -89,6 +91,8 @@
 struct Known {
     member: Member,
     since: Moment,
+    /// Whether it was asked a last time before it is declared dead.
+    asked_again: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -211,6 +215,7 @@
             effects.extend(self.ping_a_dead_member());
             self.next_probe = now + self.config.period;
         }
+        self.ask_suspects(now, &mut effects);
         self.declare_dead(now, &mut effects);
         let expired = self.config.period * 2;
         self.relays.retain(|_, relay| now < relay.sent + expired);
@@ -315,7 +320,10 @@
     /// Merges knowledge of a member, refuting what is wrongly said of this daemon.
     fn merge(&mut self, now: Moment, member: Member, effects: &mut Vec<Effect>) {
         if member.id.name == self.me.id.name {
-            self.refute(&member);
+            if self.refute(&member) {
+                effects.push(Effect::Refuted);
+                effects.extend(self.announce());
+            }
             return;
         }
         if let Some(known) = self.members.get(&member.id.name) {
@@ -326,7 +334,7 @@
             return;
         }
         self.rumours.push(Rumour::Member(member.clone()));
-        let known = Known { member: member.clone(), since: now };
+        let known = Known { member: member.clone(), since: now, asked_again: false };
         self.members.insert(member.id.name.clone(), known);
         effects.push(Effect::Changed(MemberChange { member }));
     }
@@ -340,18 +348,21 @@
         }
     }
 
-    fn refute(&mut self, said: &Member) {
+    /// Whether something wrong was said of this daemon, which is now refuted.
+    fn refute(&mut self, said: &Member) -> bool {
         if said.id.incarnation > self.me.id.incarnation {
             // An earlier run whose clock was ahead: this run is the later one all the same.
             self.me.id.incarnation = Incarnation(said.id.incarnation.0 + 1);
             self.rumours.push(Rumour::Member(self.me.clone()));
-            return;
+            return true;
         }
-        let wrong = said.id == self.me.id && said.liveness > self.me.liveness;
-        if wrong && said.refutation >= self.me.refutation {
+        let is_worse = said.id == self.me.id && said.liveness > self.me.liveness;
+        let is_wrong = is_worse && said.refutation >= self.me.refutation;
+        if is_wrong {
             self.me.refutation = said.refutation + 1;
             self.rumours.push(Rumour::Member(self.me.clone()));
         }
+        is_wrong
     }
 
     fn probe_targets(&self) -> Vec<NodeName> {
@@ -443,6 +454,29 @@
         }
     }
 
+    /// Asks suspects a last time, shortly before they would be declared dead.
+    ///
+    /// Among many daemons a rumour takes some periods to reach all: most hear of a suspicion before
+    /// they hear of its refutation, and would declare a daemon dead that was silent for a moment. The
+    /// datagram says what is believed of the suspect, so that its answer refutes it.
+    fn ask_suspects(&mut self, now: Moment, effects: &mut Vec<Effect>) {
+        let last_ask = self.config.suspicion.saturating_sub(self.config.direct_timeout * 2);
+        let is_due = |known: &&mut Known| {
+            let is_suspect = known.member.liveness == Liveness::Suspect;
+            is_suspect && !known.asked_again && now >= known.since + last_ask
+        };
+        let mut due = Vec::new();
+        for known in self.members.values_mut().filter(is_due) {
+            known.asked_again = true;
+            due.push(known.member.clone());
+        }
+        for suspect in due {
+            let name = suspect.id.name.clone();
+            self.rumours.push(Rumour::Member(suspect));
+            effects.push(self.ping(&name));
+        }
+    }
+
     fn declare_dead(&mut self, now: Moment, effects: &mut Vec<Effect>) {
         let overdue: Vec<Member> = self
             .members
--- a/crates/heronbend/src/membership/tests.rs
+++ b/crates/heronbend/src/membership/tests.rs
@@ -35,13 +35,18 @@
     passes_on_at_once: bool,
     /// Daemons below this index are cut off from the others.
     cut_at: Option<usize>,
+    /// Times that some daemon declared another one dead.
+    declared_dead: usize,
 }
 
 impl Network {
     fn new(count: usize) -> Self {
-        let mut detectors: Vec<_> = (0..count)
-            .map(|index| Detector::new(DetectorConfig::default(), member(index, 1), index as u64))
-            .collect();
+        Self::with_config(count, DetectorConfig::default())
+    }
+
+    fn with_config(count: usize, config: DetectorConfig) -> Self {
+        let mut detectors: Vec<_> =
+            (0..count).map(|index| Detector::new(config, member(index, 1), index as u64)).collect();
         for detector in &mut detectors {
             detector.learn(Moment::ZERO, member(0, 1));
         }
@@ -53,6 +58,7 @@
             behind: vec![false; count],
             passes_on_at_once: false,
             cut_at: None,
+            declared_dead: 0,
         }
     }
 
@@ -106,7 +112,10 @@
                 self.behind[index] = true;
                 Vec::new()
             }
-            Effect::Changed(_) => Vec::new(),
+            Effect::Changed(change) => {
+                self.declared_dead += usize::from(change.member.liveness == Liveness::Dead);
+                Vec::new()
+            }
         }
     }
 
@@ -144,6 +153,35 @@
     }
 }
 
+/// Short times, as where the loss of a daemon is to be known within two seconds.
+const HASTY: DetectorConfig = DetectorConfig {
+    period: Duration::from_millis(400),
+    direct_timeout: Duration::from_millis(150),
+    suspicion: Duration::from_millis(1200),
+    helpers: 2,
+    forget_after: Duration::from_secs(600),
+    fanout_in_region: 3,
+    fanout_elsewhere: 2,
+};
+
+#[test]
+fn among_many_a_daemon_that_was_silent_for_a_moment_is_declared_dead_by_nobody() {
+    let mut network = Network::with_config(250, HASTY);
+    for detector in &mut network.detectors {
+        for index in 0..250 {
+            detector.learn(Moment::ZERO, member(index, 1));
+        }
+    }
+    network.run(Duration::from_secs(2));
+    for index in [17, 90, 160, 201] {
+        network.silent.insert(index);
+        network.run(Duration::from_millis(900));
+        network.silent.clear();
+        network.run(Duration::from_secs(4));
+    }
+    assert_eq!(network.declared_dead, 0);
+}
+
 #[test]
 fn two_sides_that_were_cut_off_find_each_other_again() {
     let mut network = Network::new(12);
