A daemon that starts is told by one that is up; lost owners are asked; new jobs cost no seal

Now a daemon that starts asks one that is up, first those that watch the store for its zone, for members, jobs, the newest renewal of the lease and the objects that daemons follow; watchers list for themselves. Others learn ownerships from a watcher. Losses of daemons are listed by three always. Cause 2: a job was taken from owners that were well: unknown owners counted as lost after 4 s of uptime, and a silent one was never asked. adoption::reason waits for unknown ones, and who would take a job over from a silent owner asks it first (0.25 s). A daemon that stops says so; one that was taken for lost looks at its jobs at once and is told of takeovers. Reasons are counted. Cause 4: 62,073 of 73,000 log lines were member_changed; one line a second sums them up now.

--- a/crates/heronbend-gateway/src/batch/hand_in.rs
+++ b/crates/heronbend-gateway/src/batch/hand_in.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 use smol::Timer;
 
+use super::adoption::Reason;
 use super::ownership::{successor, Ownership};
 use super::ownership_duty;
 use super::registry::{OWNERSHIPS, SPECIFICATIONS};
@@ -120,7 +121,7 @@
         match gateway.store.create(OWNERSHIPS, &specification.id, content.clone()).await {
             Ok(object) => {
                 gateway.metrics.jobs_accepted.inc();
-                ownership_duty::tell(gateway, &specification.id, &ownership, object.revision);
+                ownership_duty::tell(gateway, &specification.id, &ownership, object.revision, true);
                 start(gateway, ownership, object.revision, specification);
                 return Ok(());
             }
@@ -169,7 +170,7 @@
         let reply = client::call(&gateway, &owner, &request, Duration::ZERO).await;
         log::info!("event=job_passed_on job={} owner={owner} reply={reply:?}", job.id);
         if reply != Some(PeerReply::Running) {
-            ownership_duty::adopt(&gateway, &job).await;
+            ownership_duty::adopt(&gateway, &job, Reason::Refused).await;
         }
     };
     executor.spawn(asking).detach();
@@ -191,6 +192,7 @@
     let job = gateway.jobs.learn(&specification.id, ownership, revision);
     *job.specification.borrow_mut() = Some(Rc::new(specification));
     job.is_new.set(true);
+    job.passed_on_until.set(None);
     start_own_jobs(gateway);
     PeerReply::Running
 }
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -18,8 +18,10 @@
 //! - [`registry`]: the jobs that this daemon knows.
 //! - [`hand_in`], [`reading`]: the callers' side.
 //! - [`runner`], [`item_run`], [`placement`], [`pace`], [`reward`], [`gate`], [`appender`]: the owner's side.
+//! - [`adoption`]: when a lost daemon's job is taken over, without I/O.
 //! - [`ownership_duty`]: who owns what, and jobs taken over.
 
+pub mod adoption;
 pub mod appender;
 pub mod checkpoint;
 pub mod digest;
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -70,6 +70,8 @@
     pub owner_in_doubt: Cell<bool>,
     /// Whether it was made a moment ago, so that it has no results in the store.
     pub is_new: Cell<bool>,
+    /// Until when its items are awaited from the daemon that took it in.
+    pub passed_on_until: Cell<Option<Moment>>,
     /// When this daemon first knew of it.
     pub known_since: Moment,
     /// Since when it is seen to have no living owner.
@@ -98,6 +100,7 @@
             confirmed: Cell::new(None),
             owner_in_doubt: Cell::new(false),
             is_new: Cell::new(false),
+            passed_on_until: Cell::new(None),
             known_since: now,
             orphaned_since: Cell::new(None),
         })
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -19,7 +19,8 @@
     for job in gateway.jobs.all() {
         let is_mine = job.owner() == gateway.identity.node;
         let has_work = !job.ended.get() && !job.is_complete();
-        if is_mine && has_work && !job.running.replace(true) {
+        let is_awaited = job.passed_on_until.get().is_some_and(|until| gateway.now() < until);
+        if is_mine && has_work && !is_awaited && !job.running.replace(true) {
             gateway.executor.spawn(run_job(gateway.clone(), job)).detach();
         }
     }
--- a/crates/heronbend-gateway/src/dissemination.rs
+++ b/crates/heronbend-gateway/src/dissemination.rs
@@ -24,6 +24,7 @@
 
 use crate::gateway::Gateway;
 use crate::peers::client;
+use crate::peers::messages::KindState;
 use crate::peers::store_relay::RelayedObject;
 use crate::peers::PeerReply;
 use crate::peers::PeerRequest;
@@ -177,6 +178,28 @@
     line
 }
 
+/// Whether this daemon is one of those that watch the store.
+pub fn watches_itself(gateway: &Gateway) -> bool {
+    let me = &gateway.identity;
+    let mut zone = gateway.members.alive_in(&me.zone);
+    zone.push(me.node.clone());
+    watchers(zone).contains(&me.node)
+}
+
+/// All objects that are known here for certain, for a daemon that starts.
+pub fn states(gateway: &Gateway) -> Vec<KindState> {
+    if !is_informed(gateway) {
+        return Vec::new();
+    }
+    let replicas = gateway.replicas.borrow();
+    let state = |(kind, replica): (&&'static str, &Replica)| KindState {
+        kind: (*kind).to_owned(),
+        objects: replica.objects.values().map(Into::into).collect(),
+        at: replica.at(),
+    };
+    replicas.iter().map(state).collect()
+}
+
 /// Logs where news of a kind comes from, whenever that has changed.
 pub fn note_upstreams(gateway: &Gateway, kind: &'static str, upstreams: &[NodeId]) {
     let mut followed = gateway.followed.borrow_mut();
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -29,6 +29,13 @@
     pub purpose: String,
 }
 
+/// Labels of a job that was taken over.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AdoptionLabels {
+    /// Why it changed hands.
+    pub reason: String,
+}
+
 /// All counters of a daemon.
 #[derive(Clone)]
 pub struct Metrics {
@@ -52,8 +59,8 @@
     pub store_calls: Family<StoreLabels, Count>,
     /// Batch jobs accepted here.
     pub jobs_accepted: Count,
-    /// Batch jobs taken over from another daemon.
-    pub jobs_adopted: Count,
+    /// Batch jobs taken over, by reason.
+    pub jobs_adopted: Family<AdoptionLabels, Count>,
     /// Items whose result was listed.
     pub items_listed: Count,
     /// Items that were continued at another server.
@@ -82,7 +89,7 @@
             foreign_answers: Count::default(),
             store_calls: Family::default(),
             jobs_accepted: Count::default(),
-            jobs_adopted: Count::default(),
+            jobs_adopted: Family::default(),
             items_listed: Count::default(),
             items_resumed: Count::default(),
             streams_resumed: Count::default(),
@@ -106,6 +113,11 @@
         self.store_calls.get_or_create(&StoreLabels { purpose: purpose.to_owned() }).inc();
     }
 
+    /// Notes a job that was taken over.
+    pub fn job_adopted(&self, reason: &str) {
+        self.jobs_adopted.get_or_create(&AdoptionLabels { reason: reason.to_owned() }).inc();
+    }
+
     /// The page.
     pub fn page(&self) -> String {
         let told = self.log_lines_dropped.get();
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -59,8 +59,16 @@
     sink: impl MirrorSink,
 ) {
     let mut failures = 0;
+    let mut told = match source {
+        Source::Store => None,
+        Source::Watchers => gateway.members.introduction.take(kind).await,
+    };
     loop {
-        match list(&gateway, kind, source).await {
+        let listed = match told.take() {
+            Some(told) => Ok(told),
+            None => list(&gateway, kind, source).await,
+        };
+        match listed {
             Ok((objects, at)) => {
                 if gateway.store.is_reached() {
                     note_success(&gateway, kind, &mut failures);
--- a/crates/heronbend-gateway/src/peers/client.rs
+++ b/crates/heronbend-gateway/src/peers/client.rs
@@ -1,5 +1,6 @@
 //! Calls to peers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,12 +25,21 @@
     wait: Duration,
 ) -> Option<PeerReply> {
     let address = gateway.members.address(node)?;
+    call_at(gateway, address, request, wait + CALL_TIMEOUT).await
+}
+
+/// Calls whoever takes peers' calls at an address, and waits for at most `timeout`.
+pub async fn call_at(
+    gateway: &Gateway,
+    address: SocketAddr,
+    request: &PeerRequest,
+    timeout: Duration,
+) -> Option<PeerReply> {
     let body = musli::wire::to_vec(request).ok()?;
     let mut message = Request::new(Full::new(Bytes::from(body)));
     *message.method_mut() = Method::POST;
     *message.uri_mut() = Uri::from_static(PEER_PATH);
     message.headers_mut().insert(http::header::HOST, http::HeaderValue::from_static("peer"));
-    let timeout = wait + CALL_TIMEOUT;
     let answer = gateway.peers.fetch(address, message, timeout, MAX_REPLY_BYTES).await.ok()?;
     musli::wire::from_slice(&answer.body).ok()
 }
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -14,7 +14,8 @@
 use smol::Timer;
 
 use super::messages::{Datagram, Hint, PeerReply, PeerRequest};
-use super::store_relay;
+use super::view_log::ViewLog;
+use super::{introduction, store_relay, Command};
 use crate::batch::{hand_in, ownership_duty, reading};
 use crate::dissemination;
 use crate::gateway::Gateway;
@@ -46,7 +47,7 @@
 enum Event {
     Tick,
     Received(Datagram, SocketAddr),
-    Tell(Hint),
+    Asked(Command),
     Nothing,
 }
 
@@ -58,6 +59,7 @@
     let mut ticks = Timer::interval(TICK);
     let mut tick_number = 0_u32;
     let mut head = Head::default();
+    let mut view_log = ViewLog::default();
     loop {
         let event = next_event(&gateway, &socket, &mut buffer, &mut ticks).await;
         let now = gateway.now();
@@ -87,13 +89,25 @@
                 take_hint(&gateway, hint);
                 Vec::new()
             }
-            Event::Tell(hint) => {
+            Event::Asked(Command::Tell(hint)) => {
                 tell_all(&detector, &socket, hint).await;
                 Vec::new()
             }
+            Event::Asked(Command::Learn(members)) => {
+                members.into_iter().flat_map(|member| detector.learn(now, member)).collect()
+            }
+            Event::Asked(Command::Leave(sent)) => {
+                let effects = detector.leave();
+                apply(&gateway, &detector, &socket, effects, &mut view_log).await;
+                drop(sent);
+                Vec::new()
+            }
             Event::Nothing => Vec::new(),
         };
-        apply(&gateway, &detector, &socket, effects).await;
+        apply(&gateway, &detector, &socket, effects, &mut view_log).await;
+        if let Some(line) = view_log.line(now, gateway.members.count_alive()) {
+            log::info!("{line}");
+        }
     }
 }
 
@@ -116,13 +130,13 @@
             Err(_) => Event::Nothing,
         }
     };
-    let told = async {
-        match gateway.members.hints_to_send.recv().await {
-            Ok(hint) => Event::Tell(hint),
+    let asked = async {
+        match gateway.members.commands_to_do.recv().await {
+            Ok(command) => Event::Asked(command),
             Err(_) => Event::Nothing,
         }
     };
-    tick.or(received).or(told).await
+    tick.or(received).or(asked).await
 }
 
 async fn apply(
@@ -130,39 +144,43 @@
     detector: &Detector,
     socket: &UdpSocket,
     effects: Vec<Effect>,
+    view_log: &mut ViewLog,
 ) {
     let mut has_changed = false;
-    let mut lost = Vec::new();
+    let mut has_lost = false;
     for effect in effects {
         match effect {
             Effect::Send { to, gossip } => send(socket, to, &Datagram::Gossip(*gossip)).await,
             Effect::Changed(change) => {
                 let member = change.member;
-                log::info!(
-                    "event=member_changed member={} liveness={:?}",
-                    member.id,
-                    member.liveness
-                );
-                if member.liveness > Liveness::Suspect {
-                    lost.push(member.id);
-                }
+                view_log.add(&member);
+                has_lost |= member.liveness > Liveness::Suspect;
                 has_changed = true;
             }
             Effect::Behind { head, .. } => check_behind(gateway, head),
+            Effect::Refuted => {
+                gateway.members.was_doubted.notify(usize::MAX);
+            }
             Effect::Backend(_) => {}
         }
     }
     if has_changed {
         gateway.members.publish(detector.members().cloned().collect());
     }
-    for node in lost {
-        ownership_duty::note_lost(gateway, &node);
+    if has_lost {
+        ownership_duty::note_lost(gateway);
     }
 }
 
 async fn tell_all(detector: &Detector, socket: &UdpSocket, hint: Hint) {
-    let alive = detector.members().filter(|member| member.liveness <= Liveness::Suspect);
-    let addresses: Vec<SocketAddr> = alive.map(|member| member.address).collect();
+    // A daemon that is taken for lost may be alive, and has to hear that its job was taken over.
+    let is_told_anyway = matches!(hint, Hint::JobOwned { .. });
+    let told = detector.members().filter(|member| match member.liveness {
+        Liveness::Alive | Liveness::Suspect => true,
+        Liveness::Dead => is_told_anyway,
+        Liveness::Left => false,
+    });
+    let addresses: Vec<SocketAddr> = told.map(|member| member.address).collect();
     let datagram = Datagram::Hint(hint);
     for address in addresses {
         send(socket, address, &datagram).await;
@@ -184,8 +202,8 @@
         Hint::LeaseRenewed { revision, record } => {
             gateway.versions.lease_told(gateway.now(), revision, record);
         }
-        Hint::JobOwned { job, ownership, revision } => {
-            ownership_duty::take_hint(gateway, &job, ownership, revision);
+        Hint::JobOwned { job, ownership, revision, is_new } => {
+            ownership_duty::take_hint(gateway, &job, ownership, revision, is_new);
         }
     }
 }
@@ -230,6 +248,10 @@
             let wait = Duration::from_millis(wait_millis);
             dissemination::answer(&gateway, &kind, since, wait).await
         }
+        PeerRequest::Introduce { with_objects } => introduction::answer(&gateway, with_objects),
+        PeerRequest::ConfirmOwner { job, revision } => {
+            ownership_duty::confirm_owner(&gateway, &job, revision)
+        }
         PeerRequest::ReadResults { job, from, wait_millis } => {
             let wait = Duration::from_millis(wait_millis);
             reading::answer_peer(&gateway, &job, from, wait).await
--- /dev/null
+++ b/crates/heronbend-gateway/src/peers/introduction.rs
@@ -0,0 +1,226 @@
+//! What a daemon that starts is told by one that is up: the members, the jobs, and the objects that
+//! daemons follow by way of each other.
+//!
+//! Without it each start costs the store a list of every kind, and a whole fleet that starts asks the
+//! store for the same at once. A daemon that nobody answers, or to whom nobody can tell the objects,
+//! lists for itself. Later on, daemons tell each other now and then of the jobs that they know: the
+//! hints by which these are told may be lost.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use event_listener::Event;
+use heronbend::identity::NodeId;
+use rand::seq::IndexedRandom;
+use smol::Timer;
+
+use super::client;
+use super::messages::JobEntry;
+use super::messages::KindState;
+use super::messages::LeaseRenewal;
+use super::store_relay::RelayedObject;
+use super::PeerReply;
+use super::PeerRequest;
+use crate::batch::registry::Job;
+use crate::batch::runner::start_own_jobs;
+use crate::dissemination;
+use crate::gateway::Gateway;
+use crate::ports::Object;
+use crate::ports::Revision;
+use crate::wait;
+
+/// Time after the start in which some other daemon has to be heard of.
+const CONTACT_WAIT: Duration = Duration::from_millis(500);
+/// Time after the start in which some daemon has to know the objects. In a fleet that starts as a
+/// whole, those that watch the store read them meanwhile.
+const OBJECTS_WAIT: Duration = Duration::from_millis(1800);
+/// Rest between two daemons that are asked.
+const REST: Duration = Duration::from_millis(120);
+/// Time for which a daemon that did not answer is not asked again.
+const UNANSWERED_REST: Duration = Duration::from_millis(1500);
+/// Time that a daemon is given to answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// A second daemon is asked so long after the first one answered, which may have started itself a
+/// moment before.
+const SECOND_LOOK: Duration = Duration::from_millis(1500);
+
+/// What this daemon was told when it started.
+#[derive(Default)]
+pub struct Introduction {
+    kinds: RefCell<HashMap<String, (Vec<Object>, Revision)>>,
+    is_under_way: Cell<bool>,
+    /// Whether a daemon that knows the jobs, and so has been up for a while, has told all.
+    is_complete: Cell<bool>,
+    over: Event,
+}
+
+impl Introduction {
+    /// Notes that other daemons are going to be asked.
+    pub fn begin(&self) {
+        self.is_under_way.set(true);
+    }
+
+    /// Waits until others have told this daemon what they know, or nobody is going to.
+    pub async fn wait(&self) {
+        loop {
+            let over = self.over.listen();
+            if !self.is_under_way.get() {
+                return;
+            }
+            over.await;
+        }
+    }
+
+    /// Waits for the end, and takes the objects of a kind that were told.
+    pub async fn take(&self, kind: &str) -> Option<(Vec<Object>, Revision)> {
+        self.wait().await;
+        self.kinds.borrow_mut().remove(kind)
+    }
+
+    /// Whether a daemon that has been up for a while has told this one what it knows.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete.get()
+    }
+
+    fn end(&self, told: Option<&Told>) {
+        self.is_complete.set(told.is_some_and(|told| told.knows_jobs));
+        self.is_under_way.set(false);
+        self.over.notify(usize::MAX);
+    }
+}
+
+/// What another daemon told.
+struct Told {
+    by: NodeId,
+    knows_objects: bool,
+    knows_jobs: bool,
+}
+
+/// Asks daemons that are up until one has told all, or time is over.
+pub async fn run(gateway: Rc<Gateway>) {
+    let told = ask_until_told(&gateway).await;
+    log::info!(
+        "event=introduced by={} objects={} jobs_known={} after_ms={} daemons={} jobs={}",
+        told.as_ref().map_or_else(|| "nobody".to_owned(), |told| told.by.to_string()),
+        told.as_ref().is_some_and(|told| told.knows_objects),
+        told.as_ref().is_some_and(|told| told.knows_jobs),
+        gateway.now().as_millis(),
+        gateway.members.count_alive() + 1,
+        gateway.jobs.all().len()
+    );
+    gateway.members.introduction.end(told.as_ref());
+    if let Some(told) = told {
+        Timer::after(SECOND_LOOK).await;
+        let others = gateway.members.alive();
+        let other = others.choose(&mut rand::rng()).unwrap_or(&told.by).clone();
+        learn_jobs_of(&gateway, &other).await;
+    }
+}
+
+async fn ask_until_told(gateway: &Rc<Gateway>) -> Option<Told> {
+    if gateway.seeds.borrow().is_empty() {
+        return None;
+    }
+    let mut told = None;
+    while gateway.now() < OBJECTS_WAIT {
+        if gateway.members.count_alive() == 0 {
+            if gateway.now() >= CONTACT_WAIT {
+                return None;
+            }
+            wait::at_most(REST, gateway.members.changed.listen()).await;
+            continue;
+        }
+        if let Some(new) = ask_one(gateway).await {
+            let is_all = new.knows_objects && new.knows_jobs;
+            told = Some(new);
+            // Who watches the store for the others has to read it.
+            if is_all || dissemination::watches_itself(gateway) {
+                break;
+            }
+        }
+        Timer::after(REST).await;
+    }
+    told
+}
+
+/// Asks one daemon: one that watches the store for this one, or any.
+async fn ask_one(gateway: &Rc<Gateway>) -> Option<Told> {
+    let mut known = dissemination::upstreams(gateway);
+    if known.is_empty() {
+        known = gateway.members.alive();
+    }
+    let peer = known.choose(&mut rand::rng())?.clone();
+    let request = PeerRequest::Introduce { with_objects: true };
+    let Some(reply) = ask(gateway, &peer, &request).await else {
+        gateway.members.note_failed_to_tell(gateway.now(), UNANSWERED_REST, &peer);
+        return None;
+    };
+    let PeerReply::Introduced { members, jobs, knows_jobs, lease, kinds } = reply else {
+        return None;
+    };
+    gateway.members.learn(members).await;
+    learn_jobs(gateway, jobs);
+    if let Some(LeaseRenewal { revision, record }) = lease {
+        gateway.versions.lease_told(gateway.now(), revision, record);
+    }
+    let knows_objects = !kinds.is_empty();
+    kinds.into_iter().for_each(|state| keep(gateway, state));
+    Some(Told { by: peer, knows_objects, knows_jobs })
+}
+
+/// Keeps the objects of a kind until its mirror begins.
+fn keep(gateway: &Gateway, state: KindState) {
+    let KindState { kind, objects, at } = state;
+    let objects: Result<Vec<Object>, _> =
+        objects.into_iter().map(RelayedObject::into_object).collect();
+    match objects {
+        Ok(objects) => {
+            gateway.members.introduction.kinds.borrow_mut().insert(kind, (objects, at));
+        }
+        Err(error) => log::warn!("event=introduction_malformed kind={kind} error=\"{error}\""),
+    }
+}
+
+async fn ask(gateway: &Gateway, peer: &NodeId, request: &PeerRequest) -> Option<PeerReply> {
+    let address = gateway.members.address(peer)?;
+    client::call_at(gateway, address, request, CALL_TIMEOUT).await
+}
+
+/// Learns the members and jobs that another daemon knows; false where it does not know all jobs.
+pub async fn learn_jobs_of(gateway: &Rc<Gateway>, peer: &NodeId) -> bool {
+    let request = PeerRequest::Introduce { with_objects: false };
+    let Some(PeerReply::Introduced { members, jobs, knows_jobs, .. }) =
+        ask(gateway, peer, &request).await
+    else {
+        return false;
+    };
+    gateway.members.learn(members).await;
+    learn_jobs(gateway, jobs);
+    knows_jobs
+}
+
+fn learn_jobs(gateway: &Rc<Gateway>, jobs: Vec<JobEntry>) {
+    for JobEntry { job, ownership, revision } in jobs {
+        gateway.jobs.learn(&job, ownership, revision);
+    }
+    start_own_jobs(gateway);
+}
+
+/// What this daemon tells another one.
+pub fn answer(gateway: &Gateway, with_objects: bool) -> PeerReply {
+    let entry = |job: Rc<Job>| {
+        let (ownership, revision) = job.ownership.borrow().clone();
+        JobEntry { job: job.id.clone(), ownership, revision }
+    };
+    let lease = |(revision, record, _)| LeaseRenewal { revision, record };
+    PeerReply::Introduced {
+        members: gateway.members.all(),
+        jobs: gateway.jobs.all().into_iter().map(entry).collect(),
+        knows_jobs: gateway.jobs.is_listed.get(),
+        lease: gateway.versions.told_lease().map(lease),
+        kinds: if with_objects { dissemination::states(gateway) } else { Vec::new() },
+    }
+}
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -2,6 +2,7 @@
 
 use heronbend::identity::NodeName;
 use heronbend::membership::Gossip;
+use heronbend::membership::Member;
 use musli::{Decode, Encode};
 
 use super::store_relay::{RelayedObject, StoreCall, StoreReply};
@@ -48,9 +49,43 @@
         ownership: Ownership,
         /// At which revision.
         revision: u64,
+        /// Whether its specification is being passed on to its owner.
+        #[musli(default)]
+        is_new: bool,
     },
 }
 
+/// A batch job as a daemon knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct JobEntry {
+    /// The batch job.
+    pub job: String,
+    /// Who runs it.
+    pub ownership: Ownership,
+    /// The store's revision of that.
+    pub revision: u64,
+}
+
+/// A renewal of the lease for orders.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct LeaseRenewal {
+    /// The store's revision of it.
+    pub revision: u64,
+    /// What it wrote.
+    pub record: LeaseRecord,
+}
+
+/// All objects of a kind, as a daemon knows them.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct KindState {
+    /// Kind.
+    pub kind: String,
+    /// The objects.
+    pub objects: Vec<RelayedObject>,
+    /// The store's revision up to which they are known.
+    pub at: u64,
+}
+
 /// A call to a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub enum PeerRequest {
@@ -74,6 +109,18 @@
         /// How long to wait for news, in milliseconds.
         wait_millis: u64,
     },
+    /// Asks for the members and jobs that the peer knows.
+    Introduce {
+        /// Whether the objects that daemons follow are wanted as well.
+        with_objects: bool,
+    },
+    /// Asks whether the peer, which is taken for lost, still runs a job.
+    ConfirmOwner {
+        /// The batch job.
+        job: String,
+        /// The revision of the ownership that the asker knows.
+        revision: u64,
+    },
     /// Reads settled results of a job that the peer runs.
     ReadResults {
         /// The batch job.
@@ -110,6 +157,19 @@
         /// The store's revision up to which this goes; 0 where there is no news.
         at: u64,
     },
+    /// What the peer knows.
+    Introduced {
+        /// The other daemons.
+        members: Vec<Member>,
+        /// The batch jobs.
+        jobs: Vec<JobEntry>,
+        /// Whether these are all, but for those of the last moments.
+        knows_jobs: bool,
+        /// The newest renewal of the lease for orders that is known there.
+        lease: Option<LeaseRenewal>,
+        /// The objects that daemons follow, where they were wanted and are known there.
+        kinds: Vec<KindState>,
+    },
     /// The peer runs the job.
     Running,
     /// The peer does not run this job, or does not watch this kind.
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -5,8 +5,10 @@
 
 pub mod client;
 pub mod duty;
+pub mod introduction;
 pub mod messages;
 pub mod store_relay;
+pub mod view_log;
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -26,32 +28,88 @@
 pub const INTRODUCTION: Duration = Duration::from_millis(1200);
 /// Time after the start in which a daemon has heard of every other that is alive.
 const ALL_HEARD_OF: Duration = Duration::from_secs(4);
-/// Hints that may wait to be sent.
-const HINT_CAPACITY: usize = 256;
+/// Commands that may wait for the task that drives the failure detector.
+const COMMAND_CAPACITY: usize = 256;
+
+/// What the task that drives the failure detector is asked to do.
+enum Command {
+    /// Send a hint to the other daemons.
+    Tell(Hint),
+    /// Take in members that another daemon knows.
+    Learn(Vec<Member>),
+    /// Make known that this daemon stops; the sender is dropped once that is sent.
+    Leave(Sender<()>),
+}
+
+/// What is believed of the very run of a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It may be alive.
+    Alive,
+    /// It did not refute a suspicion: it has ended, is frozen or cannot be reached.
+    Silent,
+    /// It has certainly ended: it said so, or a later run of the daemon is known.
+    Ended,
+    /// Nothing is known of the daemon. It may have started a moment ago.
+    Unknown,
+}
 
 /// What this daemon knows of the others.
 pub struct Peers {
     members: RefCell<Vec<Member>>,
     /// Daemons that failed to tell news of the store, and until when they are not asked.
     untold: RefCell<HashMap<NodeId, Moment>>,
-    hints: Sender<Hint>,
-    hints_to_send: Receiver<Hint>,
+    commands: Sender<Command>,
+    commands_to_do: Receiver<Command>,
+    /// What a peer told this daemon when it started.
+    pub introduction: introduction::Introduction,
     /// Notified when a member's state has changed.
     pub changed: Event,
+    /// Notified when others took this daemon for lost.
+    pub was_doubted: Event,
 }
 
 impl Default for Peers {
     fn default() -> Self {
-        let (hints, hints_to_send) = bounded(HINT_CAPACITY);
-        let (members, untold) = (RefCell::default(), RefCell::default());
-        Self { members, untold, hints, hints_to_send, changed: Event::new() }
+        let (commands, commands_to_do) = bounded(COMMAND_CAPACITY);
+        Self {
+            members: RefCell::default(),
+            untold: RefCell::default(),
+            commands,
+            commands_to_do,
+            introduction: introduction::Introduction::default(),
+            changed: Event::new(),
+            was_doubted: Event::new(),
+        }
     }
 }
 
 impl Peers {
-    /// Sends a hint to all members that are alive. One that does not fit is dropped.
+    /// Sends a hint to the other daemons. One that does not fit is dropped: whatever it tells is
+    /// found in the store as well.
     pub fn tell_all(&self, hint: Hint) {
-        let _ = self.hints.try_send(hint);
+        if self.commands.try_send(Command::Tell(hint)).is_err() {
+            log::warn!("event=hint_dropped waiting={COMMAND_CAPACITY}");
+        }
+    }
+
+    /// Takes in members that another daemon knows.
+    pub async fn learn(&self, members: Vec<Member>) {
+        // The receiver lives as long as this.
+        let _ = self.commands.send(Command::Learn(members)).await;
+    }
+
+    /// Makes known that this daemon stops.
+    pub async fn leave(&self) {
+        let (sent, told) = bounded(1);
+        let _ = self.commands.send(Command::Leave(sent)).await;
+        // Ends with an error once the sender is dropped.
+        let _ = told.recv().await;
+    }
+
+    /// All other daemons, as they are known here.
+    pub fn all(&self) -> Vec<Member> {
+        self.members.borrow().clone()
     }
 
     /// The other daemons that are alive, by what is known here.
@@ -96,17 +154,28 @@
         members.iter().filter(|member| member.liveness == Liveness::Alive).count()
     }
 
-    /// Whether this very run of a daemon has certainly ended or cannot be reached. A daemon that
-    /// nothing is known of is lost once this one has had time to hear of all others.
-    pub fn is_lost(&self, now: Moment, node: &NodeId) -> bool {
+    /// What is believed of this very run of a daemon.
+    pub fn standing(&self, node: &NodeId) -> Standing {
         let members = self.members.borrow();
         match members.iter().find(|member| member.id.name == node.name) {
-            Some(member) if member.id == *node => member.liveness > Liveness::Suspect,
-            Some(member) => member.id.incarnation > node.incarnation,
-            None => now >= ALL_HEARD_OF,
+            Some(member) if member.id == *node => match member.liveness {
+                Liveness::Alive | Liveness::Suspect => Standing::Alive,
+                Liveness::Dead => Standing::Silent,
+                Liveness::Left => Standing::Ended,
+            },
+            Some(member) if member.id.incarnation > node.incarnation => Standing::Ended,
+            // A later run than the one that is known here.
+            Some(_) => Standing::Alive,
+            None => Standing::Unknown,
         }
     }
 
+    /// Where a daemon took its peers' calls when it was last heard of.
+    pub fn last_address(&self, node: &NodeId) -> Option<SocketAddr> {
+        let members = self.members.borrow();
+        members.iter().find(|member| member.id.name == node.name).map(|member| member.address)
+    }
+
     /// Whether no run of a daemon can be reached.
     pub fn is_name_lost(&self, now: Moment, name: &NodeName) -> bool {
         let members = self.members.borrow();
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -23,6 +23,7 @@
 use crate::ports::{Change, Dialect, Object, ObjectStore};
 use crate::reload;
 use crate::versions;
+use crate::wait;
 
 /// Share of the time for a change of servers in which further ones are gathered into one call. The
 /// rest is for the store's answer, and for a call that has to be repeated.
@@ -36,6 +37,8 @@
 /// Kept back of the time to stop, for the process to end.
 const STOP_MARGIN: Duration = Duration::from_millis(1200);
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Longest time to tell the others that this daemon stops.
+const LEAVE_LIMIT: Duration = Duration::from_millis(200);
 
 /// Addresses that a daemon serves on.
 #[derive(Debug, Clone)]
@@ -128,6 +131,7 @@
             log::warn!("event=metrics_not_served error=\"{error}\"");
         }
     }
+    gateway.members.introduction.begin();
     start_membership(gateway, addresses)?;
     start_duties(gateway, &callers);
     log::info!(
@@ -198,6 +202,7 @@
         gathering,
         directory,
     )));
+    spawn(Box::pin(peers::introduction::run(gateway.clone())));
     spawn(Box::pin(mirror::probe_store(gateway.clone())));
     spawn(Box::pin(ownership_duty::follow(gateway.clone())));
     spawn(Box::pin(ownership_duty::adopt_orphans(gateway.clone())));
@@ -348,6 +353,8 @@
     while gateway.now() < limit && (callers.connections() > 0 || runs_jobs(gateway)) {
         Timer::after(STOP_POLL).await;
     }
+    // The others need not find out by probes, and take its jobs over at once.
+    wait::at_most(LEAVE_LIMIT, gateway.members.leave()).await;
     log::info!(
         "event=stopped exchanges_cut={} connections_cut={}",
         callers.exchanges(),
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -124,7 +124,11 @@
     let me = gateway.identity.node.name.clone();
     let lease = RefCell::new(LeaseHold::new(me, gateway.tuning().lease_pause));
     let duty = Rc::new(Duty { gateway: gateway.clone(), lease, busy: RefCell::default() });
-    duty.read_lease().await;
+    gateway.members.introduction.wait().await;
+    // The others were told of the holder, and hear of its renewals.
+    if is_candidate(&gateway) || !gateway.members.introduction.is_complete() {
+        duty.read_lease().await;
+    }
     loop {
         // Until others have been heard of, nobody can tell who of them is alive.
         Timer::after(INTRODUCTION.saturating_sub(gateway.now())).await;
@@ -478,6 +482,7 @@
 /// lease: the others have no use for them, and each watch has a price.
 pub async fn follow_versions(gateway: Rc<Gateway>) {
     let kind = gateway.dialect.kinds().versions;
+    gateway.members.introduction.wait().await;
     loop {
         let changed = gateway.members.changed.listen();
         if !is_candidate(&gateway) {
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -8,10 +8,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use heronbend_gateway::batch::adoption::Reason;
 use heronbend_gateway::batch::checkpoint::{self, Texts};
 use heronbend_gateway::batch::event_stream::EventReader;
 use heronbend_gateway::batch::hand_in::{self, HandInError};
 use heronbend_gateway::batch::ownership::Ownership;
+
 use heronbend_gateway::batch::registry::{
     chunk_name, results_kind, Job, OWNERSHIPS, SPECIFICATIONS,
 };
@@ -211,7 +213,7 @@
             };
             wait_until("the owner's results are written", || all_written(0)).await;
             // What the second one still holds is appended once it owns the job.
-            ownership_duty::adopt(&second, &jobs[1]).await;
+            ownership_duty::adopt(&second, &jobs[1], Reason::Silent).await;
             wait_until("all is written", || all_written(1)).await;
             for job in &jobs {
                 appender::catch_up(&first, job).await.unwrap();
@@ -252,7 +254,7 @@
 async fn take_over(store: &Rc<MemoryStore>, gateway: &Rc<Gateway>) -> Rc<Job> {
     let object = store.object(OWNERSHIPS, "j").unwrap();
     let job = gateway.jobs.learn_object(&object).unwrap();
-    ownership_duty::adopt(gateway, &job).await;
+    ownership_duty::adopt(gateway, &job, Reason::Silent).await;
     wait_until("the new owner answers", || job.is_authority(gateway.now())).await;
     job
 }
@@ -456,3 +458,33 @@
         })
     });
 }
+
+#[test]
+fn a_job_that_is_passed_on_is_not_read_from_the_store_for_a_hint_that_came_earlier() {
+    with_store(|store, executor| {
+        Box::pin(async move {
+            let owner = gateway("a", &store, &executor);
+            let ownership = Ownership::new(&job("j", 1), owner.identity.node.clone());
+            ownership_duty::take_hint(&owner, "j", ownership.clone(), 7, true);
+            smol::Timer::after(Duration::from_millis(50)).await;
+            let reply = hand_in::run_here(&owner, ownership, 7, job("j", 1), false);
+            assert_eq!(reply, PeerReply::Running);
+            smol::Timer::after(Duration::from_millis(50)).await;
+            assert!(owner.jobs.get("j").is_some_and(|job| job.running.get()));
+            assert!(store.object(&results_kind("j"), &chunk_name(0)).is_none(), "no seal");
+        })
+    });
+}
+
+#[test]
+fn an_owner_starts_a_job_that_is_never_passed_on() {
+    with_store(|store, executor| {
+        Box::pin(async move {
+            let owner = gateway("a", &store, &executor);
+            store.put(SPECIFICATIONS, "j", json!(job("j", 1)));
+            let ownership = Ownership::new(&job("j", 1), owner.identity.node.clone());
+            ownership_duty::take_hint(&owner, "j", ownership, 7, true);
+            wait_until("it is run", || owner.jobs.get("j").is_some_and(|j| j.running.get())).await;
+        })
+    });
+}
