Connections to servers are used again: refusals keep theirs, and an open one costs less

A refusal's answer is read and its connection kept; a server without an open connection costs 0.8 ms more, less than the spread of the draw, so that others are still tried.

--- a/crates/heronbend-gateway/src/balancer.rs
+++ b/crates/heronbend-gateway/src/balancer.rs
@@ -18,6 +18,10 @@
 const FADE: Duration = Duration::from_secs(3);
 /// Added to a server of another zone, in milliseconds.
 const OTHER_ZONE_MILLIS: f64 = 2.0;
+/// Added to a server to which no connection is open, in milliseconds: some less than the spread of
+/// the draw among equals, so that connections are used again and other servers still tried at times.
+/// Platforms state some 1 ms for a new connection.
+const CONNECT_MILLIS: f64 = 0.8;
 /// Assumed where nothing is known of any server, in milliseconds.
 const UNKNOWN_MILLIS: f64 = 20.0;
 const REFUSED_PAUSE: Duration = Duration::from_millis(60);
@@ -78,7 +82,24 @@
         tried: &[String],
         zone: &str,
     ) -> Option<Rc<Server>> {
-        self.choose_crowded(now, candidates, tried, zone, QUEUE_CROWDING)
+        self.choose_costed(now, candidates, tried, |server, best| {
+            self.cost(now, server, zone, best, QUEUE_CROWDING)
+        })
+    }
+
+    /// The same, where a server that `is_connected` has a connection open costs less.
+    pub fn choose_connected(
+        &self,
+        now: Moment,
+        candidates: &[Rc<Server>],
+        tried: &[String],
+        zone: &str,
+        is_connected: impl Fn(&Server) -> bool,
+    ) -> Option<Rc<Server>> {
+        self.choose_costed(now, candidates, tried, |server, best| {
+            let connecting = if is_connected(server) { 0.0 } else { CONNECT_MILLIS };
+            self.cost(now, server, zone, best, QUEUE_CROWDING) + connecting
+        })
     }
 
     /// The same for servers that a full house slows by `crowding`, as a share of their idle time.
@@ -89,6 +110,19 @@
         tried: &[String],
         zone: &str,
         crowding: f64,
+    ) -> Option<Rc<Server>> {
+        self.choose_costed(now, candidates, tried, |server, best| {
+            self.cost(now, server, zone, best, crowding)
+        })
+    }
+
+    /// The cheapest of `candidates` that is not in `tried`; `cost` gets the mean time of the fastest.
+    fn choose_costed(
+        &self,
+        now: Moment,
+        candidates: &[Rc<Server>],
+        tried: &[String],
+        cost: impl Fn(&Server, f64) -> f64,
     ) -> Option<Rc<Server>> {
         let untried = candidates.iter().filter(|server| !tried.contains(&server.id));
         let best = self.best_millis(candidates);
@@ -96,11 +130,7 @@
         untried
             .map(|server| {
                 let jitter = random.random::<f64>();
-                (
-                    self.is_avoided(now, &server.id),
-                    self.cost(now, server, zone, best, crowding) + jitter,
-                    server,
-                )
+                (self.is_avoided(now, &server.id), cost(server, best) + jitter, server)
             })
             .min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)))
             .map(|(_, _, server)| server.clone())
--- a/crates/heronbend-gateway/src/exchange.rs
+++ b/crates/heronbend-gateway/src/exchange.rs
@@ -86,6 +86,7 @@
     let is_refusal = exchange.status == StatusCode::MISDIRECTED_REQUEST
         || exchange.headers.contains_key(&names.not_run);
     if is_refusal {
+        gateway.servers.reuse(exchange);
         return Err(AttemptFailure::NotRun);
     }
     let is_unsigned = !exchange.headers.contains_key(&names.signature);
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -232,8 +232,10 @@
     fn choose(&self) -> Option<Rc<Server>> {
         let candidates = self.gateway.usable_servers(&self.service);
         let balancer = self.gateway.balancer.borrow();
-        let zone = &self.gateway.identity.zone;
-        balancer.choose(self.gateway.now(), &candidates, &self.tried, zone)
+        let gateway = &self.gateway;
+        let is_connected = |server: &Server| gateway.servers.has_idle(server.address);
+        let (now, zone) = (gateway.now(), &gateway.identity.zone);
+        balancer.choose_connected(now, &candidates, &self.tried, zone, is_connected)
     }
 
     /// Takes an attempt's end in; the answer if it is to be passed on.
--- a/crates/heronbend-gateway/src/http/client.rs
+++ b/crates/heronbend-gateway/src/http/client.rs
@@ -27,6 +27,9 @@
 /// Unacknowledged data and probes after which the system gives a connection up.
 const DEAD_PATH: Duration = Duration::from_millis(2000);
 const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
+/// Longest wait for the rest of an answer that nobody wants, and most bytes of it.
+const UNWANTED_LIMIT: Duration = Duration::from_millis(300);
+const UNWANTED_BYTES: usize = 64 * 1024;
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Why an exchange failed.
@@ -88,6 +91,24 @@
         self.state.opened.get()
     }
 
+    /// Whether a connection to an address waits to be used again.
+    pub fn has_idle(&self, address: SocketAddr) -> bool {
+        let idle = self.state.idle.borrow();
+        let now = Instant::now();
+        let is_usable = |idle: &Idle| idle.until > now && idle.connection.sender.is_ready();
+        idle.get(&address).is_some_and(|kept| kept.iter().any(is_usable))
+    }
+
+    /// Reads the rest of an answer that nobody wants, so that its connection can be used again.
+    pub fn reuse(&self, exchange: Exchange) {
+        let reading = within(UNWANTED_LIMIT, exchange.read_whole(UNWANTED_BYTES));
+        let reading = async move {
+            // A connection that was cut or stays silent is closed, and nothing is lost by it.
+            let _ = reading.await;
+        };
+        self.executor.spawn(reading).detach();
+    }
+
     /// Sends a request; the answer's head has come when this returns.
     pub async fn send(
         &self,
