Daemons that follow others wait while those that watch hear nothing from the store

A watcher now says that it hears nothing; the others ask those of other zones, then wait 0.4 s and ask again, and go by themselves once their own probes have been answered for 0.4 s. Ownerships go the same way. Daemons whose watchers failed ask those of other zones before the store. Ruled out: waiting for the own probe alone (every daemon would list as soon as it is back).

--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -19,6 +19,7 @@
 use super::registry::{Job, OWNERSHIPS};
 use super::runner::start_own_jobs;
 use crate::dissemination;
+use crate::dissemination::Way;
 use crate::gateway::Gateway;
 use crate::mirror::{list_all, wait_for_store};
 use crate::peers::{client, introduction, Hint, PeerReply, PeerRequest, Standing, INTRODUCTION};
@@ -81,10 +82,16 @@
 /// store otherwise, and where they are wanted because a daemon was lost.
 async fn learn_ownerships(gateway: &Rc<Gateway>, from_store: bool) -> Result<(), StoreError> {
     if !from_store {
-        for upstream in dissemination::upstreams(gateway) {
-            if introduction::learn_jobs_of(gateway, &upstream).await {
-                return Ok(());
+        match dissemination::way(gateway) {
+            Way::Store => {}
+            Way::Watchers(watchers) => {
+                for watcher in watchers {
+                    if introduction::learn_jobs_of(gateway, &watcher).await {
+                        return Ok(());
+                    }
+                }
             }
+            Way::Outage => return Err(StoreError::NotDone("those that watch hear nothing".into())),
         }
     }
     let (objects, _) = list_all(gateway, OWNERSHIPS).await?;
--- a/crates/heronbend-gateway/src/dissemination.rs
+++ b/crates/heronbend-gateway/src/dissemination.rs
@@ -4,7 +4,8 @@
 //! for each daemon and change. So a few daemons of each zone watch the store, and the others follow
 //! two of them: calls that are held until there is news, and whose regular ends are the heartbeat.
 //! A daemon that no watcher answers watches for itself. So does every daemon of a small zone. A
-//! daemon that the store refuses follows the watchers, of other zones as well.
+//! daemon that the store refuses follows the watchers, of other zones as well. Where watchers say
+//! that they hear nothing from the store, the others wait instead of asking it as well.
 //!
 //! What a follower knows never runs backward: each piece of news says up to which revision of the
 //! store it goes, and is taken in only if that is later than what is known.
@@ -28,6 +29,7 @@
 use crate::peers::store_relay::RelayedObject;
 use crate::peers::PeerReply;
 use crate::peers::PeerRequest;
+use crate::peers::Untelling;
 use crate::ports::Change;
 use crate::ports::Changes;
 use crate::ports::Object;
@@ -46,6 +48,10 @@
 const FAILED_REST: Duration = Duration::from_millis(1500);
 /// A watcher that has not heard from the store for so long tells nothing: it may have missed news.
 const FRESHNESS: Duration = Duration::from_millis(1800);
+/// Time after which a watcher that has not heard from the store is asked again.
+const UNINFORMED_REST: Duration = Duration::from_millis(400);
+/// Time that watchers are given to hear from a store that answers others again.
+const WATCHERS_FIRST: Duration = Duration::from_millis(400);
 /// Removed objects that are remembered; followers that are further behind get everything.
 const MAX_REMOVED: usize = 512;
 
@@ -156,34 +162,66 @@
     zone
 }
 
-/// Whom this daemon follows; nobody where it watches for itself.
-pub fn upstreams(gateway: &Gateway) -> Vec<NodeId> {
+/// By which way a daemon hears of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Way {
+    /// It lists and watches for itself.
+    Store,
+    /// It follows these daemons, which do.
+    Watchers(Vec<NodeId>),
+    /// Those that do hear nothing from the store, and this daemon does not either: to list would cost
+    /// a call at each daemon, and not be answered.
+    Outage,
+}
+
+/// By which way this daemon hears of the store now.
+///
+/// The watchers of its zone come first, then those of others. A daemon that none of them tells
+/// anything goes by itself.
+pub fn way(gateway: &Gateway) -> Way {
     let me = &gateway.identity;
-    let mut zone = gateway.members.alive_in(&me.zone);
-    zone.push(me.node.clone());
-    let mut line = watchers(zone);
+    let line = zone_watchers(gateway);
     let is_served = gateway.store.is_reached();
     if is_served && line.contains(&me.node) {
-        return Vec::new();
-    }
-    if !is_served {
-        let zones = gateway.members.zones().into_iter();
-        for zone in zones.filter(|zone| *zone != me.zone) {
-            line.extend(watchers(gateway.members.alive_in(&zone)).into_iter().take(1));
-        }
+        return Way::Store;
     }
     let now = gateway.now();
-    line.retain(|node| *node != me.node && !gateway.members.has_failed_to_tell(now, node));
+    let is_usable =
+        |node: &NodeId| *node != me.node && !gateway.members.has_failed_to_tell(now, node);
+    let mut line: Vec<NodeId> = line.into_iter().filter(is_usable).collect();
+    if line.is_empty() || !is_served {
+        let zones = gateway.members.zones().into_iter().filter(|zone| *zone != me.zone);
+        let first = |zone: String| watchers(gateway.members.alive_in(&zone)).into_iter().next();
+        line.extend(zones.filter_map(first).filter(is_usable));
+    }
     line.truncate(UPSTREAMS);
-    line
+    if !line.is_empty() {
+        return Way::Watchers(line);
+    }
+    if gateway.members.is_outage_told(now) && !hears_by_itself(gateway) {
+        return Way::Outage;
+    }
+    Way::Store
 }
 
-/// Whether this daemon is one of those that watch the store.
-pub fn watches_itself(gateway: &Gateway) -> bool {
+/// Whether the store has answered this daemon's own probes for a moment: those that watch it for
+/// others hear of it again meanwhile, unless it refuses them alone.
+fn hears_by_itself(gateway: &Gateway) -> bool {
+    let is_heard = gateway.store.silent_for() < FRESHNESS;
+    is_heard && gateway.now() >= gateway.store_reached_since.get() + WATCHERS_FIRST
+}
+
+/// Those of this daemon's zone that watch the store.
+fn zone_watchers(gateway: &Gateway) -> Vec<NodeId> {
     let me = &gateway.identity;
     let mut zone = gateway.members.alive_in(&me.zone);
     zone.push(me.node.clone());
-    watchers(zone).contains(&me.node)
+    watchers(zone)
+}
+
+/// Whether this daemon is one of those that watch the store.
+pub fn is_watcher(gateway: &Gateway) -> bool {
+    zone_watchers(gateway).contains(&gateway.identity.node)
 }
 
 /// All objects that are known here for certain, for a daemon that starts.
@@ -201,20 +239,25 @@
 }
 
 /// Logs where news of a kind comes from, whenever that has changed.
-pub fn note_upstreams(gateway: &Gateway, kind: &'static str, upstreams: &[NodeId]) {
-    let mut followed = gateway.followed.borrow_mut();
-    let known = followed.entry(kind).or_default();
-    if known.as_slice() == upstreams {
+pub fn note_way(gateway: &Gateway, kind: &'static str, way: &Way) {
+    let mut ways = gateway.ways.borrow_mut();
+    if ways.get(kind).unwrap_or(&Way::Store) == way {
         return;
     }
-    let names: Vec<&str> = upstreams.iter().map(|node| node.name.0.as_str()).collect();
-    let source = if names.is_empty() { "store".to_owned() } else { names.join(",") };
+    let source = match way {
+        Way::Store => "store".to_owned(),
+        Way::Outage => "nobody".to_owned(),
+        Way::Watchers(watchers) => {
+            let names: Vec<&str> = watchers.iter().map(|node| node.name.0.as_str()).collect();
+            names.join(",")
+        }
+    };
     log::info!(
         "event=news_source kind={kind} source={source} store_reached={} daemons={}",
         gateway.store.is_reached(),
         gateway.members.count_alive() + 1
     );
-    *known = upstreams.to_vec();
+    ways.insert(kind, way.clone());
 }
 
 /// Waits for changes of a kind at the watchers that this daemon follows; nothing when none of them
@@ -258,9 +301,13 @@
         let failed = &failed;
         let one = async move {
             match listen(gateway, kind, since, upstream).await {
-                Some(news) => Some(news),
-                None => {
-                    gateway.members.note_failed_to_tell(gateway.now(), FAILED_REST, upstream);
+                Ok(news) => Some(news),
+                Err(why) => {
+                    let rest = match why {
+                        Untelling::Silent => FAILED_REST,
+                        Untelling::Uninformed => UNINFORMED_REST,
+                    };
+                    gateway.members.note_untold(gateway.now(), rest, upstream, why);
                     failed.set(failed.get() + 1);
                     if failed.get() < upstreams.len() {
                         futures_lite::future::pending::<()>().await;
@@ -274,26 +321,34 @@
     first.await
 }
 
-/// Asks one watcher until it has news; nothing when it fails.
+/// Asks one watcher until it has news, or fails.
 async fn listen(
     gateway: &Gateway,
     kind: &'static str,
     since: Revision,
     upstream: &NodeId,
-) -> Option<News> {
+) -> Result<News, Untelling> {
     loop {
         let wait_millis = u64::try_from(HOLD.as_millis()).unwrap_or(0);
         let request = PeerRequest::Follow { kind: kind.to_owned(), since, wait_millis };
         let reply = client::call(gateway, upstream, &request, HOLD).await;
-        let Some(PeerReply::News { is_whole, objects, removed, at }) = reply else {
-            return None;
+        let (is_whole, objects, removed, at) = match reply {
+            Some(PeerReply::News { is_whole, objects, removed, at }) => {
+                (is_whole, objects, removed, at)
+            }
+            Some(PeerReply::Uninformed) => return Err(Untelling::Uninformed),
+            _ => return Err(Untelling::Silent),
         };
         if at <= since {
             continue;
         }
         let objects: Result<Vec<Object>, _> =
             objects.into_iter().map(RelayedObject::into_object).collect();
-        return Some(News { is_whole, objects: objects.ok()?, removed, at });
+        let objects = objects.map_err(|error| {
+            log::warn!("event=news_malformed kind={kind} from={upstream} error=\"{error}\"");
+            Untelling::Silent
+        })?;
+        return Ok(News { is_whole, objects, removed, at });
     }
 }
 
@@ -307,12 +362,15 @@
     let until = gateway.now() + limit.min(HOLD);
     loop {
         let changed = gateway.replica_changed.listen();
-        if !is_informed(gateway) {
+        if !is_watcher(gateway) {
             return PeerReply::NotOwner;
         }
+        if !is_informed(gateway) {
+            return PeerReply::Uninformed;
+        }
         let news = match gateway.replicas.borrow().get(kind) {
             Some(replica) => replica.since(since),
-            None => return PeerReply::NotOwner,
+            None => return PeerReply::Uninformed,
         };
         let left = until.saturating_sub(gateway.now());
         if let Some(news) = news {
@@ -334,5 +392,5 @@
 /// Whether this daemon watches the store and has heard from it lately.
 fn is_informed(gateway: &Gateway) -> bool {
     let is_fresh = gateway.store.is_reached() && gateway.store.silent_for() < FRESHNESS;
-    is_fresh && upstreams(gateway).is_empty()
+    is_fresh && way(gateway) == Way::Store
 }
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::configuration::Configuration;
 use crate::directory::{Directory, Server};
 use crate::dissemination::Replica;
+use crate::dissemination::Way;
 use crate::http::client::ConnectionPool;
 use crate::memory::Budget;
 use crate::metrics::Metrics;
@@ -83,8 +84,8 @@
     pub peers: ConnectionPool,
     /// Objects of the store that peers may follow here, by kind.
     pub replicas: RefCell<HashMap<&'static str, Replica>>,
-    /// The daemons whose news this one follows, by kind; none where it watches the store.
-    pub followed: RefCell<HashMap<&'static str, Vec<NodeId>>>,
+    /// By which way news of each kind comes; by the store where there is none.
+    pub ways: RefCell<HashMap<&'static str, Way>>,
     /// Notified when a replica has changed.
     pub replica_changed: Event,
     /// The newest configuration.
@@ -148,7 +149,7 @@
             peers: ConnectionPool::new(executor.clone(), PEER_CONNECT_TIMEOUT),
             executor,
             replicas: RefCell::default(),
-            followed: RefCell::default(),
+            ways: RefCell::default(),
             replica_changed: Event::new(),
             configuration: RefCell::default(),
             directory: RefCell::default(),
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use heronbend::identity::NodeId;
 use rand::Rng;
 use smol::Timer;
 
 use crate::dissemination;
 use crate::dissemination::Replica;
+use crate::dissemination::Way;
 use crate::gateway::Gateway;
 use crate::ports::{Change, Changes, Object, ObjectStore, Revision, StoreError};
 use crate::wait;
@@ -23,6 +23,10 @@
 /// Time between two looks whether a probe is due.
 const PROBE_LOOK: Duration = Duration::from_millis(500);
 const PROBE_RETRY: Duration = Duration::from_millis(400);
+/// The same at a daemon that follows others.
+const FOLLOWER_PROBE_RETRY: Duration = Duration::from_millis(1200);
+/// Rest of a daemon that follows others while these hear nothing from the store.
+const OUTAGE_REST: Duration = Duration::from_millis(400);
 /// Longest wait for the probe before a call is tried all the same.
 const OUTAGE_WAIT: Duration = Duration::from_secs(2);
 /// Failures in a row after which the watches of other kinds are begun anew.
@@ -96,10 +100,27 @@
     }
 }
 
-fn upstreams(gateway: &Gateway, source: Source) -> Vec<NodeId> {
+/// Why there is no list, or no change.
+#[derive(Debug)]
+enum Unheard {
+    /// The store failed.
+    Store(StoreError),
+    /// None of the daemons that this one follows told anything.
+    Untold,
+    /// Those that watch the store say that they hear nothing from it.
+    Outage,
+}
+
+impl From<StoreError> for Unheard {
+    fn from(error: StoreError) -> Self {
+        Self::Store(error)
+    }
+}
+
+fn way(gateway: &Gateway, source: Source) -> Way {
     match source {
-        Source::Store => Vec::new(),
-        Source::Watchers => dissemination::upstreams(gateway),
+        Source::Store => Way::Store,
+        Source::Watchers => dissemination::way(gateway),
     }
 }
 
@@ -108,11 +129,15 @@
     gateway: &Gateway,
     kind: &'static str,
     source: Source,
-) -> Result<(Vec<Object>, Revision), StoreError> {
-    let upstreams = upstreams(gateway, source);
-    match dissemination::whole(gateway, kind, &upstreams).await {
-        Some(whole) => Ok(whole),
-        None => list_all(gateway, kind).await,
+) -> Result<(Vec<Object>, Revision), Unheard> {
+    let way = way(gateway, source);
+    dissemination::note_way(gateway, kind, &way);
+    match way {
+        Way::Store => Ok(list_all(gateway, kind).await?),
+        Way::Watchers(watchers) => {
+            dissemination::whole(gateway, kind, &watchers).await.ok_or(Unheard::Untold)
+        }
+        Way::Outage => Err(Unheard::Outage),
     }
 }
 
@@ -122,14 +147,16 @@
     kind: &'static str,
     source: Source,
     at: Revision,
-) -> Result<Changes, StoreError> {
-    let upstreams = upstreams(gateway, source);
-    dissemination::note_upstreams(gateway, kind, &upstreams);
-    if upstreams.is_empty() {
-        return gateway.store.watch(kind, at, WATCH_WAIT).await;
+) -> Result<Changes, Unheard> {
+    let way = way(gateway, source);
+    dissemination::note_way(gateway, kind, &way);
+    match way {
+        Way::Store => Ok(gateway.store.watch(kind, at, WATCH_WAIT).await?),
+        Way::Watchers(watchers) => {
+            dissemination::changes(gateway, kind, at, &watchers).await.ok_or(Unheard::Untold)
+        }
+        Way::Outage => Err(Unheard::Outage),
     }
-    let changes = dissemination::changes(gateway, kind, at, &upstreams).await;
-    changes.ok_or_else(|| StoreError::NotDone("no watcher tells".to_owned()))
 }
 
 /// Watches until a list is needed: the history is gone, the watch was cut, or there is reason to
@@ -167,7 +194,7 @@
                 sink.applied();
                 Timer::after(gathering).await;
             }
-            Some(Err(StoreError::HistoryGone)) => {
+            Some(Err(Unheard::Store(StoreError::HistoryGone))) => {
                 log::info!("event=history_gone kind={kind} at={at}");
                 return;
             }
@@ -190,10 +217,14 @@
 pub async fn probe_store(gateway: Rc<Gateway>) {
     let mut failures = 0;
     loop {
-        let rest = if failures == 0 { PROBE_LOOK } else { PROBE_RETRY };
+        let rest = match failures {
+            0 => PROBE_LOOK,
+            _ if dissemination::is_watcher(&gateway) => PROBE_RETRY,
+            _ => FOLLOWER_PROBE_RETRY,
+        };
         Timer::after(rest).await;
         let silent_for = gateway.store.silent_for();
-        let is_told_by_others = !dissemination::upstreams(&gateway).is_empty();
+        let is_told_by_others = matches!(dissemination::way(&gateway), Way::Watchers(_));
         if failures == 0 && (silent_for < PROBE_PERIOD || is_told_by_others) {
             continue;
         }
@@ -255,7 +286,18 @@
 
 /// Counts a failure, and waits until the store may answer again: the probe, which costs little, looks
 /// for all kinds together.
-async fn note_failure(gateway: &Gateway, kind: &str, error: &StoreError, failures: &mut u32) {
+async fn note_failure(gateway: &Gateway, kind: &str, why: &Unheard, failures: &mut u32) {
+    let error = match why {
+        Unheard::Store(error) => error,
+        Unheard::Untold => {
+            Timer::after(backoff(1)).await;
+            return;
+        }
+        Unheard::Outage => {
+            Timer::after(OUTAGE_REST).await;
+            return;
+        }
+    };
     *failures += 1;
     if *failures == FAILURES_TO_LOG {
         log::warn!("event=store_lost kind={kind} error=\"{error}\"");
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -53,7 +53,6 @@
 
 /// Runs the detector until the daemon ends.
 pub async fn run_membership(gateway: Rc<Gateway>, socket: UdpSocket, me: Member) {
-    let own_address = me.address;
     let mut detector = Detector::new(DETECTOR, me, rand::rng().random());
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut ticks = Timer::interval(TICK);
@@ -70,8 +69,7 @@
                     !detector.members().any(|member| member.liveness <= Liveness::Suspect);
                 if is_alone && tick_number.is_multiple_of(GREETING_TICKS) {
                     let seeds = gateway.seeds.borrow();
-                    let others = seeds.iter().filter(|seed| **seed != own_address);
-                    effects.extend(others.map(|seed| detector.greet(*seed)));
+                    effects.extend(seeds.iter().map(|seed| detector.greet(*seed)));
                 }
                 tick_number = tick_number.wrapping_add(1);
                 let version = gateway.configuration_version();
--- a/crates/heronbend-gateway/src/peers/introduction.rs
+++ b/crates/heronbend-gateway/src/peers/introduction.rs
@@ -24,9 +24,11 @@
 use super::store_relay::RelayedObject;
 use super::PeerReply;
 use super::PeerRequest;
+use super::Untelling;
 use crate::batch::registry::Job;
 use crate::batch::runner::start_own_jobs;
 use crate::dissemination;
+use crate::dissemination::Way;
 use crate::gateway::Gateway;
 use crate::ports::Object;
 use crate::ports::Revision;
@@ -37,6 +39,8 @@
 /// Time after the start in which some daemon has to know the objects. In a fleet that starts as a
 /// whole, those that watch the store read them meanwhile.
 const OBJECTS_WAIT: Duration = Duration::from_millis(1800);
+/// Time after which the members of a fleet that starts as a whole are mostly known.
+const FLEET_KNOWN: Duration = Duration::from_millis(600);
 /// Rest between two daemons that are asked.
 const REST: Duration = Duration::from_millis(120);
 /// Time for which a daemon that did not answer is not asked again.
@@ -136,8 +140,9 @@
         if let Some(new) = ask_one(gateway).await {
             let is_all = new.knows_objects && new.knows_jobs;
             told = Some(new);
-            // Who watches the store for the others has to read it.
-            if is_all || dissemination::watches_itself(gateway) {
+            // Who watches the store for the others has to read it, once it knows who they are.
+            let may_judge = gateway.now() >= FLEET_KNOWN;
+            if is_all || (may_judge && dissemination::is_watcher(gateway)) {
                 break;
             }
         }
@@ -148,14 +153,15 @@
 
 /// Asks one daemon: one that watches the store for this one, or any.
 async fn ask_one(gateway: &Rc<Gateway>) -> Option<Told> {
-    let mut known = dissemination::upstreams(gateway);
-    if known.is_empty() {
-        known = gateway.members.alive();
-    }
+    let known = match dissemination::way(gateway) {
+        Way::Watchers(watchers) => watchers,
+        Way::Store | Way::Outage => gateway.members.alive(),
+    };
     let peer = known.choose(&mut rand::rng())?.clone();
     let request = PeerRequest::Introduce { with_objects: true };
     let Some(reply) = ask(gateway, &peer, &request).await else {
-        gateway.members.note_failed_to_tell(gateway.now(), UNANSWERED_REST, &peer);
+        let now = gateway.now();
+        gateway.members.note_untold(now, UNANSWERED_REST, &peer, Untelling::Silent);
         return None;
     };
     let PeerReply::Introduced { members, jobs, knows_jobs, lease, kinds } = reply else {
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -174,4 +174,6 @@
     Running,
     /// The peer does not run this job, or does not watch this kind.
     NotOwner,
+    /// The peer watches this kind, and has not heard from the store lately.
+    Uninformed,
 }
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -41,6 +41,22 @@
     Leave(Sender<()>),
 }
 
+/// Why a daemon told no news of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Untelling {
+    /// It did not answer, or does not watch the store.
+    Silent,
+    /// It watches the store, and has not heard from it lately.
+    Uninformed,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Untold {
+    /// Until when it is not asked again.
+    until: Moment,
+    why: Untelling,
+}
+
 /// What is believed of the very run of a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -57,8 +73,8 @@
 /// What this daemon knows of the others.
 pub struct Peers {
     members: RefCell<Vec<Member>>,
-    /// Daemons that failed to tell news of the store, and until when they are not asked.
-    untold: RefCell<HashMap<NodeId, Moment>>,
+    /// Daemons that failed to tell news of the store.
+    untold: RefCell<HashMap<NodeId, Untold>>,
     commands: Sender<Command>,
     commands_to_do: Receiver<Command>,
     /// What a peer told this daemon when it started.
@@ -137,15 +153,21 @@
     }
 
     /// Notes that a daemon failed to tell news of the store: it is not asked for a time.
-    pub fn note_failed_to_tell(&self, now: Moment, rest: Duration, node: &NodeId) {
+    pub fn note_untold(&self, now: Moment, rest: Duration, node: &NodeId, why: Untelling) {
         let mut untold = self.untold.borrow_mut();
-        untold.retain(|_, until| now < *until);
-        untold.insert(node.clone(), now + rest);
+        untold.retain(|_, untold| now < untold.until);
+        untold.insert(node.clone(), Untold { until: now + rest, why });
     }
 
     /// Whether a daemon has failed to tell news a moment ago.
     pub fn has_failed_to_tell(&self, now: Moment, node: &NodeId) -> bool {
-        self.untold.borrow().get(node).is_some_and(|until| now < *until)
+        self.untold.borrow().get(node).is_some_and(|untold| now < untold.until)
+    }
+
+    /// Whether some daemon that watches the store has said a moment ago that it hears nothing of it.
+    pub fn is_outage_told(&self, now: Moment) -> bool {
+        let untold = self.untold.borrow();
+        untold.values().any(|untold| now < untold.until && untold.why == Untelling::Uninformed)
     }
 
     /// How many other daemons are alive.
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -177,7 +177,8 @@
         refutation: 0,
         liveness: Liveness::Alive,
     };
-    *gateway.seeds.borrow_mut() = addresses.seeds.clone();
+    let others = addresses.seeds.iter().copied().filter(|seed| *seed != address);
+    *gateway.seeds.borrow_mut() = others.collect();
     let membership = peers::duty::run_membership(gateway.clone(), socket.into(), me);
     gateway.executor.spawn(membership).detach();
     Ok(())
