--- a/crates/heronbend-gateway/src/batch/checkpoint.rs
+++ b/crates/heronbend-gateway/src/batch/checkpoint.rs
@@ -34,9 +34,12 @@
 /// Most checkpoints in one period.
 const MOST_AT_ONCE: usize = 3;
 
+/// What the kinds of checkpoints begin with.
+pub const PROGRESS: &str = "heronbend-progress";
+
 /// Kind of a job's checkpoints.
 pub fn kind(job: &str) -> String {
-    format!("heronbend-progress-{job}")
+    format!("{PROGRESS}-{job}")
 }
 
 /// Consecutive events of one item's text.
--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use heronbend::Moment;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use smol::Timer;
 
 use super::event_stream::{EventReader, ItemText};
+use super::moves;
 use super::pace::PaceMeter;
 use super::placement::Placement;
 use super::registry::Job;
@@ -29,9 +31,6 @@
 const EVENT_LIMIT: Duration = Duration::from_millis(1600);
 /// Time that a server is given for an item, for want of a shorter bound.
 const ITEM_DEADLINE: Duration = Duration::from_secs(30);
-/// A text is moved to a faster server where it wins more. What is there already is read anew, which
-/// takes some hundredths of a second.
-const MIN_GAIN: Duration = Duration::from_millis(200);
 /// Wait for the first configuration.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(50);
 /// Half of the rest after the first attempt that added nothing.
@@ -216,6 +215,7 @@
             return RunEnd::Impossible;
         };
         let first_event = self.last_event();
+        let asked = self.gateway.now();
         let answer = exchange::begin(self.gateway, server, &outgoing, ITEM_DEADLINE);
         let answer = answer.or(async {
             Timer::after(FIRST_EVENT_LIMIT).await;
@@ -242,7 +242,7 @@
         if first_event > 0 {
             self.gateway.metrics.items_resumed.inc();
         }
-        let outcome = self.read_events(server, exchange, route).await;
+        let outcome = self.read_events(server, exchange, route, asked).await;
         let events = self.last_event().saturating_sub(first_event);
         match outcome {
             Ok(()) => {
@@ -305,6 +305,7 @@
         server: &Rc<Server>,
         exchange: Exchange,
         route: &Route,
+        asked: Moment,
     ) -> Result<(), &'static str> {
         let mut exchange = exchange;
         let mut pace = PaceMeter::new(self.gateway.now());
@@ -314,6 +315,7 @@
         let field = names.weight_version.as_str();
         let mut reader = EventReader::new(field, version);
         let mut limit = FIRST_EVENT_LIMIT;
+        let mut resumed_at = (self.last_event() > 0).then_some(asked);
         let outcome = loop {
             let bytes = exchange.next_bytes().or(async {
                 Timer::after(limit).await;
@@ -326,7 +328,11 @@
                         Ok(0) => {}
                         Ok(events) => {
                             limit = EVENT_LIMIT;
-                            if self.is_outpaced(server, &mut pace, events) {
+                            if let Some(asked) = resumed_at.take() {
+                                let delay = self.gateway.now().saturating_sub(asked);
+                                self.gateway.move_cost.borrow_mut().learn(delay);
+                            }
+                            if self.is_outpaced(server, &mut pace, events, route) {
                                 break Err(OUTPACED);
                             }
                         }
@@ -353,7 +359,13 @@
     }
 
     /// Whether the text had better go on at another server.
-    fn is_outpaced(&self, server: &Server, pace: &mut PaceMeter, events: usize) -> bool {
+    fn is_outpaced(
+        &self,
+        server: &Server,
+        pace: &mut PaceMeter,
+        events: usize,
+        route: &Route,
+    ) -> bool {
         let now = self.gateway.now();
         let Some(per_event) = pace.add(now, events as u64) else {
             return false;
@@ -361,8 +373,12 @@
         self.gateway.balancer.borrow_mut().note(now, &server.id, AttemptEnd::Answered(per_event));
         let lengths = self.gateway.lengths.borrow();
         let remaining = lengths.expected_rest(self.item, self.last_event());
+        let age = now.saturating_sub(self.job.known_since);
+        if moves::is_in_time(age, per_event * remaining, route.result_deadline) {
+            return false;
+        }
         let gain = self.placement().gain(server, per_event, remaining);
-        gain.is_some_and(|gain| gain > MIN_GAIN)
+        gain.is_some_and(|gain| self.gateway.move_cost.borrow().is_exceeded_by(gain))
     }
 
     fn versions_fit(&self, route: &Route) -> bool {
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -12,6 +12,7 @@
 //! - [`ownership`]: who runs a job, and whether it has ended, without I/O.
 //! - [`schedule`]: the order in which items are begun, without I/O.
 //! - [`length`]: how long texts are expected to become, without I/O.
+//! - [`moves`]: whether a text had better go on at a faster server, without I/O.
 //! - [`gathering`]: how long results wait until they are listed together, without I/O.
 //! - [`event_stream`]: the text of an item from a server's events, without I/O.
 //! - [`checkpoint`], [`digest`]: texts under way, saved for whoever takes a job over.
@@ -31,6 +32,7 @@
 pub mod hand_in;
 pub mod item_run;
 pub mod length;
+pub mod moves;
 pub mod ownership;
 pub mod ownership_duty;
 pub mod pace;
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -25,9 +25,12 @@
 /// replaced no sooner.
 const CONFIRMATION_HOLDS: Duration = Duration::from_millis(2500);
 
+/// What the kinds of chunks begin with.
+pub const RESULTS: &str = "heronbend-results";
+
 /// Kind of the chunks of a job's results.
 pub fn results_kind(job: &str) -> String {
-    format!("heronbend-results-{job}")
+    format!("{RESULTS}-{job}")
 }
 
 /// Name of a chunk; names sort by number.
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::balancer::Balancer;
 use crate::batch::gate::Gate;
 use crate::batch::length::Lengths;
+use crate::batch::moves::MoveCost;
 use crate::batch::registry::JobRegistry;
 use crate::configuration::Configuration;
 use crate::directory::{Directory, Server};
@@ -106,6 +107,8 @@
     pub members: Peers,
     /// How long texts become.
     pub lengths: RefCell<Lengths>,
+    /// What it costs to move a text.
+    pub move_cost: RefCell<MoveCost>,
     /// Reward calls under way.
     pub reward_gate: Gate,
     /// Batch jobs.
@@ -145,7 +148,10 @@
             identity,
             store: RelayedStore::new(store, metrics.clone()),
             dialect,
-            servers: ConnectionPool::new(executor.clone(), SERVER_CONNECT_TIMEOUT),
+            servers: ConnectionPool::told(executor.clone(), SERVER_CONNECT_TIMEOUT, {
+                let metrics = metrics.clone();
+                move |reason| metrics.connection_opened(reason.name())
+            }),
             peers: ConnectionPool::new(executor.clone(), PEER_CONNECT_TIMEOUT),
             executor,
             replicas: RefCell::default(),
@@ -160,6 +166,7 @@
             draining: Cell::new(false),
             members: Peers::default(),
             lengths: RefCell::default(),
+            move_cost: RefCell::default(),
             reward_gate: Gate::default(),
             jobs: JobRegistry::new(move || started.elapsed()),
             versions: VersionBoard::default(),
--- a/crates/heronbend-gateway/src/http/client.rs
+++ b/crates/heronbend-gateway/src/http/client.rs
@@ -3,7 +3,7 @@
 //! A connection's driver task is owned by the exchange that uses it: dropping the exchange drops
 //! the socket, which tells the server at once that nobody waits any more.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -66,10 +66,32 @@
     until: Instant,
 }
 
-#[derive(Default)]
+/// Why a connection is opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OpenReason {
+    /// It is the first one to its address.
+    First,
+    /// All others are in use, or were closed with what they carried.
+    Busy,
+    /// Those that were kept have rested too long, or the other side closed them.
+    Expired,
+}
+
+impl OpenReason {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Busy => "busy",
+            Self::Expired => "expired",
+        }
+    }
+}
+
 struct PoolState {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
-    opened: Cell<u64>,
+    /// Told of each connection that is opened.
+    on_open: Box<dyn Fn(OpenReason)>,
 }
 
 /// Kept connections by address.
@@ -83,12 +105,17 @@
 impl ConnectionPool {
     /// An empty pool, whose connections are driven by `executor`.
     pub fn new(executor: Rc<LocalExecutor<'static>>, connect_timeout: Duration) -> Self {
-        Self { executor, state: Rc::default(), connect_timeout }
+        Self::told(executor, connect_timeout, |_| {})
     }
 
-    /// Connections opened since the start.
-    pub fn opened(&self) -> u64 {
-        self.state.opened.get()
+    /// An empty pool that tells why it opens each connection.
+    pub fn told(
+        executor: Rc<LocalExecutor<'static>>,
+        connect_timeout: Duration,
+        on_open: impl Fn(OpenReason) + 'static,
+    ) -> Self {
+        let state = PoolState { idle: RefCell::default(), on_open: Box::new(on_open) };
+        Self { executor, state: Rc::new(state), connect_timeout }
     }
 
     /// Whether a connection to an address waits to be used again.
@@ -116,7 +143,9 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, ExchangeError> {
         let mut request = request;
+        let mut reason = self.reason_to_open(address);
         while let Some(mut connection) = self.take_idle(address) {
+            reason = OpenReason::Expired;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.exchange(address, connection, response)),
                 Err(mut error) => match error.take_message() {
@@ -126,6 +155,7 @@
                 },
             }
         }
+        (self.state.on_open)(reason);
         let mut connection = self.connect(address).await?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.exchange(address, connection, response)),
@@ -172,6 +202,15 @@
         }
     }
 
+    /// Why a connection has to be opened if none that is kept can be used.
+    fn reason_to_open(&self, address: SocketAddr) -> OpenReason {
+        match self.state.idle.borrow().get(&address) {
+            None => OpenReason::First,
+            Some(kept) if kept.is_empty() => OpenReason::Busy,
+            Some(_) => OpenReason::Expired,
+        }
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.state.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
@@ -182,7 +221,6 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, ExchangeError> {
-        self.state.opened.set(self.state.opened.get() + 1);
         let not_sent = |error: &dyn ToString| ExchangeError::NotSent(error.to_string());
         let connecting = async { TcpStream::connect(address).await.map_err(|e| not_sent(&e)) };
         let socket = connecting
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -13,12 +13,15 @@
 //! - [`peers`]: the daemons among themselves.
 //! - [`relayed_store`], [`mirror`], [`configuration`], [`directory`]: the store and what it says.
 //! - [`service`], [`keeper`], [`settings`], [`reload`]: the programs and their settings.
-//! - [`logging`], [`metrics`], [`explain`]: what they tell.
+//! - [`logging`], [`metrics`]: what they tell.
+//! - [`explain`], [`steps`], [`day`], [`day_plot`]: what their logs tell afterwards.
 
 pub mod balancer;
 pub mod batch;
 pub mod calls;
 pub mod configuration;
+pub mod day;
+pub mod day_plot;
 pub mod directory;
 pub mod dissemination;
 pub mod events;
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -1,5 +1,8 @@
 //! Counters and histograms, and their page in the text format of OpenMetrics.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
@@ -36,6 +39,20 @@
     pub reason: String,
 }
 
+/// Labels of a connection that was opened to a server.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OpenLabels {
+    /// Why it was opened.
+    pub reason: String,
+}
+
+/// What was counted since the last line that told of it, by what and by which label.
+#[derive(Debug, Default)]
+struct Tally {
+    store_calls: BTreeMap<String, u64>,
+    connections: BTreeMap<&'static str, u64>,
+}
+
 /// All counters of a daemon.
 #[derive(Clone)]
 pub struct Metrics {
@@ -57,6 +74,9 @@
     pub foreign_answers: Count,
     /// Calls to the store.
     pub store_calls: Family<StoreLabels, Count>,
+    /// Connections opened to servers, by reason.
+    pub connections: Family<OpenLabels, Count>,
+    tally: Rc<RefCell<Tally>>,
     /// Batch jobs accepted here.
     pub jobs_accepted: Count,
     /// Batch jobs taken over, by reason.
@@ -88,6 +108,8 @@
             retries_withheld: Count::default(),
             foreign_answers: Count::default(),
             store_calls: Family::default(),
+            connections: Family::default(),
+            tally: Rc::default(),
             jobs_accepted: Count::default(),
             jobs_adopted: Family::default(),
             items_listed: Count::default(),
@@ -100,6 +122,13 @@
     }
 }
 
+/// Labels with their counts, as `label:count,label:count`.
+fn pairs<L: std::fmt::Display>(counts: &BTreeMap<L, u64>) -> String {
+    let pairs: Vec<String> =
+        counts.iter().map(|(label, count)| format!("{label}:{count}")).collect();
+    pairs.join(",")
+}
+
 impl Metrics {
     /// Notes an answer.
     pub fn answered(&self, route: &str, status: u16, latency: Duration) {
@@ -111,6 +140,26 @@
     /// Notes a call to the store.
     pub fn store_call(&self, purpose: &str) {
         self.store_calls.get_or_create(&StoreLabels { purpose: purpose.to_owned() }).inc();
+        *self.tally.borrow_mut().store_calls.entry(purpose.to_owned()).or_default() += 1;
+    }
+
+    /// Notes a connection that is opened to a server.
+    pub fn connection_opened(&self, reason: &'static str) {
+        self.connections.get_or_create(&OpenLabels { reason: reason.to_owned() }).inc();
+        *self.tally.borrow_mut().connections.entry(reason).or_default() += 1;
+    }
+
+    /// A line that tells what was counted since the one before it; nothing where that is nothing.
+    pub fn line(&self) -> Option<String> {
+        let Tally { store_calls, connections } = self.tally.take();
+        if store_calls.is_empty() && connections.is_empty() {
+            return None;
+        }
+        Some(format!(
+            "event=counted store_calls={} connections={}",
+            pairs(&store_calls),
+            pairs(&connections)
+        ))
     }
 
     /// Notes a job that was taken over.
@@ -133,6 +182,8 @@
         registry.register("retries_withheld", "Retries over the budget", withheld);
         registry.register("foreign_answers", "Answers dropped", self.foreign_answers.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        let connections = self.connections.clone();
+        registry.register("connections", "Connections opened to servers", connections);
         registry.register("jobs_accepted", "Batch jobs accepted", self.jobs_accepted.clone());
         registry.register("jobs_adopted", "Batch jobs taken over", self.jobs_adopted.clone());
         registry.register("items_listed", "Results listed", self.items_listed.clone());
--- a/crates/heronbend-gateway/src/relayed_store.rs
+++ b/crates/heronbend-gateway/src/relayed_store.rs
@@ -9,6 +9,8 @@
 use rand::seq::IndexedRandom;
 use serde_json::Value;
 
+use crate::batch::checkpoint::PROGRESS;
+use crate::batch::registry::RESULTS;
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::peers::store_relay::{StoreCall, StoreReply};
@@ -69,7 +71,7 @@
     /// of the way: a peer's would be lost as well. One call that is refused for now says little
     /// either; several in a row say that this daemon is refused.
     fn note<T>(&self, kind: &str, result: &Result<T, StoreError>) {
-        self.metrics.store_call(kind);
+        self.metrics.store_call(purpose(kind));
         let now = Instant::now();
         match result {
             Err(StoreError::Throttled) => {
@@ -150,6 +152,12 @@
     }
 }
 
+/// What a call is for: its kind, without the job that some kinds are made for.
+fn purpose(kind: &str) -> &str {
+    let of_jobs = [RESULTS, PROGRESS];
+    of_jobs.into_iter().find(|prefix| kind.starts_with(prefix)).unwrap_or(kind)
+}
+
 #[async_trait(?Send)]
 impl ObjectStore for RelayedStore {
     async fn list(&self, kind: &str, after: Option<&str>) -> Result<Listing, StoreError> {
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -37,6 +37,8 @@
 /// Kept back of the time to stop, for the process to end.
 const STOP_MARGIN: Duration = Duration::from_millis(1200);
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Time between two lines with what was counted.
+const COUNTS_PERIOD: Duration = Duration::from_secs(5);
 /// Longest time to tell the others that this daemon stops.
 const LEAVE_LIMIT: Duration = Duration::from_millis(200);
 
@@ -205,6 +207,7 @@
     )));
     spawn(Box::pin(peers::introduction::run(gateway.clone())));
     spawn(Box::pin(mirror::probe_store(gateway.clone())));
+    spawn(Box::pin(log_counts(gateway.clone())));
     spawn(Box::pin(ownership_duty::follow(gateway.clone())));
     spawn(Box::pin(ownership_duty::adopt_orphans(gateway.clone())));
     spawn(Box::pin(versions::duty::follow_versions(gateway.clone())));
@@ -342,6 +345,20 @@
     }
 }
 
+/// Logs what was counted, now and then: on-call engineers may have nothing but logs.
+async fn log_counts(gateway: Rc<Gateway>) {
+    loop {
+        Timer::after(COUNTS_PERIOD).await;
+        log_count(&gateway);
+    }
+}
+
+fn log_count(gateway: &Gateway) {
+    if let Some(line) = gateway.metrics.line() {
+        log::info!("{line}");
+    }
+}
+
 /// Stops: says so at the entry, serves what still comes, and ends once nothing is under way.
 async fn drain(gateway: &Rc<Gateway>, callers: &Rc<Listener>) {
     let begun = gateway.now();
@@ -356,6 +373,7 @@
     }
     // The others need not find out by probes, and take its jobs over at once.
     wait::at_most(LEAVE_LIMIT, gateway.members.leave()).await;
+    log_count(gateway);
     log::info!(
         "event=stopped exchanges_cut={} connections_cut={}",
         callers.exchanges(),
--- a/crates/heronbend-gateway/src/steps.rs
+++ b/crates/heronbend-gateway/src/steps.rs
@@ -71,7 +71,7 @@
 }
 
 /// The time that stands before a line, in seconds.
-fn time(line: &str) -> Option<f64> {
+pub(crate) fn time(line: &str) -> Option<f64> {
     line.split_whitespace().next()?.parse().ok()
 }
 
--- /dev/null
+++ b/crates/heronbend-gateway/tests/moves.rs
@@ -0,0 +1,32 @@
+//! Texts that may move to faster servers.
+
+use std::time::Duration;
+
+use heronbend_gateway::batch::moves::is_in_time;
+use heronbend_gateway::batch::moves::MoveCost;
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn a_move_wins_more_than_moves_have_cost_of_late() {
+    let mut cost = MoveCost::default();
+    assert!(cost.is_exceeded_by(millis(300)));
+    assert!(!cost.is_exceeded_by(millis(150)));
+    cost.learn(millis(600));
+    assert!(!cost.is_exceeded_by(millis(800)));
+    assert!(cost.is_exceeded_by(millis(950)));
+    // Moves that have become cheap are made again.
+    (0..40).for_each(|_| cost.learn(millis(50)));
+    assert!(cost.is_exceeded_by(millis(300)));
+}
+
+#[test]
+fn a_text_that_ends_in_good_time_stays() {
+    let due = Some(millis(7500));
+    assert!(is_in_time(millis(1000), millis(3000), due));
+    assert!(!is_in_time(millis(1000), millis(4000), due));
+    assert!(!is_in_time(millis(6000), millis(100), due));
+    assert!(!is_in_time(millis(0), millis(1), None), "nothing says when it is due");
+}
