The end of a job is told to the other daemons

Cause: an end was written and told to nobody. Test: an owner that cannot hear of the end from the store, nor from anybody later, stops (failed first: it never did).

A daemon that starts beside a fleet that starts judges who watches once no member was added between two looks.

--- a/crates/heronbend-gateway/src/batch/hand_in.rs
+++ b/crates/heronbend-gateway/src/batch/hand_in.rs
@@ -264,9 +264,12 @@
     if ownership.ended {
         return Ok(true);
     }
-    let content = json!(Ownership { ended: true, ..ownership });
+    let ownership = Ownership { ended: true, ..ownership };
+    let content = json!(ownership);
     let object = gateway.store.replace(OWNERSHIPS, id, content, Condition::At(revision)).await?;
     gateway.jobs.learn_object(&object);
+    // Its owner stops at once, and nobody takes it for a job that lacks one later.
+    ownership_duty::tell(gateway, id, &ownership, object.revision, false);
     Ok(true)
 }
 
@@ -281,6 +284,7 @@
     let ownership = Ownership { ended: true, ..ownership };
     let object = gateway.store.create(OWNERSHIPS, id, json!(ownership)).await?;
     gateway.jobs.learn_object(&object);
+    ownership_duty::tell(gateway, id, &ownership, object.revision, false);
     Ok(true)
 }
 
--- a/crates/heronbend-gateway/src/peers/introduction.rs
+++ b/crates/heronbend-gateway/src/peers/introduction.rs
@@ -39,7 +39,8 @@
 /// Time after the start in which some daemon has to know the objects. In a fleet that starts as a
 /// whole, those that watch the store read them meanwhile.
 const OBJECTS_WAIT: Duration = Duration::from_millis(1800);
-/// Time after which the members of a fleet that starts as a whole are mostly known.
+/// Time after which the members of a fleet that starts as a whole are mostly known; they are known
+/// sooner where none was added between two looks.
 const FLEET_KNOWN: Duration = Duration::from_millis(600);
 /// Rest between two daemons that are asked.
 const REST: Duration = Duration::from_millis(120);
@@ -129,6 +130,7 @@
         return None;
     }
     let mut told = None;
+    let mut known_before = 0;
     while gateway.now() < OBJECTS_WAIT {
         if gateway.members.count_alive() == 0 {
             if gateway.now() >= CONTACT_WAIT {
@@ -141,7 +143,9 @@
             let is_all = new.knows_objects && new.knows_jobs;
             told = Some(new);
             // Who watches the store for the others has to read it, once it knows who they are.
-            let may_judge = gateway.now() >= FLEET_KNOWN;
+            let known = gateway.members.count_alive();
+            let may_judge = gateway.now() >= FLEET_KNOWN || known == known_before;
+            known_before = known;
             if is_all || (may_judge && dissemination::is_watcher(gateway)) {
                 break;
             }
