--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -210,7 +210,7 @@
     spawn(Box::pin(log_counts(gateway.clone())));
     spawn(Box::pin(ownership_duty::follow(gateway.clone())));
     spawn(Box::pin(ownership_duty::adopt_orphans(gateway.clone())));
-    spawn(Box::pin(versions::duty::follow_versions(gateway.clone())));
+    spawn(Box::pin(versions::named::follow_versions(gateway.clone())));
     spawn(Box::pin(versions::duty::run(gateway.clone())));
 }
 
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -1,38 +1,33 @@
-//! Watches named versions, holds the lease and gives the orders that the plan asks for.
+//! Holds the lease and gives the orders that the plan asks for.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_lite::FutureExt;
-use heronbend::identity::{NodeId, NodeName};
+use heronbend::identity::NodeName;
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use smol::Timer;
 
 use super::lease::{LeaseHold, LeaseRecord, LEASE_DURATION};
+use super::named::{is_candidate, newest_job, place_in_line};
 use super::plan::{self, EngineState, Load, ModelState, Urgency};
 use super::{EngineReport, SwapMode, VersionOrder};
-use crate::batch::ownership;
-use crate::batch::registry::Job;
 use crate::directory::{Server, ServerState};
 use crate::gateway::Gateway;
 use crate::http::client::WholeAnswer;
-use crate::mirror::{self, MirrorSink, Source};
 use crate::peers::Hint;
 use crate::peers::INTRODUCTION;
 use crate::ports::dialect::ServerCall;
-use crate::ports::{Change, Condition, Object, ObjectStore, StoreError};
+use crate::ports::{Condition, Object, ObjectStore, StoreError};
 use crate::wait;
 
 /// Kind and name of the lease's object.
 const LEASE_KIND: &str = "heronbend-leases";
-const LEASE_NAME: &str = "orders";
+pub(super) const LEASE_NAME: &str = "orders";
 /// How long a daemon waits for the one before it in line, when no order is seen to be taken.
 const STALL: Duration = Duration::from_millis(2500);
-/// Daemons that are ready to take the lease.
-const CANDIDATES: usize = 3;
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which a report shows whether an order was taken.
 const REPORT_LAG: Duration = Duration::from_millis(150);
@@ -46,49 +41,6 @@
 const IDLE_WAIT: Duration = Duration::from_millis(500);
 const MAX_REPORT_BYTES: usize = 1024 * 1024;
 
-/// Takes in the versions that trainers name.
-pub struct VersionSink(pub Rc<Gateway>);
-
-impl VersionSink {
-    fn take(&self, object: &Object) {
-        match self.0.dialect.named_version(&object.content) {
-            Ok(named) => {
-                log::info!(
-                    "event=version_named model={} version={} revision={}",
-                    named.model,
-                    named.version,
-                    object.revision
-                );
-                let now = self.0.now();
-                let is_news = self.0.versions.name(now, &named.model, named.version);
-                if let Some(job) = newest_job(&self.0, &named.model).filter(|_| is_news) {
-                    self.0.versions.step_took(&named.model, now.saturating_sub(job.known_since));
-                }
-            }
-            Err(error) => log::warn!("event=version_malformed error=\"{error}\""),
-        }
-    }
-}
-
-impl MirrorSink for VersionSink {
-    fn reset(&self, objects: Vec<Object>) {
-        objects.iter().for_each(|object| self.take(object));
-    }
-
-    fn change(&self, change: Change) {
-        if let Change::Set(object) = change {
-            self.take(&object);
-        }
-    }
-}
-
-/// The job that was handed in last for a model.
-fn newest_job(gateway: &Gateway, model: &str) -> Option<Rc<Job>> {
-    let jobs = gateway.jobs.all().into_iter();
-    jobs.filter(|job| job.ownership.borrow().0.model.as_deref() == Some(model))
-        .max_by_key(|job| job.known_since)
-}
-
 /// Notes an order that some daemon has given.
 pub fn note_order_taken(
     gateway: &Rc<Gateway>,
@@ -477,46 +429,3 @@
         pool.fetch(server.address, request, CALL_TIMEOUT, MAX_REPORT_BYTES).await.ok()
     }
 }
-
-/// Follows the versions that trainers name, while this daemon is among the first in line for the
-/// lease: the others have no use for them, and each watch has a price.
-pub async fn follow_versions(gateway: Rc<Gateway>) {
-    let kind = gateway.dialect.kinds().versions;
-    gateway.members.introduction.wait().await;
-    loop {
-        let changed = gateway.members.changed.listen();
-        if !is_candidate(&gateway) {
-            changed.or(rest()).await;
-            continue;
-        }
-        let sink = VersionSink(gateway.clone());
-        let follow =
-            mirror::follow(gateway.clone(), kind, Source::Store, Duration::from_millis(5), sink);
-        let dismissed = async {
-            while is_candidate(&gateway) {
-                gateway.members.changed.listen().or(rest()).await;
-            }
-        };
-        follow.or(dismissed).await;
-    }
-}
-
-async fn rest() {
-    Timer::after(IDLE_WAIT).await;
-}
-
-/// Whether this daemon is the holder of the lease, or among the first of those that are alive.
-fn is_candidate(gateway: &Gateway) -> bool {
-    let me = &gateway.identity.node;
-    let is_holder = gateway.versions.last_holder().is_some_and(|(holder, _)| holder == me.name);
-    is_holder || place_in_line(gateway, None) < CANDIDATES
-}
-
-/// How many daemons that are alive come before this one, without `holder`.
-fn place_in_line(gateway: &Gateway, holder: Option<&NodeName>) -> usize {
-    let me = &gateway.identity.node;
-    let mut line: Vec<NodeId> = gateway.members.alive();
-    line.push(me.clone());
-    line.retain(|node| Some(&node.name) != holder);
-    ownership::place_in_line(LEASE_NAME, me, &line)
-}
--- a/crates/heronbend-gateway/src/versions/mod.rs
+++ b/crates/heronbend-gateway/src/versions/mod.rs
@@ -3,11 +3,13 @@
 //! - [`board`]: named versions, and orders that servers have taken.
 //! - [`plan`]: which servers load which version now, without I/O.
 //! - [`lease`]: who may give orders, without I/O.
-//! - [`duty`]: watches the versions, holds the lease and gives the orders.
+//! - [`named`]: follows the versions that trainers name, at the daemons that may give orders.
+//! - [`duty`]: holds the lease and gives the orders.
 
 pub mod board;
 pub mod duty;
 pub mod lease;
+pub mod named;
 pub mod plan;
 
 use std::collections::BTreeMap;
