A follower hears of removals that its watcher never knew; specification of news by way of others

Cause, found by the specification: a watcher that lists does not know of objects that came and went before its list. A follower that had heard of one from another watcher was told only what had changed since, and kept the object for ever: a server that is gone would go on being used. A list now ends what a replica can tell as changes: who is behind it gets everything. Ruled out: telling removals by comparing lists, which misses what was never known. The specification (followed_news) drives Replica: a store that drops its history, two watchers, a follower that asks both; four guards removed.

--- a/crates/heronbend-gateway/src/dissemination.rs
+++ b/crates/heronbend-gateway/src/dissemination.rs
@@ -56,7 +56,7 @@
 const MAX_REMOVED: usize = 512;
 
 /// All objects of one kind as they are known here, in a form that peers can follow.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone)]
 pub struct Replica {
     objects: BTreeMap<String, Object>,
     /// Names of removed objects, with the revision at which their removal was known.
@@ -64,6 +64,14 @@
     at: Revision,
     /// Removals up to this revision are no longer remembered.
     forgotten: Revision,
+    /// Removals that are remembered at most.
+    max_removed: usize,
+}
+
+impl Default for Replica {
+    fn default() -> Self {
+        Self::remembering(MAX_REMOVED)
+    }
 }
 
 /// What has changed since a revision.
@@ -80,6 +88,17 @@
 }
 
 impl Replica {
+    /// A replica that knows nothing, and remembers so many removals at most.
+    pub fn remembering(max_removed: usize) -> Self {
+        Self {
+            objects: BTreeMap::new(),
+            removed: VecDeque::new(),
+            at: 0,
+            forgotten: 0,
+            max_removed,
+        }
+    }
+
     /// Takes in a list of all objects.
     pub fn reset(&mut self, objects: &[Object], at: Revision) {
         let names: BTreeSet<&str> = objects.iter().map(|object| object.name.as_str()).collect();
@@ -91,6 +110,9 @@
         for object in objects {
             self.objects.insert(object.name.clone(), object.clone());
         }
+        // A list does not tell of objects that came and went before it. A follower may have heard of
+        // them from another watcher.
+        self.forgotten = self.forgotten.max(at);
         self.at = self.at.max(at);
     }
 
@@ -110,13 +132,18 @@
     fn remove(&mut self, name: String, at: Revision) {
         self.objects.remove(&name);
         self.removed.push_back((at, name));
-        if self.removed.len() > MAX_REMOVED {
+        if self.removed.len() > self.max_removed {
             if let Some((forgotten, _)) = self.removed.pop_front() {
                 self.forgotten = forgotten;
             }
         }
     }
 
+    /// All objects that are known.
+    pub fn objects(&self) -> impl Iterator<Item = &Object> {
+        self.objects.values()
+    }
+
     /// Revision up to which the objects are known.
     pub fn at(&self) -> Revision {
         self.at
@@ -144,7 +171,7 @@
 
 impl News {
     /// The changes, for a follower that knows what stood before.
-    fn into_changes(self) -> Changes {
+    pub fn into_changes(self) -> Changes {
         let removed = self.removed.into_iter().map(Change::Removed);
         let set = self.objects.into_iter().map(Change::Set);
         Changes { changes: removed.chain(set).collect(), at: self.at }
@@ -232,7 +259,7 @@
     let replicas = gateway.replicas.borrow();
     let state = |(kind, replica): (&&'static str, &Replica)| KindState {
         kind: (*kind).to_owned(),
-        objects: replica.objects.values().map(Into::into).collect(),
+        objects: replica.objects().map(Into::into).collect(),
         at: replica.at(),
     };
     replicas.iter().map(state).collect()
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -20,11 +20,13 @@
 //!
 //! The gateway's protocols at the store are models of their own, explored by [`explore`]:
 //! [`order_lease`], under which one daemon at a time gives orders, [`result_log`], which two
-//! daemons may append to at once, and [`saved_texts`], the checkpoints of texts under way. They
-//! drive the gateway's own state machines as well.
+//! daemons may append to at once, [`saved_texts`], the checkpoints of texts under way, and
+//! [`followed_news`], what daemons hear of the store by way of others. They drive the gateway's own
+//! state machines as well.
 
 pub mod check;
 pub mod explore;
+pub mod followed_news;
 pub mod interner;
 pub mod model;
 pub mod order_lease;
--- a/spec/tests/gateway_protocols.rs
+++ b/spec/tests/gateway_protocols.rs
@@ -2,6 +2,8 @@
 
 use heronbend_spec::check::Report;
 use heronbend_spec::explore::{explore, System};
+use heronbend_spec::followed_news;
+use heronbend_spec::followed_news::FollowedNews;
 use heronbend_spec::order_lease::{self, Bounds, OrderLease};
 use heronbend_spec::result_log::{self, SharedLog};
 use heronbend_spec::saved_texts;
@@ -37,6 +39,9 @@
     takeovers: 1,
     mutation: saved_texts::Mutation::None,
 };
+/// Two watchers and a follower.
+const NEWS: FollowedNews =
+    FollowedNews { changes: 4, compactions: 1, lists: 1, mutation: followed_news::Mutation::None };
 
 fn run<S: System + std::fmt::Debug>(system: &S) -> Report {
     let report = explore(system, MAX_STATES);
@@ -116,3 +121,16 @@
         fails(&SavedTexts { mutation, ..TEXTS });
     }
 }
+
+#[test]
+fn what_a_follower_knows_is_what_the_store_held_and_never_goes_back() {
+    holds(&NEWS);
+}
+
+#[test]
+fn every_guard_of_followed_news_is_needed() {
+    use followed_news::Mutation::{ForgetsRemovals, TakesLate, TakesOlderList, WatchesOn};
+    for mutation in [WatchesOn, TakesLate, TakesOlderList, ForgetsRemovals] {
+        fails(&FollowedNews { mutation, ..NEWS });
+    }
+}
