--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -23,7 +23,6 @@
 use crate::batch::registry::JobRegistry;
 use crate::configuration::Configuration;
 use crate::directory::{Directory, Server};
-use crate::dissemination::Replica;
 use crate::dissemination::Way;
 use crate::http::client::ConnectionPool;
 use crate::memory::Budget;
@@ -31,6 +30,7 @@
 use crate::peers::Peers;
 use crate::ports::{Dialect, ObjectStore};
 use crate::relayed_store::RelayedStore;
+use crate::replica::Replica;
 use crate::split::Splitter;
 use crate::versions::board::VersionBoard;
 
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -11,7 +11,8 @@
 //! - [`batch`]: batch jobs.
 //! - [`versions`]: versions of weights.
 //! - [`peers`]: the daemons among themselves.
-//! - [`relayed_store`], [`mirror`], [`configuration`], [`directory`]: the store and what it says.
+//! - [`relayed_store`], [`mirror`], [`replica`], [`dissemination`], [`configuration`], [`directory`]:
+//!   the store and what it says.
 //! - [`service`], [`keeper`], [`settings`], [`reload`]: the programs and their settings.
 //! - [`logging`], [`metrics`]: what they tell.
 //! - [`explain`], [`steps`], [`day`], [`day_plot`]: what their logs tell afterwards.
@@ -40,6 +41,7 @@
 pub mod ports;
 pub mod relayed_store;
 pub mod reload;
+pub mod replica;
 pub mod service;
 pub mod settings;
 pub mod split;
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -8,10 +8,10 @@
 use smol::Timer;
 
 use crate::dissemination;
-use crate::dissemination::Replica;
 use crate::dissemination::Way;
 use crate::gateway::Gateway;
 use crate::ports::{Change, Changes, Object, ObjectStore, Revision, StoreError};
+use crate::replica::Replica;
 use crate::wait;
 
 /// Longest wait of one watch. A dead path is noticed by probes on the connection and not by this.
--- a/crates/heronbend-gateway/tests/adoption.rs
+++ b/crates/heronbend-gateway/tests/adoption.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use heronbend::identity::{Incarnation, NodeId};
-use heronbend::membership::{Liveness, Member};
+use heronbend::membership::Liveness;
 use heronbend_gateway::batch::adoption::{self, Reason};
 use heronbend_gateway::batch::ownership::{place_in_line, Ownership};
 use heronbend_gateway::batch::ownership_duty;
@@ -14,7 +14,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use support::memory_store::MemoryStore;
-use support::{gateway, job, node, run};
+use support::{gateway, job, member, node, run};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -32,19 +32,10 @@
     let peers = Peers::default();
     let run =
         |name: &str, incarnation| NodeId { incarnation: Incarnation(incarnation), ..node(name) };
-    let known = |id: NodeId, liveness| Member {
-        id,
-        address: "127.0.0.1:9".parse().expect("an address"),
-        http_address: "127.0.0.1:9".parse().expect("an address"),
-        zone: "z".to_owned(),
-        region: "r".to_owned(),
-        refutation: 0,
-        liveness,
-    };
     peers.publish(vec![
-        known(run("a", 5), Liveness::Suspect),
-        known(run("b", 5), Liveness::Dead),
-        known(run("c", 5), Liveness::Left),
+        member(run("a", 5), Liveness::Suspect),
+        member(run("b", 5), Liveness::Dead),
+        member(run("c", 5), Liveness::Left),
     ]);
     assert_eq!(peers.standing(&run("a", 5)), Standing::Alive);
     assert_eq!(peers.standing(&run("a", 4)), Standing::Ended);
--- a/crates/heronbend-gateway/tests/dissemination.rs
+++ b/crates/heronbend-gateway/tests/dissemination.rs
@@ -4,10 +4,10 @@
 
 use heronbend::identity::NodeId;
 use heronbend_gateway::dissemination::watchers;
-use heronbend_gateway::dissemination::Replica;
 use heronbend_gateway::ports::Change;
 use heronbend_gateway::ports::Object;
 use heronbend_gateway::ports::Revision;
+use heronbend_gateway::replica::Replica;
 use serde_json::Value;
 use support::node;
 
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use heronbend::identity::{Incarnation, NodeId, NodeName};
+use heronbend::membership::{Liveness, Member};
 use heronbend_gateway::batch::{Item, ItemResult, ItemState, JobSpecification, TrainerStep};
 use heronbend_gateway::configuration::{Destination, Route, RouteKind};
 use heronbend_gateway::directory::{Server, ServerState};
@@ -54,6 +55,18 @@
     NodeId { name: NodeName(name.to_owned()), incarnation: Incarnation(1) }
 }
 
+pub fn member(id: NodeId, liveness: Liveness) -> Member {
+    Member {
+        id,
+        address: "127.0.0.1:9".parse().expect("an address"),
+        http_address: "127.0.0.1:9".parse().expect("an address"),
+        zone: "z".to_owned(),
+        region: "r".to_owned(),
+        refutation: 0,
+        liveness,
+    }
+}
+
 pub fn result(item: &str) -> ItemResult {
     ItemResult {
         item: item.to_owned(),
--- a/crates/heronbend-gateway/tests/view_log.rs
+++ b/crates/heronbend-gateway/tests/view_log.rs
@@ -5,29 +5,17 @@
 use std::time::Duration;
 
 use heronbend::membership::Liveness;
-use heronbend::membership::Member;
 use heronbend_gateway::peers::view_log::ViewLog;
+use support::member;
 use support::node;
 
-fn member(name: &str, liveness: Liveness) -> Member {
-    Member {
-        id: node(name),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        http_address: "127.0.0.1:9".parse().expect("an address"),
-        zone: "z".to_owned(),
-        region: "r".to_owned(),
-        refutation: 0,
-        liveness,
-    }
-}
-
 #[test]
 fn a_thousand_changes_of_one_second_are_one_short_line() {
     let mut log = ViewLog::default();
     let mut lines = Vec::new();
     for number in 0..1000_u32 {
         let liveness = if number % 2 == 0 { Liveness::Dead } else { Liveness::Alive };
-        log.add(&member(&format!("n{number}"), liveness));
+        log.add(&member(node(&format!("n{number}")), liveness));
         let now = Duration::from_secs(5) + Duration::from_millis(u64::from(number));
         lines.extend(log.line(now, 17));
     }
--- a/spec/src/followed_news.rs
+++ b/spec/src/followed_news.rs
@@ -11,11 +11,11 @@
 use std::hash::Hash;
 use std::hash::Hasher;
 
-use heronbend_gateway::dissemination::News;
-use heronbend_gateway::dissemination::Replica;
 use heronbend_gateway::ports::Change;
 use heronbend_gateway::ports::Object;
 use heronbend_gateway::ports::Revision;
+use heronbend_gateway::replica::News;
+use heronbend_gateway::replica::Replica;
 use serde_json::Value;
 
 use crate::explore::System;
