--- a/crates/heronbend-daemon/src/duties/membership.rs
+++ b/crates/heronbend-daemon/src/duties/membership.rs
@@ -109,6 +109,8 @@
                 );
                 changed = true;
             }
+            // Shards and claims are fenced: nothing is to be looked at.
+            Effect::Refuted => {}
             Effect::Backend(stated) => {
                 let source = SignalSource::Peer;
                 let signal = BackendsInput::Signal(Signal { source, stated });
--- a/crates/heronbend-emulator/src/hollow.rs
+++ b/crates/heronbend-emulator/src/hollow.rs
@@ -444,6 +444,7 @@
                     self.schedule(at, Event::Datagram { from: daemon, to, bytes });
                 }
                 Effect::Changed(change) => self.note_change(&change.member),
+                Effect::Refuted => {}
                 Effect::Backend(stated) => self.hear_of_server(daemon, stated),
                 Effect::Behind { peer, head } => {
                     let peer = self.by_address[&peer];
--- a/crates/heronbend/src/membership/tests.rs
+++ b/crates/heronbend/src/membership/tests.rs
@@ -112,6 +112,7 @@
                 self.behind[index] = true;
                 Vec::new()
             }
+            Effect::Refuted => Vec::new(),
             Effect::Changed(change) => {
                 self.declared_dead += usize::from(change.member.liveness == Liveness::Dead);
                 Vec::new()
