A daemon that restarts waits 0.25 s for others to tell it, and 1.8 s only at the system's first start

Cause: after a loss of all machines nobody can tell anybody. The settings say whether the system starts for the first time, when nobody waits yet; the platform tells it. Seeds are greeted at once instead of after the first tick (0.1 s).

--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -55,7 +55,8 @@
 pub async fn run_membership(gateway: Rc<Gateway>, socket: UdpSocket, me: Member) {
     let mut detector = Detector::new(DETECTOR, me, rand::rng().random());
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let mut ticks = Timer::interval(TICK);
+    // The first tick greets the seeds at once.
+    let mut ticks = Timer::interval_at(std::time::Instant::now(), TICK);
     let mut tick_number = 0_u32;
     let mut head = Head::default();
     let mut view_log = ViewLog::default();
--- a/crates/heronbend-gateway/src/peers/introduction.rs
+++ b/crates/heronbend-gateway/src/peers/introduction.rs
@@ -36,14 +36,17 @@
 
 /// Time after the start in which some other daemon has to be heard of.
 const CONTACT_WAIT: Duration = Duration::from_millis(500);
-/// Time after the start in which some daemon has to know the objects. In a fleet that starts as a
-/// whole, those that watch the store read them meanwhile.
-const OBJECTS_WAIT: Duration = Duration::from_millis(1800);
+/// Time after the start in which some daemon has to know the objects, where the whole system starts
+/// for the first time: those that watch the store read them meanwhile, and nobody waits yet.
+const FIRST_START_WAIT: Duration = Duration::from_millis(1800);
+/// The same at every other start. One that is up tells within some hundredths of a second; where all
+/// were lost at once, callers wait for each of them.
+const RESTART_WAIT: Duration = Duration::from_millis(250);
 /// Time after which the members of a fleet that starts as a whole are mostly known; they are known
 /// sooner where none was added between two looks.
 const FLEET_KNOWN: Duration = Duration::from_millis(600);
 /// Rest between two daemons that are asked.
-const REST: Duration = Duration::from_millis(120);
+const REST: Duration = Duration::from_millis(60);
 /// Time for which a daemon that did not answer is not asked again.
 const UNANSWERED_REST: Duration = Duration::from_millis(1500);
 /// Time that a daemon is given to answer.
@@ -57,6 +60,8 @@
 pub struct Introduction {
     kinds: RefCell<HashMap<String, (Vec<Object>, Revision)>>,
     is_under_way: Cell<bool>,
+    /// Whether the whole system starts for the first time.
+    is_first_start: Cell<bool>,
     /// Whether a daemon that knows the jobs, and so has been up for a while, has told all.
     is_complete: Cell<bool>,
     over: Event,
@@ -64,10 +69,20 @@
 
 impl Introduction {
     /// Notes that other daemons are going to be asked.
-    pub fn begin(&self) {
+    pub fn begin(&self, is_first_start: bool) {
+        self.is_first_start.set(is_first_start);
         self.is_under_way.set(true);
     }
 
+    /// How long others are asked after the start.
+    fn limit(&self) -> Duration {
+        if self.is_first_start.get() {
+            FIRST_START_WAIT
+        } else {
+            RESTART_WAIT
+        }
+    }
+
     /// Waits until others have told this daemon what they know, or nobody is going to.
     pub async fn wait(&self) {
         loop {
@@ -131,7 +146,8 @@
     }
     let mut told = None;
     let mut known_before = 0;
-    while gateway.now() < OBJECTS_WAIT {
+    let limit = gateway.members.introduction.limit();
+    while gateway.now() < limit {
         if gateway.members.count_alive() == 0 {
             if gateway.now() >= CONTACT_WAIT {
                 return None;
--- a/crates/heronbend-gateway/src/reload.rs
+++ b/crates/heronbend-gateway/src/reload.rs
@@ -111,6 +111,7 @@
         ("listen.peers", old.peers != new.peers, false),
         ("listen.metrics", old.metrics != new.metrics, false),
         ("seeds", old.seeds != new.seeds, true),
+        ("first_start", old.first_start != new.first_start, false),
         ("store.address", old.store != new.store, false),
         ("store.max_object_bytes", old.max_object_bytes != new.max_object_bytes, true),
         ("memory_limit_mb", old.memory_limit_mb != new.memory_limit_mb, false),
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -91,8 +91,10 @@
     let hang_up = crate::keeper::stop_signal(&[SIGHUP]).map_err(StartError::Signals)?;
     let (identity, tuning) = (source.settings.identity(), source.settings.tuning());
     let addresses = source.settings.addresses();
+    let first_start = source.settings.first_start;
     let gateway = Gateway::new(identity, store, dialect, executor.clone(), tuning);
     smol::block_on(executor.run(async move {
+        gateway.members.introduction.begin(first_start);
         let callers = start(&gateway, &addresses, ready_path)?;
         gateway.executor.spawn(reload::follow(gateway.clone(), source, hang_up)).detach();
         stop.wait().await;
@@ -133,7 +135,6 @@
             log::warn!("event=metrics_not_served error=\"{error}\"");
         }
     }
-    gateway.members.introduction.begin();
     start_membership(gateway, addresses)?;
     start_duties(gateway, &callers);
     log::info!(
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -66,6 +66,9 @@
     pub peers: SocketAddr,
     /// Addresses of some other daemons; only their hosts matter.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time: nothing is kept from before, and nobody
+    /// waits for it yet.
+    pub first_start: bool,
     /// Where the counters are served.
     pub metrics: Option<SocketAddr>,
     /// The store.
@@ -97,6 +100,18 @@
         self.findings.push(Finding { field: field.to_owned(), problem: problem.into() });
     }
 
+    /// A field that is true or false; false where it is not set.
+    fn flag(&mut self, field: &str) -> bool {
+        match self.optional(field) {
+            None => false,
+            Some(Value::Boolean(flag)) => flag,
+            Some(_) => {
+                self.report(field, "is neither true nor false");
+                false
+            }
+        }
+    }
+
     /// A field's value; an empty text counts as none.
     fn optional(&mut self, field: &str) -> Option<Value> {
         self.known.insert(field.to_owned());
@@ -225,6 +240,7 @@
             peers: reader.required_address("listen.peers"),
             metrics: reader.address("listen.metrics"),
             seeds: reader.addresses("seeds"),
+            first_start: reader.flag("first_start"),
             store: reader.required_address("store.address"),
             memory_limit_mb: reader.number_or("memory_limit_mb", DEFAULT_MEMORY_MB) as usize,
             max_object_bytes: reader.number("store.max_object_bytes") as usize,
--- a/crates/heronbend-gateway/tests/settings.rs
+++ b/crates/heronbend-gateway/tests/settings.rs
@@ -59,3 +59,13 @@
     let findings = Settings::parse("node.toml", "node = ").unwrap_err();
     assert_eq!(findings.findings.len(), 1);
 }
+
+#[test]
+fn a_first_start_is_told_and_is_not_the_rule() {
+    assert!(!Settings::parse("node.toml", GOOD).unwrap().first_start);
+    let first = GOOD.replace("zone = ", "first_start = true\nzone = ");
+    assert!(Settings::parse("node.toml", &first).unwrap().first_start);
+    let bad = GOOD.replace("zone = ", "first_start = 1\nzone = ");
+    let findings = Settings::parse("node.toml", &bad).unwrap_err().to_string();
+    assert!(findings.contains("first_start: is neither true nor false"), "{findings}");
+}
