Choice of servers and answers to followers say each thing once

choose() repeated choose_crowded() with its own weight, and calls it now. A watcher that answers a follower found out twice for each call who watches its zone (a sort of the zone's members): once known to watch, whether the store reaches it decides alone, since way() is then the store's by definition.

--- a/crates/heronbend-gateway/src/balancer.rs
+++ b/crates/heronbend-gateway/src/balancer.rs
@@ -82,9 +82,7 @@
         tried: &[String],
         zone: &str,
     ) -> Option<Rc<Server>> {
-        self.choose_costed(now, candidates, tried, |server, best| {
-            self.cost(now, server, zone, best, QUEUE_CROWDING)
-        })
+        self.choose_crowded(now, candidates, tried, zone, QUEUE_CROWDING)
     }
 
     /// The same, where a server that `is_connected` has a connection open costs less.
--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -45,6 +45,7 @@
 const PASS_ON_WAIT: Duration = Duration::from_millis(600);
 /// Time that a daemon which is taken for lost is given to say that it runs its job.
 const OWNER_ANSWER: Duration = Duration::from_millis(250);
+
 /// Learns the ownerships whenever hints may have been missed.
 pub async fn follow(gateway: Rc<Gateway>) {
     gateway.members.introduction.wait().await;
--- a/crates/heronbend-gateway/src/dissemination.rs
+++ b/crates/heronbend-gateway/src/dissemination.rs
@@ -126,7 +126,7 @@
 
 /// All objects that are known here for certain, for a daemon that starts.
 pub fn states(gateway: &Gateway) -> Vec<KindState> {
-    if !is_informed(gateway) {
+    if !is_fresh(gateway) || way(gateway) != Way::Store {
         return Vec::new();
     }
     let replicas = gateway.replicas.borrow();
@@ -265,7 +265,8 @@
         if !is_watcher(gateway) {
             return PeerReply::NotOwner;
         }
-        if !is_informed(gateway) {
+        // A watcher that the store reaches goes by no other way.
+        if !is_fresh(gateway) {
             return PeerReply::Uninformed;
         }
         let news = match gateway.replicas.borrow().get(kind) {
@@ -289,8 +290,7 @@
     }
 }
 
-/// Whether this daemon watches the store and has heard from it lately.
-fn is_informed(gateway: &Gateway) -> bool {
-    let is_fresh = gateway.store.is_reached() && gateway.store.silent_for() < FRESHNESS;
-    is_fresh && way(gateway) == Way::Store
+/// Whether this daemon has heard from the store lately.
+fn is_fresh(gateway: &Gateway) -> bool {
+    gateway.store.is_reached() && gateway.store.silent_for() < FRESHNESS
 }
