Callers are told apart by their keys; servers see the tenant and never a key

Ways: keys compared as texts were ruled out (they would stand in every daemon's memory, and a look-up's time would tell of them); digests under a secret of each process cost one hash a request and one a key and version. A batch job belongs to its tenant: its other keys read, resend and end it at any daemon; another tenant's key gets the 404 of a job that never was. An identifier that another tenant's job has is refused with 409.

--- a/crates/heronbend-gateway/src/batch/hand_in.rs
+++ b/crates/heronbend-gateway/src/batch/hand_in.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use heronbend::access::Caller;
 use heronbend::identity::NodeId;
 use heronbend::Moment;
 use http::StatusCode;
@@ -19,7 +20,7 @@
 use crate::gateway::Gateway;
 use crate::mirror::backoff;
 use crate::peers::{client, PeerReply, PeerRequest};
-use crate::ports::{Condition, ObjectStore, Revision, StoreError};
+use crate::ports::{Condition, Object, ObjectStore, Revision, StoreError};
 
 /// Room that an object needs apart from a specification's own bytes.
 const OBJECT_OVERHEAD: usize = 4 * 1024;
@@ -33,6 +34,8 @@
     TooLarge,
     /// Nothing of it runs, now or later.
     NotTaken,
+    /// Its identifier is that of another tenant's job.
+    Taken,
     /// It may have been taken in.
     Unknown,
 }
@@ -44,6 +47,7 @@
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NotTaken => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Taken => StatusCode::CONFLICT,
             Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -55,8 +59,9 @@
     specification: JobSpecification,
     give_up_at: Moment,
 ) -> Result<(), HandInError> {
-    if gateway.jobs.get(&specification.id).is_some() {
-        return Ok(());
+    if let Some(job) = gateway.jobs.get(&specification.id) {
+        let is_same = job.ownership.borrow().0.tenant == specification.tenant;
+        return is_same.then_some(()).ok_or(HandInError::Taken);
     }
     check(&specification)?;
     let content = json!(specification);
@@ -69,7 +74,12 @@
         match gateway.store.create(SPECIFICATIONS, &specification.id, content.clone()).await {
             Ok(_) => break,
             // Handed in before, here or at another daemon.
-            Err(StoreError::Conflict(_)) => break,
+            Err(StoreError::Conflict(object)) => {
+                if object.is_some_and(|object| is_of_another(&object, &specification)) {
+                    return Err(HandInError::Taken);
+                }
+                break;
+            }
             Err(error) => {
                 is_in_doubt |= !error.is_not_done();
                 failures += 1;
@@ -88,6 +98,17 @@
     own(gateway, Rc::new(specification), give_up_at).await
 }
 
+/// Whether a job in the store belongs to another tenant than `specification`.
+fn is_of_another(object: &Object, specification: &JobSpecification) -> bool {
+    match serde_json::from_value::<JobSpecification>(object.content.clone()) {
+        Ok(known) => known.tenant != specification.tenant,
+        Err(error) => {
+            log::warn!("event=job_malformed job={} error=\"{error}\"", object.name);
+            true
+        }
+    }
+}
+
 fn check(specification: &JobSpecification) -> Result<(), HandInError> {
     let mut findings = Vec::new();
     if specification.items.is_empty() {
@@ -219,13 +240,15 @@
 }
 
 /// Ends a job; when this returns without an error, nothing of it is begun any more.
-pub async fn end(gateway: &Rc<Gateway>, id: &str, give_up_at: Moment) -> Result<(), EndError> {
-    if gateway.jobs.get(id).is_some_and(|job| job.ended.get() && job.ownership.borrow().0.ended) {
-        return Ok(());
-    }
+pub async fn end(
+    gateway: &Rc<Gateway>,
+    id: &str,
+    caller: &Caller,
+    give_up_at: Moment,
+) -> Result<(), EndError> {
     let mut failures = 0;
     loop {
-        match try_end(gateway, id).await {
+        match try_end(gateway, id, caller).await {
             Ok(true) => return Ok(()),
             Ok(false) => return Err(EndError::NoSuchJob),
             // It changed hands meanwhile: the newer ownership is known now.
@@ -247,7 +270,7 @@
 }
 
 /// Whether the job was ended; false when there is none.
-async fn try_end(gateway: &Rc<Gateway>, id: &str) -> Result<bool, StoreError> {
+async fn try_end(gateway: &Rc<Gateway>, id: &str, caller: &Caller) -> Result<bool, StoreError> {
     let job = match gateway.jobs.get(id) {
         Some(job) => job,
         None => match gateway.store.get(OWNERSHIPS, id).await? {
@@ -255,9 +278,15 @@
                 Some(job) => job,
                 None => return Err(StoreError::Malformed("ownership".to_owned())),
             },
-            None => return end_before_owned(gateway, id).await,
+            None => return end_before_owned(gateway, id, caller).await,
         },
     };
+    if !job.is_visible_to(caller) {
+        return Ok(false);
+    }
+    if job.ended.get() && job.ownership.borrow().0.ended {
+        return Ok(true);
+    }
     // Begin nothing more, whether or not the store answers.
     job.end(gateway.now());
     let (ownership, revision) = job.ownership.borrow().clone();
@@ -274,12 +303,19 @@
 }
 
 /// Ends a job that was written but never acknowledged.
-async fn end_before_owned(gateway: &Rc<Gateway>, id: &str) -> Result<bool, StoreError> {
+async fn end_before_owned(
+    gateway: &Rc<Gateway>,
+    id: &str,
+    caller: &Caller,
+) -> Result<bool, StoreError> {
     let Some(object) = gateway.store.get(SPECIFICATIONS, id).await? else {
         return Ok(false);
     };
     let specification: JobSpecification = serde_json::from_value(object.content)
         .map_err(|error| StoreError::Malformed(error.to_string()))?;
+    if !caller.may_see(specification.tenant.as_deref()) {
+        return Ok(false);
+    }
     let ownership = Ownership::new(&specification, gateway.identity.node.clone());
     let ownership = Ownership { ended: true, ..ownership };
     let object = gateway.store.create(OWNERSHIPS, id, json!(ownership)).await?;
--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -17,6 +17,7 @@
 use super::result_log::{ItemResult, ItemState};
 use super::reward::{self, Score};
 use super::specification::{Item, JobSpecification};
+use crate::access;
 use crate::balancer::AttemptEnd;
 use crate::configuration::{Configuration, Route};
 use crate::directory::Server;
@@ -280,6 +281,10 @@
             let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
             headers.append(name, HeaderValue::from_str(value).ok()?);
         }
+        let configuration = self.gateway.configuration()?;
+        let tenant = self.specification.tenant.as_deref();
+        let owner = access::owner_of_job(&configuration, tenant);
+        access::set_tenant(&mut headers, &names.tenant, &owner);
         headers.insert(names.request_id.clone(), HeaderValue::from_str(&self.item.id).ok()?);
         let host = HeaderValue::from_str(&self.specification.host).ok()?;
         headers.insert(http::header::HOST, host);
--- a/crates/heronbend-gateway/src/batch/ownership.rs
+++ b/crates/heronbend-gateway/src/batch/ownership.rs
@@ -19,6 +19,10 @@
     #[serde(default)]
     #[musli(default)]
     pub expected_tokens: u64,
+    /// The tenant that it belongs to, if any.
+    #[serde(default)]
+    #[musli(default)]
+    pub tenant: Option<String>,
     /// Whether its caller has ended it: nothing of it is run any more.
     pub ended: bool,
 }
@@ -32,6 +36,7 @@
             total: specification.items.len(),
             model: specification.step.as_ref().map(|step| step.model.clone()),
             expected_tokens: expected.sum(),
+            tenant: specification.tenant.clone(),
             ended: false,
         }
     }
--- a/crates/heronbend-gateway/src/batch/reading.rs
+++ b/crates/heronbend-gateway/src/batch/reading.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use heronbend::access::Caller;
 use heronbend::Moment;
 use smol::Timer;
 
@@ -40,10 +41,11 @@
 pub async fn results(
     gateway: &Rc<Gateway>,
     id: &str,
+    caller: &Caller,
     from: usize,
     wait_until: Moment,
 ) -> Result<ResultsPage, ReadError> {
-    let job = find(gateway, id).await?;
+    let job = find(gateway, id, caller).await?;
     loop {
         let grew = job.grew.listen();
         if job.log.borrow().len() > from || job.is_complete() {
@@ -156,8 +158,13 @@
 }
 
 /// The body of an item.
-pub async fn item(gateway: &Rc<Gateway>, id: &str, item: &str) -> Result<Bytes, ReadError> {
-    let job = find(gateway, id).await?;
+pub async fn item(
+    gateway: &Rc<Gateway>,
+    id: &str,
+    caller: &Caller,
+    item: &str,
+) -> Result<Bytes, ReadError> {
+    let job = find(gateway, id, caller).await?;
     let specification =
         runner::specification(gateway, &job).await.map_err(|error| match error {
             StoreError::NotFound => ReadError::NotFound,
@@ -166,8 +173,13 @@
     item_body(&specification, item).ok_or(ReadError::NotFound)
 }
 
-/// A job that is known here or in the store.
-async fn find(gateway: &Gateway, id: &str) -> Result<Rc<Job>, ReadError> {
+/// A job that is known here or in the store. One of another tenant is as good as none.
+async fn find(gateway: &Gateway, id: &str, caller: &Caller) -> Result<Rc<Job>, ReadError> {
+    let job = find_any(gateway, id).await?;
+    job.is_visible_to(caller).then_some(job).ok_or(ReadError::NotFound)
+}
+
+async fn find_any(gateway: &Gateway, id: &str) -> Result<Rc<Job>, ReadError> {
     if let Some(job) = gateway.jobs.get(id) {
         return Ok(job);
     }
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use event_listener::Event;
+use heronbend::access::Caller;
 use heronbend::identity::NodeId;
 use heronbend::Moment;
 
@@ -114,6 +115,11 @@
         self.ownership.borrow().0.owner.clone()
     }
 
+    /// Whether a caller may know of it.
+    pub fn is_visible_to(&self, caller: &Caller) -> bool {
+        caller.may_see(self.ownership.borrow().0.tenant.as_deref())
+    }
+
     /// Whether this daemon runs it and its log is sure to hold all that has ever been readable. A
     /// daemon that was paused may have lost the job to another one, which has appended since.
     pub fn is_authority(&self, now: Moment) -> bool {
--- a/crates/heronbend-gateway/src/batch/specification.rs
+++ b/crates/heronbend-gateway/src/batch/specification.rs
@@ -19,6 +19,10 @@
     pub items: Vec<Item>,
     /// The step that it is for, if a trainer handed it in.
     pub step: Option<TrainerStep>,
+    /// The tenant that it belongs to; none where it was handed in without a key.
+    #[serde(default)]
+    #[musli(default)]
+    pub tenant: Option<String>,
 }
 
 impl JobSpecification {
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use heronbend::access::Caller;
 use heronbend::Moment;
 use http::request::Parts;
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 
+use crate::access;
+use crate::access::Refusal;
 use crate::batch::hand_in::{self, EndError, HandInError};
 use crate::batch::reading::{self, ReadError};
 use crate::configuration::{Configuration, Route, RouteKind};
@@ -37,24 +40,10 @@
     let call = gateway.dialect.call(&head.method, head.uri.path(), head.uri.query());
     let (name, mut answer) = match call {
         Call::Forward => answer_by_route(&gateway, &id, head, body, arrived).await,
-        Call::ReadResults { job, from } => {
-            let wait = headers::millis(&head.headers, &gateway.dialect.headers().wait_millis);
-            let wait = wait.unwrap_or_default().min(MAX_WAIT);
-            let page = reading::results(&gateway, &job, from, arrived + wait).await;
-            ("read_results".to_owned(), read_answer(&gateway, &job, from, page))
-        }
-        Call::ReadItem { job, item } => {
-            let body = reading::item(&gateway, &job, &item).await;
-            ("read_item".to_owned(), item_answer(&job, &item, body))
-        }
-        Call::EndJob { job } => {
-            let ended = hand_in::end(&gateway, &job, arrived + STORE_PATIENCE).await;
-            log::info!("event=job_end_asked job={job} outcome={ended:?}");
-            ("end_job".to_owned(), end_answer(ended))
-        }
         Call::Malformed(problem) => {
             ("malformed".to_owned(), text_answer(StatusCode::BAD_REQUEST, problem))
         }
+        call => answer_job_call(&gateway, call, &head, arrived).await,
     };
     let names = gateway.dialect.headers();
     if let Ok(value) = http::HeaderValue::from_str(&id) {
@@ -67,6 +56,46 @@
     answer
 }
 
+/// Answers a call of the batch interface that concerns a job which was handed in before.
+async fn answer_job_call(
+    gateway: &Rc<Gateway>,
+    call: Call,
+    head: &Parts,
+    arrived: Moment,
+) -> (String, Answer) {
+    let Some(configuration) = gateway.configuration() else {
+        return ("unknown".to_owned(), not_run("no configuration yet"));
+    };
+    let identified = access::identify(&configuration, &head.headers, &gateway.key_hasher);
+    let caller = match identified {
+        Ok(caller) => caller,
+        Err(refusal) => {
+            log::info!("event=unauthorized path={} reason=\"{refusal}\"", head.uri.path());
+            return ("unauthorized".to_owned(), unauthorized(refusal));
+        }
+    };
+    match call {
+        Call::ReadResults { job, from } => {
+            let wait = headers::millis(&head.headers, &gateway.dialect.headers().wait_millis);
+            let wait = wait.unwrap_or_default().min(MAX_WAIT);
+            let page = reading::results(gateway, &job, &caller, from, arrived + wait).await;
+            ("read_results".to_owned(), read_answer(gateway, &job, from, page))
+        }
+        Call::ReadItem { job, item } => {
+            let body = reading::item(gateway, &job, &caller, &item).await;
+            ("read_item".to_owned(), item_answer(&job, &item, body))
+        }
+        Call::EndJob { job } => {
+            let ended = hand_in::end(gateway, &job, &caller, arrived + STORE_PATIENCE).await;
+            log::info!("event=job_end_asked job={job} outcome={ended:?}");
+            ("end_job".to_owned(), end_answer(ended))
+        }
+        Call::Forward | Call::Malformed(_) => {
+            ("malformed".to_owned(), text_answer(StatusCode::BAD_REQUEST, "not a call of a job"))
+        }
+    }
+}
+
 async fn answer_by_route(
     gateway: &Rc<Gateway>,
     id: &str,
@@ -88,6 +117,16 @@
         return ("none".to_owned(), text_answer(StatusCode::NOT_FOUND, "no such route"));
     };
     let name = route.name.clone();
+    let caller = match route_caller(gateway, &configuration, &route, &head) {
+        Ok(caller) => caller,
+        Err(refusal) => {
+            log::info!(
+                "event=unauthorized id={id} route={name} reason=\"{refusal}\" configuration={}",
+                configuration.version
+            );
+            return (name, unauthorized(refusal));
+        }
+    };
     let limits = BodyLimits {
         max_bytes: configuration.limits.max_body_bytes,
         idle: configuration.limits.idle_timeout.min(route.timeout),
@@ -101,22 +140,45 @@
         }
     };
     let answer = if route.kind == RouteKind::Rollout {
-        hand_in_job(gateway, id, &head, &bytes, arrived).await
+        hand_in_job(gateway, id, &caller, &head, &bytes, arrived).await
     } else {
-        pass_on(gateway, id, head, (bytes, hold), &route, &configuration, arrived).await
+        let request = Accepted { head, body: bytes, hold, caller, arrived };
+        pass_on(gateway, id, request, &route, &configuration).await
     };
     (name, answer)
 }
 
+/// Who makes a request of a route.
+fn route_caller(
+    gateway: &Gateway,
+    configuration: &Configuration,
+    route: &Route,
+    head: &Parts,
+) -> Result<Caller, Refusal> {
+    let (headers, hasher) = (&head.headers, &gateway.key_hasher);
+    if route.is_public {
+        return Ok(access::identify_public(configuration, headers, hasher));
+    }
+    access::identify(configuration, headers, hasher)
+}
+
+/// A request that is to be passed on.
+struct Accepted {
+    head: Parts,
+    body: Bytes,
+    hold: Hold,
+    caller: Caller,
+    arrived: Moment,
+}
+
 async fn pass_on(
     gateway: &Rc<Gateway>,
     id: &str,
-    head: Parts,
-    (body, hold): (Bytes, Hold),
+    request: Accepted,
     route: &Route,
     configuration: &Configuration,
-    arrived: Moment,
 ) -> Answer {
+    let Accepted { head, body, hold, caller, arrived } = request;
     let service = gateway.splitter.borrow_mut().next(route).map(str::to_owned);
     let Some(service) = service else {
         return not_run("the route has no service");
@@ -124,11 +186,13 @@
     let names = gateway.dialect.headers();
     let patience = headers::millis(&head.headers, &names.deadline_millis);
     let allowance = Allowance::of_route(route, arrived, patience);
+    let mut headers = headers::passed_on(&head.headers);
+    access::set_tenant(&mut headers, &names.tenant, &caller);
     let outgoing = Outgoing {
         id: id.to_owned(),
         method: head.method,
         target: head.uri,
-        headers: headers::passed_on(&head.headers),
+        headers,
         body,
         hold: Some(Rc::new(hold)),
     };
@@ -215,6 +279,14 @@
     }
 }
 
+/// The answer to a call that needs a key which it does not present; it has not run.
+fn unauthorized(refusal: Refusal) -> Answer {
+    let mut answer = text_answer(StatusCode::UNAUTHORIZED, refusal.text());
+    let scheme = http::HeaderValue::from_static("Bearer");
+    answer.headers_mut().insert(http::header::WWW_AUTHENTICATE, scheme);
+    answer
+}
+
 /// The answer to a request that has not run and never will.
 fn not_run(reason: &'static str) -> Answer {
     let mut answer = text_answer(StatusCode::SERVICE_UNAVAILABLE, reason);
@@ -225,6 +297,7 @@
 async fn hand_in_job(
     gateway: &Rc<Gateway>,
     id: &str,
+    caller: &Caller,
     head: &Parts,
     body: &[u8],
     arrived: Moment,
@@ -239,6 +312,7 @@
     let host = headers::text(&head.headers, &http::header::HOST).unwrap_or_default();
     specification.host = host.to_owned();
     specification.path = head.uri.path().to_owned();
+    specification.tenant = caller.tenant().map(str::to_owned);
     let (items, step) = (specification.items.len(), specification.step.clone());
     let taken = hand_in::hand_in(gateway, specification, arrived + STORE_PATIENCE).await;
     log::info!(
--- a/crates/heronbend-gateway/src/configuration.rs
+++ b/crates/heronbend-gateway/src/configuration.rs
@@ -1,8 +1,10 @@
 //! The operator's configuration in force: routes, services and limits.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
+use heronbend::access::Keyring;
 use serde::{Deserialize, Serialize};
 
 /// What may be done with requests of a route.
@@ -47,6 +49,9 @@
     pub max_attempts: u32,
     /// Rank; 0 is the highest.
     pub priority: u8,
+    /// Whether its requests need no key.
+    #[serde(default)]
+    pub is_public: bool,
     /// Where requests go.
     pub destinations: Vec<Destination>,
     /// Whether a stream may be continued at another server.
@@ -107,18 +112,33 @@
     /// Grows with every change, in uneven steps.
     pub version: u64,
     /// Routes in the operator's order.
-    pub routes: Vec<std::rc::Rc<Route>>,
+    pub routes: Vec<Rc<Route>>,
     /// Services by name.
     pub services: BTreeMap<String, Service>,
     /// Bounds on clients.
     pub limits: ClientLimits,
+    /// The tenants; none where callers are not told apart.
+    #[serde(skip)]
+    pub access: Option<Rc<Keyring>>,
+    /// What cannot be meant so; the configuration is in force all the same.
+    #[serde(skip)]
+    pub findings: Vec<Finding>,
+}
+
+/// Something in a configuration that cannot be meant so.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// Where in the configuration.
+    pub place: String,
+    /// What is wrong.
+    pub problem: String,
 }
 
 impl Configuration {
     /// The route of a request: of the routes of its host, the one with the longest prefix.
     ///
     /// `host` may carry a port, which is not looked at.
-    pub fn route(&self, host: &str, path: &str) -> Option<&std::rc::Rc<Route>> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
         self.routes
             .iter()
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
+use heronbend::access::KeyHasher;
 use heronbend::admission::RetryBudget;
 use heronbend::identity::NodeId;
 use heronbend::Moment;
@@ -89,6 +90,8 @@
     pub ways: RefCell<HashMap<&'static str, Way>>,
     /// Notified when a replica has changed.
     pub replica_changed: Event,
+    /// Digests the keys of tenants.
+    pub key_hasher: KeyHasher,
     /// The newest configuration.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
     /// Known servers.
@@ -157,6 +160,7 @@
             replicas: RefCell::default(),
             ways: RefCell::default(),
             replica_changed: Event::new(),
+            key_hasher: KeyHasher::random(),
             configuration: RefCell::default(),
             directory: RefCell::default(),
             directory_known: Cell::new(false),
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! store, reached through [`ports::ObjectStore`]; how calls and objects are spelled is behind
 //! [`ports::Dialect`]. An adapter implements both and starts [`service::run`].
 //!
+//! - [`access`]: on whose behalf a call is made.
 //! - [`calls`], [`forward`], [`stream`], [`exchange`], [`balancer`], [`split`]: requests passed on.
 //! - [`events`]: the events of a server's stream.
 //! - [`memory`]: the bound on what clients make a daemon hold.
@@ -17,6 +18,7 @@
 //! - [`logging`], [`metrics`]: what they tell.
 //! - [`explain`], [`steps`], [`day`], [`day_plot`]: what their logs tell afterwards.
 
+pub mod access;
 pub mod balancer;
 pub mod batch;
 pub mod calls;
--- a/crates/heronbend-gateway/src/ports/dialect.rs
+++ b/crates/heronbend-gateway/src/ports/dialect.rs
@@ -1,6 +1,7 @@
 //! How the surroundings spell calls, headers and objects.
 
 use bytes::Bytes;
+use heronbend::access::KeyHasher;
 use http::{HeaderName, Method};
 use serde_json::Value;
 use thiserror::Error;
@@ -50,6 +51,8 @@
     pub model: HeaderName,
     /// Version of the weights that an answer starts under.
     pub weight_version: HeaderName,
+    /// The tenant on whose behalf a server runs a request; set by the service alone.
+    pub tenant: HeaderName,
 }
 
 /// Kinds and names of the objects that operators, servers and trainers write.
@@ -114,8 +117,12 @@
     fn kinds(&self) -> &OperatorKinds;
     /// What a request asks for.
     fn call(&self, method: &Method, path: &str, query: Option<&str>) -> Call;
-    /// The operator's configuration.
-    fn configuration(&self, content: &Value) -> Result<Configuration, DialectError>;
+    /// The operator's configuration; keys in it are kept as digests of `hasher`.
+    fn configuration(
+        &self,
+        content: &Value,
+        hasher: &KeyHasher,
+    ) -> Result<Configuration, DialectError>;
     /// A server's entry.
     fn server(&self, id: &str, content: &Value) -> Result<Server, DialectError>;
     /// A version of weights that a trainer named.
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -255,7 +255,7 @@
         if object.name != self.gateway.dialect.kinds().configuration_name {
             return;
         }
-        match self.gateway.dialect.configuration(&object.content) {
+        match self.gateway.dialect.configuration(&object.content, &self.gateway.key_hasher) {
             Ok(configuration) => self.adopt(configuration),
             Err(error) => log::error!("event=configuration_malformed error=\"{error}\""),
         }
@@ -272,11 +272,20 @@
             head_timeout: limits.idle_timeout + IDLE_MARGIN,
         });
         log::info!(
-            "event=configuration_adopted version={} before={known} routes={} services={}",
+            "event=configuration_adopted version={} before={known} routes={} services={} tenants={}",
             configuration.version,
             configuration.routes.len(),
-            configuration.services.len()
+            configuration.services.len(),
+            configuration.access.as_ref().map_or(0, |access| access.len())
         );
+        for finding in &configuration.findings {
+            log::warn!(
+                "event=configuration_finding version={} place={} problem=\"{}\"",
+                configuration.version,
+                finding.place,
+                finding.problem
+            );
+        }
         let names: BTreeSet<&str> =
             configuration.routes.iter().map(|route| route.name.as_str()).collect();
         self.gateway.splitter.borrow_mut().retain(|name| names.contains(name));
--- a/crates/heronbend-gateway/tests/routing.rs
+++ b/crates/heronbend-gateway/tests/routing.rs
@@ -22,6 +22,8 @@
         routes: routes.into_iter().map(Rc::new).collect(),
         services: BTreeMap::new(),
         limits: ClientLimits::default(),
+        access: None,
+        findings: Vec::new(),
     }
 }
 
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use heronbend::access::Caller;
 use heronbend_gateway::batch::adoption::Reason;
 use heronbend_gateway::batch::checkpoint::{self, Texts};
 use heronbend_gateway::batch::event_stream::EventReader;
@@ -179,7 +180,7 @@
             let gateway = gateway("a", &store, &executor);
             store.put(SPECIFICATIONS, "j", json!(job("j", 2)));
             let patience = gateway.now() + PATIENCE;
-            assert_eq!(hand_in::end(&gateway, "j", patience).await, Ok(()));
+            assert_eq!(hand_in::end(&gateway, "j", &Caller::Anyone, patience).await, Ok(()));
             assert_eq!(hand_in::hand_in(&gateway, job("j", 2), patience).await, Ok(()));
             assert!(gateway.jobs.get("j").unwrap().ended.get());
             assert_eq!(store.object(OWNERSHIPS, "j").unwrap().content["ended"], json!(true));
@@ -351,12 +352,15 @@
             hand_in::hand_in(&owner, job("j", 3), patience).await.unwrap();
             let chunk = json!({ "results": [result("item-1")] });
             store.put(&results_kind("j"), &chunk_name(0), chunk);
-            let page = reading::results(&reader, "j", 0, reader.now()).await.unwrap();
+            let page =
+                reading::results(&reader, "j", &Caller::Anyone, 0, reader.now()).await.unwrap();
             assert_eq!((page.total, page.results.len()), (3, 1));
-            let missing = reading::results(&reader, "unknown", 0, reader.now()).await;
+            let missing =
+                reading::results(&reader, "unknown", &Caller::Anyone, 0, reader.now()).await;
             assert_eq!(missing.unwrap_err(), reading::ReadError::NotFound);
             store.set_down(true);
-            let unsure = reading::results(&reader, "unknown", 0, reader.now()).await;
+            let unsure =
+                reading::results(&reader, "unknown", &Caller::Anyone, 0, reader.now()).await;
             assert_eq!(unsure.unwrap_err(), reading::ReadError::Unavailable);
         })
     });
@@ -397,7 +401,8 @@
             job.confirmed.set(None);
             let reply = reading::answer_peer(&gateway, "j", 0, Duration::ZERO).await;
             assert_eq!(reply, PeerReply::NotOwner);
-            let page = reading::results(&gateway, "j", 0, gateway.now()).await.unwrap();
+            let page =
+                reading::results(&gateway, "j", &Caller::Anyone, 0, gateway.now()).await.unwrap();
             assert_eq!(page.results.len(), 1);
             job.confirmed.set(Some(gateway.now()));
             let reply = reading::answer_peer(&gateway, "j", 0, Duration::ZERO).await;
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -30,6 +30,7 @@
         target_latency: Duration::from_millis(200),
         max_attempts: 2,
         priority: 0,
+        is_public: false,
         destinations: vec![Destination { service: "app".to_owned(), weight: 1 }],
         resumable: false,
         single_version: false,
@@ -102,6 +103,7 @@
             min_version: 1,
             desired_groups: 1,
         }),
+        tenant: None,
     }
 }
 
--- a/crates/heronbend-gateway/tests/support/own_dialect.rs
+++ b/crates/heronbend-gateway/tests/support/own_dialect.rs
@@ -1,6 +1,7 @@
 //! The service's own spelling: its types as they serialize.
 
 use bytes::Bytes;
+use heronbend::access::KeyHasher;
 use heronbend_gateway::batch::{JobSpecification, ResultsPage};
 use heronbend_gateway::configuration::Configuration;
 use heronbend_gateway::directory::Server;
@@ -31,6 +32,7 @@
                 expected_version: name("heronbend-expected-version"),
                 model: name("heronbend-model"),
                 weight_version: name("heronbend-version"),
+                tenant: name("heronbend-tenant"),
             },
             kinds: OperatorKinds {
                 configuration: "configurations",
@@ -60,7 +62,11 @@
         Call::Forward
     }
 
-    fn configuration(&self, content: &Value) -> Result<Configuration, DialectError> {
+    fn configuration(
+        &self,
+        content: &Value,
+        _hasher: &KeyHasher,
+    ) -> Result<Configuration, DialectError> {
         from_value("configuration", content)
     }
 
--- a/crates/heronbend/src/lib.rs
+++ b/crates/heronbend/src/lib.rs
@@ -14,9 +14,11 @@
 //! - [`weights`]: rolling a weight version out to engines.
 //! - [`lifecycle`]: live and leaving back ends.
 //! - [`routing`]: which back end serves a request.
+//! - [`access`]: tenants and their keys.
 //! - [`admission`]: caller limits and the retry budget.
 //! - [`external`]: message types of the outside systems.
 
+pub mod access;
 pub mod admission;
 pub mod external;
 pub mod identity;
