Usage of each window is settled in the store and reported once, by one daemon at a time

Each daemon counts what it passes on, by tenant and window of the wall clock without its jumps; the first four others in line are told by datagrams, as counters that only grow. A quarter of the time for a report after a window's end the holder of a lease for duties writes the sum into a record, by compare-and-swap, and only then reports it; whoever resends, sends that text. The lease is that of the orders to servers, whose keeper now stands once (lease_keeper.rs). Found by the tests: two daemons that both thought it their turn took the lease from each other for ever; the second in line now waits until the first could have acted.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -301,6 +301,7 @@
             headers,
             body: self.item.decoded_body(),
             hold: None,
+            billing: None,
         })
     }
 
--- a/crates/heronbend-gateway/src/batch/reward.rs
+++ b/crates/heronbend-gateway/src/batch/reward.rs
@@ -83,6 +83,7 @@
         headers,
         body: call.decoded_body(),
         hold: None,
+        billing: None,
     };
     let allowance = Allowance::of_route(route, gateway.now(), None);
     Some((outgoing, service, allowance, route.max_attempts.max(1)))
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -15,6 +15,7 @@
 use crate::batch::hand_in::{self, EndError, HandInError};
 use crate::batch::reading::{self, ReadError};
 use crate::configuration::{Configuration, Route, RouteKind};
+use crate::duties::billing::Billing;
 use crate::exchange::Outgoing;
 use crate::forward::{forward, retry_after, Allowance, ForwardError, RETRY_AFTER};
 use crate::gateway::Gateway;
@@ -195,6 +196,7 @@
         headers,
         body,
         hold: Some(Rc::new(hold)),
+        billing: billing(gateway, &caller).map(Rc::new),
     };
     if route.kind == RouteKind::Stream {
         return pass_on_stream(gateway, &service, outgoing, allowance, route).await;
@@ -217,6 +219,13 @@
     }
 }
 
+/// Where a caller's request is counted, if it is.
+fn billing(gateway: &Rc<Gateway>, caller: &Caller) -> Option<Billing> {
+    let (book, tenant) = (gateway.usage.clone()?, caller.tenant()?);
+    let clock = gateway.clone();
+    Some(Billing::new(book, tenant, move || clock.now()))
+}
+
 async fn pass_on_stream(
     gateway: &Rc<Gateway>,
     service: &str,
--- /dev/null
+++ b/crates/heronbend-gateway/src/duties/line.rs
@@ -0,0 +1,25 @@
+//! Whose turn it is to carry the duties out, without I/O.
+//!
+//! The last holder of the lease goes on while it is alive. Then come the others, in an order that is
+//! the same at every daemon; each waits longer than the one before it.
+
+use heronbend::identity::NodeId;
+use heronbend::identity::NodeName;
+use rapidhash::v3::rapidhash_v3;
+
+/// What the order of the daemons goes by.
+const ORDER_KEY: &str = "duties";
+
+/// The daemons `alive` in the order in which they take the duties over.
+pub fn line(mut alive: Vec<NodeId>, holder: Option<&NodeName>) -> Vec<NodeId> {
+    alive.sort_by_cached_key(|node| {
+        let rank = rapidhash_v3(format!("{ORDER_KEY}/{}", node.name).as_bytes());
+        (Some(&node.name) != holder, rank, node.clone())
+    });
+    alive
+}
+
+/// The place of `me` in a line, counted from 0; behind all where it is not in it.
+pub fn place(line: &[NodeId], me: &NodeId) -> usize {
+    line.iter().position(|node| node == me).unwrap_or(line.len())
+}
--- a/crates/heronbend-gateway/src/exchange.rs
+++ b/crates/heronbend-gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 
 use crate::balancer::AttemptEnd;
 use crate::directory::Server;
+use crate::duties::billing::Billing;
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::http::client::{Exchange, ExchangeError, WholeAnswer};
@@ -18,7 +19,7 @@
 pub const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
 /// A request as it is sent to servers.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Outgoing {
     /// Its identifier.
     pub id: String,
@@ -32,6 +33,8 @@
     pub body: Bytes,
     /// The memory that a client's body takes.
     pub hold: Option<Rc<Hold>>,
+    /// Where the request is counted, if it is a tenant's.
+    pub billing: Option<Rc<Billing>>,
 }
 
 /// How an attempt failed.
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -215,7 +215,20 @@
                 let exchange = exchange::begin(&gateway, &server, &outgoing, time_left).await?;
                 exchange::read_whole(exchange).await
             };
+            let billing = outgoing.billing.as_deref();
+            let begun = gateway.now();
+            if let Some(billing) = billing {
+                billing.sent(begun);
+            }
             let result = answered.await;
+            if let Some(billing) = billing {
+                match &result {
+                    Ok(_) => billing.began(begun),
+                    Err(AttemptFailure::NotRun | AttemptFailure::NotSent) => billing.not_run(begun),
+                    // It may be answered by another server, which counts as the same request.
+                    Err(AttemptFailure::Unknown(_)) => {}
+                }
+            }
             match &result {
                 Ok(_) => {
                     let latency = counted.elapsed();
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -25,11 +25,14 @@
 use crate::configuration::Configuration;
 use crate::directory::{Directory, Server};
 use crate::dissemination::Way;
+use crate::duties::book::Book;
+use crate::duties::book::Terms;
 use crate::http::client::ConnectionPool;
+use crate::lease_news::LeaseNews;
 use crate::memory::Budget;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::ports::{Dialect, ObjectStore};
+use crate::ports::{Dialect, Ports, Provider};
 use crate::relayed_store::RelayedStore;
 use crate::replica::Replica;
 use crate::split::Splitter;
@@ -68,6 +71,8 @@
     pub drain_notice: Duration,
     /// Time within which a configuration has to be in force everywhere.
     pub configuration_notice: Duration,
+    /// How usage is to be reported, if it is.
+    pub usage: Option<Terms>,
 }
 
 /// Shared state of one daemon.
@@ -78,6 +83,8 @@
     pub store: RelayedStore,
     /// How the surroundings spell things.
     pub dialect: Rc<dyn Dialect>,
+    /// Who provides the machines, where this daemon has duties towards them.
+    pub provider: Option<Rc<dyn Provider>>,
     /// Runs all tasks.
     pub executor: Rc<LocalExecutor<'static>>,
     /// Connections to servers.
@@ -116,6 +123,10 @@
     pub reward_gate: Gate,
     /// Batch jobs.
     pub jobs: JobRegistry,
+    /// What tenants use, where that is to be reported.
+    pub usage: Option<Rc<Book>>,
+    /// The lease for duties towards the provider.
+    pub duty_lease: LeaseNews,
     /// Named versions and orders under way.
     pub versions: VersionBoard,
     /// Peer addresses of some other daemons, for as long as nobody is known.
@@ -140,17 +151,21 @@
     /// The state of a daemon that knows nothing yet.
     pub fn new(
         identity: Identity,
-        store: Rc<dyn ObjectStore>,
-        dialect: Rc<dyn Dialect>,
+        ports: Ports,
         executor: Rc<LocalExecutor<'static>>,
         tuning: Tuning,
     ) -> Rc<Self> {
         let started = Instant::now();
         let metrics = Metrics::default();
+        let Ports { store, dialect, provider } = ports;
+        let usage = tuning.usage.filter(|_| provider.is_some());
+        let usage =
+            usage.map(|terms| Rc::new(Book::new(identity.node.clone(), terms, Moment::ZERO)));
         let gateway = Rc::new(Self {
             identity,
             store: RelayedStore::new(store, metrics.clone()),
             dialect,
+            provider,
             servers: ConnectionPool::told(executor.clone(), SERVER_CONNECT_TIMEOUT, {
                 let metrics = metrics.clone();
                 move |reason| metrics.connection_opened(reason.name())
@@ -173,6 +188,8 @@
             move_cost: RefCell::default(),
             reward_gate: Gate::default(),
             jobs: JobRegistry::new(move || started.elapsed()),
+            usage,
+            duty_lease: LeaseNews::default(),
             versions: VersionBoard::default(),
             seeds: RefCell::default(),
             tuning: Cell::new(tuning),
--- a/crates/heronbend-gateway/src/keeper.rs
+++ b/crates/heronbend-gateway/src/keeper.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::{Gateway, Identity, Tuning};
 use crate::mirror::{self, MirrorSink, Source};
-use crate::ports::{Change, Condition, Dialect, Object, ObjectStore};
+use crate::ports::{Change, Condition, Object, ObjectStore, Ports};
 use crate::service::StartError;
 
 const GATHERING: Duration = Duration::from_millis(200);
@@ -53,13 +53,13 @@
 pub fn run(
     identity: Identity,
     tuning: Tuning,
-    ports: impl FnOnce(Rc<LocalExecutor<'static>>) -> (Rc<dyn ObjectStore>, Rc<dyn Dialect>),
+    ports: impl FnOnce(Rc<LocalExecutor<'static>>) -> Ports,
 ) -> Result<(), StartError> {
     let executor = Rc::new(LocalExecutor::new());
-    let (store, dialect) = ports(executor.clone());
+    let ports = ports(executor.clone());
     let stop = stop_signal(&[SIGTERM, SIGINT]).map_err(StartError::Signals)?;
     let reload = stop_signal(&[SIGHUP]).map_err(StartError::Signals)?;
-    let gateway = Gateway::new(identity, store, dialect, executor.clone(), tuning);
+    let gateway = Gateway::new(identity, ports, executor.clone(), tuning);
     smol::block_on(executor.run(async {
         log::info!("event=started node={}", gateway.identity.node);
         let kind = gateway.dialect.kinds().retirements;
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! store, reached through [`ports::ObjectStore`]; how calls and objects are spelled is behind
 //! [`ports::Dialect`]. An adapter implements both and starts [`service::run`].
 //!
+//! - [`duties`], [`lease_keeper`], [`lease_news`]: what one daemon at a time does for all.
 //! - [`access`]: on whose behalf a call is made.
 //! - [`calls`], [`forward`], [`stream`], [`exchange`], [`balancer`], [`split`]: requests passed on.
 //! - [`events`]: the events of a server's stream.
@@ -27,6 +28,7 @@
 pub mod day_plot;
 pub mod directory;
 pub mod dissemination;
+pub mod duties;
 pub mod events;
 pub mod exchange;
 pub mod explain;
@@ -35,6 +37,8 @@
 pub mod headers;
 pub mod http;
 pub mod keeper;
+pub mod lease_keeper;
+pub mod lease_news;
 pub mod logging;
 pub mod memory;
 pub mod metrics;
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -46,6 +46,15 @@
     pub reason: String,
 }
 
+/// Labels of a call to the provider.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DutyLabels {
+    /// The duty.
+    pub duty: &'static str,
+    /// Whether the call was accepted: `done` or `failed`.
+    pub outcome: &'static str,
+}
+
 /// What was counted since the last line that told of it, by what and by which label.
 #[derive(Debug, Default)]
 struct Tally {
@@ -91,6 +100,8 @@
     pub item_age: Histogram,
     /// Orders given to servers.
     pub orders: Count,
+    /// Calls to the provider, by duty and outcome.
+    pub duty_calls: Family<DutyLabels, Count>,
     /// Log lines that were dropped.
     pub log_lines_dropped: Count,
 }
@@ -117,6 +128,7 @@
             streams_resumed: Count::default(),
             item_age: histogram(),
             orders: Count::default(),
+            duty_calls: Family::default(),
             log_lines_dropped: Count::default(),
         }
     }
@@ -167,6 +179,12 @@
         self.jobs_adopted.get_or_create(&AdoptionLabels { reason: reason.to_owned() }).inc();
     }
 
+    /// Notes a call to the provider.
+    pub fn duty_called(&self, duty: &'static str, is_done: bool) {
+        let outcome = if is_done { "done" } else { "failed" };
+        self.duty_calls.get_or_create(&DutyLabels { duty, outcome }).inc();
+    }
+
     /// The page.
     pub fn page(&self) -> String {
         let told = self.log_lines_dropped.get();
@@ -192,6 +210,7 @@
         registry.register("streams_resumed", "Streams continued elsewhere", resumed);
         registry.register("item_age_seconds", "Age of results", self.item_age.clone());
         registry.register("orders", "Orders given to servers", self.orders.clone());
+        registry.register("duty_calls", "Calls to the provider", self.duty_calls.clone());
         registry.register("log_lines_dropped", "Lines dropped", self.log_lines_dropped.clone());
         let mut page = String::new();
         // Writing into a string cannot fail.
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures_lite::{FutureExt, StreamExt};
+use heronbend::identity::NodeId;
 use heronbend::membership::{Detector, DetectorConfig, Effect, Head, Liveness, Member};
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
@@ -92,6 +93,10 @@
                 tell_all(&detector, &socket, hint).await;
                 Vec::new()
             }
+            Event::Asked(Command::TellSome(to, hint)) => {
+                tell_some(&detector, &socket, &to, hint).await;
+                Vec::new()
+            }
             Event::Asked(Command::Learn(members)) => {
                 members.into_iter().flat_map(|member| detector.learn(now, member)).collect()
             }
@@ -186,6 +191,15 @@
     }
 }
 
+async fn tell_some(detector: &Detector, socket: &UdpSocket, to: &[NodeId], hint: Hint) {
+    let told = detector.members().filter(|member| to.contains(&member.id));
+    let addresses: Vec<SocketAddr> = told.map(|member| member.address).collect();
+    let datagram = Datagram::Hint(hint);
+    for address in addresses {
+        send(socket, address, &datagram).await;
+    }
+}
+
 async fn send(socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
     if let Ok(bytes) = musli::wire::to_vec(datagram) {
         // Datagrams may be lost on the way as well.
@@ -198,8 +212,18 @@
         Hint::OrderTaken { holder, server, model, version } => {
             note_order_taken(gateway, holder, &server, &model, version);
         }
-        Hint::LeaseRenewed { revision, record } => {
-            gateway.versions.lease_told(gateway.now(), revision, record);
+        Hint::LeaseRenewed { lease, revision, record } => {
+            lease.news(gateway).tell(gateway.now(), revision, record);
+        }
+        Hint::UsageCounted { daemon, window, counts } => {
+            if let Some(book) = &gateway.usage {
+                book.learn(&daemon, window, &counts.into_iter().collect());
+            }
+        }
+        Hint::UsageReported { window } => {
+            if let Some(book) = &gateway.usage {
+                book.note_reported(window);
+            }
         }
         Hint::JobOwned { job, ownership, revision, is_new } => {
             ownership_duty::take_hint(gateway, &job, ownership, revision, is_new);
--- a/crates/heronbend-gateway/src/peers/introduction.rs
+++ b/crates/heronbend-gateway/src/peers/introduction.rs
@@ -184,13 +184,20 @@
         gateway.members.note_untold(now, UNANSWERED_REST, &peer, Untelling::Silent);
         return None;
     };
-    let PeerReply::Introduced { members, jobs, knows_jobs, lease, kinds } = reply else {
+    let PeerReply::Introduced { members, jobs, knows_jobs, lease, duty_lease, time_millis, kinds } =
+        reply
+    else {
         return None;
     };
     gateway.members.learn(members).await;
     learn_jobs(gateway, jobs);
-    if let Some(LeaseRenewal { revision, record }) = lease {
-        gateway.versions.lease_told(gateway.now(), revision, record);
+    for (news, renewal) in [(&gateway.versions.lease, lease), (&gateway.duty_lease, duty_lease)] {
+        if let Some(LeaseRenewal { revision, record }) = renewal {
+            news.tell(gateway.now(), revision, record);
+        }
+    }
+    if let (Some(book), Some(millis)) = (&gateway.usage, time_millis) {
+        book.hear_time(gateway.now(), Duration::from_millis(millis));
     }
     let knows_objects = !kinds.is_empty();
     kinds.into_iter().for_each(|state| keep(gateway, state));
@@ -241,12 +248,15 @@
         let (ownership, revision) = job.ownership.borrow().clone();
         JobEntry { job: job.id.clone(), ownership, revision }
     };
-    let lease = |(revision, record, _)| LeaseRenewal { revision, record };
+    let renewal = |(revision, record, _)| LeaseRenewal { revision, record };
+    let time = gateway.usage.as_ref().map(|book| book.time(gateway.now()).as_millis());
     PeerReply::Introduced {
         members: gateway.members.all(),
         jobs: gateway.jobs.all().into_iter().map(entry).collect(),
         knows_jobs: gateway.jobs.is_listed.get(),
-        lease: gateway.versions.told_lease().map(lease),
+        lease: gateway.versions.lease.told().map(renewal),
+        duty_lease: gateway.duty_lease.told().map(renewal),
+        time_millis: time.and_then(|millis| u64::try_from(millis).ok()),
         kinds: if with_objects { dissemination::states(gateway) } else { Vec::new() },
     }
 }
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -1,14 +1,17 @@
 //! Messages between daemons, encoded with `musli`'s wire format, which allows added fields.
 
+use heronbend::identity::NodeId;
 use heronbend::identity::NodeName;
 use heronbend::membership::Gossip;
 use heronbend::membership::Member;
+use heronbend::usage::Window;
 use musli::{Decode, Encode};
 
 use super::store_relay::{RelayedObject, StoreCall, StoreReply};
 use crate::batch::ownership::Ownership;
 use crate::batch::specification::JobSpecification;
 use crate::batch::ItemResult;
+use crate::lease_keeper::LeaseName;
 use crate::versions::lease::LeaseRecord;
 
 /// A datagram.
@@ -34,8 +37,11 @@
         /// The version.
         version: u64,
     },
-    /// A daemon has taken or renewed the lease for orders.
+    /// A daemon has taken or renewed a lease.
     LeaseRenewed {
+        /// The lease.
+        #[musli(default)]
+        lease: LeaseName,
         /// The revision of the renewal.
         revision: u64,
         /// What it wrote.
@@ -53,6 +59,20 @@
         #[musli(default)]
         is_new: bool,
     },
+    /// What a daemon has counted of its tenants' use so far.
+    UsageCounted {
+        /// The run of the daemon that counted.
+        daemon: NodeId,
+        /// The window.
+        window: Window,
+        /// Requests by tenant; other tenants may follow in another hint.
+        counts: Vec<(String, u64)>,
+    },
+    /// The report of a window was accepted.
+    UsageReported {
+        /// The window.
+        window: Window,
+    },
 }
 
 /// A batch job as a daemon knows it.
@@ -167,6 +187,12 @@
         knows_jobs: bool,
         /// The newest renewal of the lease for orders that is known there.
         lease: Option<LeaseRenewal>,
+        /// The same of the lease for duties.
+        #[musli(default)]
+        duty_lease: Option<LeaseRenewal>,
+        /// Milliseconds since the Unix epoch, as windows of usage follow them there.
+        #[musli(default)]
+        time_millis: Option<u64>,
         /// The objects that daemons follow, where they were wanted and are known there.
         kinds: Vec<KindState>,
     },
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -35,6 +35,8 @@
 enum Command {
     /// Send a hint to the other daemons.
     Tell(Hint),
+    /// Send a hint to some daemons.
+    TellSome(Vec<NodeId>, Hint),
     /// Take in members that another daemon knows.
     Learn(Vec<Member>),
     /// Make known that this daemon stops; the sender is dropped once that is sent.
@@ -104,7 +106,16 @@
     /// Sends a hint to the other daemons. One that does not fit is dropped: whatever it tells is
     /// found in the store as well.
     pub fn tell_all(&self, hint: Hint) {
-        if self.commands.try_send(Command::Tell(hint)).is_err() {
+        self.command(Command::Tell(hint));
+    }
+
+    /// Sends a hint to some daemons.
+    pub fn tell(&self, to: Vec<NodeId>, hint: Hint) {
+        self.command(Command::TellSome(to, hint));
+    }
+
+    fn command(&self, command: Command) {
+        if self.commands.try_send(command).is_err() {
             log::warn!("event=hint_dropped waiting={COMMAND_CAPACITY}");
         }
     }
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -15,12 +15,15 @@
 use crate::batch::ownership_duty;
 use crate::configuration::Configuration;
 use crate::directory::ServerState;
+use crate::duties;
 use crate::gateway::Gateway;
 use crate::http::server::{Listener, ListenerLimits};
 use crate::http::{bytes_answer, text_answer, Answer};
+use crate::lease_keeper::LeaseKeeper;
+use crate::lease_keeper::LeaseName;
 use crate::mirror::{self, MirrorSink, Source};
 use crate::peers;
-use crate::ports::{Change, Dialect, Object, ObjectStore};
+use crate::ports::{Change, Object, Ports};
 use crate::reload;
 use crate::versions;
 use crate::wait;
@@ -83,16 +86,16 @@
 pub fn run(
     ready_path: ReadyPath,
     source: reload::Source,
-    ports: impl FnOnce(Rc<LocalExecutor<'static>>) -> (Rc<dyn ObjectStore>, Rc<dyn Dialect>),
+    ports: impl FnOnce(Rc<LocalExecutor<'static>>) -> Ports,
 ) -> Result<(), StartError> {
     let executor = Rc::new(LocalExecutor::new());
-    let (store, dialect) = ports(executor.clone());
+    let ports = ports(executor.clone());
     let stop = crate::keeper::stop_signal(&[SIGTERM, SIGINT]).map_err(StartError::Signals)?;
     let hang_up = crate::keeper::stop_signal(&[SIGHUP]).map_err(StartError::Signals)?;
     let (identity, tuning) = (source.settings.identity(), source.settings.tuning());
     let addresses = source.settings.addresses();
     let first_start = source.settings.first_start;
-    let gateway = Gateway::new(identity, store, dialect, executor.clone(), tuning);
+    let gateway = Gateway::new(identity, ports, executor.clone(), tuning);
     smol::block_on(executor.run(async move {
         gateway.members.introduction.begin(first_start);
         let callers = start(&gateway, &addresses, ready_path)?;
@@ -213,6 +216,20 @@
     spawn(Box::pin(ownership_duty::adopt_orphans(gateway.clone())));
     spawn(Box::pin(versions::named::follow_versions(gateway.clone())));
     spawn(Box::pin(versions::duty::run(gateway.clone())));
+    start_provider_duties(gateway);
+}
+
+fn start_provider_duties(gateway: &Rc<Gateway>) {
+    let Some(provider) = gateway.provider.clone() else {
+        return;
+    };
+    let lease = Rc::new(LeaseKeeper::new(gateway.clone(), LeaseName::Duties));
+    if let Some(book) = gateway.usage.clone() {
+        let spawn = |task| gateway.executor.spawn::<()>(task).detach();
+        let telling = duties::telling::run(gateway.clone(), book.clone());
+        spawn(Box::pin(telling) as std::pin::Pin<Box<dyn std::future::Future<Output = ()>>>);
+        spawn(Box::pin(duties::reporting::run(gateway.clone(), book, provider, lease)));
+    }
 }
 
 async fn answer_caller(
@@ -381,6 +398,9 @@
     while gateway.now() < limit && (callers.connections() > 0 || runs_jobs(gateway)) {
         Timer::after(STOP_POLL).await;
     }
+    if let Some(book) = &gateway.usage {
+        duties::telling::tell_last(gateway, book);
+    }
     // The others need not find out by probes, and take its jobs over at once.
     wait::at_most(LEAVE_LIMIT, gateway.members.leave()).await;
     log_count(gateway);
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 use toml::{Table, Value};
 
+use crate::duties::book::Terms;
 use crate::gateway::{Identity, Tuning};
 use crate::service::Addresses;
 
@@ -87,6 +88,21 @@
     pub drain_notice: Duration,
     /// Time within which a configuration has to be in force everywhere.
     pub configuration_notice: Duration,
+    /// Who provides the machines, where this daemon has duties towards them.
+    pub provider: Option<SocketAddr>,
+    /// Those duties.
+    pub duties: Vec<Duty>,
+    /// How usage is to be reported, if it is.
+    pub usage: Option<Terms>,
+}
+
+/// A duty towards the provider.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Duty {
+    /// To report what tenants use.
+    Usage,
+    /// To order servers.
+    Scale,
 }
 
 struct Reader<'a> {
@@ -209,6 +225,40 @@
         Duration::try_from_secs_f64(self.number(field)).unwrap_or_default()
     }
 
+    /// The duties towards the provider.
+    fn duties(&mut self, field: &str) -> Vec<Duty> {
+        let Some(value) = self.optional(field) else {
+            return Vec::new();
+        };
+        let Some(names) = value.as_array() else {
+            self.report(field, "is not a list");
+            return Vec::new();
+        };
+        let mut duties = Vec::new();
+        for name in names {
+            match name.as_str() {
+                Some("usage") => duties.push(Duty::Usage),
+                Some("scale") => duties.push(Duty::Scale),
+                _ => self.report(field, format!("{name} is neither \"usage\" nor \"scale\"")),
+            }
+        }
+        duties
+    }
+
+    /// How usage is to be reported, where that is one of the duties.
+    fn usage(&mut self, duties: &[Duty]) -> Option<Terms> {
+        let (window_field, due_field) = ("provider.usage_window_s", "provider.usage_due_s");
+        self.known.extend([window_field.to_owned(), due_field.to_owned()]);
+        if !duties.contains(&Duty::Usage) {
+            return None;
+        }
+        let terms = Terms { window: self.seconds(window_field), due: self.seconds(due_field) };
+        if terms.window.is_zero() && self.optional(window_field).is_some() {
+            self.report(window_field, "is zero");
+        }
+        Some(terms)
+    }
+
     /// Fields that are not settings are mistakes in this form.
     fn report_unknown(&mut self, table: &Table, prefix: &str) {
         for (name, value) in table {
@@ -231,7 +281,11 @@
             findings: vec![Finding { field: "file".to_owned(), problem: error.to_string() }],
         })?;
         let mut reader = Reader { table: &table, findings: Vec::new(), known: BTreeSet::new() };
+        let duties = reader.duties("provider.duties");
         let settings = Self {
+            usage: reader.usage(&duties),
+            provider: reader.address("provider.address"),
+            duties,
             node: reader.text("node"),
             zone: reader.text("zone"),
             region: reader.text("region"),
@@ -250,6 +304,9 @@
             drain_notice: reader.millis("drain_notice_ms"),
             configuration_notice: reader.millis("configuration_notice_ms"),
         };
+        if !settings.duties.is_empty() && settings.provider.is_none() {
+            reader.report("provider.address", "is missing: there are duties");
+        }
         reader.report_unknown(&table, "");
         if reader.findings.is_empty() {
             return Ok(settings);
@@ -293,6 +350,7 @@
             stop_limit: self.stop_limit,
             drain_notice: self.drain_notice,
             configuration_notice: self.configuration_notice,
+            usage: self.usage,
         }
     }
 }
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -230,6 +230,9 @@
         if numbers.zip(self.last_event + 1..).any(|(number, due)| number != due) {
             return Err("an event is missing or out of turn");
         }
+        if let Some(billing) = self.outgoing.billing.as_ref().filter(|_| !events.is_empty()) {
+            billing.began(self.gateway.now());
+        }
         let mut bytes = BytesMut::new();
         for event in events {
             self.last_event = event.id.unwrap_or(self.last_event);
--- a/crates/heronbend-gateway/src/versions/board.rs
+++ b/crates/heronbend-gateway/src/versions/board.rs
@@ -8,9 +8,8 @@
 use heronbend::identity::NodeName;
 use heronbend::Moment;
 
-use super::lease::LeaseRecord;
 use crate::directory::Server;
-use crate::ports::Revision;
+use crate::lease_news::LeaseNews;
 
 /// Time from an order until the server may have loaded the version.
 pub const EXPECTED_LOAD: Duration = Duration::from_millis(850);
@@ -50,9 +49,8 @@
     orders: RefCell<HashMap<String, OpenOrder>>,
     /// Times that a model's newest steps took, from hand-in to the version that came of it.
     step_times: RefCell<HashMap<String, VecDeque<Duration>>>,
-    last_holder: RefCell<Option<(NodeName, Moment)>>,
-    /// The newest renewal of the lease that its holder has told of, and since when.
-    told_lease: RefCell<Option<(Revision, LeaseRecord, Moment)>>,
+    /// The lease for orders.
+    pub lease: LeaseNews,
     /// Notified when a version was named, or an order was taken.
     pub changed: Event,
 }
@@ -92,45 +90,18 @@
 
     /// Notes an order that a server has taken.
     pub fn order_taken(&self, now: Moment, holder: NodeName, server: &str, order: (&str, u64)) {
-        self.set_holder(now, holder);
+        self.lease.set_holder(now, holder);
         let (model, version) = order;
         let order = OpenOrder { model: model.to_owned(), version, since: now };
         self.orders.borrow_mut().insert(server.to_owned(), order);
         self.changed.notify(usize::MAX);
     }
 
-    /// Who holds the lease, as far as is known, and since when this daemon knows it.
-    pub fn last_holder(&self) -> Option<(NodeName, Moment)> {
-        self.last_holder.borrow().clone()
-    }
-
     /// When the last order that is known of was taken.
     pub fn last_order(&self) -> Option<Moment> {
         self.orders.borrow().values().map(|order| order.since).max()
     }
 
-    /// Notes a renewal of the lease that its holder tells of.
-    pub fn lease_told(&self, now: Moment, revision: Revision, record: LeaseRecord) {
-        let mut told = self.told_lease.borrow_mut();
-        if told.as_ref().is_none_or(|(known, ..)| *known < revision) {
-            self.set_holder(now, record.holder.clone());
-            *told = Some((revision, record, now));
-        }
-    }
-
-    /// The newest renewal of the lease that was told of, and since when.
-    pub fn told_lease(&self) -> Option<(Revision, LeaseRecord, Moment)> {
-        self.told_lease.borrow().clone()
-    }
-
-    /// Notes who holds the lease.
-    pub fn set_holder(&self, now: Moment, holder: NodeName) {
-        let mut last = self.last_holder.borrow_mut();
-        if last.as_ref().is_none_or(|(known, _)| *known != holder) {
-            *last = Some((holder, now));
-        }
-    }
-
     /// The order that a server works on, if its entry does not show the version yet.
     pub fn open_order(&self, now: Moment, server: &Server) -> Option<OpenOrder> {
         let orders = self.orders.borrow();
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -10,22 +10,20 @@
 use http_body_util::Full;
 use smol::Timer;
 
-use super::lease::{LeaseHold, LeaseRecord, LEASE_DURATION};
+use super::lease::LEASE_DURATION;
 use super::named::{is_candidate, newest_job, place_in_line};
 use super::plan::{self, EngineState, Load, ModelState, Urgency};
 use super::{EngineReport, SwapMode, VersionOrder};
 use crate::directory::{Server, ServerState};
 use crate::gateway::Gateway;
 use crate::http::client::WholeAnswer;
+use crate::lease_keeper::LeaseKeeper;
+use crate::lease_keeper::LeaseName;
 use crate::peers::Hint;
 use crate::peers::INTRODUCTION;
 use crate::ports::dialect::ServerCall;
-use crate::ports::{Condition, Object, ObjectStore, StoreError};
 use crate::wait;
 
-/// Kind and name of the lease's object.
-const LEASE_KIND: &str = "heronbend-leases";
-pub(super) const LEASE_NAME: &str = "orders";
 /// How long a daemon waits for the one before it in line, when no order is seen to be taken.
 const STALL: Duration = Duration::from_millis(2500);
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -66,20 +64,19 @@
 
 struct Duty {
     gateway: Rc<Gateway>,
-    lease: RefCell<LeaseHold>,
+    lease: LeaseKeeper,
     /// Servers that an order is being given to, or that rest after one failed.
     busy: RefCell<HashMap<String, Option<(String, u64)>>>,
 }
 
 /// Runs until the daemon ends.
 pub async fn run(gateway: Rc<Gateway>) {
-    let me = gateway.identity.node.name.clone();
-    let lease = RefCell::new(LeaseHold::new(me, gateway.tuning().lease_pause));
+    let lease = LeaseKeeper::new(gateway.clone(), LeaseName::Orders);
     let duty = Rc::new(Duty { gateway: gateway.clone(), lease, busy: RefCell::default() });
     gateway.members.introduction.wait().await;
     // The others were told of the holder, and hear of its renewals.
     if is_candidate(&gateway) || !gateway.members.introduction.is_complete() {
-        duty.read_lease().await;
+        duty.lease.read().await;
     }
     loop {
         // Until others have been heard of, nobody can tell who of them is alive.
@@ -99,13 +96,13 @@
     /// The loads that this daemon is to order now.
     async fn loads_to_order(&self) -> Vec<Load> {
         let due = self.loads_due();
-        let is_waiting = self.lease.borrow().waits_until(self.gateway.now()).is_some();
+        let is_waiting = self.lease.waits_until().is_some();
         if due.is_empty() || is_waiting || !self.is_my_turn() {
             return Vec::new();
         }
         let is_urgent = due.iter().any(|load| load.urgency == Urgency::Now);
         // Loads that wait for an idle server renew the lease only once such a server is found.
-        if is_urgent && !self.ensure_lease().await {
+        if is_urgent && !self.lease.ensure().await {
             return Vec::new();
         }
         self.loads_due()
@@ -161,7 +158,7 @@
     fn is_my_turn(&self) -> bool {
         let gateway = &self.gateway;
         let mut before = 0;
-        let holder = gateway.versions.last_holder().map(|(holder, _)| holder);
+        let holder = gateway.versions.lease.last_holder().map(|(holder, _)| holder);
         if let Some(holder) = &holder {
             if *holder == gateway.identity.node.name {
                 return true;
@@ -187,90 +184,12 @@
         let named = versions.named();
         let newest = named.values().map(|(_, since)| *since).max();
         let takeover = LEASE_DURATION + self.gateway.tuning().lease_pause;
-        let holder_acts = versions.last_holder().map(|(_, since)| since + takeover);
+        let holder_acts = versions.lease.last_holder().map(|(_, since)| since + takeover);
         let store_reached = Some(self.gateway.store_reached_since.get());
         let begun = [newest, versions.last_order(), holder_acts, store_reached].into_iter().max();
         self.gateway.now().saturating_sub(begun.flatten().unwrap_or_default())
     }
 
-    async fn read_lease(&self) {
-        if let Ok(Some(object)) = self.gateway.store.get(LEASE_KIND, LEASE_NAME).await {
-            self.observe(&object);
-        }
-    }
-
-    fn observe(&self, object: &Object) {
-        match serde_json::from_value::<LeaseRecord>(object.content.clone()) {
-            Ok(record) => {
-                let known = self.gateway.versions.last_holder().map(|(holder, _)| holder);
-                if known.as_ref() != Some(&record.holder) {
-                    log::info!(
-                        "event=lease_seen holder={} term={}",
-                        record.holder,
-                        object.revision
-                    );
-                }
-                self.gateway.versions.set_holder(self.gateway.now(), record.holder.clone());
-                let now = self.gateway.now();
-                self.lease.borrow_mut().observed(object.revision, record, now);
-            }
-            Err(error) => log::error!("event=lease_malformed error=\"{error}\""),
-        }
-    }
-
-    /// Renews or takes the lease; whether this daemon may act now.
-    async fn ensure_lease(&self) -> bool {
-        let gateway = &self.gateway;
-        if let Some((revision, record, since)) = gateway.versions.told_lease() {
-            self.lease.borrow_mut().observed(revision, record, since);
-        }
-        let sent = gateway.now();
-        if self.lease.borrow().token(sent).is_some() {
-            return true;
-        }
-        if self.lease.borrow().waits_until(sent).is_some() {
-            return false;
-        }
-        let record = self.lease.borrow().next_record(sent);
-        let content = serde_json::json!(record);
-        let revision = self.lease.borrow().revision();
-        let store = &gateway.store;
-        let written = match revision {
-            Some(at) => store.replace(LEASE_KIND, LEASE_NAME, content, Condition::At(at)).await,
-            None => store.create(LEASE_KIND, LEASE_NAME, content).await,
-        };
-        match written {
-            Ok(object) => {
-                let now = gateway.now();
-                let mut lease = self.lease.borrow_mut();
-                let was_holder = lease.holder() == Some(&gateway.identity.node.name);
-                lease.renewed(object.revision, record.clone(), sent, now);
-                gateway.versions.set_holder(now, gateway.identity.node.name.clone());
-                let revision = object.revision;
-                gateway.members.tell_all(Hint::LeaseRenewed { revision, record });
-                if !was_holder {
-                    let wait = lease.waits_until(now).map_or(Duration::ZERO, |until| until - now);
-                    log::info!(
-                        "event=lease_taken term={} acts_in_ms={}",
-                        object.revision,
-                        wait.as_millis()
-                    );
-                }
-                lease.token(now).is_some()
-            }
-            Err(StoreError::Conflict(Some(object))) => {
-                self.observe(&object);
-                false
-            }
-            Err(error) => {
-                log::warn!("event=lease_not_renewed error=\"{error}\"");
-                self.lease.borrow_mut().lost_track();
-                self.read_lease().await;
-                false
-            }
-        }
-    }
-
     /// Gives an order and follows it until the server shows the version.
     async fn carry_out(self: Rc<Self>, load: Load) {
         let done = self.order_and_follow(&load).await;
@@ -298,10 +217,10 @@
         if load.urgency == Urgency::WhenIdle && report.requests > 0 {
             return false;
         }
-        if load.urgency == Urgency::WhenIdle && !self.ensure_lease().await {
+        if load.urgency == Urgency::WhenIdle && !self.lease.ensure().await {
             return false;
         }
-        let Some(fence) = self.lease.borrow().token(gateway.now()) else {
+        let Some(fence) = self.lease.token() else {
             return false;
         };
         let order = VersionOrder {
--- a/crates/heronbend-gateway/src/versions/named.rs
+++ b/crates/heronbend-gateway/src/versions/named.rs
@@ -8,10 +8,10 @@
 use heronbend::identity::NodeName;
 use smol::Timer;
 
-use super::duty::LEASE_NAME;
 use crate::batch::ownership;
 use crate::batch::registry::Job;
 use crate::gateway::Gateway;
+use crate::lease_keeper::LeaseName;
 use crate::mirror;
 use crate::mirror::MirrorSink;
 use crate::mirror::Source;
@@ -97,7 +97,8 @@
 /// Whether this daemon is the holder of the lease, or among the first of those that are alive.
 pub(super) fn is_candidate(gateway: &Gateway) -> bool {
     let me = &gateway.identity.node;
-    let is_holder = gateway.versions.last_holder().is_some_and(|(holder, _)| holder == me.name);
+    let is_holder =
+        gateway.versions.lease.last_holder().is_some_and(|(holder, _)| holder == me.name);
     is_holder || place_in_line(gateway, None) < CANDIDATES
 }
 
@@ -107,5 +108,5 @@
     let mut line: Vec<NodeId> = gateway.members.alive();
     line.push(me.clone());
     line.retain(|node| Some(&node.name) != holder);
-    ownership::place_in_line(LEASE_NAME, me, &line)
+    ownership::place_in_line(LeaseName::Orders.object(), me, &line)
 }
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -15,6 +15,7 @@
 use heronbend_gateway::configuration::{Destination, Route, RouteKind};
 use heronbend_gateway::directory::{Server, ServerState};
 use heronbend_gateway::gateway::{Gateway, Identity, Tuning};
+use heronbend_gateway::ports::Ports;
 use smol::LocalExecutor;
 
 use self::memory_store::MemoryStore;
@@ -115,6 +116,7 @@
     stop_limit: Duration::from_secs(8),
     drain_notice: Duration::from_secs(2),
     configuration_notice: Duration::from_secs(2),
+    usage: None,
 };
 
 /// A daemon's state over a store that several may share.
@@ -125,7 +127,8 @@
 ) -> Rc<Gateway> {
     let identity = Identity { node: node(name), zone: "z".to_owned(), region: "r".to_owned() };
     let dialect = Rc::new(OwnDialect::default());
-    Gateway::new(identity, store.clone(), dialect, executor.clone(), TUNING)
+    let ports = Ports { store: store.clone(), dialect, provider: None };
+    Gateway::new(identity, ports, executor.clone(), TUNING)
 }
 
 /// Runs a test's future, with all tasks that it spawns.
--- a/crates/heronbend/src/lib.rs
+++ b/crates/heronbend/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`routing`]: which back end serves a request.
 //! - [`access`]: tenants and their keys.
 //! - [`admission`]: caller limits and the retry budget.
+//! - [`usage`]: what tenants use, by windows of time.
 //! - [`external`]: message types of the outside systems.
 
 pub mod access;
@@ -30,6 +31,7 @@
 pub mod rollout;
 pub mod routing;
 pub mod settings;
+pub mod usage;
 pub mod weights;
 
 /// Time since an arbitrary start that is the same for all inputs of one state machine.
