Access may fail closed; what a newer configuration may allow is refused as not run

Cause: a daemon that a peer has told of a newer configuration answered 401 or 404 by the old one, which is final for a caller; with `fail_closed` a daemon that hears no news of keys has to stop serving them. Such a daemon answers 503 with when to come back. Ruled out: the same for any daemon that merely hears nothing, where access fails open: in an outage of the store nobody can add a key, and each unknown path would be asked for again.

--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -69,7 +69,13 @@
     };
     let identified = access::identify(&configuration, &head.headers, &gateway.key_hasher);
     let caller = match identified {
+        Ok(Caller::Tenant(_)) if gateway.is_closed() => {
+            return ("closed".to_owned(), refuse_closed(gateway, head.uri.path()));
+        }
         Ok(caller) => caller,
+        Err(_) if gateway.is_configuration_behind() => {
+            return ("behind".to_owned(), refuse_behind(gateway, head.uri.path()));
+        }
         Err(refusal) => {
             log::info!("event=unauthorized path={} reason=\"{refusal}\"", head.uri.path());
             return ("unauthorized".to_owned(), unauthorized(refusal));
@@ -110,6 +116,9 @@
     };
     let host = headers::text(&head.headers, &http::header::HOST).unwrap_or_default();
     let Some(route) = configuration.route(host, head.uri.path()).cloned() else {
+        if gateway.is_configuration_behind() {
+            return ("none".to_owned(), refuse_behind(gateway, id));
+        }
         log::info!(
             "event=no_route id={id} host={host} path={} configuration={}",
             head.uri.path(),
@@ -119,7 +128,13 @@
     };
     let name = route.name.clone();
     let caller = match route_caller(gateway, &configuration, &route, &head) {
+        Ok(Caller::Tenant(_)) if gateway.is_closed() => {
+            return (name, refuse_closed(gateway, id));
+        }
         Ok(caller) => caller,
+        Err(_) if gateway.is_configuration_behind() => {
+            return (name, refuse_behind(gateway, id));
+        }
         Err(refusal) => {
             log::info!(
                 "event=unauthorized id={id} route={name} reason=\"{refusal}\" configuration={}",
@@ -149,6 +164,26 @@
     (name, answer)
 }
 
+/// Refuses what a newer configuration, of which a peer has told, may allow.
+fn refuse_behind(gateway: &Gateway, id: &str) -> Answer {
+    log::info!(
+        "event=refused id={id} reason=\"the configuration is behind\" version={} peer_version={}",
+        gateway.configuration_version(),
+        gateway.behind.get()
+    );
+    not_run("the configuration is behind")
+}
+
+/// Refuses a caller whose key may have been taken away unheard.
+fn refuse_closed(gateway: &Gateway, id: &str) -> Answer {
+    log::info!(
+        "event=refused id={id} reason=\"no news of keys\" configuration={} age_ms={}",
+        gateway.configuration_version(),
+        gateway.configuration_age().as_millis()
+    );
+    not_run("it cannot be told whether the key is still held")
+}
+
 /// Who makes a request of a route.
 fn route_caller(
     gateway: &Gateway,
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -73,6 +73,9 @@
     pub configuration_notice: Duration,
     /// How usage is to be reported, if it is.
     pub usage: Option<Terms>,
+    /// Time without news of the configuration after which callers with keys are refused; never
+    /// where there is none.
+    pub closes_after: Option<Duration>,
 }
 
 /// Shared state of one daemon.
@@ -134,6 +137,8 @@
     tuning: Cell<Tuning>,
     /// Since when the store has answered without a failure.
     pub store_reached_since: Cell<Moment>,
+    /// When a daemon that watches the store last told whether the configuration has changed.
+    pub configuration_told: Cell<Moment>,
     /// Newest version of the configuration that a peer has told of.
     pub behind: Cell<u64>,
     /// Notified when watches may hear nothing and lists are to be read.
@@ -194,6 +199,7 @@
             seeds: RefCell::default(),
             tuning: Cell::new(tuning),
             store_reached_since: Cell::new(Moment::ZERO),
+            configuration_told: Cell::new(Moment::ZERO),
             behind: Cell::new(0),
             watches_doubted: Event::new(),
             memory: Budget::new(tuning.max_held_bytes),
@@ -230,6 +236,23 @@
         self.configuration.borrow().as_ref().map_or(0, |configuration| configuration.version)
     }
 
+    /// Whether a peer has told of a newer configuration than the one in force here.
+    pub fn is_configuration_behind(&self) -> bool {
+        self.behind.get() > self.configuration_version()
+    }
+
+    /// Time for which the configuration in force here may have been replaced unheard.
+    pub fn configuration_age(&self) -> Duration {
+        let told = self.now().saturating_sub(self.configuration_told.get());
+        told.min(self.store.silent_for())
+    }
+
+    /// Whether a key may have been taken away unheard for longer than callers with keys are served.
+    pub fn is_closed(&self) -> bool {
+        let limit = self.tuning().closes_after;
+        limit.is_some_and(|limit| self.configuration_age() > limit)
+    }
+
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
         !self.draining.get() && self.directory_known.get() && self.configuration.borrow().is_some()
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -153,7 +153,11 @@
     match way {
         Way::Store => Ok(gateway.store.watch(kind, at, WATCH_WAIT).await?),
         Way::Watchers(watchers) => {
-            dissemination::changes(gateway, kind, at, &watchers).await.ok_or(Unheard::Untold)
+            let changes = dissemination::changes(gateway, kind, at, &watchers).await;
+            if changes.is_some() && kind == gateway.dialect.kinds().configuration {
+                gateway.configuration_told.set(gateway.now());
+            }
+            changes.ok_or(Unheard::Untold)
         }
         Way::Outage => Err(Unheard::Outage),
     }
--- a/crates/heronbend-gateway/src/reload.rs
+++ b/crates/heronbend-gateway/src/reload.rs
@@ -114,6 +114,8 @@
         ("first_start", old.first_start != new.first_start, false),
         ("store.address", old.store != new.store, false),
         ("store.max_object_bytes", old.max_object_bytes != new.max_object_bytes, true),
+        ("access.fail_closed", old.fail_closed != new.fail_closed, true),
+        ("access.revocation_notice_ms", old.revocation_notice != new.revocation_notice, true),
         ("provider.address", old.provider != new.provider, false),
         ("provider.duties", old.duties != new.duties, false),
         ("provider.usage", old.usage != new.usage, false),
@@ -133,6 +135,7 @@
         max_object_bytes: settings.max_object_bytes,
         result_retention: settings.result_retention,
         stop_limit: settings.stop_limit,
+        closes_after: settings.tuning().closes_after,
         ..gateway.tuning()
     };
     gateway.set_tuning(tuning);
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -94,6 +94,10 @@
     pub duties: Vec<Duty>,
     /// How usage is to be reported, if it is.
     pub usage: Option<Terms>,
+    /// Whether callers with keys are refused while nobody can tell whether keys were taken away.
+    pub fail_closed: bool,
+    /// Time within which a key that is taken away has to be refused everywhere.
+    pub revocation_notice: Option<Duration>,
 }
 
 /// A duty towards the provider.
@@ -221,6 +225,11 @@
         Duration::try_from_secs_f64(self.number(field) / 1e3).unwrap_or_default()
     }
 
+    fn optional_millis(&mut self, field: &str) -> Option<Duration> {
+        self.optional(field)?;
+        Some(self.millis(field))
+    }
+
     fn seconds(&mut self, field: &str) -> Duration {
         Duration::try_from_secs_f64(self.number(field)).unwrap_or_default()
     }
@@ -284,6 +293,8 @@
         let duties = reader.duties("provider.duties");
         let settings = Self {
             usage: reader.usage(&duties),
+            fail_closed: reader.flag("access.fail_closed"),
+            revocation_notice: reader.optional_millis("access.revocation_notice_ms"),
             provider: reader.address("provider.address"),
             duties,
             node: reader.text("node"),
@@ -307,6 +318,9 @@
         if !settings.duties.is_empty() && settings.provider.is_none() {
             reader.report("provider.address", "is missing: there are duties");
         }
+        if settings.fail_closed && settings.revocation_notice.is_none() {
+            reader.report("access.revocation_notice_ms", "is missing: access fails closed");
+        }
         reader.report_unknown(&table, "");
         if reader.findings.is_empty() {
             return Ok(settings);
@@ -351,6 +365,7 @@
             drain_notice: self.drain_notice,
             configuration_notice: self.configuration_notice,
             usage: self.usage,
+            closes_after: self.revocation_notice.filter(|_| self.fail_closed),
         }
     }
 }
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -117,6 +117,7 @@
     drain_notice: Duration::from_secs(2),
     configuration_notice: Duration::from_secs(2),
     usage: None,
+    closes_after: None,
 };
 
 /// A daemon's state over a store that several may share.
