--- a/crates/heronbend-gateway/src/access.rs
+++ b/crates/heronbend-gateway/src/access.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use crate::configuration::Configuration;
+use crate::configuration::Route;
 
 /// Scheme of the keys in the header for credentials.
 const SCHEME: &str = "Bearer";
@@ -77,6 +78,13 @@
     }
 }
 
+/// Rank of a caller's request, 0 the highest: its tenant's, where that has one, else its route's.
+pub fn priority(configuration: &Configuration, caller: &Caller, route: &Route) -> u8 {
+    let tenant = caller.tenant().zip(configuration.access.as_ref());
+    let tenant = tenant.and_then(|(name, keyring)| keyring.named(name));
+    tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority)
+}
+
 /// Makes headers fit to be passed on: no key leaves the service, and the tenant is the one that was
 /// found, whatever the caller wrote. Where nobody is told apart, all stays as it came.
 pub fn set_tenant(headers: &mut HeaderMap, name: &HeaderName, caller: &Caller) {
--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -38,6 +38,9 @@
 const IDLE_REST: Duration = Duration::from_millis(5);
 const MAX_REST_DOUBLINGS: u32 = 6;
 
+/// Lowest rank that servers tell apart.
+const MAX_SERVER_PRIORITY: u8 = 9;
+
 /// Why a text is moved to a faster server.
 const OUTPACED: &str = "outpaced";
 
@@ -212,7 +215,7 @@
 
     async fn attempt(&mut self, server: &Rc<Server>, fitness: Fitness, route: &Route) -> RunEnd {
         let counted = CountedAttempt::begin(self.gateway, server);
-        let Some(outgoing) = self.outgoing(fitness) else {
+        let Some(outgoing) = self.outgoing(fitness, route) else {
             return RunEnd::Impossible;
         };
         let first_event = self.last_event();
@@ -274,7 +277,7 @@
         );
     }
 
-    fn outgoing(&self, fitness: Fitness) -> Option<Outgoing> {
+    fn outgoing(&self, fitness: Fitness, route: &Route) -> Option<Outgoing> {
         let names = self.gateway.dialect.headers();
         let mut headers = HeaderMap::new();
         for (name, value) in &self.item.headers {
@@ -285,6 +288,8 @@
         let tenant = self.specification.tenant.as_deref();
         let owner = access::owner_of_job(&configuration, tenant);
         access::set_tenant(&mut headers, &names.tenant, &owner);
+        let priority = access::priority(&configuration, &owner, route).min(MAX_SERVER_PRIORITY);
+        headers.insert(names.priority.clone(), HeaderValue::from(u16::from(priority)));
         headers.insert(names.request_id.clone(), HeaderValue::from_str(&self.item.id).ok()?);
         let host = HeaderValue::from_str(&self.specification.host).ok()?;
         headers.insert(http::header::HOST, host);
--- a/crates/heronbend-gateway/src/ports/dialect.rs
+++ b/crates/heronbend-gateway/src/ports/dialect.rs
@@ -53,6 +53,8 @@
     pub weight_version: HeaderName,
     /// The tenant on whose behalf a server runs a request; set by the service alone.
     pub tenant: HeaderName,
+    /// Rank of a request at a server: those with a lower one are admitted first.
+    pub priority: HeaderName,
 }
 
 /// Kinds and names of the objects that operators, servers and trainers write.
--- a/crates/heronbend-gateway/tests/support/own_dialect.rs
+++ b/crates/heronbend-gateway/tests/support/own_dialect.rs
@@ -33,6 +33,7 @@
                 model: name("heronbend-model"),
                 weight_version: name("heronbend-version"),
                 tenant: name("heronbend-tenant"),
+                priority: name("heronbend-priority"),
             },
             kinds: OperatorKinds {
                 configuration: "configurations",
