--- a/crates/heronbend-gateway/src/configuration.rs
+++ b/crates/heronbend-gateway/src/configuration.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use heronbend::access::Keyring;
+use heronbend::scaling::Terms;
 use serde::{Deserialize, Serialize};
 
 /// What may be done with requests of a route.
@@ -72,7 +73,7 @@
 }
 
 /// A pool of servers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Name.
     pub name: String,
@@ -80,6 +81,18 @@
     pub max_connections: u32,
     /// Whether its servers run models.
     pub is_engine: bool,
+    /// How its servers may be ordered, if they may.
+    #[serde(skip)]
+    pub scaling: Option<Scaling>,
+}
+
+/// How the servers of a service may be ordered.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Scaling {
+    /// Bounds and times.
+    pub terms: Terms,
+    /// Price of a server by zone, relative to each other.
+    pub zone_prices: BTreeMap<String, f64>,
 }
 
 /// Bounds on what clients may send and how long they may take.
@@ -107,7 +120,7 @@
 }
 
 /// A whole configuration. Daemons swap it whole and never go back to an earlier version.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
     /// Grows with every change, in uneven steps.
     pub version: u64,
--- a/crates/heronbend-gateway/src/directory.rs
+++ b/crates/heronbend-gateway/src/directory.rs
@@ -41,6 +41,9 @@
     pub models: BTreeMap<String, u64>,
     /// Orders that it has taken since its start.
     pub sequence: u64,
+    /// Whether it may be taken away.
+    #[serde(default)]
+    pub is_revocable: bool,
 }
 
 /// All listed servers.
--- a/crates/heronbend-gateway/src/duties/line.rs
+++ b/crates/heronbend-gateway/src/duties/line.rs
@@ -1,4 +1,4 @@
-//! Whose turn it is to carry the duties out, without I/O.
+//! Whose turn it is to carry the duties out.
 //!
 //! The last holder of the lease goes on while it is alive. Then come the others, in an order that is
 //! the same at every daemon; each waits longer than the one before it.
@@ -7,6 +7,8 @@
 use heronbend::identity::NodeName;
 use rapidhash::v3::rapidhash_v3;
 
+use crate::gateway::Gateway;
+
 /// What the order of the daemons goes by.
 const ORDER_KEY: &str = "duties";
 
@@ -19,6 +21,20 @@
     alive
 }
 
+/// The daemons that may carry the duties out now, in order, as this daemon sees it.
+pub fn here(gateway: &Gateway) -> Vec<NodeId> {
+    let mut alive = gateway.members.alive();
+    if !gateway.draining.get() {
+        alive.push(gateway.identity.node.clone());
+    }
+    line(alive, gateway.duty_lease.holder().as_ref())
+}
+
+/// Whether the duties fall to this daemon now.
+pub fn is_first(gateway: &Gateway) -> bool {
+    here(gateway).first() == Some(&gateway.identity.node)
+}
+
 /// The place of `me` in a line, counted from 0; behind all where it is not in it.
 pub fn place(line: &[NodeId], me: &NodeId) -> usize {
     line.iter().position(|node| node == me).unwrap_or(line.len())
--- a/crates/heronbend-gateway/src/duties/mod.rs
+++ b/crates/heronbend-gateway/src/duties/mod.rs
@@ -5,9 +5,11 @@
 //! - [`line`]: whose turn it is.
 //! - [`telling`]: tells other daemons what was counted here.
 //! - [`reporting`]: settles windows and reports them.
+//! - [`scaling`]: orders servers.
 
 pub mod billing;
 pub mod book;
 pub mod line;
 pub mod reporting;
+pub mod scaling;
 pub mod telling;
--- a/crates/heronbend-gateway/src/duties/reporting.rs
+++ b/crates/heronbend-gateway/src/duties/reporting.rs
@@ -101,11 +101,7 @@
         if !gateway.store.is_reached() || now < INTRODUCTION {
             return false;
         }
-        let mut alive = gateway.members.alive();
-        if !gateway.draining.get() {
-            alive.push(gateway.identity.node.clone());
-        }
-        let line = line::line(alive, gateway.duty_lease.holder().as_ref());
+        let line = line::here(gateway);
         let mut place = line::place(&line, &gateway.identity.node);
         if now < self.yields_until {
             place = line.len();
--- a/crates/heronbend-gateway/src/duties/telling.rs
+++ b/crates/heronbend-gateway/src/duties/telling.rs
@@ -74,7 +74,7 @@
 /// The other daemons that are told: those that report next, should the holder be lost.
 fn collectors(gateway: &Gateway) -> Vec<NodeId> {
     let me = &gateway.identity.node;
-    let mut line = line::line(gateway.members.alive(), gateway.duty_lease.holder().as_ref());
+    let mut line = line::here(gateway);
     line.retain(|node| node != me);
     line.truncate(COLLECTORS);
     line
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -76,6 +76,8 @@
     /// Time without news of the configuration after which callers with keys are refused; never
     /// where there is none.
     pub closes_after: Option<Duration>,
+    /// Whether servers are to be ordered.
+    pub scales: bool,
 }
 
 /// Shared state of one daemon.
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -224,6 +224,10 @@
         return;
     };
     let lease = Rc::new(LeaseKeeper::new(gateway.clone(), LeaseName::Duties));
+    if gateway.tuning().scales {
+        let scaling = duties::scaling::run(gateway.clone(), provider.clone(), lease.clone());
+        gateway.executor.spawn(scaling).detach();
+    }
     if let Some(book) = gateway.usage.clone() {
         let spawn = |task| gateway.executor.spawn::<()>(task).detach();
         let telling = duties::telling::run(gateway.clone(), book.clone());
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -365,6 +365,7 @@
             drain_notice: self.drain_notice,
             configuration_notice: self.configuration_notice,
             usage: self.usage,
+            scales: self.duties.contains(&Duty::Scale),
             closes_after: self.revocation_notice.filter(|_| self.fail_closed),
         }
     }
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -50,6 +50,7 @@
         state: ServerState::Ready,
         models: BTreeMap::new(),
         sequence: 0,
+        is_revocable: false,
     }
 }
 
@@ -118,6 +119,7 @@
     configuration_notice: Duration::from_secs(2),
     usage: None,
     closes_after: None,
+    scales: false,
 };
 
 /// A daemon's state over a store that several may share.
--- a/crates/heronbend/src/lib.rs
+++ b/crates/heronbend/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`routing`]: which back end serves a request.
 //! - [`access`]: tenants and their keys.
 //! - [`admission`]: caller limits and the retry budget.
+//! - [`scaling`]: how many servers to order.
 //! - [`usage`]: what tenants use, by windows of time.
 //! - [`external`]: message types of the outside systems.
 
@@ -30,6 +31,7 @@
 pub mod request;
 pub mod rollout;
 pub mod routing;
+pub mod scaling;
 pub mod settings;
 pub mod usage;
 pub mod weights;
