--- a/crates/heronbend-gateway/src/dissemination.rs
+++ b/crates/heronbend-gateway/src/dissemination.rs
@@ -21,9 +21,9 @@
 use rapidhash::v3::rapidhash_v3;
 
 use crate::gateway::Gateway;
+use crate::packed_news;
 use crate::peers::client;
 use crate::peers::messages::KindState;
-use crate::peers::store_relay::RelayedObject;
 use crate::peers::PeerReply;
 use crate::peers::PeerRequest;
 use crate::peers::Untelling;
@@ -232,23 +232,19 @@
         let wait_millis = u64::try_from(HOLD.as_millis()).unwrap_or(0);
         let request = PeerRequest::Follow { kind: kind.to_owned(), since, wait_millis };
         let reply = client::call(gateway, upstream, &request, HOLD).await;
-        let (is_whole, objects, removed, at) = match reply {
-            Some(PeerReply::News { is_whole, objects, removed, at }) => {
-                (is_whole, objects, removed, at)
-            }
+        let packed = match reply {
+            Some(PeerReply::News { packed }) => packed,
+            Some(PeerReply::NoNews) => continue,
             Some(PeerReply::Uninformed) => return Err(Untelling::Uninformed),
             _ => return Err(Untelling::Silent),
         };
-        if at <= since {
-            continue;
-        }
-        let objects: Result<Vec<Object>, _> =
-            objects.into_iter().map(RelayedObject::into_object).collect();
-        let objects = objects.map_err(|error| {
+        let news = packed_news::unpack(&packed).map_err(|error| {
             log::warn!("event=news_malformed kind={kind} from={upstream} error=\"{error}\"");
             Untelling::Silent
         })?;
-        return Ok(News { is_whole, objects, removed, at });
+        if news.at > since {
+            return Ok(news);
+        }
     }
 }
 
@@ -269,27 +265,51 @@
         if !is_fresh(gateway) {
             return PeerReply::Uninformed;
         }
-        let news = match gateway.replicas.borrow().get(kind) {
-            Some(replica) => replica.since(since),
-            None => return PeerReply::Uninformed,
-        };
-        let left = until.saturating_sub(gateway.now());
-        if let Some(news) = news {
-            return PeerReply::News {
-                is_whole: news.is_whole,
-                objects: news.objects.iter().map(Into::into).collect(),
-                removed: news.removed,
-                at: news.at,
-            };
+        match told(gateway, kind, since) {
+            Telling::News(packed) => return PeerReply::News { packed: packed.to_vec() },
+            Telling::Unknown => return PeerReply::Uninformed,
+            Telling::Nothing => {}
         }
+        let left = until.saturating_sub(gateway.now());
         if left.is_zero() {
-            let (objects, removed) = (Vec::new(), Vec::new());
-            return PeerReply::News { is_whole: false, objects, removed, at: 0 };
+            return PeerReply::NoNews;
         }
         wait::at_most(left, changed).await;
     }
 }
 
+/// What a follower can be told of a kind.
+enum Telling {
+    /// What has changed.
+    News(Rc<[u8]>),
+    /// That nothing has.
+    Nothing,
+    /// Nothing: the kind is not known here.
+    Unknown,
+}
+
+/// What a follower that knows a kind up to `since` can be told.
+fn told(gateway: &Gateway, kind: &str, since: Revision) -> Telling {
+    let replicas = gateway.replicas.borrow();
+    let Some((kind, replica)) = replicas.get_key_value(kind) else {
+        return Telling::Unknown;
+    };
+    if since >= replica.at() {
+        return Telling::Nothing;
+    }
+    let pack = || match replica.since(since) {
+        Some(news) => packed_news::pack(&news),
+        None => Err(std::io::Error::other("there is no news")),
+    };
+    match gateway.news_texts.get(kind, (since, replica.at()), pack) {
+        Ok(packed) => Telling::News(packed),
+        Err(error) => {
+            log::error!("event=news_not_packed kind={kind} error=\"{error}\"");
+            Telling::Unknown
+        }
+    }
+}
+
 /// Whether this daemon has heard from the store lately.
 fn is_fresh(gateway: &Gateway) -> bool {
     gateway.store.is_reached() && gateway.store.silent_for() < FRESHNESS
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::lease_news::LeaseNews;
 use crate::memory::Budget;
 use crate::metrics::Metrics;
+use crate::packed_news::Texts;
 use crate::peers::Peers;
 use crate::ports::{Dialect, Ports, Provider};
 use crate::relayed_store::RelayedStore;
@@ -98,6 +99,8 @@
     pub peers: ConnectionPool,
     /// Objects of the store that peers may follow here, by kind.
     pub replicas: RefCell<HashMap<&'static str, Replica>>,
+    /// News of those as it is told to peers.
+    pub news_texts: Texts,
     /// By which way news of each kind comes; by the store where there is none.
     pub ways: RefCell<HashMap<&'static str, Way>>,
     /// Notified when a replica has changed.
@@ -180,6 +183,7 @@
             peers: ConnectionPool::new(executor.clone(), PEER_CONNECT_TIMEOUT),
             executor,
             replicas: RefCell::default(),
+            news_texts: Texts::default(),
             ways: RefCell::default(),
             replica_changed: Event::new(),
             key_hasher: KeyHasher::random(),
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -166,16 +166,12 @@
     },
     /// What became of a call to the store.
     Store(StoreReply),
-    /// What has changed of the objects of a kind.
+    /// Nothing has changed of the objects of a kind.
+    NoNews,
+    /// What has changed of the objects of a kind, encoded and compressed.
     News {
-        /// Whether the objects are all that there are.
-        is_whole: bool,
-        /// Objects that were made or replaced.
-        objects: Vec<RelayedObject>,
-        /// Names of objects that were removed.
-        removed: Vec<String>,
-        /// The store's revision up to which this goes; 0 where there is no news.
-        at: u64,
+        /// What [`crate::packed_news::pack`] made.
+        packed: Vec<u8>,
     },
     /// What the peer knows.
     Introduced {
--- /dev/null
+++ b/crates/heronbend-gateway/tests/packed_news.rs
@@ -0,0 +1,76 @@
+//! News as it travels between daemons.
+
+use std::cell::Cell;
+
+use heronbend_gateway::packed_news::pack;
+use heronbend_gateway::packed_news::unpack;
+use heronbend_gateway::packed_news::Texts;
+use heronbend_gateway::ports::Object;
+use heronbend_gateway::replica::News;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
+use serde_json::json;
+use serde_json::Value;
+
+fn entries(count: u32) -> News {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let object = |number: u32| Object {
+        name: format!("i-{:08x}{number}", rng.random::<u32>()),
+        revision: u64::from(number) + 1,
+        content: json!({
+            "service": "writers", "address": format!("10.1.{}.{}:8080", number / 250, number % 250),
+            "zone": "north-1", "slots": 6, "state": "ready", "sequence": number,
+            "models": [{ "name": "bulletins", "version": 7 }, { "name": "floods", "version": 9 }],
+        }),
+        status: Value::Null,
+    };
+    let objects = (0..count).map(object).collect();
+    News { is_whole: false, objects, removed: vec!["i-gone".to_owned()], at: u64::from(count) }
+}
+
+#[test]
+fn news_come_out_as_they_went_in() {
+    let news = entries(40);
+    assert_eq!(unpack(&pack(&news).expect("packed")).expect("unpacked"), news);
+}
+
+#[test]
+fn entries_of_servers_take_a_small_part_of_their_bytes() {
+    let news = entries(1000);
+    let plain: usize = news.objects.iter().map(|object| object.content.to_string().len()).sum();
+    let packed = pack(&news).expect("packed").len();
+    println!("{plain} bytes of contents, {packed} bytes packed");
+    assert!(packed * 5 < plain);
+}
+
+#[test]
+fn what_is_cut_or_spoilt_is_an_error() {
+    let packed = pack(&entries(20)).expect("packed");
+    assert!(unpack(&packed[..packed.len() / 2]).is_err());
+    assert!(unpack(&[]).is_err());
+    let mut spoilt = packed;
+    spoilt[0] ^= 0xff;
+    assert!(unpack(&spoilt).is_err());
+}
+
+#[test]
+fn followers_that_ask_from_the_same_revision_share_one_text() {
+    let texts = Texts::default();
+    let made = Cell::new(0);
+    let get = |since, at| {
+        let pack = || {
+            made.set(made.get() + 1);
+            Ok(vec![since as u8, at as u8])
+        };
+        texts.get("servers", (since, at), pack).expect("a text").to_vec()
+    };
+    for _ in 0..100 {
+        assert_eq!(get(3, 9), [3, 9]);
+    }
+    assert_eq!(made.get(), 1);
+    assert_eq!(get(4, 9), [4, 9]);
+    assert_eq!(get(4, 10), [4, 10]);
+    assert_eq!(get(3, 9), [3, 9]);
+    assert_eq!(made.get(), 4);
+}
