Entries of servers come from one watcher at a time; the configuration from whichever tells it first

Followers are shared out among the first two watchers by name; one that fails is noticed within the time that a call is held. The configuration, which is small and due soon, is still asked for everywhere at once.

--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -222,6 +222,7 @@
     let names = gateway.dialect.headers();
     let patience = headers::millis(&head.headers, &names.deadline_millis);
     let allowance = Allowance::of_route(route, arrived, patience);
+    let tenant = caller.tenant().map(str::to_owned);
     let mut headers = headers::passed_on(&head.headers);
     access::set_tenant(&mut headers, &names.tenant, &caller);
     let outgoing = Outgoing {
@@ -243,8 +244,9 @@
         Err(error) => format!("{error:?}"),
     };
     log::info!(
-        "event=forwarded id={id} route={} service={service} configuration={} outcome={outcome} ms={millis}",
+        "event=forwarded id={id} route={} tenant={} service={service} configuration={} outcome={outcome} ms={millis}",
         route.name,
+        tenant.as_deref().unwrap_or("none"),
         configuration.version
     );
     match result {
@@ -360,7 +362,8 @@
     let (items, step) = (specification.items.len(), specification.step.clone());
     let taken = hand_in::hand_in(gateway, specification, arrived + STORE_PATIENCE).await;
     log::info!(
-        "event=job_handed_in job={id} items={items} step={} outcome={taken:?} ms={}",
+        "event=job_handed_in job={id} tenant={} items={items} step={} outcome={taken:?} ms={}",
+        caller.tenant().unwrap_or("none"),
         step.map_or_else(
             || "none".to_owned(),
             |step| format!(
--- a/crates/heronbend-gateway/src/dissemination.rs
+++ b/crates/heronbend-gateway/src/dissemination.rs
@@ -169,7 +169,7 @@
     upstreams: &[NodeId],
 ) -> Option<Changes> {
     // A whole state can't be told as changes: the caller lists.
-    let news = first_news(gateway, kind, since, upstreams).await?;
+    let news = next_news(gateway, kind, since, upstreams).await?;
     (!news.is_whole).then(|| news.into_changes())
 }
 
@@ -180,11 +180,55 @@
     kind: &'static str,
     upstreams: &[NodeId],
 ) -> Option<(Vec<Object>, Revision)> {
-    let news = first_news(gateway, kind, 0, upstreams).await?;
+    let news = next_news(gateway, kind, 0, upstreams).await?;
     let known = gateway.replicas.borrow().get(kind).map_or(0, Replica::at);
     (news.at >= known).then_some((news.objects, news.at))
 }
 
+/// The next news of a kind; nothing once all watchers have failed.
+///
+/// The configuration is small and has to be in force soon: whichever watcher tells it first is
+/// heard. Entries of servers are many: one watcher tells them, and another one is asked once that
+/// one has failed, which shows within the time that a call is held. So they travel once to each
+/// follower, and no connection is given up because the other watcher was faster.
+async fn next_news(
+    gateway: &Gateway,
+    kind: &'static str,
+    since: Revision,
+    upstreams: &[NodeId],
+) -> Option<News> {
+    if kind == gateway.dialect.kinds().configuration {
+        return first_news(gateway, kind, since, upstreams).await;
+    }
+    for upstream in own_order(&gateway.identity.node, upstreams) {
+        match listen(gateway, kind, since, &upstream).await {
+            Ok(news) => return Some(news),
+            Err(why) => note_untold(gateway, &upstream, why),
+        }
+    }
+    None
+}
+
+/// Watchers in the order in which a follower asks them. Followers of the same watchers are shared out
+/// among the first two.
+pub fn own_order(follower: &NodeId, upstreams: &[NodeId]) -> Vec<NodeId> {
+    let mut order = upstreams.to_vec();
+    let is_odd = rapidhash_v3(follower.name.0.as_bytes()) & 1 == 1;
+    if is_odd && order.len() > 1 {
+        order.swap(0, 1);
+    }
+    order
+}
+
+/// Notes that a watcher failed to tell news: it is not asked for a time.
+fn note_untold(gateway: &Gateway, upstream: &NodeId, why: Untelling) {
+    let rest = match why {
+        Untelling::Silent => FAILED_REST,
+        Untelling::Uninformed => UNINFORMED_REST,
+    };
+    gateway.members.note_untold(gateway.now(), rest, upstream, why);
+}
+
 /// The news of whichever watcher has some first; nothing once all have failed.
 async fn first_news(
     gateway: &Gateway,
@@ -203,11 +247,7 @@
             match listen(gateway, kind, since, upstream).await {
                 Ok(news) => Some(news),
                 Err(why) => {
-                    let rest = match why {
-                        Untelling::Silent => FAILED_REST,
-                        Untelling::Uninformed => UNINFORMED_REST,
-                    };
-                    gateway.members.note_untold(gateway.now(), rest, upstream, why);
+                    note_untold(gateway, upstream, why);
                     failed.set(failed.get() + 1);
                     if failed.get() < upstreams.len() {
                         futures_lite::future::pending::<()>().await;
--- a/crates/heronbend-gateway/tests/dissemination.rs
+++ b/crates/heronbend-gateway/tests/dissemination.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use heronbend::identity::NodeId;
+use heronbend_gateway::dissemination::own_order;
 use heronbend_gateway::dissemination::watchers;
 use heronbend_gateway::ports::Change;
 use heronbend_gateway::ports::Object;
@@ -105,3 +106,18 @@
     let news = late.since(9).unwrap();
     assert_eq!((news.is_whole, news.removed), (false, vec!["c".to_owned()]));
 }
+
+#[test]
+fn followers_are_shared_out_among_the_first_two_watchers_and_know_the_others() {
+    let upstreams = [node("w1"), node("w2"), node("w3")];
+    let mut first = [0; 2];
+    for number in 0..200 {
+        let order = own_order(&node(&format!("front-{number}")), &upstreams);
+        assert_eq!(order[2], upstreams[2]);
+        let place = upstreams.iter().position(|watcher| *watcher == order[0]).expect("one of them");
+        first[place] += 1;
+    }
+    assert!(first.iter().all(|followers| (70..=130).contains(followers)), "{first:?}");
+    let alone = [node("w1")];
+    assert_eq!(own_order(&node("front-1"), &alone), alone);
+}
