Specification of reports of usage: no two of a window differ, whoever sends them

Each of three guards taken out gives a counterexample (an unconditional write, sending before the record is written, going on with a proposal that lost).

--- a/crates/heronbend/src/usage/settlement.rs
+++ b/crates/heronbend/src/usage/settlement.rs
@@ -38,6 +38,11 @@
         self.reports.last().map(|report| report.window)
     }
 
+    /// What it settles, in ascending order of windows.
+    pub fn reports(&self) -> &[Report] {
+        &self.reports
+    }
+
     /// Drops what need not be reported any more.
     fn prune(&mut self, reported: Option<Window>) {
         let first = reported.map_or(Window(0), |reported| reported.before(KEPT_REPORTED));
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -20,8 +20,9 @@
 //!
 //! The gateway's protocols at the store are models of their own, explored by [`explore`]:
 //! [`order_lease`], under which one daemon at a time gives orders, [`result_log`], which two
-//! daemons may append to at once, [`saved_texts`], the checkpoints of texts under way, and
-//! [`followed_news`], what daemons hear of the store by way of others. They drive the gateway's own
+//! daemons may append to at once, [`saved_texts`], the checkpoints of texts under way,
+//! [`usage_reports`], what tenants use, and [`followed_news`], what daemons hear of the store by way
+//! of others. They drive the gateway's own
 //! state machines as well.
 
 pub mod check;
@@ -33,3 +34,4 @@
 pub mod result_log;
 pub mod saved_texts;
 pub mod scenario;
+pub mod usage_reports;
--- a/spec/tests/gateway_protocols.rs
+++ b/spec/tests/gateway_protocols.rs
@@ -8,6 +8,8 @@
 use heronbend_spec::result_log::{self, SharedLog};
 use heronbend_spec::saved_texts;
 use heronbend_spec::saved_texts::SavedTexts;
+use heronbend_spec::usage_reports;
+use heronbend_spec::usage_reports::UsageReports;
 
 const MAX_STATES: usize = 4_000_000;
 
@@ -43,6 +45,15 @@
 const NEWS: FollowedNews =
     FollowedNews { changes: 3, compactions: 1, lists: 1, mutation: followed_news::Mutation::None };
 
+/// Two daemons that both report, and a restart.
+const USAGE: UsageReports = UsageReports {
+    windows: 2,
+    writes: 3,
+    reports: 2,
+    restarts: 0,
+    mutation: usage_reports::Mutation::None,
+};
+
 fn run<S: System + std::fmt::Debug>(system: &S) -> Report {
     let report = explore(system, MAX_STATES);
     println!(
@@ -134,3 +145,17 @@
         fails(&FollowedNews { mutation, ..NEWS });
     }
 }
+
+#[test]
+fn no_two_reports_of_a_window_differ_whoever_sends_them() {
+    holds(&USAGE);
+    holds(&UsageReports { windows: 1, writes: 2, restarts: 1, ..USAGE });
+}
+
+#[test]
+fn every_guard_of_the_reports_is_needed() {
+    use usage_reports::Mutation::{KeepsOwn, SendsBeforeSettled, Unconditional};
+    for mutation in [KeepsOwn, SendsBeforeSettled, Unconditional] {
+        fails(&UsageReports { mutation, ..USAGE });
+    }
+}
