Jobs run at daemons with much processor, and models part when they share one

Members tell their processor (settings: processor_share), and jobs go to those with half of the largest one's or more.

--- a/crates/heronbend-daemon/src/duties/backends.rs
+++ b/crates/heronbend-daemon/src/duties/backends.rs
@@ -264,6 +264,7 @@
         http_address: machine.address,
         zone: machine.zone,
         region: machine.region,
+        processor_millis: 0,
         refutation: 0,
         liveness: Liveness::Alive,
     };
--- a/crates/heronbend-daemon/src/shared.rs
+++ b/crates/heronbend-daemon/src/shared.rs
@@ -54,6 +54,7 @@
             http_address: self.http_address,
             zone: self.zone.clone(),
             region: self.region.clone(),
+            processor_millis: 0,
             refutation: 0,
             liveness: Liveness::Alive,
         }
--- a/crates/heronbend-emulator/src/hollow.rs
+++ b/crates/heronbend-emulator/src/hollow.rs
@@ -231,6 +231,7 @@
         http_address: address_of(daemon),
         zone: format!("zone-{:02}", zone_of(daemon)),
         region: format!("region-{}", region_of(daemon)),
+        processor_millis: 0,
         refutation: 0,
         liveness: Liveness::Alive,
     }
--- a/crates/heronbend-gateway/src/batch/hand_in.rs
+++ b/crates/heronbend-gateway/src/batch/hand_in.rs
@@ -1,5 +1,6 @@
 //! Taking in batch jobs, and ending them.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,11 +13,13 @@
 use smol::Timer;
 
 use super::adoption::Reason;
-use super::ownership::{successor, Ownership};
+use super::ownership::Ownership;
 use super::ownership_duty;
 use super::registry::{OWNERSHIPS, SPECIFICATIONS};
 use super::runner::start_own_jobs;
 use super::specification::{is_base64, JobSpecification};
+use super::succession;
+use super::succession::Tenure;
 use crate::gateway::Gateway;
 use crate::mirror::backoff;
 use crate::peers::{client, PeerReply, PeerRequest};
@@ -222,12 +225,28 @@
 /// what it has sent to each server, and its connections serve one step after the other.
 fn new_owner(gateway: &Gateway, specification: &JobSpecification) -> NodeId {
     let me = gateway.identity.node.clone();
-    let mut alive = gateway.members.alive();
-    if !gateway.draining.get() {
-        alive.push(me.clone());
+    let candidates = gateway.job_candidates();
+    let chosen = match &specification.step {
+        Some(step) => succession::owner(&step.model, &candidates, &tenures(gateway)),
+        None => succession::line(&specification.id, &candidates).into_iter().next(),
+    };
+    chosen.unwrap_or(me)
+}
+
+/// Who runs the newest job of each model.
+fn tenures(gateway: &Gateway) -> Vec<Tenure> {
+    let mut newest: BTreeMap<String, (Moment, NodeId)> = BTreeMap::new();
+    for job in gateway.jobs.all() {
+        let Some(model) = job.ownership.borrow().0.model.clone() else {
+            continue;
+        };
+        let is_newer =
+            newest.get(&model).is_none_or(|(known_since, _)| *known_since <= job.known_since);
+        if is_newer {
+            newest.insert(model, (job.known_since, job.owner()));
+        }
     }
-    let key = specification.step.as_ref().map_or(&specification.id, |step| &step.model);
-    successor(key, alive.iter()).cloned().unwrap_or(me)
+    newest.into_iter().map(|(model, (_, owner))| Tenure { model, owner }).collect()
 }
 
 /// Why a job could not be ended.
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -44,6 +44,7 @@
 pub mod runner;
 pub mod schedule;
 pub mod specification;
+pub mod succession;
 
 pub use result_log::{ItemResult, ItemState, ResultLog, ResultsPage};
 pub use specification::{Item, JobSpecification, RewardCall, TrainerStep};
--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -18,6 +18,7 @@
 use super::ownership::{place_in_line, successor, Ownership};
 use super::registry::{Job, OWNERSHIPS};
 use super::runner::start_own_jobs;
+use super::succession;
 use crate::dissemination;
 use crate::dissemination::Way;
 use crate::gateway::Gateway;
@@ -207,9 +208,8 @@
     let now = gateway.now();
     let since = job.orphaned_since.get().unwrap_or(now);
     job.orphaned_since.set(Some(since));
-    let mut alive = gateway.members.alive();
-    alive.push(me.clone());
-    let place = place_in_line(&job.id, me, &alive);
+    let line = succession::line(&job.id, &gateway.job_candidates());
+    let place = line.iter().position(|node| node == me).unwrap_or(line.len());
     adoption::reason(standing, now - since, place).filter(|_| !gateway.draining.get())
 }
 
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::batch::length::Lengths;
 use crate::batch::moves::MoveCost;
 use crate::batch::registry::JobRegistry;
+use crate::batch::succession::Candidate;
 use crate::configuration::Configuration;
 use crate::directory::{Directory, Server};
 use crate::dissemination::Way;
@@ -77,6 +78,8 @@
     /// Time without news of the configuration after which callers with keys are refused; never
     /// where there is none.
     pub closes_after: Option<Duration>,
+    /// Thousandths of a core that the process may use; 0 where that is not stated.
+    pub processor_millis: u32,
     /// Whether servers are to be ordered.
     pub scales: bool,
 }
@@ -264,6 +267,16 @@
         !self.draining.get() && self.directory_known.get() && self.configuration.borrow().is_some()
     }
 
+    /// The daemons that may run jobs now, this one among them unless it stops.
+    pub fn job_candidates(&self) -> Vec<Candidate> {
+        let mut candidates = self.members.alive_candidates();
+        if !self.draining.get() {
+            let processor_millis = self.tuning().processor_millis;
+            candidates.push(Candidate { node: self.identity.node.clone(), processor_millis });
+        }
+        candidates
+    }
+
     /// Servers of a service that may get new requests.
     pub fn usable_servers(&self, service: &str) -> Vec<Rc<Server>> {
         let mut usable = self.directory.borrow().usable(self.now(), service);
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -22,6 +22,8 @@
 use heronbend::Moment;
 use smol::channel::{bounded, Receiver, Sender};
 
+use crate::batch::succession::Candidate;
+
 pub use messages::{Hint, PeerReply, PeerRequest};
 
 /// Time after the start in which a daemon does not yet judge who is alive.
@@ -156,6 +158,17 @@
         alive.map(|member| member.zone.clone()).collect()
     }
 
+    /// The other daemons that are alive, as ones that may run jobs.
+    pub fn alive_candidates(&self) -> Vec<Candidate> {
+        let members = self.members.borrow();
+        let alive = members.iter().filter(|member| member.liveness == Liveness::Alive);
+        let candidate = |member: &Member| Candidate {
+            node: member.id.clone(),
+            processor_millis: member.processor_millis,
+        };
+        alive.map(candidate).collect()
+    }
+
     /// The other daemons of a zone that are alive.
     pub fn alive_in(&self, zone: &str) -> Vec<NodeId> {
         let members = self.members.borrow();
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -180,6 +180,7 @@
         http_address: addresses.callers,
         zone: gateway.identity.zone.clone(),
         region: gateway.identity.region.clone(),
+        processor_millis: gateway.tuning().processor_millis,
         refutation: 0,
         liveness: Liveness::Alive,
     };
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -51,7 +51,7 @@
 }
 
 /// Valid settings.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// Name of the daemon, kept across restarts.
     pub node: String,
@@ -74,6 +74,8 @@
     pub metrics: Option<SocketAddr>,
     /// The store.
     pub store: SocketAddr,
+    /// Share of a core that the process may use; 0 where that is not stated.
+    pub processor_share: f64,
     /// Memory that the process may use, in megabytes.
     pub memory_limit_mb: usize,
     /// Largest object that the store takes, in bytes.
@@ -307,6 +309,7 @@
             seeds: reader.addresses("seeds"),
             first_start: reader.flag("first_start"),
             store: reader.required_address("store.address"),
+            processor_share: reader.number_or("processor_share", 0.0),
             memory_limit_mb: reader.number_or("memory_limit_mb", DEFAULT_MEMORY_MB) as usize,
             max_object_bytes: reader.number("store.max_object_bytes") as usize,
             lease_pause: reader.millis("lease_pause_ms"),
@@ -365,6 +368,7 @@
             drain_notice: self.drain_notice,
             configuration_notice: self.configuration_notice,
             usage: self.usage,
+            processor_millis: (self.processor_share * 1e3).round() as u32,
             scales: self.duties.contains(&Duty::Scale),
             closes_after: self.revocation_notice.filter(|_| self.fail_closed),
         }
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -65,6 +65,7 @@
         http_address: "127.0.0.1:9".parse().expect("an address"),
         zone: "z".to_owned(),
         region: "r".to_owned(),
+        processor_millis: 0,
         refutation: 0,
         liveness,
     }
@@ -120,6 +121,7 @@
     usage: None,
     closes_after: None,
     scales: false,
+    processor_millis: 0,
 };
 
 /// A daemon's state over a store that several may share.
--- a/crates/heronbend/src/membership/messages.rs
+++ b/crates/heronbend/src/membership/messages.rs
@@ -37,6 +37,10 @@
     pub zone: String,
     /// Its region.
     pub region: String,
+    /// Thousandths of a core that it may use; 0 where it does not say.
+    #[serde(default)]
+    #[musli(default)]
+    pub processor_millis: u32,
     /// Raised by the daemon itself to refute a suspicion.
     pub refutation: u32,
     /// What is believed of it.
--- a/crates/heronbend/src/membership/tests.rs
+++ b/crates/heronbend/src/membership/tests.rs
@@ -20,6 +20,7 @@
         http_address: address(index),
         zone: "shawinigan".into(),
         region: "mauricie".into(),
+        processor_millis: 0,
         refutation: 0,
         liveness: Liveness::Alive,
     }
