State that duties share stands below them; texts that many are read at once rest between reads

Structure: parts of texts, texts of a job, names of leases, ways of news, messages of relayed calls and the gate's count have modules that know nothing of the gateway; what drives them stands above.

From 300 texts on each text rests 0.1 ms for each of them between reads, so that several events come at once; below that nothing changes.

--- a/crates/heronbend-gateway/src/batch/event_stream.rs
+++ b/crates/heronbend-gateway/src/batch/event_stream.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use super::checkpoint::Segment;
 use super::digest::Digest;
 use super::result_log::ItemResult;
+use super::segment::Segment;
 use crate::events::{Malformed, Parser};
 
 /// Why a stream cannot be a continuation of the text.
--- a/crates/heronbend-gateway/src/batch/gate.rs
+++ b/crates/heronbend-gateway/src/batch/gate.rs
@@ -1,36 +1,16 @@
-//! Bounds reward calls, so that callers who wait for an answer find places at the same servers.
-//!
-//! A step's texts become whole in bursts, and each asks for a score at once. Nobody waits for a
-//! score by itself: it may take its turn.
+//! Reward calls under way, by service.
 
 use std::cell::RefCell;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::rc::Rc;
-use std::time::Duration;
 
 use event_listener::Event;
 
-use crate::gateway::Gateway;
-use crate::wait;
-
-/// Reward calls that may be under way for each place at a service's servers. Fewer would let texts
-/// wait for their scores; more would fill the servers' queues.
-const CALLS_A_PLACE: f64 = 1.25;
-/// Longest wait until the places are counted again without news.
-const RECOUNT: Duration = Duration::from_millis(100);
-
 /// Reward calls under way, by service.
 #[derive(Debug, Default)]
 pub struct Gate {
     running: RefCell<HashMap<String, u32>>,
-    left: Event,
-}
-
-/// Leave to make one call; given back when dropped.
-pub struct Pass {
-    gateway: Rc<Gateway>,
-    service: String,
+    /// Notified when a call has ended.
+    pub left: Event,
 }
 
 impl Gate {
@@ -39,39 +19,16 @@
         self.running.borrow().get(service).copied().unwrap_or(0)
     }
 
-    fn add(&self, service: &str) {
+    /// Notes that a call begins.
+    pub fn begin(&self, service: &str) {
         *self.running.borrow_mut().entry(service.to_owned()).or_default() += 1;
     }
-}
 
-impl Drop for Pass {
-    fn drop(&mut self) {
-        let gate = &self.gateway.reward_gate;
-        if let Some(running) = gate.running.borrow_mut().get_mut(&self.service) {
+    /// Notes that a call has ended.
+    pub fn end(&self, service: &str) {
+        if let Some(running) = self.running.borrow_mut().get_mut(service) {
             *running -= 1;
         }
-        gate.left.notify(1);
+        self.left.notify(1);
     }
 }
-
-/// Waits until another reward call may be made to a service.
-pub async fn enter(gateway: &Rc<Gateway>, service: &str) -> Pass {
-    let gate = &gateway.reward_gate;
-    while gate.running(service) >= limit(gateway, service) {
-        let left = gate.left.listen();
-        wait::at_most(RECOUNT, left).await;
-    }
-    gate.add(service);
-    Pass { gateway: gateway.clone(), service: service.to_owned() }
-}
-
-/// Reward calls that this daemon may have under way at a service: its part of what those that run
-/// jobs may have together.
-pub fn limit(gateway: &Gateway, service: &str) -> u32 {
-    let slots: u32 = gateway.usable_servers(service).iter().map(|server| server.slots).sum();
-    let jobs = gateway.jobs.all();
-    let open = jobs.iter().filter(|job| !job.ended.get() && !job.is_complete());
-    let owners: BTreeSet<_> = open.map(|job| job.owner()).collect();
-    let daemons = owners.len().max(1) as f64;
-    ((f64::from(slots) * CALLS_A_PLACE / daemons) as u32).max(1)
-}
--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -327,6 +327,7 @@
         let mut reader = EventReader::new(field, version);
         let mut limit = FIRST_EVENT_LIMIT;
         let mut resumed_at = (self.last_event() > 0).then_some(asked);
+        let _reader = self.gateway.crowd.enter();
         let outcome = loop {
             let bytes = exchange.next_bytes().or(async {
                 Timer::after(limit).await;
@@ -359,6 +360,9 @@
             if !self.versions_fit(route) {
                 break Err("versions do not fit");
             }
+            if let Some(rest) = self.gateway.crowd.rest() {
+                Timer::after(rest).await;
+            }
         };
         if !self.versions_fit(route) {
             *self.text.borrow_mut() = ItemText::default();
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -25,6 +25,7 @@
 pub mod adoption;
 pub mod appender;
 pub mod checkpoint;
+pub mod crowd;
 pub mod digest;
 pub mod event_stream;
 pub mod gate;
@@ -41,10 +42,13 @@
 pub mod registry;
 pub mod result_log;
 pub mod reward;
+pub mod reward_turn;
 pub mod runner;
 pub mod schedule;
+pub mod segment;
 pub mod specification;
 pub mod succession;
+pub mod texts;
 
 pub use result_log::{ItemResult, ItemState, ResultLog, ResultsPage};
 pub use specification::{Item, JobSpecification, RewardCall, TrainerStep};
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -11,10 +11,10 @@
 use heronbend::identity::NodeId;
 use heronbend::Moment;
 
-use super::checkpoint::Texts;
 use super::ownership::Ownership;
 use super::result_log::ResultLog;
 use super::specification::JobSpecification;
+use super::texts::Texts;
 use crate::ports::{Object, Revision};
 
 /// Kind of the specifications.
--- a/crates/heronbend-gateway/src/batch/reward.rs
+++ b/crates/heronbend-gateway/src/batch/reward.rs
@@ -6,8 +6,8 @@
 use http::{HeaderMap, HeaderValue, Method};
 use smol::Timer;
 
-use super::gate;
 use super::registry::Job;
+use super::reward_turn;
 use super::specification::RewardCall;
 use crate::exchange::Outgoing;
 use crate::forward::{forward, Allowance};
@@ -38,7 +38,7 @@
             Timer::after(REST).await;
             continue;
         };
-        let _pass = gate::enter(gateway, &service).await;
+        let _pass = reward_turn::enter(gateway, &service).await;
         let round = (allowance.target_latency * ROUND_TARGETS).max(MIN_ROUND);
         allowance.deadline = gateway.now() + round;
         allowance.is_repeatable = true;
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -5,10 +5,10 @@
 use futures_lite::FutureExt;
 use smol::{Task, Timer};
 
-use super::checkpoint::Texts;
 use super::registry::{Job, SPECIFICATIONS};
 use super::schedule::begin_order;
 use super::specification::JobSpecification;
+use super::texts::Texts;
 use super::{appender, checkpoint, item_run, ownership_duty};
 use crate::gateway::Gateway;
 use crate::mirror::backoff;
--- /dev/null
+++ b/crates/heronbend-gateway/src/batch/texts.rs
@@ -0,0 +1,143 @@
+//! The texts of one job that is being run here, and how much of them is in checkpoints.
+
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::rc::Rc;
+
+use super::digest::Digest;
+use super::event_stream::ItemText;
+use super::segment::Segment;
+
+/// Texts that are shorter are made again in less time than the others need anyway.
+const MIN_EVENTS: u64 = 16;
+/// Most bytes of events in one checkpoint, which is one object. The rest goes into the next one.
+const MAX_BYTES: usize = 400 * 1024;
+
+/// How much of a text is in checkpoints.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Saved {
+    /// Number of the last event that is saved.
+    pub events: u64,
+    /// The digest of the text up to that event.
+    pub digest: Digest,
+}
+
+impl Saved {
+    /// All of a text.
+    pub fn all_of(text: &ItemText) -> Self {
+        let events = text.last_event();
+        Self { events, digest: text.digest_at(events).unwrap_or_default() }
+    }
+
+    /// What is saved once a segment is.
+    pub fn through(segment: &Segment) -> Self {
+        let events = segment.events.iter().zip(&segment.versions);
+        let digest =
+            events.fold(segment.follows, |digest, (event, version)| digest.then(event, *version));
+        Self { events: segment.after + segment.events.len() as u64, digest }
+    }
+
+    /// What a text has gained: all of it where it was begun anew since.
+    pub fn unsaved(&self, item: usize, text: &ItemText) -> Segment {
+        let goes_on = text.digest_at(self.events) == Some(self.digest);
+        text.segment(item, if goes_on { self.events } else { 0 })
+    }
+}
+
+/// The texts of one job that is being run here, by position of their item.
+#[derive(Debug, Default)]
+pub struct Texts {
+    texts: Vec<Rc<RefCell<ItemText>>>,
+    /// What of each text is in checkpoints.
+    saved: Vec<Saved>,
+}
+
+impl Texts {
+    /// Empty texts for so many items.
+    pub fn new(items: usize) -> Self {
+        let texts = (0..items).map(|_| Rc::default()).collect();
+        Self { texts, saved: vec![Saved::default(); items] }
+    }
+
+    /// The text of an item.
+    pub fn get(&self, item: usize) -> Rc<RefCell<ItemText>> {
+        self.texts.get(item).cloned().unwrap_or_default()
+    }
+
+    /// Sets each text to the longest one that the segments of one or more writers make.
+    pub fn restore(&mut self, segments: &[Segment]) {
+        for (item, text) in self.texts.iter().enumerate() {
+            let of_item: Vec<&Segment> =
+                segments.iter().filter(|segment| segment.item == item).collect();
+            if of_item.is_empty() {
+                continue;
+            }
+            let longest = longest_text(&text.borrow(), of_item);
+            self.saved[item] = Saved::all_of(&longest);
+            *text.borrow_mut() = longest;
+        }
+    }
+
+    /// Events that each text has.
+    pub fn lengths(&self) -> impl Iterator<Item = u64> + '_ {
+        self.texts.iter().map(|text| text.borrow().last_event())
+    }
+
+    /// What long texts have gained since they were saved last, the longest first, as much as fits one
+    /// checkpoint.
+    pub fn unsaved(&self, is_listed: impl Fn(usize) -> bool) -> Vec<Segment> {
+        let length = |item: usize| self.texts[item].borrow().last_event();
+        let is_saved = |item: usize| {
+            let text = self.texts[item].borrow();
+            self.saved[item] == Saved::all_of(&text)
+        };
+        let is_due =
+            |item: &usize| length(*item) >= MIN_EVENTS && !is_saved(*item) && !is_listed(*item);
+        let mut due: Vec<usize> = (0..self.texts.len()).filter(is_due).collect();
+        due.sort_by_key(|item| Reverse(length(*item)));
+        let mut bytes = 0;
+        let mut segments = Vec::new();
+        for item in due {
+            let text = self.texts[item].borrow();
+            let segment = self.saved[item].unsaved(item, &text);
+            bytes += segment.events.iter().map(String::len).sum::<usize>();
+            if bytes > MAX_BYTES && !segments.is_empty() {
+                break;
+            }
+            segments.push(segment);
+        }
+        segments
+    }
+
+    /// Notes that segments are in the store.
+    pub fn saved(&mut self, segments: &[Segment]) {
+        for segment in segments {
+            self.saved[segment.item] = Saved::through(segment);
+        }
+    }
+}
+
+/// The longest text that segments make from a known one, in whatever order they come.
+pub fn longest_text(known: &ItemText, mut segments: Vec<&Segment>) -> ItemText {
+    let mut branches = vec![known.clone()];
+    loop {
+        let before = segments.len();
+        segments.retain(|segment| !add(&mut branches, segment));
+        if segments.is_empty() || segments.len() == before {
+            break;
+        }
+    }
+    branches.into_iter().max_by_key(ItemText::last_event).unwrap_or_default()
+}
+
+/// Adds a segment to the texts that were made so far; false where none has the events that it follows.
+fn add(branches: &mut Vec<ItemText>, segment: &Segment) -> bool {
+    let Some(made) = branches.iter().find_map(|text| text.continued_by(segment)) else {
+        return false;
+    };
+    if !branches.iter().any(|text| made.is_start_of(text)) {
+        branches.retain(|text| !text.is_start_of(&made));
+        branches.push(made);
+    }
+    true
+}
--- a/crates/heronbend-gateway/src/dissemination.rs
+++ b/crates/heronbend-gateway/src/dissemination.rs
@@ -21,6 +21,7 @@
 use rapidhash::v3::rapidhash_v3;
 
 use crate::gateway::Gateway;
+use crate::news_way::Way;
 use crate::packed_news;
 use crate::peers::client;
 use crate::peers::messages::KindState;
@@ -62,18 +63,6 @@
     zone
 }
 
-/// By which way a daemon hears of the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Way {
-    /// It lists and watches for itself.
-    Store,
-    /// It follows these daemons, which do.
-    Watchers(Vec<NodeId>),
-    /// Those that do hear nothing from the store, and this daemon does not either: to list would cost
-    /// a call at each daemon, and not be answered.
-    Outage,
-}
-
 /// By which way this daemon hears of the store now.
 ///
 /// The watchers of its zone come first, then those of others. A daemon that none of them tells
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use smol::LocalExecutor;
 
 use crate::balancer::Balancer;
+use crate::batch::crowd::Crowd;
 use crate::batch::gate::Gate;
 use crate::batch::length::Lengths;
 use crate::batch::moves::MoveCost;
@@ -25,13 +26,14 @@
 use crate::batch::succession::Candidate;
 use crate::configuration::Configuration;
 use crate::directory::{Directory, Server};
-use crate::dissemination::Way;
 use crate::duties::book::Book;
 use crate::duties::book::Terms;
 use crate::http::client::ConnectionPool;
+use crate::lease_news::LeaseName;
 use crate::lease_news::LeaseNews;
 use crate::memory::Budget;
 use crate::metrics::Metrics;
+use crate::news_way::Way;
 use crate::packed_news::Texts;
 use crate::peers::Peers;
 use crate::ports::{Dialect, Ports, Provider};
@@ -130,6 +132,8 @@
     pub lengths: RefCell<Lengths>,
     /// What it costs to move a text.
     pub move_cost: RefCell<MoveCost>,
+    /// Texts of items that are read here.
+    pub crowd: Crowd,
     /// Reward calls under way.
     pub reward_gate: Gate,
     /// Batch jobs.
@@ -200,6 +204,7 @@
             members: Peers::default(),
             lengths: RefCell::default(),
             move_cost: RefCell::default(),
+            crowd: Crowd::default(),
             reward_gate: Gate::default(),
             jobs: JobRegistry::new(move || started.elapsed()),
             usage,
@@ -267,6 +272,14 @@
         !self.draining.get() && self.directory_known.get() && self.configuration.borrow().is_some()
     }
 
+    /// What is told of a lease.
+    pub fn lease_news(&self, lease: LeaseName) -> &LeaseNews {
+        match lease {
+            LeaseName::Orders => &self.versions.lease,
+            LeaseName::Duties => &self.duty_lease,
+        }
+    }
+
     /// The daemons that may run jobs now, this one among them unless it stops.
     pub fn job_candidates(&self) -> Vec<Candidate> {
         let mut candidates = self.members.alive_candidates();
--- a/crates/heronbend-gateway/src/lease_keeper.rs
+++ b/crates/heronbend-gateway/src/lease_keeper.rs
@@ -5,10 +5,9 @@
 
 use heronbend::identity::NodeName;
 use heronbend::Moment;
-use musli::Decode;
-use musli::Encode;
 
 use crate::gateway::Gateway;
+use crate::lease_news::LeaseName;
 use crate::lease_news::LeaseNews;
 use crate::peers::Hint;
 use crate::ports::Condition;
@@ -21,34 +20,6 @@
 /// Kind of the leases' objects.
 const LEASE_KIND: &str = "heronbend-leases";
 
-/// A lease.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
-pub enum LeaseName {
-    /// For orders to servers.
-    #[default]
-    Orders,
-    /// For duties towards the provider.
-    Duties,
-}
-
-impl LeaseName {
-    /// Name of its object.
-    pub fn object(self) -> &'static str {
-        match self {
-            Self::Orders => "orders",
-            Self::Duties => "duties",
-        }
-    }
-
-    /// What is told of it.
-    pub fn news(self, gateway: &Gateway) -> &LeaseNews {
-        match self {
-            Self::Orders => &gateway.versions.lease,
-            Self::Duties => &gateway.duty_lease,
-        }
-    }
-}
-
 /// Takes and renews a lease for one daemon.
 pub struct LeaseKeeper {
     gateway: Rc<Gateway>,
@@ -65,7 +36,7 @@
     }
 
     fn news(&self) -> &LeaseNews {
-        self.lease.news(&self.gateway)
+        self.gateway.lease_news(self.lease)
     }
 
     /// The fencing token, if this daemon may act now.
--- a/crates/heronbend-gateway/src/lease_news.rs
+++ b/crates/heronbend-gateway/src/lease_news.rs
@@ -4,10 +4,32 @@
 
 use heronbend::identity::NodeName;
 use heronbend::Moment;
+use musli::Decode;
+use musli::Encode;
 
 use crate::ports::Revision;
 use crate::versions::lease::LeaseRecord;
 
+/// A lease.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
+pub enum LeaseName {
+    /// For orders to servers.
+    #[default]
+    Orders,
+    /// For duties towards the provider.
+    Duties,
+}
+
+impl LeaseName {
+    /// Name of its object.
+    pub fn object(self) -> &'static str {
+        match self {
+            Self::Orders => "orders",
+            Self::Duties => "duties",
+        }
+    }
+}
+
 /// Who holds a lease, as far as is known here.
 #[derive(Default)]
 pub struct LeaseNews {
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -14,7 +14,7 @@
 //! - [`versions`]: versions of weights.
 //! - [`peers`]: the daemons among themselves.
 //! - [`relayed_store`], [`mirror`], [`replica`], [`packed_news`],
-//!   [`dissemination`], [`configuration`], [`directory`]:
+//!   [`news_way`], [`dissemination`], [`configuration`], [`directory`]:
 //!   the store and what it says.
 //! - [`service`], [`keeper`], [`settings`], [`reload`]: the programs and their settings.
 //! - [`logging`], [`metrics`]: what they tell.
@@ -44,6 +44,7 @@
 pub mod memory;
 pub mod metrics;
 pub mod mirror;
+pub mod news_way;
 pub mod packed_news;
 pub mod peers;
 pub mod ports;
--- a/crates/heronbend-gateway/src/mirror.rs
+++ b/crates/heronbend-gateway/src/mirror.rs
@@ -8,8 +8,8 @@
 use smol::Timer;
 
 use crate::dissemination;
-use crate::dissemination::Way;
 use crate::gateway::Gateway;
+use crate::news_way::Way;
 use crate::ports::{Change, Changes, Object, ObjectStore, Revision, StoreError};
 use crate::replica::Replica;
 use crate::wait;
@@ -27,6 +27,8 @@
 const FOLLOWER_PROBE_RETRY: Duration = Duration::from_millis(1200);
 /// Rest of a daemon that follows others while these hear nothing from the store.
 const OUTAGE_REST: Duration = Duration::from_millis(400);
+/// Rest of a daemon that follows others after news.
+const FOLLOWER_GATHERING: Duration = Duration::from_millis(60);
 /// Longest wait for the probe before a call is tried all the same.
 const OUTAGE_WAIT: Duration = Duration::from_secs(2);
 /// Failures in a row after which the watches of other kinds are begun anew.
@@ -196,7 +198,7 @@
                     sink.change(change);
                 }
                 sink.applied();
-                Timer::after(gathering).await;
+                Timer::after(rest_after_news(gateway, source, gathering)).await;
             }
             Some(Err(Unheard::Store(StoreError::HistoryGone))) => {
                 log::info!("event=history_gone kind={kind} at={at}");
@@ -214,6 +216,15 @@
     }
 }
 
+/// Rest after news, so that further changes come with the next. Only calls to the store have a price:
+/// a daemon that follows others, which gather already, would merely learn later of servers that leave.
+fn rest_after_news(gateway: &Gateway, source: Source, gathering: Duration) -> Duration {
+    match way(gateway, source) {
+        Way::Store => gathering,
+        Way::Watchers(_) | Way::Outage => gathering.min(FOLLOWER_GATHERING),
+    }
+}
+
 /// Looks whether the store answers, whenever nothing else has shown it for a while.
 ///
 /// A watch that was begun while the store, or the way to it, was silent may never be answered, and
--- a/crates/heronbend-gateway/src/packed_news.rs
+++ b/crates/heronbend-gateway/src/packed_news.rs
@@ -17,7 +17,7 @@
 use musli::Encode;
 use thiserror::Error;
 
-use crate::peers::store_relay::RelayedObject;
+use crate::peers::relayed::RelayedObject;
 use crate::ports::Object;
 use crate::ports::Revision;
 use crate::replica::News;
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -213,7 +213,7 @@
             note_order_taken(gateway, holder, &server, &model, version);
         }
         Hint::LeaseRenewed { lease, revision, record } => {
-            lease.news(gateway).tell(gateway.now(), revision, record);
+            gateway.lease_news(lease).tell(gateway.now(), revision, record);
         }
         Hint::UsageCounted { daemon, window, counts } => {
             if let Some(book) = &gateway.usage {
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -7,11 +7,11 @@
 use heronbend::usage::Window;
 use musli::{Decode, Encode};
 
-use super::store_relay::{RelayedObject, StoreCall, StoreReply};
+use super::relayed::{RelayedObject, StoreCall, StoreReply};
 use crate::batch::ownership::Ownership;
 use crate::batch::specification::JobSpecification;
 use crate::batch::ItemResult;
-use crate::lease_keeper::LeaseName;
+use crate::lease_news::LeaseName;
 use crate::versions::lease::LeaseRecord;
 
 /// A datagram.
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -7,6 +7,7 @@
 pub mod duty;
 pub mod introduction;
 pub mod messages;
+pub mod relayed;
 pub mod store_relay;
 pub mod view_log;
 
--- a/crates/heronbend-gateway/src/relayed_store.rs
+++ b/crates/heronbend-gateway/src/relayed_store.rs
@@ -13,7 +13,7 @@
 use crate::batch::registry::RESULTS;
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
-use crate::peers::store_relay::{StoreCall, StoreReply};
+use crate::peers::relayed::{StoreCall, StoreReply};
 use crate::peers::{client, PeerReply, PeerRequest};
 use crate::ports::{Changes, Condition, Listing, Object, ObjectStore, Revision, StoreError};
 
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -20,7 +20,7 @@
 use crate::http::server::{Listener, ListenerLimits};
 use crate::http::{bytes_answer, text_answer, Answer};
 use crate::lease_keeper::LeaseKeeper;
-use crate::lease_keeper::LeaseName;
+use crate::lease_news::LeaseName;
 use crate::mirror::{self, MirrorSink, Source};
 use crate::peers;
 use crate::ports::{Change, Object, Ports};
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -18,7 +18,7 @@
 use crate::gateway::Gateway;
 use crate::http::client::WholeAnswer;
 use crate::lease_keeper::LeaseKeeper;
-use crate::lease_keeper::LeaseName;
+use crate::lease_news::LeaseName;
 use crate::peers::Hint;
 use crate::peers::INTRODUCTION;
 use crate::ports::dialect::ServerCall;
--- a/crates/heronbend-gateway/src/versions/named.rs
+++ b/crates/heronbend-gateway/src/versions/named.rs
@@ -11,7 +11,7 @@
 use crate::batch::ownership;
 use crate::batch::registry::Job;
 use crate::gateway::Gateway;
-use crate::lease_keeper::LeaseName;
+use crate::lease_news::LeaseName;
 use crate::mirror;
 use crate::mirror::MirrorSink;
 use crate::mirror::Source;
--- a/crates/heronbend-gateway/tests/checkpoint.rs
+++ b/crates/heronbend-gateway/tests/checkpoint.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use heronbend_gateway::batch::checkpoint::Segment;
-use heronbend_gateway::batch::checkpoint::Texts;
 use heronbend_gateway::batch::event_stream::EventReader;
 use heronbend_gateway::batch::event_stream::ItemText;
+use heronbend_gateway::batch::segment::Segment;
+use heronbend_gateway::batch::texts::Texts;
 use rand::rngs::SmallRng;
 use rand::Rng;
 use rand::SeedableRng;
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -10,10 +10,11 @@
 
 use heronbend::access::Caller;
 use heronbend_gateway::batch::adoption::Reason;
-use heronbend_gateway::batch::checkpoint::{self, Texts};
+use heronbend_gateway::batch::checkpoint;
 use heronbend_gateway::batch::event_stream::EventReader;
 use heronbend_gateway::batch::hand_in::{self, HandInError};
 use heronbend_gateway::batch::ownership::Ownership;
+use heronbend_gateway::batch::texts::Texts;
 
 use heronbend_gateway::batch::registry::{
     chunk_name, results_kind, Job, OWNERSHIPS, SPECIFICATIONS,
--- a/spec/src/saved_texts.rs
+++ b/spec/src/saved_texts.rs
@@ -6,12 +6,12 @@
 //! Invariants: every text that a daemon goes on with consists of runs, each of which was asked to
 //! follow the event after which it stands; and what a daemon believes saved can be restored.
 
-use heronbend_gateway::batch::checkpoint::longest_text;
-use heronbend_gateway::batch::checkpoint::Saved;
-use heronbend_gateway::batch::checkpoint::Segment;
 use heronbend_gateway::batch::digest::Digest;
 use heronbend_gateway::batch::event_stream::EventReader;
 use heronbend_gateway::batch::event_stream::ItemText;
+use heronbend_gateway::batch::segment::Segment;
+use heronbend_gateway::batch::texts::longest_text;
+use heronbend_gateway::batch::texts::Saved;
 
 use crate::explore::System;
 
