--- a/crates/heronbend/src/scaling/planner.rs
+++ b/crates/heronbend/src/scaling/planner.rs
@@ -88,7 +88,7 @@
     /// The orders to give now.
     pub fn plan(&self, now: Moment, terms: &Terms, zones: &[Zone], demand: Demand) -> Vec<Order> {
         let mut orders: Vec<Order> = Vec::new();
-        for zone in zones {
+        for zone in zones.iter().chain(&self.emptied(zones)) {
             orders.extend(self.restore(now, terms, zone));
         }
         if terms.revocable_price.is_some() {
@@ -97,6 +97,15 @@
         orders
     }
 
+    /// Zones that were set up with servers and show none any more.
+    fn emptied(&self, zones: &[Zone]) -> Vec<Zone> {
+        let is_seen = |name: &String| zones.iter().any(|zone| zone.name == *name);
+        let emptied = self.memory.floor.keys().filter(|name| !is_seen(name));
+        let zone =
+            |name: &String| Zone { name: name.clone(), price: 1.0, on_demand: 0, revocable: 0 };
+        emptied.map(zone).collect()
+    }
+
     /// Servers on demand that a zone's floor lacks.
     fn restore(&self, now: Moment, terms: &Terms, zone: &Zone) -> Option<Order> {
         let floor = self.floor(terms, zone);
--- a/crates/heronbend/src/scaling/tests.rs
+++ b/crates/heronbend/src/scaling/tests.rs
@@ -65,6 +65,14 @@
     assert_eq!(planner.plan(seconds(19), &TERMS, &lost, demand(0.5)).len(), 1);
 }
 
+#[test]
+fn a_zone_that_has_lost_all_its_servers_gets_them_back() {
+    let planner = planner(Policy::Hold);
+    let left = zones([12, 12, 0], [0; 3])[..2].to_vec();
+    let due = planner.plan(seconds(9), &TERMS, &left, demand(0.5));
+    assert_eq!(due, [order("c", false, 11)]);
+}
+
 #[test]
 fn the_floor_outlives_the_daemon_that_noted_it() {
     let known = planner(Policy::Hold).memory().clone();
