A server that fails at all it gets is avoided, and an item does not come back to one that failed at it

Servers that say they are well and fail all answer at once, so they are always free and look fast: items met three of them and were given up, as their route says. A 500 counted as no failure of the server for items, and as a fast answer for requests.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -72,6 +72,8 @@
     service: Option<String>,
     /// The server whose attempt ended last, to be avoided once.
     last_server: Vec<String>,
+    /// Servers that failed at it: one more failure may be the last that the route allows.
+    failed_at: Vec<String>,
 }
 
 /// Runs an item until it has a result; goes on with `text`, which may have been begun elsewhere.
@@ -93,6 +95,7 @@
         route_missing: None,
         service: None,
         last_server: Vec::new(),
+        failed_at: Vec::new(),
     };
     run.run_whole().await
 }
@@ -120,12 +123,16 @@
             let Some(service) = self.service(&route) else {
                 return self.terminated("route without a service");
             };
-            let (server, fitness) = self.placement().wait(&service, &self.last_server).await;
+            let (server, fitness) =
+                self.placement().wait(&service, &self.last_server, &self.failed_at).await;
             let before = self.last_event();
             match self.attempt(&server, fitness, &route).await {
                 RunEnd::Whole => break,
                 RunEnd::Again => self.rest(before).await,
-                RunEnd::Failed => self.failures += 1,
+                RunEnd::Failed => {
+                    self.failures += 1;
+                    self.failed_at.push(server.id.clone());
+                }
                 RunEnd::Impossible => return self.terminated("impossible"),
             }
             if self.failures >= route.max_attempts.max(1) {
@@ -236,7 +243,10 @@
         if exchange.status != StatusCode::OK {
             let status = exchange.status;
             self.log_attempt(server, status.as_str(), 0);
-            counted.end(AttemptEnd::Abandoned);
+            // A server that fails at all it gets is always free, and would get ever more.
+            let is_failure = status == StatusCode::INTERNAL_SERVER_ERROR;
+            let end = if is_failure { AttemptEnd::Failed } else { AttemptEnd::Abandoned };
+            counted.end(end);
             return match status {
                 StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Impossible,
                 StatusCode::INTERNAL_SERVER_ERROR => RunEnd::Failed,
--- a/crates/heronbend-gateway/src/batch/placement.rs
+++ b/crates/heronbend-gateway/src/batch/placement.rs
@@ -31,11 +31,17 @@
 }
 
 impl Placement<'_> {
-    /// Waits for a free place at a server that can run the item.
-    pub async fn wait(&self, service: &str, avoided: &[String]) -> (Rc<Server>, Fitness) {
+    /// Waits for a free place at a server that can run the item; not at one that `failed` at it while
+    /// there are others.
+    pub async fn wait(
+        &self,
+        service: &str,
+        avoided: &[String],
+        failed: &[String],
+    ) -> (Rc<Server>, Fitness) {
         loop {
             let changed = self.gateway.places_changed.listen();
-            if let Some(place) = self.find(service, avoided) {
+            if let Some(place) = self.find(service, avoided, failed) {
                 return place;
             }
             wait::at_most(PLACE_WAIT, changed).await;
@@ -43,9 +49,20 @@
     }
 
     /// A free place, if there is one; not at one of `avoided` unless there is no other.
-    pub fn find(&self, service: &str, avoided: &[String]) -> Option<(Rc<Server>, Fitness)> {
+    pub fn find(
+        &self,
+        service: &str,
+        avoided: &[String],
+        failed: &[String],
+    ) -> Option<(Rc<Server>, Fitness)> {
         let now = self.gateway.now();
-        let usable = self.gateway.usable_servers(service);
+        let mut usable = self.gateway.usable_servers(service);
+        let has_other = usable.iter().any(|server| {
+            !failed.contains(&server.id) && self.fitness(now, server) != Fitness::Unfit
+        });
+        if has_other {
+            usable.retain(|server| !failed.contains(&server.id));
+        }
         let chosen = self.choose(now, &self.candidates(now, usable.iter()), avoided)?;
         let fitness = self.fitness(now, &chosen);
         Some((chosen, fitness))
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -230,6 +230,10 @@
                 }
             }
             match &result {
+                // A server that fails at all it gets is fast, and would get ever more.
+                Ok(answer) if answer.status.is_server_error() => {
+                    counted.end(AttemptEnd::Failed);
+                }
                 Ok(_) => {
                     let latency = counted.elapsed();
                     counted.end(AttemptEnd::Answered(latency));
--- a/crates/heronbend-gateway/tests/placement.rs
+++ b/crates/heronbend-gateway/tests/placement.rs
@@ -48,7 +48,7 @@
         let placement = fast_and_slow(gateway);
         let chosen: Vec<String> = (0..9)
             .map(|_| {
-                let (server, _) = placement.find("app", &[]).unwrap();
+                let (server, _) = placement.find("app", &[], &[]).unwrap();
                 gateway.balancer.borrow_mut().started(&server.id);
                 server.id.clone()
             })
