Denials of calls, and hints to some daemons, are each made in one place

Read once more: the decision whether a caller is served by what is known of keys stood twice in calls.rs, once for routes and once for calls of jobs; the loop that sends a hint stood twice in peers/duty.rs; and a placement looked through all servers for those that failed at an item also where none had. No behaviour changes, but that the log line of a denied call of a job now tells the configuration as well, as that of a route does.

--- a/crates/heronbend-gateway/src/batch/placement.rs
+++ b/crates/heronbend-gateway/src/batch/placement.rs
@@ -57,11 +57,11 @@
     ) -> Option<(Rc<Server>, Fitness)> {
         let now = self.gateway.now();
         let mut usable = self.gateway.usable_servers(service);
-        let has_other = usable.iter().any(|server| {
-            !failed.contains(&server.id) && self.fitness(now, server) != Fitness::Unfit
-        });
-        if has_other {
-            usable.retain(|server| !failed.contains(&server.id));
+        let is_other = |server: &Rc<Server>| !failed.contains(&server.id);
+        let is_fit = |server: &Rc<Server>| self.fitness(now, server) != Fitness::Unfit;
+        // Most items have failed nowhere: there is nothing to look through for them.
+        if !failed.is_empty() && usable.iter().any(|server| is_other(server) && is_fit(server)) {
+            usable.retain(is_other);
         }
         let chosen = self.choose(now, &self.candidates(now, usable.iter()), avoided)?;
         let fitness = self.fitness(now, &chosen);
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -68,17 +68,12 @@
         return ("unknown".to_owned(), not_run("no configuration yet"));
     };
     let identified = access::identify(&configuration, &head.headers, &gateway.key_hasher);
-    let caller = match identified {
-        Ok(Caller::Tenant(_)) if gateway.is_closed() => {
-            return ("closed".to_owned(), refuse_closed(gateway, head.uri.path()));
-        }
+    let caller = match admit(gateway, identified) {
         Ok(caller) => caller,
-        Err(_) if gateway.is_configuration_behind() => {
-            return ("behind".to_owned(), refuse_behind(gateway, head.uri.path()));
-        }
-        Err(refusal) => {
-            log::info!("event=unauthorized path={} reason=\"{refusal}\"", head.uri.path());
-            return ("unauthorized".to_owned(), unauthorized(refusal));
+        Err(denial) => {
+            let path = head.uri.path();
+            let answer = deny(gateway, denial, path, &format!("path={path}"));
+            return (denial.name().to_owned(), answer);
         }
     };
     match call {
@@ -127,20 +122,12 @@
         return ("none".to_owned(), text_answer(StatusCode::NOT_FOUND, "no such route"));
     };
     let name = route.name.clone();
-    let caller = match route_caller(gateway, &configuration, &route, &head) {
-        Ok(Caller::Tenant(_)) if gateway.is_closed() => {
-            return (name, refuse_closed(gateway, id));
-        }
+    let identified = route_caller(gateway, &configuration, &route, &head);
+    let caller = match admit(gateway, identified) {
         Ok(caller) => caller,
-        Err(_) if gateway.is_configuration_behind() => {
-            return (name, refuse_behind(gateway, id));
-        }
-        Err(refusal) => {
-            log::info!(
-                "event=unauthorized id={id} route={name} reason=\"{refusal}\" configuration={}",
-                configuration.version
-            );
-            return (name, unauthorized(refusal));
+        Err(denial) => {
+            let answer = deny(gateway, denial, id, &format!("id={id} route={name}"));
+            return (name, answer);
         }
     };
     let limits = BodyLimits {
@@ -164,6 +151,53 @@
     (name, answer)
 }
 
+/// Why a call ends before anything of it has run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Denial {
+    /// The caller's key may have been taken away unheard.
+    Closed,
+    /// A newer configuration, of which a peer has told, may allow the call.
+    Behind,
+    /// The caller shows no key that is held.
+    Unauthorized(Refusal),
+}
+
+impl Denial {
+    /// Its name among the calls that metrics count.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Closed => "closed",
+            Self::Behind => "behind",
+            Self::Unauthorized(_) => "unauthorized",
+        }
+    }
+}
+
+/// Whether a caller is served by what is known here of keys.
+fn admit(gateway: &Gateway, identified: Result<Caller, Refusal>) -> Result<Caller, Denial> {
+    match identified {
+        Ok(Caller::Tenant(_)) if gateway.is_closed() => Err(Denial::Closed),
+        Ok(caller) => Ok(caller),
+        Err(_) if gateway.is_configuration_behind() => Err(Denial::Behind),
+        Err(refusal) => Err(Denial::Unauthorized(refusal)),
+    }
+}
+
+/// The answer to a call that is denied; `id` and `place` tell which it was.
+fn deny(gateway: &Gateway, denial: Denial, id: &str, place: &str) -> Answer {
+    match denial {
+        Denial::Closed => refuse_closed(gateway, id),
+        Denial::Behind => refuse_behind(gateway, id),
+        Denial::Unauthorized(refusal) => {
+            log::info!(
+                "event=unauthorized {place} reason=\"{refusal}\" configuration={}",
+                gateway.configuration_version()
+            );
+            unauthorized(refusal)
+        }
+    }
+}
+
 /// Refuses what a newer configuration, of which a peer has told, may allow.
 fn refuse_behind(gateway: &Gateway, id: &str) -> Answer {
     log::info!(
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -184,19 +184,18 @@
         Liveness::Dead => is_told_anyway,
         Liveness::Left => false,
     });
-    let addresses: Vec<SocketAddr> = told.map(|member| member.address).collect();
-    let datagram = Datagram::Hint(hint);
-    for address in addresses {
-        send(socket, address, &datagram).await;
-    }
+    send_hint(socket, told, hint).await;
 }
 
 async fn tell_some(detector: &Detector, socket: &UdpSocket, to: &[NodeId], hint: Hint) {
     let told = detector.members().filter(|member| to.contains(&member.id));
-    let addresses: Vec<SocketAddr> = told.map(|member| member.address).collect();
+    send_hint(socket, told, hint).await;
+}
+
+async fn send_hint(socket: &UdpSocket, to: impl Iterator<Item = &Member>, hint: Hint) {
     let datagram = Datagram::Hint(hint);
-    for address in addresses {
-        send(socket, address, &datagram).await;
+    for member in to {
+        send(socket, member.address, &datagram).await;
     }
 }
 
