--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -1,10 +1,16 @@
 //! Runs one item: its text at one or more servers, then its score.
 
 use std::cell::RefCell;
+use std::cmp::Reverse;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use heronbend::placement::AttemptEnd;
+use heronbend::placement::Fitness;
+use heronbend::placement::History;
+use heronbend::placement::Need;
+use heronbend::placement::Urgency;
 use heronbend::Moment;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use smol::Timer;
@@ -12,19 +18,19 @@
 use super::event_stream::{EventReader, ItemText};
 use super::moves;
 use super::pace::PaceMeter;
-use super::placement::Placement;
 use super::registry::Job;
 use super::result_log::{ItemResult, ItemState};
 use super::reward::{self, Score};
 use super::specification::{Item, JobSpecification};
 use crate::access;
-use crate::balancer::AttemptEnd;
 use crate::configuration::{Configuration, Route};
 use crate::directory::Server;
-use crate::exchange::{self, AttemptFailure, CountedAttempt, Outgoing};
+use crate::exchange::{self, AttemptFailure, Outgoing};
 use crate::gateway::Gateway;
+use crate::homes;
 use crate::http::client::{Exchange, ExchangeError};
-use crate::versions::board::Fitness;
+use crate::places;
+use crate::places::Placed;
 
 /// Longest silence before the first event. A request may wait in the server's queue.
 const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(2500);
@@ -43,6 +49,8 @@
 
 /// Why a text is moved to a faster server.
 const OUTPACED: &str = "outpaced";
+/// Why a text leaves a server whose zone is evacuated.
+const EVACUATED: &str = "evacuated";
 
 /// How an attempt at one server ended.
 enum RunEnd {
@@ -70,10 +78,9 @@
     route_missing: Option<heronbend::Moment>,
     /// The service that was drawn for it.
     service: Option<String>,
-    /// The server whose attempt ended last, to be avoided once.
-    last_server: Vec<String>,
-    /// Servers that failed at it: one more failure may be the last that the route allows.
-    failed_at: Vec<String>,
+    /// The server whose attempt ended last, to be avoided once, and those that failed at it: one more
+    /// failure may be the last that the route allows.
+    history: History,
 }
 
 /// Runs an item until it has a result; goes on with `text`, which may have been begun elsewhere.
@@ -94,8 +101,7 @@
         idle_attempts: 0,
         route_missing: None,
         service: None,
-        last_server: Vec::new(),
-        failed_at: Vec::new(),
+        history: History::default(),
     };
     run.run_whole().await
 }
@@ -123,22 +129,25 @@
             let Some(service) = self.service(&route) else {
                 return self.terminated("route without a service");
             };
-            let (server, fitness) =
-                self.placement().wait(&service, &self.last_server, &self.failed_at).await;
+            let need = self.need(&configuration, &route, &service);
+            let urgency = self.urgency(&configuration, &route);
+            let history = self.history.clone();
+            let placed = places::text(self.gateway, &self.item.id, need, urgency, history).await;
             let before = self.last_event();
-            match self.attempt(&server, fitness, &route).await {
+            let key = placed.key;
+            match self.attempt(placed, need, &route).await {
                 RunEnd::Whole => break,
                 RunEnd::Again => self.rest(before).await,
                 RunEnd::Failed => {
                     self.failures += 1;
-                    self.failed_at.push(server.id.clone());
+                    self.history.failed.push(key);
                 }
                 RunEnd::Impossible => return self.terminated("impossible"),
             }
             if self.failures >= route.max_attempts.max(1) {
                 return self.terminated("failed too often");
             }
-            self.last_server = vec![server.id.clone()];
+            self.history.last = Some(key);
         }
         let text_millis = (self.gateway.now() - begun).as_millis();
         self.gateway.lengths.borrow_mut().learn(self.item, self.last_event());
@@ -212,16 +221,33 @@
         self.text.borrow().last_event()
     }
 
-    fn placement(&self) -> Placement<'_> {
-        Placement { gateway: self.gateway, step: self.specification.step.as_ref() }
+    /// What the item needs of a server.
+    fn need(&self, configuration: &Configuration, route: &Route, service: &str) -> Need {
+        let owner = access::owner_of_job(configuration, self.specification.tenant.as_deref());
+        let homes = homes::of(configuration, route, &owner);
+        let step = self.specification.step.as_ref();
+        let model = step.map(|step| (step.model.as_str(), step.min_version));
+        places::need(self.gateway, service, model, homes.as_ref())
+    }
+
+    /// How urgent the item is among those that wait.
+    fn urgency(&self, configuration: &Configuration, route: &Route) -> Urgency {
+        let owner = access::owner_of_job(configuration, self.specification.tenant.as_deref());
+        let rest = self.gateway.lengths.borrow().expected_rest(self.item, self.last_event());
+        Urgency {
+            priority: access::priority(configuration, &owner, route),
+            due: self.job.known_since + route.result_deadline.unwrap_or_default(),
+            expected: Reverse(u64::from(rest)),
+        }
     }
 
     fn min_version(&self) -> u64 {
         self.specification.step.as_ref().map_or(0, |step| step.min_version)
     }
 
-    async fn attempt(&mut self, server: &Rc<Server>, fitness: Fitness, route: &Route) -> RunEnd {
-        let counted = CountedAttempt::begin(self.gateway, server);
+    async fn attempt(&mut self, placed: Placed, need: Need, route: &Route) -> RunEnd {
+        let Placed { server, fitness, counted, .. } = placed;
+        let server = &server;
         let Some(outgoing) = self.outgoing(fitness, route) else {
             return RunEnd::Impossible;
         };
@@ -256,7 +282,7 @@
         if first_event > 0 {
             self.gateway.metrics.items_resumed.inc();
         }
-        let outcome = self.read_events(server, exchange, route, asked).await;
+        let outcome = self.read_events(server, exchange, (need, route), asked).await;
         let events = self.last_event().saturating_sub(first_event);
         match outcome {
             Ok(()) => {
@@ -264,8 +290,8 @@
                 counted.end(AttemptEnd::Answered(per_event));
                 RunEnd::Whole
             }
-            Err(OUTPACED) => {
-                self.log_attempt(server, OUTPACED, events);
+            Err(reason @ (OUTPACED | EVACUATED)) => {
+                self.log_attempt(server, reason, events);
                 counted.end(AttemptEnd::Abandoned);
                 RunEnd::Again
             }
@@ -325,7 +351,7 @@
         &mut self,
         server: &Rc<Server>,
         exchange: Exchange,
-        route: &Route,
+        (need, route): (Need, &Route),
         asked: Moment,
     ) -> Result<(), &'static str> {
         let mut exchange = exchange;
@@ -354,9 +380,12 @@
                                 let delay = self.gateway.now().saturating_sub(asked);
                                 self.gateway.move_cost.borrow_mut().learn(delay);
                             }
-                            if self.is_outpaced(server, &mut pace, events, route) {
+                            if self.is_outpaced(server, &mut pace, events, (need, route)) {
                                 break Err(OUTPACED);
                             }
+                            if self.is_to_be_left(server, &need) {
+                                break Err(EVACUATED);
+                            }
                         }
                         Err(_) => break Err("malformed stream"),
                     }
@@ -389,23 +418,36 @@
         server: &Server,
         pace: &mut PaceMeter,
         events: usize,
-        route: &Route,
+        (need, route): (Need, &Route),
     ) -> bool {
         let now = self.gateway.now();
         let Some(per_event) = pace.add(now, events as u64) else {
             return false;
         };
-        self.gateway.balancer.borrow_mut().note(now, &server.id, AttemptEnd::Answered(per_event));
+        {
+            let placer = &mut self.gateway.directory.borrow_mut().placer;
+            placer.note(now, &server.id, AttemptEnd::Answered(per_event));
+        }
         let lengths = self.gateway.lengths.borrow();
         let remaining = lengths.expected_rest(self.item, self.last_event());
         let age = now.saturating_sub(self.job.known_since);
         if moves::is_in_time(age, per_event * remaining, route.result_deadline) {
             return false;
         }
-        let gain = self.placement().gain(server, per_event, remaining);
+        let gain = {
+            let placer = &mut self.gateway.directory.borrow_mut().placer;
+            placer.gain(now, &need, &server.id, per_event, remaining)
+        };
         gain.is_some_and(|gain| self.gateway.move_cost.borrow().is_exceeded_by(gain))
     }
 
+    /// Whether the text has to go on elsewhere, and can: its server's zone is evacuated.
+    fn is_to_be_left(&self, server: &Server, need: &Need) -> bool {
+        let placer = &mut self.gateway.directory.borrow_mut().placer;
+        placer.is_to_be_left(&server.id)
+            && placer.text(self.gateway.now(), need, &self.history).is_some()
+    }
+
     fn versions_fit(&self, route: &Route) -> bool {
         self.text.borrow().versions_fit(self.min_version(), route.single_version)
     }
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -37,7 +37,6 @@
 pub mod ownership;
 pub mod ownership_duty;
 pub mod pace;
-pub mod placement;
 pub mod reading;
 pub mod registry;
 pub mod result_log;
--- a/crates/heronbend-gateway/src/batch/reward.rs
+++ b/crates/heronbend-gateway/src/batch/reward.rs
@@ -9,9 +9,11 @@
 use super::registry::Job;
 use super::reward_turn;
 use super::specification::RewardCall;
+use crate::access;
 use crate::exchange::Outgoing;
 use crate::forward::{forward, Allowance};
 use crate::gateway::Gateway;
+use crate::homes;
 
 /// Servers that one round of a call may be sent to.
 const ATTEMPTS_A_ROUND: u32 = 2;
@@ -34,7 +36,7 @@
 pub async fn score(gateway: &Rc<Gateway>, job: &Job, item: &str, call: &RewardCall) -> Score {
     let mut failures = 0;
     loop {
-        let Some((outgoing, service, mut allowance, most)) = prepare(gateway, call) else {
+        let Some((outgoing, service, mut allowance, most)) = prepare(gateway, job, call) else {
             Timer::after(REST).await;
             continue;
         };
@@ -67,7 +69,11 @@
     }
 }
 
-fn prepare(gateway: &Gateway, call: &RewardCall) -> Option<(Outgoing, String, Allowance, u32)> {
+fn prepare(
+    gateway: &Gateway,
+    job: &Job,
+    call: &RewardCall,
+) -> Option<(Outgoing, String, Allowance, u32)> {
     let configuration = gateway.configuration()?;
     let path = call.path.split('?').next().unwrap_or_default();
     let route = configuration.route(&call.host, path)?;
@@ -85,6 +91,8 @@
         hold: None,
         billing: None,
     };
-    let allowance = Allowance::of_route(route, gateway.now(), None);
+    let owner = access::owner_of_job(&configuration, job.ownership.borrow().0.tenant.as_deref());
+    let homes = homes::of(&configuration, route, &owner);
+    let allowance = Allowance::of_route(route, gateway.now(), None, homes);
     Some((outgoing, service, allowance, route.max_attempts.max(1)))
 }
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -5,6 +5,8 @@
 
 use bytes::Bytes;
 use heronbend::access::Caller;
+use heronbend::placement::patience::COME_BACK;
+use heronbend::placement::Refusal as Unplaced;
 use heronbend::Moment;
 use http::request::Parts;
 use http::{Request, StatusCode};
@@ -17,9 +19,10 @@
 use crate::configuration::{Configuration, Route, RouteKind};
 use crate::duties::billing::Billing;
 use crate::exchange::Outgoing;
-use crate::forward::{forward, retry_after, Allowance, ForwardError, RETRY_AFTER};
+use crate::forward::{forward, retry_after, Allowance, ForwardError};
 use crate::gateway::Gateway;
 use crate::headers;
+use crate::homes;
 use crate::http::client::WholeAnswer;
 use crate::http::server::{read_body, BodyError, BodyLimits};
 use crate::http::{bytes_answer, text_answer, Answer, AnswerBody};
@@ -255,7 +258,8 @@
     };
     let names = gateway.dialect.headers();
     let patience = headers::millis(&head.headers, &names.deadline_millis);
-    let allowance = Allowance::of_route(route, arrived, patience);
+    let homes = homes::of(configuration, route, &caller);
+    let allowance = Allowance::of_route(route, arrived, patience, homes);
     let tenant = caller.tenant().map(str::to_owned);
     let mut headers = headers::passed_on(&head.headers);
     access::set_tenant(&mut headers, &names.tenant, &caller);
@@ -285,7 +289,7 @@
     );
     match result {
         Ok(answer) => server_answer(answer, route),
-        Err(ForwardError::NotRun) => not_run("no server took it"),
+        Err(ForwardError::NotRun(refusal)) => unplaced(gateway, &refusal),
         Err(error) => text_answer(error.status(), "no answer of a server"),
     }
 }
@@ -324,7 +328,7 @@
             answer
         }
         Ok(Opened::Whole(answer)) => server_answer(answer, route),
-        Err(ForwardError::NotRun) => not_run("no server took it"),
+        Err(ForwardError::NotRun(refusal)) => unplaced(gateway, &refusal),
         Err(error) => text_answer(error.status(), "no answer of a server"),
     }
 }
@@ -369,11 +373,21 @@
 
 /// The answer to a request that has not run and never will.
 fn not_run(reason: &'static str) -> Answer {
+    not_run_until(reason, COME_BACK)
+}
+
+fn not_run_until(reason: &'static str, come_back: Duration) -> Answer {
     let mut answer = text_answer(StatusCode::SERVICE_UNAVAILABLE, reason);
-    answer.headers_mut().insert(http::header::RETRY_AFTER, retry_after(RETRY_AFTER));
+    answer.headers_mut().insert(http::header::RETRY_AFTER, retry_after(come_back));
     answer
 }
 
+/// The answer to a request that no server could be sent.
+fn unplaced(gateway: &Gateway, refusal: &Unplaced) -> Answer {
+    gateway.metrics.unplaced(refusal.reason);
+    not_run_until("no server took it", refusal.come_back)
+}
+
 async fn hand_in_job(
     gateway: &Rc<Gateway>,
     id: &str,
--- a/crates/heronbend-gateway/src/configuration.rs
+++ b/crates/heronbend-gateway/src/configuration.rs
@@ -1,10 +1,12 @@
 //! The operator's configuration in force: routes, services and limits.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use heronbend::access::Keyring;
+use heronbend::placement::ColdTerms;
 use heronbend::scaling::Terms;
 use serde::{Deserialize, Serialize};
 
@@ -63,6 +65,9 @@
     pub result_deadline: Option<Duration>,
     /// Time from a batch job's hand-in after which an item may be given up.
     pub max_queue: Option<Duration>,
+    /// The regions in which its requests may run; anywhere where it names none.
+    #[serde(default)]
+    pub homes: Option<BTreeSet<String>>,
 }
 
 impl Route {
@@ -84,6 +89,9 @@
     /// How its servers may be ordered, if they may.
     #[serde(skip)]
     pub scaling: Option<Scaling>,
+    /// What one of its servers bears while it is cold; nothing where that is not bounded.
+    #[serde(skip)]
+    pub cold: Option<ColdTerms>,
 }
 
 /// How the servers of a service may be ordered.
@@ -133,6 +141,9 @@
     /// The tenants; none where callers are not told apart.
     #[serde(skip)]
     pub access: Option<Rc<Keyring>>,
+    /// The regions in which a tenant's requests may run, for those that name some.
+    #[serde(default)]
+    pub tenant_homes: BTreeMap<String, BTreeSet<String>>,
     /// What cannot be meant so; the configuration is in force all the same.
     #[serde(skip)]
     pub findings: Vec<Finding>,
--- a/crates/heronbend-gateway/src/directory.rs
+++ b/crates/heronbend-gateway/src/directory.rs
@@ -1,16 +1,21 @@
-//! The servers that requests may be sent to, as the store lists them.
+//! The servers that the store lists, each with what the decisions know of it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use heronbend::placement::Listing;
+use heronbend::placement::Need;
+use heronbend::placement::Placer;
+use heronbend::placement::ServerKey;
 use heronbend::Moment;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
+use serde::Serialize;
 
-/// How long a server whose entry went is still used where its service has no listed one. Entries
-/// may lapse while the store is down although the servers are well.
-const LAPSED_USE: Duration = Duration::from_millis(1200);
+use crate::http::client::ConnectionPool;
 
 /// What a server says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,32 +49,59 @@
     /// Whether it may be taken away.
     #[serde(default)]
     pub is_revocable: bool,
+    /// How much longer it is cold, counted from when it said so.
+    #[serde(default)]
+    pub cold_for: Duration,
+    /// The store's revision of its entry.
+    #[serde(default)]
+    pub revision: u64,
 }
 
-/// All listed servers.
-#[derive(Debug, Default)]
+/// All listed servers, and the machine that decides which of them runs what.
 pub struct Directory {
     servers: BTreeMap<String, Rc<Server>>,
-    lapsed: Vec<(Moment, Rc<Server>)>,
+    /// Those that the machine may still choose, listed or not.
+    by_key: HashMap<ServerKey, Rc<Server>>,
+    /// The machine that decides.
+    pub placer: Placer,
 }
 
 impl Directory {
+    /// A directory without servers, which draws among equal ones by `seed`.
+    pub fn new(seed: u64) -> Self {
+        Self { servers: BTreeMap::new(), by_key: HashMap::new(), placer: Placer::new(seed) }
+    }
+
     /// Takes in a server's entry.
-    pub fn insert(&mut self, server: Server) {
-        self.lapsed.retain(|(_, lapsed)| lapsed.id != server.id);
-        self.servers.insert(server.id.clone(), Rc::new(server));
+    pub fn insert(&mut self, now: Moment, server: Server) {
+        let placer = &mut self.placer;
+        let versions = server.models.iter().map(|(model, version)| (placer.model(model), *version));
+        let listing = Listing {
+            versions: versions.collect(),
+            service: placer.service(&server.service),
+            zone: placer.zone(&server.zone),
+            slots: server.slots,
+            is_leaving: server.state == ServerState::Draining,
+            cold_for: server.cold_for,
+            revision: server.revision,
+        };
+        let key = placer.list(now, &server.id, listing);
+        let server = Rc::new(server);
+        self.by_key.insert(key, server.clone());
+        self.servers.insert(server.id.clone(), server);
     }
 
     /// Notes that a server's entry went.
     pub fn remove(&mut self, now: Moment, id: &str) {
-        self.lapsed.retain(|(since, _)| now < *since + LAPSED_USE);
-        if let Some(server) = self.servers.remove(id) {
-            self.lapsed.push((now, server));
+        if self.servers.remove(id).is_some() {
+            self.placer.unlist(now, id);
+            let placer = &self.placer;
+            self.by_key.retain(|key, _| placer.id(*key).is_some());
         }
     }
 
     /// Keeps only the servers named.
-    pub fn retain(&mut self, now: Moment, names: &std::collections::BTreeSet<String>) {
+    pub fn retain(&mut self, now: Moment, names: &BTreeSet<String>) {
         let gone: Vec<String> =
             self.servers.keys().filter(|id| !names.contains(*id)).cloned().collect();
         for id in gone {
@@ -82,30 +114,26 @@
         self.servers.get(id)
     }
 
+    /// The server that was chosen.
+    pub fn chosen(&self, key: ServerKey) -> Option<Rc<Server>> {
+        self.by_key.get(&key).cloned()
+    }
+
+    /// Servers for a need to which a connection waits to be used again.
+    pub fn connected(&self, pool: &ConnectionPool, need: &Need) -> BTreeSet<ServerKey> {
+        let servers = self.by_key.iter().filter(|(key, _)| self.placer.serves(**key, need));
+        let connected = servers.filter(|(_, server)| pool.has_idle(server.address));
+        connected.map(|(key, _)| *key).collect()
+    }
+
     /// All listed servers.
     pub fn all(&self) -> impl Iterator<Item = &Rc<Server>> {
         self.servers.values()
     }
 
-    /// Servers of a service that may be sent new requests.
-    pub fn usable(&self, now: Moment, service: &str) -> Vec<Rc<Server>> {
-        let listed: Vec<Rc<Server>> = self
-            .servers
-            .values()
-            .filter(|server| server.service == service && server.state == ServerState::Ready)
-            .cloned()
-            .collect();
-        if !listed.is_empty() {
-            return listed;
-        }
-        self.lapsed
-            .iter()
-            .filter(|(since, server)| {
-                server.service == service
-                    && server.state == ServerState::Ready
-                    && now < *since + LAPSED_USE
-            })
-            .map(|(_, server)| server.clone())
-            .collect()
+    /// Servers that may be sent requests of a need.
+    pub fn usable(&self, now: Moment, need: &Need) -> Vec<Rc<Server>> {
+        let keys = self.placer.usable(now, need).into_iter();
+        keys.filter_map(|key| self.chosen(key)).collect()
     }
 }
--- a/crates/heronbend-gateway/src/exchange.rs
+++ b/crates/heronbend-gateway/src/exchange.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use heronbend::placement::AttemptEnd;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 
-use crate::balancer::AttemptEnd;
 use crate::directory::Server;
 use crate::duties::billing::Billing;
 use crate::gateway::Gateway;
@@ -50,7 +50,7 @@
 
 /// Sends `outgoing` to `server`; returns once the head of its answer has come and been judged.
 ///
-/// The caller has counted the attempt as begun at the balancer and notes its end.
+/// The caller has counted the attempt as begun and notes its end.
 pub async fn begin(
     gateway: &Gateway,
     server: &Server,
@@ -112,8 +112,8 @@
 impl CountedAttempt {
     /// Notes that an attempt begins.
     pub fn begin(gateway: &Rc<Gateway>, server: &Rc<Server>) -> Self {
-        gateway.balancer.borrow_mut().started(&server.id);
         let begun = gateway.now();
+        gateway.directory.borrow_mut().placer.began(begun, &server.id);
         Self { gateway: gateway.clone(), server: server.clone(), begun, is_open: true }
     }
 
@@ -147,8 +147,8 @@
     fn close(&mut self, end: AttemptEnd) {
         if std::mem::take(&mut self.is_open) {
             let now = self.gateway.now();
-            self.gateway.balancer.borrow_mut().finished(now, &self.server.id, end);
-            self.gateway.places_changed.notify(usize::MAX);
+            self.gateway.directory.borrow_mut().placer.ended(now, &self.server.id, end);
+            self.gateway.places.changed.notify(usize::MAX);
         }
     }
 }
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -1,37 +1,39 @@
 //! Passing requests on to servers: attempts, retries and hedges within a request's time.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use heronbend::placement::patience::COME_BACK;
+use heronbend::placement::Answer;
+use heronbend::placement::AttemptEnd;
+use heronbend::placement::History;
+use heronbend::placement::Need;
+use heronbend::placement::Refusal;
+use heronbend::placement::Waited;
 use heronbend::Moment;
 use http::{HeaderValue, StatusCode};
 use smol::channel::{bounded, Sender};
 use smol::{Task, Timer};
 
-use crate::balancer::AttemptEnd;
 use crate::configuration::Route;
-use crate::directory::Server;
 use crate::exchange::{self, AttemptFailure, CountedAttempt, Outgoing};
 use crate::gateway::Gateway;
 use crate::http::client::WholeAnswer;
+use crate::permits;
+use crate::places;
 
-/// Pause before a request is offered again after every server refused it.
-pub(crate) const REFUSED_PAUSE: Duration = Duration::from_millis(15);
 /// Share of the target latency after which a repeatable request is also sent to a second server.
 const HEDGE_SHARE: f64 = 0.5;
-/// Share of the target latency that a request waits for a server to be listed.
-const NO_SERVER_SHARE: f64 = 0.2;
 /// Retries after failures that each request pays for.
 const RETRY_SHARE: f64 = 0.5;
-/// When a refused caller is to come back.
-pub const RETRY_AFTER: Duration = Duration::from_millis(400);
 
 /// Why a request has no answer of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ForwardError {
     /// It has not run and never will.
-    NotRun,
+    NotRun(Refusal),
     /// It may have run; no server's answer came.
     Unknown,
     /// Its time is over, and it may have run.
@@ -42,15 +44,18 @@
     /// The status that tells a caller.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 }
 
+/// The refusal of a request for which time or attempts ran out before a server took it.
+pub(crate) const SPENT: Refusal = Refusal { reason: None, come_back: COME_BACK };
+
 /// What a request may cost.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Allowance {
     /// When the caller's time is over.
     pub deadline: Moment,
@@ -60,17 +65,26 @@
     pub max_attempts: u32,
     /// Time within which an answer is of full value.
     pub target_latency: Duration,
+    /// The regions in which it may run; anywhere where there are none.
+    pub homes: Option<BTreeSet<String>>,
 }
 
 impl Allowance {
-    /// The allowance of a request that came at `arrived` and whose caller waits for `patience`.
-    pub fn of_route(route: &Route, arrived: Moment, patience: Option<Duration>) -> Self {
+    /// The allowance of a request that came at `arrived`, whose caller waits for `patience`, and that
+    /// may run in `homes`.
+    pub fn of_route(
+        route: &Route,
+        arrived: Moment,
+        patience: Option<Duration>,
+        homes: Option<BTreeSet<String>>,
+    ) -> Self {
         let held = patience.map_or(route.timeout, |patience| patience.min(route.timeout));
         Self {
             deadline: arrived + held,
             is_repeatable: route.is_repeatable(),
             max_attempts: route.max_attempts.max(1),
             target_latency: route.target_latency,
+            homes,
         }
     }
 }
@@ -85,16 +99,28 @@
 struct Forwarding {
     gateway: Rc<Gateway>,
     outgoing: Rc<Outgoing>,
-    service: String,
+    need: Need,
     allowance: Allowance,
     /// Servers that have been sent it.
-    tried: Vec<String>,
+    history: History,
+    /// When its wait for a server began.
+    begun: Moment,
     /// Attempts that may have run it.
     spent: u32,
     open: Vec<Task<()>>,
     last_failure: Option<WholeAnswer>,
 }
 
+/// What became of the start of an attempt.
+enum Start {
+    /// It is under way.
+    Begun,
+    /// No server can be sent it for so long.
+    Wait(Duration),
+    /// None can be in time.
+    Refused(Refusal),
+}
+
 /// Passes a request on to the servers of a service until one has answered.
 ///
 /// Dropping the returned future closes the connections to the servers that work on it.
@@ -108,9 +134,10 @@
     let forwarding = Forwarding {
         gateway: gateway.clone(),
         outgoing: Rc::new(outgoing),
-        service: service.to_owned(),
+        need: places::need(gateway, service, None, allowance.homes.as_ref()),
         allowance,
-        tried: Vec::new(),
+        history: History::default(),
+        begun: gateway.now(),
         spent: 0,
         open: Vec::new(),
         last_failure: None,
@@ -121,27 +148,27 @@
 impl Forwarding {
     async fn run(mut self) -> Result<WholeAnswer, ForwardError> {
         let (sender, ended) = bounded(16);
-        let begun = self.gateway.now();
-        let mut hedge_at = begun + self.allowance.target_latency.mul_f64(HEDGE_SHARE);
+        let mut hedge_at = self.begun + self.allowance.target_latency.mul_f64(HEDGE_SHARE);
         let mut open = 0_usize;
         loop {
             if open == 0 {
                 if !self.may_try_again() || !self.may_retry() {
-                    return self.give_up();
+                    return self.give_up(SPENT);
                 }
-                if self.start_one(&sender) {
-                    open += 1;
-                } else if !self.wait_for_server(begun).await {
-                    return self.give_up();
-                } else {
-                    continue;
+                match self.start_one(&sender) {
+                    Start::Begun => open += 1,
+                    Start::Refused(refusal) => return self.give_up(refusal),
+                    Start::Wait(rest) => {
+                        self.wait_for_server(rest).await;
+                        continue;
+                    }
                 }
             }
             match self.next_event(&ended, hedge_at).await {
                 Event::DeadlinePassed => return self.time_out(),
                 Event::HedgeDue => {
                     hedge_at = self.allowance.deadline;
-                    if self.start_one(&sender) {
+                    if matches!(self.start_one(&sender), Start::Begun) {
                         self.gateway.metrics.hedges.inc();
                         open += 1;
                     }
@@ -199,11 +226,17 @@
     }
 
     /// Starts an attempt at the best server that has not been tried.
-    fn start_one(&mut self, sender: &Sender<Result<WholeAnswer, AttemptFailure>>) -> bool {
-        let Some(server) = self.choose() else {
-            return false;
+    fn start_one(&mut self, sender: &Sender<Result<WholeAnswer, AttemptFailure>>) -> Start {
+        let choice = match self.decide() {
+            Answer::Place(choice) => choice,
+            Answer::Wait(rest) => return Start::Wait(rest),
+            Answer::Refuse(refusal) => return Start::Refused(refusal),
         };
-        self.tried.push(server.id.clone());
+        let Some(server) = self.gateway.directory.borrow().chosen(choice.server) else {
+            log::error!("event=chosen_server_unknown server={:?}", choice.server);
+            return Start::Refused(SPENT);
+        };
+        self.history.tried.push(choice.server);
         self.spent += 1;
         let (gateway, outgoing) = (self.gateway.clone(), self.outgoing.clone());
         let (sender, deadline) = (sender.clone(), self.allowance.deadline);
@@ -243,16 +276,27 @@
             let _ = sender.send(result).await;
         });
         self.open.push(task);
-        true
+        Start::Begun
     }
 
-    fn choose(&self) -> Option<Rc<Server>> {
-        let candidates = self.gateway.usable_servers(&self.service);
-        let balancer = self.gateway.balancer.borrow();
+    /// What becomes of the request now.
+    fn decide(&self) -> Answer {
         let gateway = &self.gateway;
-        let is_connected = |server: &Server| gateway.servers.has_idle(server.address);
-        let (now, zone) = (gateway.now(), &gateway.identity.zone);
-        balancer.choose_connected(now, &candidates, &self.tried, zone, is_connected)
+        let waited = Waited {
+            since: self.begun,
+            deadline: self.allowance.deadline,
+            target: self.allowance.target_latency,
+            was_offered: !self.history.tried.is_empty(),
+        };
+        let answer = {
+            let mut directory = gateway.directory.borrow_mut();
+            let connected = directory.connected(&gateway.servers, &self.need);
+            let is_connected = |server| connected.contains(&server);
+            let placer = &mut directory.placer;
+            placer.call(gateway.now(), &self.need, &self.history, &waited, is_connected)
+        };
+        permits::ask(gateway);
+        answer
     }
 
     /// Takes an attempt's end in; the answer if it is to be passed on.
@@ -271,27 +315,19 @@
         }
     }
 
-    /// Waits until it is worth looking for a server again; false when the request is to be refused.
-    async fn wait_for_server(&mut self, begun: Moment) -> bool {
-        let was_offered = !self.tried.is_empty();
-        // After the objective an answer is worth little: the caller had better come back.
-        let share = if was_offered { 1.0 } else { NO_SERVER_SHARE };
-        let give_up_at = begun + self.allowance.target_latency.mul_f64(share);
-        if self.gateway.now() >= give_up_at.min(self.allowance.deadline) {
-            return false;
-        }
+    /// Waits until it is worth looking for a server again.
+    async fn wait_for_server(&mut self, rest: Duration) {
         if self.spent == 0 || self.allowance.is_repeatable {
             // Servers that refused may be asked again; those that may have run it, only when all did.
-            self.tried.clear();
+            self.history.tried.clear();
         }
-        Timer::after(REFUSED_PAUSE).await;
-        true
+        Timer::after(rest).await;
     }
 
-    fn give_up(self) -> Result<WholeAnswer, ForwardError> {
+    fn give_up(self, refusal: Refusal) -> Result<WholeAnswer, ForwardError> {
         match self.last_failure {
             Some(answer) => Ok(answer),
-            None if self.spent == 0 => Err(ForwardError::NotRun),
+            None if self.spent == 0 => Err(ForwardError::NotRun(refusal)),
             None if self.gateway.now() >= self.allowance.deadline => Err(ForwardError::TimedOut),
             None => Err(ForwardError::Unknown),
         }
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -4,6 +4,8 @@
 //! paid for. Nothing is locked; a part borrows what it needs and never holds it across a wait.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,7 +19,6 @@
 use rand::Rng;
 use smol::LocalExecutor;
 
-use crate::balancer::Balancer;
 use crate::batch::crowd::Crowd;
 use crate::batch::gate::Gate;
 use crate::batch::length::Lengths;
@@ -25,7 +26,7 @@
 use crate::batch::registry::JobRegistry;
 use crate::batch::succession::Candidate;
 use crate::configuration::Configuration;
-use crate::directory::{Directory, Server};
+use crate::directory::Directory;
 use crate::duties::book::Book;
 use crate::duties::book::Terms;
 use crate::http::client::ConnectionPool;
@@ -36,6 +37,9 @@
 use crate::news_way::Way;
 use crate::packed_news::Texts;
 use crate::peers::Peers;
+use crate::permits::ColdMargin;
+use crate::permits::Permits;
+use crate::places::Places;
 use crate::ports::{Dialect, Ports, Provider};
 use crate::relayed_store::RelayedStore;
 use crate::replica::Replica;
@@ -84,6 +88,11 @@
     pub processor_millis: u32,
     /// Whether servers are to be ordered.
     pub scales: bool,
+    /// Time within which nothing goes to an evacuated zone any more; nothing where zones are never
+    /// evacuated.
+    pub evacuation_notice: Option<Duration>,
+    /// How much more than it bears a cold server may get.
+    pub cold_margin: ColdMargin,
 }
 
 /// Shared state of one daemon.
@@ -114,16 +123,18 @@
     pub key_hasher: KeyHasher,
     /// The newest configuration.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
-    /// Known servers.
+    /// Known servers, and what decides which of them runs what.
     pub directory: RefCell<Directory>,
     /// Whether the list of servers has been read.
     pub directory_known: Cell<bool>,
-    /// Load and health of servers.
-    pub balancer: RefCell<Balancer>,
     /// Division of requests among destinations.
     pub splitter: RefCell<Splitter>,
-    /// Notified when a place at a server may have become free or a server has changed.
-    pub places_changed: Event,
+    /// Texts that wait for places.
+    pub places: Places,
+    /// Permits for cold servers.
+    pub permits: Permits,
+    /// Zones that are evacuated.
+    pub evacuated: RefCell<BTreeSet<String>>,
     /// Whether this daemon is stopping.
     pub draining: Cell<bool>,
     /// The other daemons.
@@ -175,6 +186,10 @@
         let started = Instant::now();
         let metrics = Metrics::default();
         let Ports { store, dialect, provider } = ports;
+        let permits = Permits::new(identity.node.name.clone());
+        let mut directory = Directory::new(rand::rng().random());
+        directory.placer.set_region(&identity.zone, &identity.region);
+        directory.placer.set_here(&identity.zone);
         let usage = tuning.usage.filter(|_| provider.is_some());
         let usage =
             usage.map(|terms| Rc::new(Book::new(identity.node.clone(), terms, Moment::ZERO)));
@@ -195,11 +210,12 @@
             replica_changed: Event::new(),
             key_hasher: KeyHasher::random(),
             configuration: RefCell::default(),
-            directory: RefCell::default(),
+            directory: RefCell::new(directory),
             directory_known: Cell::new(false),
-            balancer: RefCell::default(),
             splitter: RefCell::new(Splitter::new(rand::rng().random())),
-            places_changed: Event::new(),
+            places: Places::default(),
+            permits,
+            evacuated: RefCell::default(),
             draining: Cell::new(false),
             members: Peers::default(),
             lengths: RefCell::default(),
@@ -290,21 +306,27 @@
         candidates
     }
 
-    /// Servers of a service that may get new requests.
-    pub fn usable_servers(&self, service: &str) -> Vec<Rc<Server>> {
-        let mut usable = self.directory.borrow().usable(self.now(), service);
-        let share = self.connection_share(service);
-        let balancer = self.balancer.borrow();
-        usable.retain(|server| balancer.in_flight(&server.id) < share);
-        usable
+    /// Whether this daemon knows of no other although there are some.
+    pub fn is_alone_of_several(&self) -> bool {
+        self.members.count_alive() == 0 && !self.seeds.borrow().is_empty()
     }
 
-    /// Connections that this daemon may have to one server: all daemons that are alive share what
-    /// the server takes.
-    fn connection_share(&self, service: &str) -> u32 {
-        let configuration = self.configuration.borrow();
-        let service = configuration.as_ref().and_then(|known| known.services.get(service));
+    /// Notes the region of each zone.
+    pub fn know_zones(&self, zones: &BTreeMap<String, String>) {
+        let placer = &mut self.directory.borrow_mut().placer;
+        zones.iter().for_each(|(zone, region)| placer.set_region(zone, region));
+    }
+
+    /// Brings the limits of services up to date: all daemons that are alive share what a server takes.
+    pub fn share_servers(&self) {
         let daemons = u32::try_from(self.members.count_alive() + 1).unwrap_or(u32::MAX);
-        service.map_or(u32::MAX, |service| (service.max_connections / daemons).max(1))
+        let Some(configuration) = self.configuration() else {
+            return;
+        };
+        let placer = &mut self.directory.borrow_mut().placer;
+        for service in configuration.services.values() {
+            let share = (service.max_connections / daemons).max(1);
+            placer.set_service(&service.name, share, service.cold);
+        }
     }
 }
--- a/crates/heronbend-gateway/src/http/client.rs
+++ b/crates/heronbend-gateway/src/http/client.rs
@@ -126,6 +126,11 @@
         idle.get(&address).is_some_and(|kept| kept.iter().any(is_usable))
     }
 
+    /// Closes the connections to an address that wait to be used again; how many there were.
+    pub fn close_idle(&self, address: SocketAddr) -> usize {
+        self.state.idle.borrow_mut().remove(&address).map_or(0, |kept| kept.len())
+    }
+
     /// Reads the rest of an answer that nobody wants, so that its connection can be used again.
     pub fn reuse(&self, exchange: Exchange) {
         let reading = within(UNWANTED_LIMIT, exchange.read_whole(UNWANTED_BYTES));
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -7,21 +7,21 @@
 //!
 //! - [`duties`], [`lease_keeper`], [`lease_news`]: what one daemon at a time does for all.
 //! - [`access`]: on whose behalf a call is made.
-//! - [`calls`], [`forward`], [`stream`], [`exchange`], [`balancer`], [`split`]: requests passed on.
+//! - [`calls`], [`forward`], [`stream`], [`exchange`], [`split`]: requests passed on.
+//! - [`directory`], [`places`], [`permits`], [`evacuations`], [`homes`]: what decides where they go.
 //! - [`events`]: the events of a server's stream.
 //! - [`memory`]: the bound on what clients make a daemon hold.
 //! - [`batch`]: batch jobs.
 //! - [`versions`]: versions of weights.
 //! - [`peers`]: the daemons among themselves.
 //! - [`relayed_store`], [`mirror`], [`replica`], [`packed_news`],
-//!   [`news_way`], [`dissemination`], [`configuration`], [`directory`]:
+//!   [`news_way`], [`dissemination`], [`configuration`]:
 //!   the store and what it says.
 //! - [`service`], [`keeper`], [`settings`], [`reload`]: the programs and their settings.
 //! - [`logging`], [`metrics`]: what they tell.
 //! - [`explain`], [`steps`], [`day`], [`day_plot`]: what their logs tell afterwards.
 
 pub mod access;
-pub mod balancer;
 pub mod batch;
 pub mod calls;
 pub mod configuration;
@@ -30,12 +30,14 @@
 pub mod directory;
 pub mod dissemination;
 pub mod duties;
+pub mod evacuations;
 pub mod events;
 pub mod exchange;
 pub mod explain;
 pub mod forward;
 pub mod gateway;
 pub mod headers;
+pub mod homes;
 pub mod http;
 pub mod keeper;
 pub mod lease_keeper;
@@ -47,6 +49,8 @@
 pub mod news_way;
 pub mod packed_news;
 pub mod peers;
+pub mod permits;
+pub mod places;
 pub mod ports;
 pub mod relayed_store;
 pub mod reload;
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -6,9 +6,11 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use heronbend::placement::Exclusion;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::Registry;
 
@@ -55,6 +57,20 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a request that no server could be sent.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UnplacedLabels {
+    /// What kept most servers from it.
+    pub reason: &'static str,
+}
+
+/// Labels of what concerns a zone.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ZoneLabels {
+    /// The zone.
+    pub zone: String,
+}
+
 /// What was counted since the last line that told of it, by what and by which label.
 #[derive(Debug, Default)]
 struct Tally {
@@ -102,6 +118,16 @@
     pub orders: Count,
     /// Calls to the provider, by duty and outcome.
     pub duty_calls: Family<DutyLabels, Count>,
+    /// Requests that were refused because no server could be sent them, by what kept most from it.
+    pub requests_unplaced: Family<UnplacedLabels, Count>,
+    /// Seconds that a text waited for a place, where it had to.
+    pub place_wait: Histogram,
+    /// Permits for cold servers that were borrowed.
+    pub permits_borrowed: Count,
+    /// Permits for cold servers that were lent.
+    pub permits_lent: Count,
+    /// Whether a zone is evacuated: 1 or 0.
+    pub zones_evacuated: Family<ZoneLabels, Gauge>,
     /// Log lines that were dropped.
     pub log_lines_dropped: Count,
 }
@@ -129,6 +155,11 @@
             item_age: histogram(),
             orders: Count::default(),
             duty_calls: Family::default(),
+            requests_unplaced: Family::default(),
+            place_wait: histogram(),
+            permits_borrowed: Count::default(),
+            permits_lent: Count::default(),
+            zones_evacuated: Family::default(),
             log_lines_dropped: Count::default(),
         }
     }
@@ -179,6 +210,18 @@
         self.jobs_adopted.get_or_create(&AdoptionLabels { reason: reason.to_owned() }).inc();
     }
 
+    /// Notes a request that no server could be sent.
+    pub fn unplaced(&self, reason: Option<Exclusion>) {
+        let reason = reason.map_or("none", Exclusion::name);
+        self.requests_unplaced.get_or_create(&UnplacedLabels { reason }).inc();
+    }
+
+    /// Notes whether a zone is evacuated.
+    pub fn zone_evacuated(&self, zone: &str, is_evacuated: bool) {
+        let labels = ZoneLabels { zone: zone.to_owned() };
+        self.zones_evacuated.get_or_create(&labels).set(i64::from(is_evacuated));
+    }
+
     /// Notes a call to the provider.
     pub fn duty_called(&self, duty: &'static str, is_done: bool) {
         let outcome = if is_done { "done" } else { "failed" };
@@ -211,6 +254,15 @@
         registry.register("item_age_seconds", "Age of results", self.item_age.clone());
         registry.register("orders", "Orders given to servers", self.orders.clone());
         registry.register("duty_calls", "Calls to the provider", self.duty_calls.clone());
+        let unplaced = self.requests_unplaced.clone();
+        registry.register("requests_unplaced", "Requests no server could be sent", unplaced);
+        registry.register("place_wait_seconds", "Wait for a place", self.place_wait.clone());
+        let borrowed = self.permits_borrowed.clone();
+        registry.register("permits_borrowed", "Permits for cold servers borrowed", borrowed);
+        let lent = self.permits_lent.clone();
+        registry.register("permits_lent", "Permits for cold servers lent", lent);
+        let evacuated = self.zones_evacuated.clone();
+        registry.register("zone_evacuated", "Whether a zone is evacuated", evacuated);
         registry.register("log_lines_dropped", "Lines dropped", self.log_lines_dropped.clone());
         let mut page = String::new();
         // Writing into a string cannot fail.
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -22,6 +22,7 @@
 use crate::gateway::Gateway;
 use crate::http::server::{read_body, BodyLimits};
 use crate::http::{bytes_answer, text_answer, Answer};
+use crate::permits;
 use crate::versions::duty::note_order_taken;
 
 const TICK: Duration = Duration::from_millis(100);
@@ -170,6 +171,8 @@
     }
     if has_changed {
         gateway.members.publish(detector.members().cloned().collect());
+        gateway.share_servers();
+        permits::note_members(gateway);
     }
     if has_lost {
         ownership_duty::note_lost(gateway);
@@ -274,6 +277,7 @@
         PeerRequest::ConfirmOwner { job, revision } => {
             ownership_duty::confirm_owner(&gateway, &job, revision)
         }
+        PeerRequest::Borrow { server, permits } => permits::answer(&gateway, &server, permits),
         PeerRequest::ReadResults { job, from, wait_millis } => {
             let wait = Duration::from_millis(wait_millis);
             reading::answer_peer(&gateway, &job, from, wait).await
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -141,6 +141,13 @@
         /// The revision of the ownership that the asker knows.
         revision: u64,
     },
+    /// Borrows permits to send requests to a cold server.
+    Borrow {
+        /// The server.
+        server: String,
+        /// Permits that would be used now.
+        permits: u32,
+    },
     /// Reads settled results of a job that the peer runs.
     ReadResults {
         /// The batch job.
@@ -192,9 +199,16 @@
         /// The objects that daemons follow, where they were wanted and are known there.
         kinds: Vec<KindState>,
     },
+    /// Permits that the peer lends; each may be used once.
+    Lent {
+        /// How many.
+        permits: u32,
+        /// Time until there may be more if there are none now, in milliseconds.
+        again_millis: u64,
+    },
     /// The peer runs the job.
     Running,
-    /// The peer does not run this job, or does not watch this kind.
+    /// The peer does not run this job, does not watch this kind, or does not lend for this server.
     NotOwner,
     /// The peer watches this kind, and has not heard from the store lately.
     Uninformed,
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -239,6 +239,13 @@
         (member.liveness <= Liveness::Suspect).then_some(member.address)
     }
 
+    /// The run of a daemon that may be alive, by its name.
+    pub fn named(&self, name: &NodeName) -> Option<NodeId> {
+        let members = self.members.borrow();
+        let member = members.iter().find(|member| member.id.name == *name)?;
+        (member.liveness <= Liveness::Suspect).then(|| member.id.clone())
+    }
+
     /// Takes over the detector's view.
     pub fn publish(&self, members: Vec<Member>) {
         *self.members.borrow_mut() = members;
--- a/crates/heronbend-gateway/src/ports/dialect.rs
+++ b/crates/heronbend-gateway/src/ports/dialect.rs
@@ -70,6 +70,8 @@
     pub versions: &'static str,
     /// Kind of the requests to empty a machine with a disk.
     pub retirements: &'static str,
+    /// Kind of the evacuations, which are named by their zones.
+    pub evacuations: &'static str,
 }
 
 /// What a caller asks of a daemon.
--- a/crates/heronbend-gateway/src/reload.rs
+++ b/crates/heronbend-gateway/src/reload.rs
@@ -125,6 +125,9 @@
         ("result_retention_s", old.result_retention != new.result_retention, true),
         ("stop_limit_s", old.stop_limit != new.stop_limit, true),
         ("drain_notice_ms", old.drain_notice != new.drain_notice, false),
+        ("zones", old.zones != new.zones, true),
+        ("evacuation_notice_ms", old.evacuation_notice != new.evacuation_notice, false),
+        ("cold", old.cold_margin != new.cold_margin, true),
         ("configuration_notice_ms", old.configuration_notice != new.configuration_notice, false),
     ];
     let differing = fields.into_iter().filter(|(_, differs, _)| *differs);
@@ -137,8 +140,10 @@
         result_retention: settings.result_retention,
         stop_limit: settings.stop_limit,
         closes_after: settings.tuning().closes_after,
+        cold_margin: settings.cold_margin,
         ..gateway.tuning()
     };
     gateway.set_tuning(tuning);
+    gateway.know_zones(&settings.zones);
     *gateway.seeds.borrow_mut() = settings.addresses().seeds;
 }
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -14,8 +14,10 @@
 
 use crate::batch::ownership_duty;
 use crate::configuration::Configuration;
+use crate::configuration::Finding;
 use crate::directory::ServerState;
 use crate::duties;
+use crate::evacuations;
 use crate::gateway::Gateway;
 use crate::http::server::{Listener, ListenerLimits};
 use crate::http::{bytes_answer, text_answer, Answer};
@@ -96,6 +98,7 @@
     let addresses = source.settings.addresses();
     let first_start = source.settings.first_start;
     let gateway = Gateway::new(identity, ports, executor.clone(), tuning);
+    gateway.know_zones(&source.settings.zones);
     smol::block_on(executor.run(async move {
         gateway.members.introduction.begin(first_start);
         let callers = start(&gateway, &addresses, ready_path)?;
@@ -210,6 +213,9 @@
         gathering,
         directory,
     )));
+    if gateway.tuning().evacuation_notice.is_some() {
+        spawn(Box::pin(evacuations::follow(gateway.clone())));
+    }
     spawn(Box::pin(peers::introduction::run(gateway.clone())));
     spawn(Box::pin(mirror::probe_store(gateway.clone())));
     spawn(Box::pin(log_counts(gateway.clone())));
@@ -300,7 +306,7 @@
             configuration.services.len(),
             configuration.access.as_ref().map_or(0, |access| access.len())
         );
-        for finding in &configuration.findings {
+        for finding in configuration.findings.iter().chain(&self.homeless(&configuration)) {
             log::warn!(
                 "event=configuration_finding version={} place={} problem=\"{}\"",
                 configuration.version,
@@ -312,7 +318,26 @@
             configuration.routes.iter().map(|route| route.name.as_str()).collect();
         self.gateway.splitter.borrow_mut().retain(|name| names.contains(name));
         *self.gateway.configuration.borrow_mut() = Some(Rc::new(configuration));
-        self.gateway.places_changed.notify(usize::MAX);
+        self.gateway.share_servers();
+        self.gateway.places.changed.notify(usize::MAX);
+    }
+}
+
+impl ConfigurationSink {
+    /// Routes and tenants whose homes name a region that no zone of the settings is in.
+    fn homeless(&self, configuration: &Configuration) -> Vec<Finding> {
+        let placer = &self.gateway.directory.borrow().placer;
+        let unknown = |place: String, homes: &BTreeSet<String>| {
+            let missing = homes.iter().find(|region| !placer.knows_region(region))?;
+            Some(Finding { place, problem: format!("no zone is in the region {missing}") })
+        };
+        let routes = configuration.routes.iter().filter_map(|route| {
+            unknown(format!("routes/{}/homes", route.name), route.homes.as_ref()?)
+        });
+        let tenants = configuration.tenant_homes.iter();
+        let tenants =
+            tenants.filter_map(|(name, homes)| unknown(format!("tenants/{name}/homes"), homes));
+        routes.chain(tenants).collect()
     }
 }
 
@@ -333,7 +358,8 @@
 impl DirectorySink {
     fn take(&self, object: &Object) {
         match self.0.dialect.server(&object.name, &object.content) {
-            Ok(server) => {
+            Ok(mut server) => {
+                server.revision = object.revision;
                 let mut directory = self.0.directory.borrow_mut();
                 let known = directory.get(&server.id).map(|known| known.state);
                 if server.state == ServerState::Draining && known != Some(server.state) {
@@ -343,7 +369,7 @@
                         object.revision
                     );
                 }
-                directory.insert(server);
+                directory.insert(self.0.now(), server);
             }
             Err(error) => log::warn!("event=server_malformed error=\"{error}\""),
         }
@@ -370,9 +396,7 @@
     }
 
     fn applied(&self) {
-        let directory = self.0.directory.borrow();
-        self.0.balancer.borrow_mut().forget_except(|id| directory.get(id).is_some());
-        self.0.places_changed.notify(usize::MAX);
+        self.0.places.changed.notify(usize::MAX);
         self.0.versions.changed.notify(usize::MAX);
     }
 }
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! A daemon's settings file, in TOML. All findings are told at once, each with its place.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 
 use crate::duties::book::Terms;
 use crate::gateway::{Identity, Tuning};
+use crate::permits::ColdMargin;
 use crate::service::Addresses;
 
 /// Memory of a process where the file does not say.
@@ -100,6 +102,13 @@
     pub fail_closed: bool,
     /// Time within which a key that is taken away has to be refused everywhere.
     pub revocation_notice: Option<Duration>,
+    /// The region of each zone.
+    pub zones: BTreeMap<String, String>,
+    /// Time within which nothing goes to an evacuated zone any more; nothing where zones are never
+    /// evacuated.
+    pub evacuation_notice: Option<Duration>,
+    /// How much more than it bears a cold server may get.
+    pub cold_margin: ColdMargin,
 }
 
 /// A duty towards the provider.
@@ -236,6 +245,55 @@
         Duration::try_from_secs_f64(self.number(field)).unwrap_or_default()
     }
 
+    /// A table of names with the name that each stands for.
+    fn names(&mut self, field: &str) -> BTreeMap<String, String> {
+        let table = match self.optional(field) {
+            None => return BTreeMap::new(),
+            Some(Value::Table(table)) => table,
+            Some(_) => {
+                self.report(field, "is not a table");
+                return BTreeMap::new();
+            }
+        };
+        let mut names = BTreeMap::new();
+        for (name, value) in table {
+            let entry = format!("{field}.{name}");
+            self.known.insert(entry.clone());
+            match value {
+                Value::String(value) if !value.is_empty() => {
+                    names.insert(name, value);
+                }
+                _ => self.report(&entry, "is not a name"),
+            }
+        }
+        names
+    }
+
+    /// The region of each zone; this daemon's own must not be another one than it says.
+    fn zones(&mut self, field: &str, own: (&str, &str)) -> BTreeMap<String, String> {
+        let zones = self.names(field);
+        let (zone, region) = own;
+        if zones.get(zone).is_some_and(|known| known != region) {
+            self.report(
+                &format!("{field}.{zone}"),
+                format!("is not {region}, the region set above"),
+            );
+        }
+        zones
+    }
+
+    /// How much more than it bears a cold server may get.
+    fn cold_margin(&mut self) -> ColdMargin {
+        let margin = ColdMargin {
+            overshoot: self.number_or("cold.overshoot", 1.0),
+            slack: self.number_or("cold.slack", 0.0),
+        };
+        if margin.overshoot < 1.0 {
+            self.report("cold.overshoot", "is below 1: less than a cold server bears");
+        }
+        margin
+    }
+
     /// The duties towards the provider.
     fn duties(&mut self, field: &str) -> Vec<Duty> {
         let Some(value) = self.optional(field) else {
@@ -293,15 +351,19 @@
         })?;
         let mut reader = Reader { table: &table, findings: Vec::new(), known: BTreeSet::new() };
         let duties = reader.duties("provider.duties");
+        let (zone, region) = (reader.text("zone"), reader.text("region"));
         let settings = Self {
+            zones: reader.zones("zones", (&zone, &region)),
+            evacuation_notice: reader.optional_millis("evacuation_notice_ms"),
+            cold_margin: reader.cold_margin(),
             usage: reader.usage(&duties),
             fail_closed: reader.flag("access.fail_closed"),
             revocation_notice: reader.optional_millis("access.revocation_notice_ms"),
             provider: reader.address("provider.address"),
             duties,
             node: reader.text("node"),
-            zone: reader.text("zone"),
-            region: reader.text("region"),
+            zone,
+            region,
             callers: reader.address("listen.callers"),
             ready: reader.address("listen.ready"),
             peers: reader.required_address("listen.peers"),
@@ -371,6 +433,8 @@
             processor_millis: (self.processor_share * 1e3).round() as u32,
             scales: self.duties.contains(&Duty::Scale),
             closes_after: self.revocation_notice.filter(|_| self.fail_closed),
+            evacuation_notice: self.evacuation_notice,
+            cold_margin: self.cold_margin,
         }
     }
 }
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -13,13 +13,21 @@
 use bytes::BytesMut;
 use futures_lite::stream;
 use futures_lite::FutureExt;
+use heronbend::placement::Answer;
+use heronbend::placement::AttemptEnd;
+use heronbend::placement::Choice;
+use heronbend::placement::Fitness;
+use heronbend::placement::History;
+use heronbend::placement::Need;
+use heronbend::placement::Refusal;
+use heronbend::placement::Waited;
 use heronbend::Moment;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
 use smol::Timer;
 
-use crate::balancer::AttemptEnd;
+use crate::configuration::Configuration;
 use crate::directory::Server;
 use crate::events::Event;
 use crate::events::Parser;
@@ -29,13 +37,14 @@
 use crate::exchange::Outgoing;
 use crate::forward::Allowance;
 use crate::forward::ForwardError;
-use crate::forward::REFUSED_PAUSE;
+use crate::forward::SPENT;
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::http::client::Exchange;
 use crate::http::client::WholeAnswer;
 use crate::http::AnswerBody;
-use crate::versions::board::Fitness;
+use crate::permits;
+use crate::places;
 
 /// Silence before the first event after which a resumable stream is moved. A request may wait in
 /// the server's queue.
@@ -91,7 +100,7 @@
 struct Relay {
     gateway: Rc<Gateway>,
     outgoing: Outgoing,
-    service: String,
+    need: Need,
     allowance: Allowance,
     is_resumable: bool,
     /// Number of the last event that was passed on.
@@ -101,7 +110,7 @@
     /// Version of the weights that made the last event.
     version: Option<u64>,
     /// Servers that were sent the request.
-    tried: Vec<String>,
+    history: History,
     /// Servers that may have run it.
     spent: u32,
     run: Option<Run>,
@@ -119,17 +128,25 @@
     allowance: Allowance,
     is_resumable: bool,
 ) -> Result<Opened, ForwardError> {
-    let last_event = headers::text(&outgoing.headers, &gateway.dialect.headers().last_event);
+    let names = gateway.dialect.headers();
+    let last_event = headers::text(&outgoing.headers, &names.last_event);
+    let model = headers::text(&outgoing.headers, &names.model).map(|model| (model, 0));
+    let is_engine = |configuration: &Configuration| {
+        configuration.services.get(service).is_some_and(|service| service.is_engine)
+    };
+    // Only servers that run models have versions of them.
+    let model = model.filter(|_| gateway.configuration().as_deref().is_some_and(is_engine));
+    let need = places::need(gateway, service, model, allowance.homes.as_ref());
     let mut relay = Relay {
         gateway: gateway.clone(),
         last_event: last_event.and_then(|value| value.trim().parse().ok()).unwrap_or(0),
         outgoing,
-        service: service.to_owned(),
+        need,
         allowance,
         is_resumable,
         has_begun: false,
         version: None,
-        tried: Vec::new(),
+        history: History::default(),
         spent: 0,
         run: None,
         head: None,
@@ -312,13 +329,24 @@
         loop {
             if !self.may_run_again() {
                 let is_late = self.gateway.now() >= self.allowance.deadline;
-                return Err(Break::Failed(self.reason_to_give_up(is_late)));
+                return Err(Break::Failed(self.reason_to_give_up(is_late, SPENT)));
             }
-            let Some((server, fitness)) = self.find() else {
-                self.wait_for_server().await?;
-                continue;
+            let Choice { server: key, fitness } = match self.decide() {
+                Answer::Place(choice) => choice,
+                Answer::Wait(rest) => {
+                    self.wait_for_server(rest).await;
+                    continue;
+                }
+                Answer::Refuse(refusal) => {
+                    let is_late = self.gateway.now() >= self.allowance.deadline;
+                    return Err(Break::Failed(self.reason_to_give_up(is_late, refusal)));
+                }
             };
-            self.tried.push(server.id.clone());
+            let Some(server) = self.gateway.directory.borrow().chosen(key) else {
+                log::error!("event=chosen_server_unknown server={key:?}");
+                return Err(Break::Failed(self.reason_to_give_up(false, SPENT)));
+            };
+            self.history.tried.push(key);
             self.spent += 1;
             let counted = CountedAttempt::begin(&self.gateway, &server);
             match self.send(&server, fitness).await {
@@ -387,14 +415,14 @@
             AttemptFailure::Unknown(_) if self.may_run_again() => Ok(()),
             AttemptFailure::Unknown(_) => {
                 let is_late = self.gateway.now() >= self.allowance.deadline;
-                Err(Break::Failed(self.reason_to_give_up(is_late)))
+                Err(Break::Failed(self.reason_to_give_up(is_late, SPENT)))
             }
         }
     }
 
-    fn reason_to_give_up(&self, is_late: bool) -> ForwardError {
+    fn reason_to_give_up(&self, is_late: bool, refusal: Refusal) -> ForwardError {
         if self.spent == 0 && !self.has_begun {
-            ForwardError::NotRun
+            ForwardError::NotRun(refusal)
         } else if is_late {
             ForwardError::TimedOut
         } else {
@@ -402,70 +430,34 @@
         }
     }
 
-    /// Waits before servers are looked at again; an error once that is of no use.
-    async fn wait_for_server(&mut self) -> Result<(), Break> {
-        let now = self.gateway.now();
-        let since = *self.unplaced_since.get_or_insert(now);
-        let give_up_at = (since + self.allowance.target_latency).min(self.allowance.deadline);
-        if now >= give_up_at {
-            let is_late = now >= self.allowance.deadline;
-            return Err(Break::Failed(self.reason_to_give_up(is_late)));
-        }
+    /// Waits before servers are looked at again.
+    async fn wait_for_server(&mut self, rest: Duration) {
+        self.unplaced_since.get_or_insert(self.gateway.now());
         // Servers that refused, or broke off a stream that goes on, may be asked again.
-        self.tried.clear();
-        Timer::after(REFUSED_PAUSE).await;
-        Ok(())
-    }
-
-    /// The model that the request names.
-    fn model(&self) -> Option<&str> {
-        headers::text(&self.outgoing.headers, &self.gateway.dialect.headers().model)
-    }
-
-    /// Whether a server can run the request.
-    fn fitness(&self, server: &Server) -> Fitness {
-        match self.model() {
-            Some(model) if !server.models.is_empty() => {
-                self.gateway.versions.fitness(self.gateway.now(), server, model, 0)
-            }
-            _ => Fitness::Listed,
-        }
-    }
-
-    /// The version of the weights that a server has for the request.
-    fn version_at(&self, server: &Server) -> u64 {
-        match self.fitness(server) {
-            Fitness::Expected(version) => version,
-            _ => self.model().and_then(|model| server.models.get(model)).copied().unwrap_or(0),
-        }
-    }
-
-    /// Servers that can run the request.
-    fn fit(&self) -> Vec<Rc<Server>> {
-        let mut fit = self.gateway.usable_servers(&self.service);
-        fit.retain(|server| self.fitness(server) != Fitness::Unfit);
-        fit
+        self.history.tried.clear();
+        Timer::after(rest).await;
     }
 
     fn has_other(&self, server: &Server) -> bool {
-        self.fit().iter().any(|other| other.id != server.id)
+        let placer = &self.gateway.directory.borrow().placer;
+        placer.has_other(self.gateway.now(), &self.need, &server.id)
     }
 
-    /// The best server that has not been tried: of those with the newest weights, unless all of
-    /// their places are taken.
-    fn find(&self) -> Option<(Rc<Server>, Fitness)> {
-        let now = self.gateway.now();
-        let fit = self.fit();
-        let balancer = self.gateway.balancer.borrow();
-        let free = fit.iter().filter(|server| balancer.in_flight(&server.id) < server.slots);
-        let newest = free.clone().map(|server| self.version_at(server)).max();
-        let best: Vec<Rc<Server>> =
-            free.filter(|server| Some(self.version_at(server)) == newest).cloned().collect();
-        let zone = &self.gateway.identity.zone;
-        let chosen = balancer
-            .choose(now, &best, &self.tried, zone)
-            .or_else(|| balancer.choose(now, &fit, &self.tried, zone))?;
-        let fitness = self.fitness(&chosen);
-        Some((chosen, fitness))
+    /// What becomes of the request now.
+    fn decide(&self) -> Answer {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let waited = Waited {
+            since: self.unplaced_since.unwrap_or(now),
+            deadline: self.allowance.deadline,
+            target: self.allowance.target_latency,
+            was_offered: true,
+        };
+        let answer = {
+            let placer = &mut gateway.directory.borrow_mut().placer;
+            placer.stream(now, &self.need, &self.history, &waited)
+        };
+        permits::ask(gateway);
+        answer
     }
 }
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use heronbend::identity::NodeName;
+use heronbend::placement::server::EXPECTED_LOAD;
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use smol::Timer;
@@ -47,8 +48,10 @@
     model: &str,
     version: u64,
 ) {
-    gateway.versions.order_taken(gateway.now(), holder, server, (model, version));
-    gateway.places_changed.notify(usize::MAX);
+    let now = gateway.now();
+    gateway.directory.borrow_mut().placer.order_taken(now, server, model, version);
+    gateway.versions.order_taken(now, holder);
+    gateway.places.changed.notify(usize::MAX);
     wake_when_loaded(gateway);
 }
 
@@ -56,8 +59,8 @@
 fn wake_when_loaded(gateway: &Rc<Gateway>) {
     let waker = gateway.clone();
     let wake = async move {
-        Timer::after(super::board::EXPECTED_LOAD).await;
-        waker.places_changed.notify(usize::MAX);
+        Timer::after(EXPECTED_LOAD).await;
+        waker.places.changed.notify(usize::MAX);
     };
     gateway.executor.spawn(wake).detach();
 }
@@ -128,23 +131,27 @@
     fn engines(&self) -> Vec<EngineState> {
         let now = self.gateway.now();
         let directory = self.gateway.directory.borrow();
-        let balancer = self.gateway.balancer.borrow();
         let busy = self.busy.borrow();
-        let trains =
-            |server: &&Rc<Server>| server.state == ServerState::Ready && !server.models.is_empty();
+        let evacuated = self.gateway.evacuated.borrow();
+        let trains = |server: &&Rc<Server>| {
+            let is_ready = server.state == ServerState::Ready && !server.models.is_empty();
+            is_ready && !evacuated.contains(&server.zone)
+        };
         directory
             .all()
             .filter(trains)
             .map(|server| {
-                let open = self.gateway.versions.open_order(now, server);
-                let open = open.map(|order| (order.model, order.version));
+                let placer = &directory.placer;
+                let open = placer.open_order(now, &server.id);
+                let open =
+                    open.map(|order| (placer.model_name(order.model).to_owned(), order.version));
                 let loading = busy.get(&server.id).cloned().flatten().or(open);
                 EngineState {
                     id: server.id.clone(),
                     models: server.models.clone(),
                     is_loading: busy.contains_key(&server.id) || loading.is_some(),
                     loading,
-                    in_flight: balancer.in_flight(&server.id),
+                    in_flight: placer.in_flight(&server.id),
                 }
             })
             .collect()
@@ -314,9 +321,9 @@
             let held = updated.models.entry(model.clone()).or_default();
             *held = (*held).max(*version);
         }
-        directory.insert(updated);
+        directory.insert(self.gateway.now(), updated);
         drop(directory);
-        self.gateway.places_changed.notify(usize::MAX);
+        self.gateway.places.changed.notify(usize::MAX);
     }
 
     async fn report(&self, server: &Server) -> Option<EngineReport> {
--- a/crates/heronbend-gateway/tests/routing.rs
+++ b/crates/heronbend-gateway/tests/routing.rs
@@ -1,20 +1,15 @@
-//! Routes, shares of destinations, and the choice of servers.
+//! Routes and shares of destinations. How servers are chosen is tested beside the machine that does it.
 
 mod support;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
-use heronbend_gateway::balancer::{AttemptEnd, Balancer};
 use heronbend_gateway::configuration::{ClientLimits, Configuration, Destination, Route};
-use heronbend_gateway::directory::{Directory, ServerState};
 use heronbend_gateway::headers;
 use heronbend_gateway::split::Splitter;
 use http::HeaderMap;
-use support::{route, server};
-
-const SECOND: Duration = Duration::from_secs(1);
+use support::route;
 
 fn configuration(routes: Vec<Route>) -> Configuration {
     Configuration {
@@ -23,6 +18,7 @@
         services: BTreeMap::new(),
         limits: ClientLimits::default(),
         access: None,
+        tenant_homes: BTreeMap::new(),
         findings: Vec::new(),
     }
 }
@@ -64,68 +60,6 @@
     assert_eq!(Splitter::new(0.5).next(&empty), None);
 }
 
-#[test]
-fn a_slow_server_is_left_for_a_fast_one_and_tried_again_later() {
-    let servers = vec![Rc::new(server("slow", "app")), Rc::new(server("fast", "app"))];
-    let mut balancer = Balancer::default();
-    for _ in 0..5 {
-        balancer.note(SECOND, "slow", AttemptEnd::Answered(Duration::from_millis(300)));
-        balancer.note(SECOND, "fast", AttemptEnd::Answered(Duration::from_millis(10)));
-    }
-    let chosen = |balancer: &Balancer, now| balancer.choose(now, &servers, &[], "z").unwrap();
-    assert_eq!(chosen(&balancer, SECOND).id, "fast");
-    // Long after, little is left of what was known: both are tried, however fast the other is.
-    let later = SECOND * 60;
-    let slow = (0..200).filter(|_| chosen(&balancer, later).id == "slow").count();
-    assert!(slow > 20, "{slow}");
-}
-
-#[test]
-fn one_lost_answer_does_not_make_a_server_avoided_and_two_do() {
-    let mut balancer = Balancer::default();
-    balancer.note(SECOND, "a", AttemptEnd::Failed);
-    assert!(!balancer.is_avoided(SECOND, "a"));
-    balancer.note(SECOND, "a", AttemptEnd::Failed);
-    assert!(balancer.is_avoided(SECOND, "a"));
-    balancer.note(SECOND, "a", AttemptEnd::Answered(Duration::from_millis(5)));
-    assert!(!balancer.is_avoided(SECOND, "a"));
-}
-
-#[test]
-fn a_server_that_cannot_be_reached_is_avoided_at_once_but_used_if_all_are() {
-    let servers = vec![Rc::new(server("a", "app"))];
-    let mut balancer = Balancer::default();
-    balancer.note(SECOND, "a", AttemptEnd::Unreachable);
-    assert!(balancer.is_avoided(SECOND, "a"));
-    assert!(balancer.choose(SECOND, &servers, &[], "z").is_some());
-    assert!(balancer.choose(SECOND, &servers, &["a".to_owned()], "z").is_none());
-}
-
-#[test]
-fn draining_and_gone_servers_get_nothing_new() {
-    let mut directory = Directory::default();
-    directory.insert(server("a", "app"));
-    let mut draining = server("b", "app");
-    draining.state = ServerState::Draining;
-    directory.insert(draining);
-    let ids = |directory: &Directory, now| -> Vec<String> {
-        directory.usable(now, "app").iter().map(|server| server.id.clone()).collect()
-    };
-    assert_eq!(ids(&directory, SECOND), ["a"]);
-    directory.insert(server("c", "app"));
-    directory.remove(SECOND, "a");
-    assert_eq!(ids(&directory, SECOND), ["c"]);
-}
-
-#[test]
-fn when_all_entries_lapse_the_servers_are_used_for_a_moment_longer() {
-    let mut directory = Directory::default();
-    directory.insert(server("a", "app"));
-    directory.remove(SECOND, "a");
-    assert_eq!(directory.usable(SECOND + Duration::from_millis(500), "app").len(), 1);
-    assert!(directory.usable(SECOND * 4, "app").is_empty());
-}
-
 #[test]
 fn headers_of_one_connection_are_not_passed_on() {
     let mut received = HeaderMap::new();
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -15,6 +15,7 @@
 use heronbend_gateway::configuration::{Destination, Route, RouteKind};
 use heronbend_gateway::directory::{Server, ServerState};
 use heronbend_gateway::gateway::{Gateway, Identity, Tuning};
+use heronbend_gateway::permits::ColdMargin;
 use heronbend_gateway::ports::Ports;
 use smol::LocalExecutor;
 
@@ -37,6 +38,7 @@
         single_version: false,
         result_deadline: None,
         max_queue: None,
+        homes: None,
     }
 }
 
@@ -51,6 +53,8 @@
         models: BTreeMap::new(),
         sequence: 0,
         is_revocable: false,
+        cold_for: Duration::ZERO,
+        revision: 0,
     }
 }
 
@@ -122,6 +126,8 @@
     closes_after: None,
     scales: false,
     processor_millis: 0,
+    evacuation_notice: None,
+    cold_margin: ColdMargin { overshoot: 1.0, slack: 0.0 },
 };
 
 /// A daemon's state over a store that several may share.
--- a/crates/heronbend-gateway/tests/support/own_dialect.rs
+++ b/crates/heronbend-gateway/tests/support/own_dialect.rs
@@ -41,6 +41,7 @@
                 servers: "servers",
                 versions: "versions",
                 retirements: "retirements",
+                evacuations: "evacuations",
             },
         }
     }
--- a/crates/heronbend-gateway/tests/versions.rs
+++ b/crates/heronbend-gateway/tests/versions.rs
@@ -6,12 +6,11 @@
 use std::time::Duration;
 
 use heronbend::identity::NodeName;
-use heronbend_gateway::versions::board::{Fitness, VersionBoard, EXPECTED_LOAD};
+use heronbend_gateway::versions::board::VersionBoard;
 use heronbend_gateway::versions::lease::{LeaseHold, LeaseRecord, LEASE_DURATION};
 use heronbend_gateway::versions::plan::{
     loads_at_once, loads_due, EngineState, Load, ModelState, Urgency,
 };
-use support::server;
 
 const PAUSE: Duration = Duration::from_secs(3);
 const SECOND: Duration = Duration::from_secs(1);
@@ -210,21 +209,6 @@
     assert_eq!((count("a"), count("b"), count("c")), (1, 4, 4));
 }
 
-#[test]
-fn a_server_that_loads_is_tried_again_once_it_may_have_loaded() {
-    let board = VersionBoard::default();
-    let mut loading = server("e", "engines");
-    loading.models.insert("m".to_owned(), 3);
-    assert_eq!(board.fitness(SECOND, &loading, "m", 3), Fitness::Listed);
-    assert_eq!(board.fitness(SECOND, &loading, "m", 4), Fitness::Unfit);
-    board.order_taken(SECOND, NodeName("a".to_owned()), "e", ("m", 5));
-    assert_eq!(board.fitness(SECOND, &loading, "m", 3), Fitness::Unfit);
-    assert_eq!(board.fitness(SECOND + EXPECTED_LOAD, &loading, "m", 4), Fitness::Expected(5));
-    assert_eq!(board.fitness(SECOND + EXPECTED_LOAD, &loading, "m", 6), Fitness::Unfit);
-    loading.models.insert("m".to_owned(), 5);
-    assert_eq!(board.fitness(SECOND, &loading, "m", 5), Fitness::Listed);
-}
-
 #[test]
 fn a_model_is_pressed_while_one_of_its_last_steps_took_long() {
     let board = VersionBoard::default();
--- a/crates/heronbend/src/lib.rs
+++ b/crates/heronbend/src/lib.rs
@@ -14,6 +14,8 @@
 //! - [`weights`]: rolling a weight version out to engines.
 //! - [`lifecycle`]: live and leaving back ends.
 //! - [`routing`]: which back end serves a request.
+//! - [`placement`]: which server runs a request, how long work waits, when it is turned away.
+//! - [`rate`]: a rate that many daemons keep together.
 //! - [`access`]: tenants and their keys.
 //! - [`admission`]: caller limits and the retry budget.
 //! - [`scaling`]: how many servers to order.
@@ -26,6 +28,8 @@
 pub mod identity;
 pub mod lifecycle;
 pub mod membership;
+pub mod placement;
+pub mod rate;
 pub mod record;
 pub mod register;
 pub mod request;
--- /dev/null
+++ b/crates/heronbend/src/placement/eligible.rs
@@ -0,0 +1,165 @@
+//! Which servers may run a request.
+//!
+//! Every rule that keeps a request from a server stands here, in [`exclusion`]; what is left is
+//! ranked. Rules that hold for all requests of a kind come first, those that concern one request's
+//! own history last.
+
+use super::keys::HomesKey;
+use super::keys::ModelKey;
+use super::keys::ServerKey;
+use super::keys::ServiceKey;
+use super::server::Server;
+use super::server::EXPECTED_LOAD;
+use crate::Moment;
+
+/// What requests of one kind need of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Need {
+    /// The service.
+    pub service: ServiceKey,
+    /// The model and the oldest version of it, where one is needed.
+    pub model: Option<(ModelKey, u64)>,
+    /// The regions in which it may run; anywhere where there are none.
+    pub homes: Option<HomesKey>,
+}
+
+/// What became of one request so far.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct History {
+    /// Servers that may not be sent it again.
+    pub tried: Vec<ServerKey>,
+    /// Servers that failed at it: used again only if there is no other that fits.
+    pub failed: Vec<ServerKey>,
+    /// The server whose attempt ended last: not the next one, if there is another.
+    pub last: Option<ServerKey>,
+}
+
+/// Whether a server can run requests of a model under a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fitness {
+    /// Its entry says so.
+    Listed,
+    /// It may have loaded this version by now; a request has to say which version it expects.
+    Expected(u64),
+    /// It cannot.
+    Unfit,
+}
+
+/// Why a server may not run a request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Exclusion {
+    /// Its entry went, or says that it is about to leave.
+    Gone,
+    /// The operator has its zone evacuated.
+    Evacuated,
+    /// It stands in a region that is none of the request's homes.
+    OutsideHomes,
+    /// It has not the version of the weights that is needed.
+    Version,
+    /// It has as many requests of this daemon as fall to it.
+    Share,
+    /// All of its places are taken, as far as is known.
+    Full,
+    /// It failed or refused a moment ago.
+    Avoided,
+    /// It is cold, and no permit is at hand.
+    Cold,
+    /// The request may not be sent there again.
+    Tried,
+}
+
+impl Exclusion {
+    /// All of them, in the order in which they are looked at.
+    pub const ALL: [Self; 9] = [
+        Self::Gone,
+        Self::Evacuated,
+        Self::OutsideHomes,
+        Self::Version,
+        Self::Share,
+        Self::Full,
+        Self::Avoided,
+        Self::Cold,
+        Self::Tried,
+    ];
+
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Gone => "gone",
+            Self::Evacuated => "evacuated",
+            Self::OutsideHomes => "outside_homes",
+            Self::Version => "version",
+            Self::Share => "share",
+            Self::Full => "full",
+            Self::Avoided => "avoided",
+            Self::Cold => "cold",
+            Self::Tried => "tried",
+        }
+    }
+}
+
+/// What an exclusion depends on beside the server.
+#[derive(Debug, Clone, Copy)]
+pub struct Circumstances {
+    /// The time.
+    pub now: Moment,
+    /// Whether the service has a server whose entry is there and which does not leave.
+    pub has_listed: bool,
+    /// Whether the server's zone is evacuated.
+    pub is_evacuated: bool,
+    /// Whether the server's region is one of the request's homes.
+    pub is_home: bool,
+    /// Requests that this daemon may have at one server of the service.
+    pub share: u32,
+    /// Whether a cold server of the service may only be sent to with a permit.
+    pub needs_permit: bool,
+}
+
+/// Why a server may not be sent anything of a need at all, whatever its load; nothing if it may.
+pub fn barred(server: &Server, need: &Need, at: &Circumstances) -> Option<Exclusion> {
+    let is_usable = server.is_ready() || (!at.has_listed && server.is_lapsed(at.now));
+    if !is_usable {
+        return Some(Exclusion::Gone);
+    }
+    if at.is_evacuated {
+        return Some(Exclusion::Evacuated);
+    }
+    if !at.is_home {
+        return Some(Exclusion::OutsideHomes);
+    }
+    if fitness(server, need, at.now) == Fitness::Unfit {
+        return Some(Exclusion::Version);
+    }
+    (server.load.in_flight >= at.share).then_some(Exclusion::Share)
+}
+
+/// Why a server cannot be sent a request now, though nothing bars it.
+pub fn engaged(server: &Server, at: &Circumstances, needs_slot: bool) -> Option<Exclusion> {
+    if needs_slot && server.free_slots() == 0 {
+        return Some(Exclusion::Full);
+    }
+    if needs_slot && server.load.is_avoided(at.now) {
+        return Some(Exclusion::Avoided);
+    }
+    let needs_permit = at.needs_permit && server.is_cold(at.now);
+    (needs_permit && !server.has_permit(at.now)).then_some(Exclusion::Cold)
+}
+
+/// Whether a server can run requests of a need, by the version of its weights.
+pub fn fitness(server: &Server, need: &Need, now: Moment) -> Fitness {
+    let Some((model, min_version)) = need.model else {
+        return Fitness::Listed;
+    };
+    if let Some(order) = server.open_order(now).filter(|order| order.model == model) {
+        let may_be_loaded = now >= order.since + EXPECTED_LOAD;
+        return if may_be_loaded && order.version >= min_version {
+            Fitness::Expected(order.version)
+        } else {
+            Fitness::Unfit
+        };
+    }
+    match server.listed_version(model) {
+        Some(version) if version >= min_version => Fitness::Listed,
+        _ => Fitness::Unfit,
+    }
+}
--- /dev/null
+++ b/crates/heronbend/src/placement/mod.rs
@@ -0,0 +1,48 @@
+//! Which server runs a request, how long work waits for one, and when it is turned away.
+//!
+//! One machine without I/O decides all of it. It is fed with servers and their states, with what is
+//! under way, with what waits, with limits and the time; it answers "there", "wait" or "refuse, and
+//! come back then". Whoever drives it only carries that out.
+//!
+//! - [`keys`]: small keys for names, and the arena's key of a server.
+//! - [`server`]: what is known of a server.
+//! - [`load`]: what this daemon sees of a server's load and health.
+//! - [`eligible`]: which servers may run a request. Nothing else says so.
+//! - [`rank`]: which of those is the best.
+//! - [`queue`]: texts that wait for a place, in order of urgency.
+//! - [`patience`]: how long a call waits for a server, and when it is refused.
+//! - [`placer`]: the machine.
+
+pub mod eligible;
+pub mod keys;
+pub mod load;
+pub mod patience;
+pub mod placer;
+pub mod queue;
+pub mod rank;
+pub mod server;
+#[cfg(test)]
+mod tests;
+
+pub use eligible::Exclusion;
+pub use eligible::Fitness;
+pub use eligible::History;
+pub use eligible::Need;
+pub use keys::HomesKey;
+pub use keys::ModelKey;
+pub use keys::RegionKey;
+pub use keys::ServerKey;
+pub use keys::ServiceKey;
+pub use keys::ZoneKey;
+pub use load::AttemptEnd;
+pub use patience::Answer;
+pub use patience::Refusal;
+pub use patience::Waited;
+pub use placer::Choice;
+pub use placer::Placer;
+pub use placer::Shortage;
+pub use queue::TicketKey;
+pub use queue::Urgency;
+pub use server::ColdTerms;
+pub use server::Listing;
+pub use server::OpenOrder;
--- /dev/null
+++ b/crates/heronbend/src/placement/patience.rs
@@ -0,0 +1,72 @@
+//! How long a call waits for a server, and when it is refused.
+//!
+//! A call that cannot be served is refused at once: its caller may come back elsewhere, and a request
+//! that waits here until its time is over is lost. It waits only for what may change in time: a server
+//! that refused may have a place a moment later, one whose entry is missing may be listed again.
+
+use std::time::Duration;
+
+use super::eligible::Exclusion;
+use super::placer::Choice;
+use crate::Moment;
+
+/// Pause before servers that refused are asked again. Answers of busy servers come some hundredths of
+/// a second apart, so that a place becomes free about as often.
+pub const ASK_AGAIN: Duration = Duration::from_millis(15);
+/// Share of the target latency that a call which was offered to nobody waits for a server to be
+/// listed: entries that lapse by mistake are back within a second, later than that its caller had
+/// better come back.
+const UNOFFERED_SHARE: f64 = 0.2;
+/// The same for a call that servers refused: after its target an answer is worth little.
+const OFFERED_SHARE: f64 = 1.0;
+/// When a refused caller is to come back if nothing is known of when a server will be free.
+pub const COME_BACK: Duration = Duration::from_millis(400);
+/// The same where an operator has taken all servers out: nothing changes by itself.
+const COME_BACK_LATER: Duration = Duration::from_secs(1);
+
+/// How long a call has waited, and how long it may.
+#[derive(Debug, Clone, Copy)]
+pub struct Waited {
+    /// When its wait for a server began.
+    pub since: Moment,
+    /// When its caller's time is over.
+    pub deadline: Moment,
+    /// Time within which an answer is of full value.
+    pub target: Duration,
+    /// Whether a server has been sent it.
+    pub was_offered: bool,
+}
+
+/// Why a call is refused, and when its caller is to come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// What keeps most of the servers from it; nothing where there are none.
+    pub reason: Option<Exclusion>,
+    /// Time until it is worth coming back.
+    pub come_back: Duration,
+}
+
+/// What becomes of a call now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// It is sent to a server.
+    Place(Choice),
+    /// It looks for a server again after so long.
+    Wait(Duration),
+    /// It is refused.
+    Refuse(Refusal),
+}
+
+/// What becomes of a call that no server can be sent now, where `reason` keeps it from most of them.
+pub fn unplaced(now: Moment, waited: &Waited, reason: Option<Exclusion>) -> Answer {
+    let changes_by_itself = !matches!(reason, Some(Exclusion::Evacuated | Exclusion::OutsideHomes));
+    if !changes_by_itself {
+        return Answer::Refuse(Refusal { reason, come_back: COME_BACK_LATER });
+    }
+    let share = if waited.was_offered { OFFERED_SHARE } else { UNOFFERED_SHARE };
+    let give_up_at = (waited.since + waited.target.mul_f64(share)).min(waited.deadline);
+    if now >= give_up_at {
+        return Answer::Refuse(Refusal { reason, come_back: COME_BACK });
+    }
+    Answer::Wait(ASK_AGAIN)
+}
--- /dev/null
+++ b/crates/heronbend/src/placement/queue.rs
@@ -0,0 +1,126 @@
+//! Texts that wait for a place, in order of urgency.
+//!
+//! All tickets of one need wait for the same servers. So they stand in one lane, and a lane whose
+//! first ticket finds no place is left alone: a server that becomes free is offered to the most
+//! urgent ticket that it fits, and nobody else is woken.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use super::eligible::History;
+use super::eligible::Need;
+use crate::Moment;
+
+/// A text that waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TicketKey(u64);
+
+/// How urgent a text is; the least comes first.
+///
+/// The rank of its tenant or route goes first, then the step that is due first, which holds up all
+/// later ones of its trainer. Within a step the longest goes first: the last text that ends decides
+/// when the step is whole (Graham, "Bounds on multiprocessing timing anomalies", 1969).
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency {
+    /// Rank; 0 is the highest.
+    pub priority: u8,
+    /// When its step is due.
+    pub due: Moment,
+    /// Tokens that are expected to come out yet.
+    pub expected: Reverse<u64>,
+}
+
+#[derive(Debug, Clone)]
+struct Ticket {
+    need: Need,
+    urgency: Urgency,
+    history: History,
+    since: Moment,
+}
+
+type Lane = BTreeMap<(Urgency, TicketKey), ()>;
+
+/// Tickets by need, each lane in order of urgency.
+#[derive(Debug, Default)]
+pub struct Queue {
+    next: u64,
+    tickets: HashMap<TicketKey, Ticket>,
+    lanes: BTreeMap<Need, Lane>,
+}
+
+impl Queue {
+    /// Adds a ticket.
+    pub fn add(
+        &mut self,
+        now: Moment,
+        need: Need,
+        urgency: Urgency,
+        history: History,
+    ) -> TicketKey {
+        let key = TicketKey(self.next);
+        self.next += 1;
+        self.lanes.entry(need).or_default().insert((urgency, key), ());
+        self.tickets.insert(key, Ticket { need, urgency, history, since: now });
+        key
+    }
+
+    /// Takes a ticket out; since when it has waited, if it was there.
+    pub fn remove(&mut self, key: TicketKey) -> Option<Moment> {
+        let ticket = self.tickets.remove(&key)?;
+        if let Some(lane) = self.lanes.get_mut(&ticket.need) {
+            lane.remove(&(ticket.urgency, key));
+            if lane.is_empty() {
+                self.lanes.remove(&ticket.need);
+            }
+        }
+        Some(ticket.since)
+    }
+
+    /// Tickets that wait.
+    pub fn len(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.tickets.is_empty()
+    }
+
+    /// Tickets of a need.
+    pub fn waiting(&self, need: &Need) -> usize {
+        self.lanes.get(need).map_or(0, Lane::len)
+    }
+
+    /// The needs that somebody waits with, the most urgent first.
+    pub fn needs(&self) -> Vec<Need> {
+        let mut needs: Vec<(Urgency, TicketKey, Need)> = self
+            .lanes
+            .iter()
+            .filter_map(|(need, lane)| {
+                let ((urgency, key), ()) = lane.first_key_value()?;
+                Some((*urgency, *key, *need))
+            })
+            .collect();
+        needs.sort_unstable();
+        needs.into_iter().map(|(_, _, need)| need).collect()
+    }
+
+    /// The tickets of a need in order of urgency.
+    pub fn lane(&self, need: &Need) -> Vec<TicketKey> {
+        let lane = self.lanes.get(need);
+        lane.map_or_else(Vec::new, |lane| lane.keys().map(|(_, key)| *key).collect())
+    }
+
+    /// Tickets that are served before this one among those with the same need.
+    pub fn place_in_line(&self, key: TicketKey) -> Option<usize> {
+        let ticket = self.tickets.get(&key)?;
+        let lane = self.lanes.get(&ticket.need)?;
+        Some(lane.range(..(ticket.urgency, key)).count())
+    }
+
+    /// What became of a ticket's text so far.
+    pub fn history(&self, key: TicketKey) -> Option<&History> {
+        self.tickets.get(&key).map(|ticket| &ticket.history)
+    }
+}
--- /dev/null
+++ b/crates/heronbend/src/placement/server.rs
@@ -0,0 +1,162 @@
+//! What is known of a server.
+
+use std::time::Duration;
+
+use super::keys::ModelKey;
+use super::keys::ServiceKey;
+use super::keys::ZoneKey;
+use super::load::Load;
+use crate::Moment;
+
+/// Time from an order until the server may have loaded the version.
+pub const EXPECTED_LOAD: Duration = Duration::from_millis(850);
+/// Time after which an order that does not show is no longer believed in.
+const ORDER_BELIEVED: Duration = Duration::from_secs(6);
+/// How long a server whose entry went is still used where its service has no listed one. Entries
+/// may lapse while the store is down although the servers are well.
+pub const LAPSED_USE: Duration = Duration::from_millis(1200);
+
+/// What a server's entry says, as the decisions need it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// Its service.
+    pub service: ServiceKey,
+    /// Its zone.
+    pub zone: ZoneKey,
+    /// Requests that it works on at the same time.
+    pub slots: u32,
+    /// Whether it is about to leave and gets nothing new.
+    pub is_leaving: bool,
+    /// Versions of the models that it holds.
+    pub versions: Vec<(ModelKey, u64)>,
+    /// How much longer it is cold, counted from when the entry was written.
+    pub cold_for: Duration,
+    /// The store's revision of the entry: one that is read again tells nothing new.
+    pub revision: u64,
+}
+
+/// What a server of a service bears while it is cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdTerms {
+    /// Requests a second, from all daemons together.
+    pub per_second: f64,
+    /// How long a server is cold after its start.
+    pub lasts: Duration,
+}
+
+/// An order to load a version that a server has taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OpenOrder {
+    /// The model.
+    pub model: ModelKey,
+    /// The version.
+    pub version: u64,
+    /// When this daemon heard of it.
+    pub since: Moment,
+}
+
+/// A server in the arena.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Its identifier.
+    pub id: String,
+    /// What its entry says.
+    pub listing: Listing,
+    /// Since when its entry is gone, if it is.
+    pub gone_since: Option<Moment>,
+    /// Until when it is cold by its entry.
+    cold_until: Moment,
+    /// Until when it has to be taken for cold whatever its entry says.
+    assumed_cold_until: Moment,
+    /// The order that it took last.
+    order: Option<OpenOrder>,
+    /// Permits to send one request each to it while it is cold: until when each holds.
+    pub permits: Vec<Moment>,
+    /// Load and health.
+    pub load: Load,
+}
+
+impl Server {
+    /// A server that was listed at `now`.
+    pub fn new(now: Moment, id: &str, listing: Listing) -> Self {
+        let cold_until = now + listing.cold_for;
+        Self {
+            id: id.to_owned(),
+            listing,
+            gone_since: None,
+            cold_until,
+            assumed_cold_until: Moment::ZERO,
+            order: None,
+            permits: Vec::new(),
+            load: Load::default(),
+        }
+    }
+
+    /// Takes a newer entry in. One that is known already says nothing of how cold the server is now.
+    pub fn relist(&mut self, now: Moment, listing: Listing) {
+        if listing.revision > self.listing.revision {
+            self.cold_until = now + listing.cold_for;
+        }
+        self.listing = listing;
+        self.gone_since = None;
+    }
+
+    /// Takes the server for cold until then, whatever its entry says.
+    pub fn assume_cold(&mut self, until: Moment) {
+        self.assumed_cold_until = self.assumed_cold_until.max(until);
+    }
+
+    /// Whether the server may be cold.
+    pub fn is_cold(&self, now: Moment) -> bool {
+        now < self.cold_until.max(self.assumed_cold_until)
+    }
+
+    /// Whether it takes requests, as far as its entry says.
+    pub fn is_ready(&self) -> bool {
+        self.gone_since.is_none() && !self.listing.is_leaving
+    }
+
+    /// Whether its entry went so short a time ago that it may serve on.
+    pub fn is_lapsed(&self, now: Moment) -> bool {
+        let since = self.gone_since.filter(|_| !self.listing.is_leaving);
+        since.is_some_and(|since| now < since + LAPSED_USE)
+    }
+
+    /// Requests that it could take beside those that this daemon has there.
+    pub fn free_slots(&self) -> u32 {
+        self.listing.slots.saturating_sub(self.load.in_flight)
+    }
+
+    /// The version of a model that its entry shows.
+    pub fn listed_version(&self, model: ModelKey) -> Option<u64> {
+        let held = self.listing.versions.iter().find(|(held, _)| *held == model);
+        held.map(|(_, version)| *version)
+    }
+
+    /// Notes an order that it has taken.
+    pub fn order_taken(&mut self, order: OpenOrder) {
+        self.order = Some(order);
+    }
+
+    /// The order that it works on, if its entry does not show the version yet.
+    pub fn open_order(&self, now: Moment) -> Option<OpenOrder> {
+        let order = self.order?;
+        let is_shown = self.listed_version(order.model).is_some_and(|held| held >= order.version);
+        let is_believed = now < order.since + ORDER_BELIEVED;
+        (!is_shown && is_believed).then_some(order)
+    }
+
+    /// Whether a permit to send it a request is at hand.
+    pub fn has_permit(&self, now: Moment) -> bool {
+        self.permits.iter().any(|until| now < *until)
+    }
+
+    /// Uses the permit that holds the shortest time.
+    pub fn use_permit(&mut self, now: Moment) {
+        self.permits.retain(|until| now < *until);
+        let soonest = (0..self.permits.len()).min_by_key(|index| self.permits[*index]);
+        if let Some(index) = soonest {
+            self.permits.swap_remove(index);
+        }
+    }
+}
