--- a/crates/heronbend-gateway/src/batch/hand_in.rs
+++ b/crates/heronbend-gateway/src/batch/hand_in.rs
@@ -1,6 +1,7 @@
 //! Taking in batch jobs, and ending them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,7 +21,9 @@
 use super::specification::{is_base64, JobSpecification};
 use super::succession;
 use super::succession::Tenure;
+use crate::access;
 use crate::gateway::Gateway;
+use crate::homes;
 use crate::mirror::backoff;
 use crate::peers::{client, PeerReply, PeerRequest};
 use crate::ports::{Condition, Object, ObjectStore, Revision, StoreError};
@@ -71,6 +74,11 @@
     if content.to_string().len() + OBJECT_OVERHEAD > gateway.tuning().max_object_bytes {
         return Err(HandInError::TooLarge);
     }
+    let homes = homes_of(gateway, &specification);
+    if gateway.job_candidates(homes.as_ref()).is_empty() {
+        log::warn!("event=job_without_home job={} homes={homes:?}", specification.id);
+        return Err(HandInError::NotTaken);
+    }
     let mut is_in_doubt = false;
     let mut failures = 0;
     loop {
@@ -138,7 +146,9 @@
     specification: Rc<JobSpecification>,
     give_up_at: Moment,
 ) -> Result<(), HandInError> {
-    let ownership = Ownership::new(&specification, new_owner(gateway, &specification));
+    let homes = homes_of(gateway, &specification);
+    let owner = new_owner(gateway, &specification, homes.as_ref());
+    let ownership = Ownership::new(&specification, owner, homes);
     let content = json!(ownership);
     let mut failures = 0;
     loop {
@@ -223,9 +233,13 @@
 
 /// Who runs a job. The jobs of one model are run by one daemon, where that is possible: it knows
 /// what it has sent to each server, and its connections serve one step after the other.
-fn new_owner(gateway: &Gateway, specification: &JobSpecification) -> NodeId {
+fn new_owner(
+    gateway: &Gateway,
+    specification: &JobSpecification,
+    homes: Option<&BTreeSet<String>>,
+) -> NodeId {
     let me = gateway.identity.node.clone();
-    let candidates = gateway.job_candidates();
+    let candidates = gateway.job_candidates(homes);
     let chosen = match &specification.step {
         Some(step) => succession::owner(&step.model, &candidates, &tenures(gateway)),
         None => succession::line(&specification.id, &candidates).into_iter().next(),
@@ -233,6 +247,14 @@
     chosen.unwrap_or(me)
 }
 
+/// The regions in which a job may run.
+fn homes_of(gateway: &Gateway, specification: &JobSpecification) -> Option<BTreeSet<String>> {
+    let configuration = gateway.configuration()?;
+    let route = configuration.route(&specification.host, &specification.path)?;
+    let owner = access::owner_of_job(&configuration, specification.tenant.as_deref());
+    homes::of(&configuration, route, &owner)
+}
+
 /// Who runs the newest job of each model.
 fn tenures(gateway: &Gateway) -> Vec<Tenure> {
     let mut newest: BTreeMap<String, (Moment, NodeId)> = BTreeMap::new();
@@ -335,7 +357,8 @@
     if !caller.may_see(specification.tenant.as_deref()) {
         return Ok(false);
     }
-    let ownership = Ownership::new(&specification, gateway.identity.node.clone());
+    let homes = homes_of(gateway, &specification);
+    let ownership = Ownership::new(&specification, gateway.identity.node.clone(), homes);
     let ownership = Ownership { ended: true, ..ownership };
     let object = gateway.store.create(OWNERSHIPS, id, json!(ownership)).await?;
     gateway.jobs.learn_object(&object);
--- a/crates/heronbend-gateway/src/batch/ownership.rs
+++ b/crates/heronbend-gateway/src/batch/ownership.rs
@@ -1,5 +1,7 @@
 //! Who runs a job, and whether it has ended.
 
+use std::collections::BTreeSet;
+
 use super::specification::{Item, JobSpecification};
 use heronbend::identity::NodeId;
 use serde::{Deserialize, Serialize};
@@ -23,13 +25,21 @@
     #[serde(default)]
     #[musli(default)]
     pub tenant: Option<String>,
+    /// The regions in which it may run; anywhere where there are none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[musli(default)]
+    pub homes: Option<BTreeSet<String>>,
     /// Whether its caller has ended it: nothing of it is run any more.
     pub ended: bool,
 }
 
 impl Ownership {
     /// The ownership of a job that nobody has run yet.
-    pub fn new(specification: &JobSpecification, owner: NodeId) -> Self {
+    pub fn new(
+        specification: &JobSpecification,
+        owner: NodeId,
+        homes: Option<BTreeSet<String>>,
+    ) -> Self {
         let expected = specification.items.iter().map(Item::expected_output);
         Self {
             owner,
@@ -37,6 +47,7 @@
             model: specification.step.as_ref().map(|step| step.model.clone()),
             expected_tokens: expected.sum(),
             tenant: specification.tenant.clone(),
+            homes,
             ended: false,
         }
     }
--- a/crates/heronbend-gateway/src/batch/ownership_duty.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_duty.rs
@@ -21,6 +21,7 @@
 use super::succession;
 use crate::dissemination;
 use crate::gateway::Gateway;
+use crate::homes;
 use crate::mirror::{list_all, wait_for_store};
 use crate::news_way::Way;
 use crate::peers::{client, introduction, Hint, PeerReply, PeerRequest, Standing, INTRODUCTION};
@@ -208,8 +209,10 @@
     let now = gateway.now();
     let since = job.orphaned_since.get().unwrap_or(now);
     job.orphaned_since.set(Some(since));
-    let line = succession::line(&job.id, &gateway.job_candidates());
-    let place = line.iter().position(|node| node == me).unwrap_or(line.len());
+    let candidates = gateway.job_candidates(job.ownership.borrow().0.homes.as_ref());
+    let line = succession::line(&job.id, &candidates);
+    // Nobody outside of its homes runs it.
+    let place = line.iter().position(|node| node == me)?;
     adoption::reason(standing, now - since, place).filter(|_| !gateway.draining.get())
 }
 
@@ -250,6 +253,10 @@
 /// Takes a job over, if nobody else has meanwhile.
 pub async fn adopt(gateway: &Rc<Gateway>, job: &Rc<Job>, reason: Reason) {
     let (former, revision) = job.ownership.borrow().clone();
+    if !homes::allow(former.homes.as_ref(), &gateway.identity.region) {
+        log::warn!("event=job_not_adopted job={} reason=outside_homes", job.id);
+        return;
+    }
     let ownership = Ownership { owner: gateway.identity.node.clone(), ..former.clone() };
     let content = json!(ownership);
     let written =
--- a/crates/heronbend-gateway/src/configuration.rs
+++ b/crates/heronbend-gateway/src/configuration.rs
@@ -159,6 +159,12 @@
 }
 
 impl Configuration {
+    /// Whether requests of some route or tenant may be in some regions only.
+    pub fn has_homes(&self) -> bool {
+        let of_routes = self.routes.iter().any(|route| route.homes.is_some());
+        of_routes || !self.tenant_homes.is_empty()
+    }
+
     /// The route of a request: of the routes of its host, the one with the longest prefix.
     ///
     /// `host` may carry a port, which is not looked at.
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::directory::Directory;
 use crate::duties::book::Book;
 use crate::duties::book::Terms;
+use crate::homes;
 use crate::http::client::ConnectionPool;
 use crate::lease_news::LeaseName;
 use crate::lease_news::LeaseNews;
@@ -296,10 +297,10 @@
         }
     }
 
-    /// The daemons that may run jobs now, this one among them unless it stops.
-    pub fn job_candidates(&self) -> Vec<Candidate> {
-        let mut candidates = self.members.alive_candidates();
-        if !self.draining.get() {
+    /// The daemons that may run jobs with these homes now, this one among them unless it stops.
+    pub fn job_candidates(&self, homes: Option<&BTreeSet<String>>) -> Vec<Candidate> {
+        let mut candidates = self.members.alive_candidates(homes);
+        if !self.draining.get() && homes::allow(homes, &self.identity.region) {
             let processor_millis = self.tuning().processor_millis;
             candidates.push(Candidate { node: self.identity.node.clone(), processor_millis });
         }
@@ -311,6 +312,11 @@
         self.members.count_alive() == 0 && !self.seeds.borrow().is_empty()
     }
 
+    /// Whether requests of some route or tenant may be in some regions only.
+    pub fn has_homes(&self) -> bool {
+        self.configuration().is_some_and(|configuration| configuration.has_homes())
+    }
+
     /// Notes the region of each zone.
     pub fn know_zones(&self, zones: &BTreeMap<String, String>) {
         let placer = &mut self.directory.borrow_mut().placer;
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -24,6 +24,7 @@
 use smol::channel::{bounded, Receiver, Sender};
 
 use crate::batch::succession::Candidate;
+use crate::homes;
 
 pub use messages::{Hint, PeerReply, PeerRequest};
 
@@ -159,10 +160,11 @@
         alive.map(|member| member.zone.clone()).collect()
     }
 
-    /// The other daemons that are alive, as ones that may run jobs.
-    pub fn alive_candidates(&self) -> Vec<Candidate> {
+    /// The other daemons that are alive, as ones that may run jobs with these homes.
+    pub fn alive_candidates(&self, homes: Option<&BTreeSet<String>>) -> Vec<Candidate> {
         let members = self.members.borrow();
         let alive = members.iter().filter(|member| member.liveness == Liveness::Alive);
+        let alive = alive.filter(|member| homes::allow(homes, &member.region));
         let candidate = |member: &Member| Candidate {
             node: member.id.clone(),
             processor_millis: member.processor_millis,
@@ -170,6 +172,13 @@
         alive.map(candidate).collect()
     }
 
+    /// The other daemons of a region that are alive.
+    pub fn alive_in_region(&self, region: &str) -> Vec<NodeId> {
+        let members = self.members.borrow();
+        let alive = members.iter().filter(|member| member.liveness == Liveness::Alive);
+        alive.filter(|member| member.region == region).map(|member| member.id.clone()).collect()
+    }
+
     /// The other daemons of a zone that are alive.
     pub fn alive_in(&self, zone: &str) -> Vec<NodeId> {
         let members = self.members.borrow();
--- a/crates/heronbend-gateway/src/relayed_store.rs
+++ b/crates/heronbend-gateway/src/relayed_store.rs
@@ -103,7 +103,12 @@
     /// Asks peers to make a call; nothing when none of them could.
     async fn relay(&self, call: StoreCall) -> Option<StoreReply> {
         let gateway = self.gateway.borrow().upgrade()?;
-        let alive = gateway.members.alive();
+        // A call may carry a request's body, which may not be in any region.
+        let alive = if gateway.has_homes() {
+            gateway.members.alive_in_region(&gateway.identity.region)
+        } else {
+            gateway.members.alive()
+        };
         let chosen: Vec<_> = {
             let mut random = rand::rng();
             alive.choose_multiple(&mut random, RELAY_ATTEMPTS).cloned().collect()
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -116,13 +116,15 @@
         if named.is_empty() {
             return Vec::new();
         }
+        let now = self.gateway.now();
         let models = named
             .into_iter()
-            .map(|(model, (version, _))| {
+            .map(|(model, (version, since))| {
                 let demand = newest_job(&self.gateway, &model)
                     .map_or(0, |job| job.ownership.borrow().0.expected_tokens);
                 let is_pressed = self.gateway.versions.is_pressed(&model);
-                (model, ModelState { version, demand, is_pressed })
+                let named_for = now.saturating_sub(since);
+                (model, ModelState { version, demand, is_pressed, named_for })
             })
             .collect();
         plan::loads_due(&models, &self.engines())
--- a/crates/heronbend-gateway/src/versions/plan.rs
+++ b/crates/heronbend-gateway/src/versions/plan.rs
@@ -3,15 +3,25 @@
 //! A step allows the version before the one it is numbered by, so a server need not load every
 //! version: half of a model's servers take the odd ones and half the even ones. One half serves
 //! while the other loads, and a load is spent only every second version. A model whose steps take
-//! long gets every version on all its servers, each loading at a moment when nothing runs there.
+//! long gets every version on all its servers.
+//!
+//! A version is named at the very moment at which the next step begins, whose texts then need all
+//! places. A server that can run them loads once nothing runs there, a second or two later, and not at
+//! once: half of the servers loading would have the step wait for them. Only where that moment does
+//! not come in time is half of the servers made to load.
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 /// Of so many servers one may load at a time without slowing another one's load.
 const SERVERS_FOR_A_LOAD: usize = 5;
 /// Loads at a time with however few servers.
 const MIN_LOADS_AT_ONCE: usize = 2;
 
+/// Time from a version's naming by which half of its model's servers are to have it, idle or not: the
+/// next one may be named a little later, and would find them all too old at the same moment.
+pub const HALF_DUE: Duration = Duration::from_millis(2500);
+
 /// Loads that may be under way at the same time.
 pub fn loads_at_once(servers: usize) -> usize {
     (servers / SERVERS_FOR_A_LOAD).max(MIN_LOADS_AT_ONCE)
@@ -41,6 +51,8 @@
     pub demand: u64,
     /// Whether its steps take so long that half of its servers are not enough.
     pub is_pressed: bool,
+    /// How long ago the newest version was named.
+    pub named_for: Duration,
 }
 
 /// When a load is to be ordered.
@@ -153,9 +165,10 @@
         let cannot_serve = held(engine) + 1 < version;
         let fills_half = missing_in_half > 0;
         missing_in_half = missing_in_half.saturating_sub(1);
-        let urgency = if cannot_serve || fills_half {
+        let is_overdue = fills_half && state.named_for >= HALF_DUE;
+        let urgency = if cannot_serve || is_overdue {
             Urgency::Now
-        } else if state.is_pressed {
+        } else if fills_half || state.is_pressed {
             Urgency::WhenIdle
         } else {
             continue;
