Pressed models load versions once their step has begun; results are gathered until a step is due; calls keep to few servers

A load costs running texts nothing: 49.0 ms an event in the median with a load in between, 49.0 without (300 texts).

--- a/crates/heronbend-gateway/src/batch/gathering.rs
+++ b/crates/heronbend-gateway/src/batch/gathering.rs
@@ -11,12 +11,14 @@
 const BULK_WAIT: Duration = Duration::from_millis(900);
 /// Wait of results of a job that no trainer waits for, and of steps that are late.
 const PLAIN_WAIT: Duration = Duration::from_millis(450);
-/// Longest wait while a step nears its end.
-const TAIL_WAIT: Duration = Duration::from_secs(4);
+/// Longest wait while a step nears its end: longer than the longest texts of steps that are in time
+/// take, so that a chunk without use does not come just before the last one.
+const TAIL_WAIT: Duration = Duration::from_secs(8);
 /// Share of the groups that a trainer waits for from which on a step nears its end.
 const TAIL_SHARE: f64 = 0.6;
-/// Whole groups are listed this long before a step's results are due.
-const DUE_MARGIN: Duration = Duration::from_millis(300);
+/// Whole groups are listed this long before a step's results are due, counted from when the step was
+/// first heard of here, some hundredths of a second after its hand-in began.
+const DUE_MARGIN: Duration = Duration::from_millis(100);
 
 /// What is known of a step when a result waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -7,6 +7,7 @@
 
 use heronbend::identity::NodeName;
 use heronbend::placement::server::EXPECTED_LOAD;
+use heronbend::Moment;
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use smol::Timer;
@@ -33,6 +34,9 @@
 /// First look at a server that is loading, and the time between further ones.
 const FIRST_REPORT: Duration = Duration::from_millis(960);
 const REPORT_PERIOD: Duration = Duration::from_millis(60);
+/// Time from a load's begin after which it takes no part of what loads share. That it is over shows
+/// some tenths of a second later.
+const LOAD_SHARED: Duration = Duration::from_millis(1000);
 /// How long a load is followed.
 const LOAD_LIMIT: Duration = Duration::from_secs(6);
 /// Rest after an order failed.
@@ -65,11 +69,19 @@
     gateway.executor.spawn(wake).detach();
 }
 
+/// A load that this daemon orders, or has ordered.
+#[derive(Debug, Clone)]
+struct Begun {
+    model: String,
+    version: u64,
+    since: Moment,
+}
+
 struct Duty {
     gateway: Rc<Gateway>,
     lease: LeaseKeeper,
     /// Servers that an order is being given to, or that rest after one failed.
-    busy: RefCell<HashMap<String, Option<(String, u64)>>>,
+    busy: RefCell<HashMap<String, Option<Begun>>>,
 }
 
 /// Runs until the daemon ends.
@@ -86,9 +98,9 @@
         Timer::after(INTRODUCTION.saturating_sub(gateway.now())).await;
         let changed = gateway.versions.changed.listen();
         for load in duty.loads_to_order().await {
-            duty.busy
-                .borrow_mut()
-                .insert(load.server.clone(), Some((load.model.clone(), load.version)));
+            let (model, version, since) = (load.model.clone(), load.version, gateway.now());
+            let begun = Begun { model, version, since };
+            duty.busy.borrow_mut().insert(load.server.clone(), Some(begun));
             gateway.executor.spawn(duty.clone().carry_out(load)).detach();
         }
         wait::at_most(IDLE_WAIT, changed).await;
@@ -103,7 +115,7 @@
         if due.is_empty() || is_waiting || !self.is_my_turn() {
             return Vec::new();
         }
-        let is_urgent = due.iter().any(|load| load.urgency == Urgency::Now);
+        let is_urgent = due.iter().any(|load| load.urgency != Urgency::WhenIdle);
         // Loads that wait for an idle server renew the lease only once such a server is found.
         if is_urgent && !self.lease.ensure().await {
             return Vec::new();
@@ -117,6 +129,9 @@
             return Vec::new();
         }
         let now = self.gateway.now();
+        let is_cut_by_loads = self.gateway.configuration().is_some_and(|configuration| {
+            configuration.routes.iter().any(|route| route.single_version)
+        });
         let models = named
             .into_iter()
             .map(|(model, (version, since))| {
@@ -124,7 +139,8 @@
                     .map_or(0, |job| job.ownership.borrow().0.expected_tokens);
                 let is_pressed = self.gateway.versions.is_pressed(&model);
                 let named_for = now.saturating_sub(since);
-                (model, ModelState { version, demand, is_pressed, named_for })
+                let state = ModelState { version, demand, is_pressed, named_for, is_cut_by_loads };
+                (model, state)
             })
             .collect();
         plan::loads_due(&models, &self.engines())
@@ -145,14 +161,20 @@
             .map(|server| {
                 let placer = &directory.placer;
                 let open = placer.open_order(now, &server.id);
-                let open =
-                    open.map(|order| (placer.model_name(order.model).to_owned(), order.version));
+                let open = open.map(|order| Begun {
+                    model: placer.model_name(order.model).to_owned(),
+                    version: order.version,
+                    since: order.since,
+                });
                 let loading = busy.get(&server.id).cloned().flatten().or(open);
+                let is_under_way =
+                    loading.as_ref().is_some_and(|load| now < load.since + LOAD_SHARED);
                 EngineState {
                     id: server.id.clone(),
                     models: server.models.clone(),
                     is_loading: busy.contains_key(&server.id) || loading.is_some(),
-                    loading,
+                    loading: loading.map(|load| (load.model, load.version)),
+                    is_under_way,
                     in_flight: placer.in_flight(&server.id),
                 }
             })
--- a/crates/heronbend-gateway/src/versions/plan.rs
+++ b/crates/heronbend-gateway/src/versions/plan.rs
@@ -5,10 +5,10 @@
 //! while the other loads, and a load is spent only every second version. A model whose steps take
 //! long gets every version on all its servers.
 //!
-//! A version is named at the very moment at which the next step begins, whose texts then need all
-//! places. A server that can run them loads once nothing runs there, a second or two later, and not at
-//! once: half of the servers loading would have the step wait for them. Only where that moment does
-//! not come in time is half of the servers made to load.
+//! A step of a pressed model begins at the very moment at which its version is named, and its texts
+//! need all places then. A server takes nothing new while it loads, but what runs there goes on at the
+//! same pace. So servers that can run the step load a little later, once its texts have begun: half of
+//! them loading at once had a tenth of a step's texts wait for most of a second.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -18,9 +18,9 @@
 /// Loads at a time with however few servers.
 const MIN_LOADS_AT_ONCE: usize = 2;
 
-/// Time from a version's naming by which half of its model's servers are to have it, idle or not: the
-/// next one may be named a little later, and would find them all too old at the same moment.
-pub const HALF_DUE: Duration = Duration::from_millis(2500);
+/// Time from a version's naming after which the texts of a pressed model's step have begun: most take
+/// less than a second, and those that found no place at first have one by then.
+pub const STEP_BEGUN: Duration = Duration::from_millis(1500);
 
 /// Loads that may be under way at the same time.
 pub fn loads_at_once(servers: usize) -> usize {
@@ -36,8 +36,10 @@
     pub models: BTreeMap<String, u64>,
     /// Whether an order is under way at it, or was a moment ago.
     pub is_loading: bool,
-    /// The model and version that it is loading.
+    /// The model and version that it is loading, or has loaded without its entry showing it.
     pub loading: Option<(String, u64)>,
+    /// Whether the load may take a part of what loads share.
+    pub is_under_way: bool,
     /// Requests that are known to run there.
     pub in_flight: u32,
 }
@@ -53,13 +55,18 @@
     pub is_pressed: bool,
     /// How long ago the newest version was named.
     pub named_for: Duration,
+    /// Whether a text that runs through a load is of no use: all of it must come from one version.
+    pub is_cut_by_loads: bool,
 }
 
 /// When a load is to be ordered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Urgency {
-    /// At once.
+    /// At once: the server cannot run the step of the newest version, or half of the model's servers
+    /// lack it.
     Now,
+    /// At once, after those that cannot run the step.
+    Soon,
     /// Once the server has nothing to run.
     WhenIdle,
 }
@@ -104,7 +111,7 @@
     let hosts = assign(models, engines);
     let mut queues: Vec<Queue> =
         models.iter().map(|(model, state)| queue(model, state, &hosts, engines)).collect();
-    let under_way = engines.iter().filter(|engine| engine.loading.is_some()).count();
+    let under_way = engines.iter().filter(|engine| engine.is_under_way).count();
     let free = loads_at_once(engines.len()).saturating_sub(under_way);
     let mut due = Vec::new();
     while due.len() < free {
@@ -165,11 +172,14 @@
         let cannot_serve = held(engine) + 1 < version;
         let fills_half = missing_in_half > 0;
         missing_in_half = missing_in_half.saturating_sub(1);
-        let is_overdue = fills_half && state.named_for >= HALF_DUE;
-        let urgency = if cannot_serve || is_overdue {
+        let urgency = if cannot_serve || (fills_half && !state.is_pressed) {
             Urgency::Now
-        } else if fills_half || state.is_pressed {
-            Urgency::WhenIdle
+        } else if state.is_pressed && state.named_for >= STEP_BEGUN {
+            if state.is_cut_by_loads && !fills_half {
+                Urgency::WhenIdle
+            } else {
+                Urgency::Soon
+            }
         } else {
             continue;
         };
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -30,6 +30,7 @@
 use super::queue::TicketKey;
 use super::queue::Urgency;
 use super::rank;
+use super::rank::Taste;
 use super::rank::Weights;
 use super::server::ColdTerms;
 use super::server::Listing;
@@ -40,6 +41,9 @@
 
 /// Another server counts as faster from this ratio on; paces vary by a few parts in a hundred.
 const FASTER: f64 = 1.15;
+/// Weight of a new sample in the usual time of a service's answers: one server that turns slow is told
+/// from it also by a daemon that sends to no other.
+const USUAL_WEIGHT: f64 = 0.02;
 /// Round trip to another zone of the same region that is assumed until one is measured.
 const OTHER_ZONE: Duration = Duration::from_millis(2);
 /// The same to another region.
@@ -72,6 +76,8 @@
     share: Option<u32>,
     /// What one of its servers bears while it is cold; nothing where that is not bounded.
     cold: Option<ColdTerms>,
+    /// Mean time of an answer over a long time, in milliseconds.
+    usual_millis: Option<f64>,
 }
 
 struct Place {
@@ -209,7 +215,8 @@
     pub fn set_service(&mut self, name: &str, share: u32, cold: Option<ColdTerms>) {
         let service = self.services.key(name);
         let cold = cold.filter(|terms| terms.per_second > 0.0);
-        self.terms.insert(service, ServiceState { share: Some(share), cold });
+        let state = self.terms.entry(service).or_default();
+        (state.share, state.cold) = (Some(share), cold);
     }
 
     /// What a server of a service bears while it is cold, where that is bounded.
@@ -377,14 +384,22 @@
     pub fn ended(&mut self, now: Moment, id: &str, end: AttemptEnd) {
         if let Some(server) = self.key(id).and_then(|key| self.get_mut(key)) {
             server.load.in_flight = server.load.in_flight.saturating_sub(1);
-            server.load.note(now, end);
         }
+        self.note(now, id, end);
     }
 
     /// Notes an outcome without a request ending.
     pub fn note(&mut self, now: Moment, id: &str, end: AttemptEnd) {
-        if let Some(server) = self.key(id).and_then(|key| self.get_mut(key)) {
-            server.load.note(now, end);
+        let Some(server) = self.key(id).and_then(|key| self.get_mut(key)) else {
+            return;
+        };
+        server.load.note(now, end);
+        let service = server.listing.service;
+        if let AttemptEnd::Answered(latency) = end {
+            let millis = latency.as_secs_f64() * 1e3;
+            let usual = &mut self.terms.entry(service).or_default().usual_millis;
+            let known = usual.unwrap_or(millis);
+            *usual = Some(known + (millis - known) * USUAL_WEIGHT);
         }
     }
 
@@ -530,7 +545,7 @@
             self.note_shortage(now, need, &open, 1);
             return patience::unplaced(now, waited, tally.reason());
         }
-        let best = self.cheapest(now, &free, rank::CALL_CROWDING, is_connected);
+        let best = self.cheapest(now, &free, rank::CALL, is_connected);
         match best.and_then(|key| self.choice(now, need, key)) {
             Some(choice) => Answer::Place(choice),
             None => patience::unplaced(now, waited, tally.reason()),
@@ -558,8 +573,8 @@
             .filter(|key| Some(self.version_at(now, need, *key)) == newest)
             .collect();
         let chosen = self
-            .cheapest(now, &best, rank::CALL_CROWDING, |_| true)
-            .or_else(|| self.cheapest(now, &free, rank::CALL_CROWDING, |_| true));
+            .cheapest(now, &best, rank::CALL, |_| true)
+            .or_else(|| self.cheapest(now, &free, rank::CALL, |_| true));
         match chosen.and_then(|key| self.choice(now, need, key)) {
             Some(choice) => Answer::Place(choice),
             None => {
@@ -656,8 +671,8 @@
         }
         let other: Vec<ServerKey> =
             fit.iter().copied().filter(|key| Some(*key) != history.last).collect();
-        self.cheapest(now, &other, rank::TEXT_CROWDING, |_| true)
-            .or_else(|| self.cheapest(now, &fit, rank::TEXT_CROWDING, |_| true))
+        self.cheapest(now, &other, rank::TEXT, |_| true)
+            .or_else(|| self.cheapest(now, &fit, rank::TEXT, |_| true))
     }
 
     /// A place for a text now, without waiting.
@@ -682,7 +697,7 @@
         let (open, mut tally) = self.open(now, need);
         let mut free = self.unengaged(now, need, &open, true, &mut tally);
         free.retain(|key| Some(*key) != here);
-        let other = self.cheapest(now, &free, rank::TEXT_CROWDING, |_| true)?;
+        let other = self.cheapest(now, &free, rank::TEXT, |_| true)?;
         let there = self.expected_latency(now, other, need.service)?;
         let is_faster = per_event.as_secs_f64() > there.as_secs_f64() * FASTER;
         is_faster.then(|| (per_event - there) * remaining)
@@ -701,7 +716,7 @@
             servers.filter(|server| server.is_ready())
         };
         let is_known = peers().any(|peer| peer.load.mean_millis.is_some());
-        let best = rank::best_millis(peers());
+        let best = rank::best_millis(peers(), None, rank::TEXT);
         let millis = self.get(key)?.load.faded_millis(now, best);
         is_known.then(|| Duration::from_secs_f64(millis / 1e3))
     }
@@ -758,11 +773,14 @@
         &mut self,
         now: Moment,
         keys: &[ServerKey],
-        crowding: f64,
+        taste: Taste,
         is_connected: impl Fn(ServerKey) -> bool,
     ) -> Option<ServerKey> {
-        let found = keys.iter().filter_map(|key| self.get(*key));
-        let weights = Weights { now, best_millis: rank::best_millis(found), crowding };
+        let found = || keys.iter().filter_map(|key| self.get(*key));
+        let service = found().next().map(|server| server.listing.service);
+        let usual = service.and_then(|service| self.terms.get(&service)?.usual_millis);
+        let best_millis = rank::best_millis(found(), usual, taste);
+        let weights = Weights::new(now, best_millis, taste);
         let mut best: Option<(bool, f64, ServerKey)> = None;
         for key in keys {
             let jitter = self.random.random::<f64>();
--- a/crates/heronbend/src/placement/rank.rs
+++ b/crates/heronbend/src/placement/rank.rs
@@ -9,18 +9,41 @@
 /// Shortest time that a server is taken to need, in milliseconds: the spread of the draw among
 /// equals.
 const LEAST_MILLIS: f64 = 1.0;
-/// Added to a server to which no connection is open, in milliseconds: some less than the spread of
-/// the draw among equals, so that connections are used again and other servers still tried at times.
-/// Platforms state some 1 ms for a new connection.
-const CONNECT_MILLIS: f64 = 0.8;
+/// Added to a server to which no connection is open, in milliseconds: about as much as one more call
+/// under way at the server costs, so that a daemon with few calls keeps to few servers. Platforms state
+/// some 1 ms for a new connection; the rest is what it takes of the connections a server bears.
+const CONNECT_MILLIS: f64 = 4.0;
+/// Calls differ in the work that they make: up to this ratio to the fastest server's mean a server
+/// counts as no slower. Without it a daemon with few calls goes after whichever server had the
+/// shortest of them last, and has connections to all.
+const CALL_SPREAD: f64 = 1.5;
+
+/// How requests of a kind weigh a server's load and pace.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Taste {
+    crowding: f64,
+    spread: f64,
+}
+
+/// For calls, whose answer somebody waits for.
+pub const CALL: Taste = Taste { crowding: CALL_CROWDING, spread: CALL_SPREAD };
+/// For texts, whose pace is measured over many events.
+pub const TEXT: Taste = Taste { crowding: TEXT_CROWDING, spread: 1.0 };
+
+impl Weights {
+    /// Weights at a time, where the fastest server's mean is so many milliseconds.
+    pub fn new(now: Moment, best_millis: f64, taste: Taste) -> Self {
+        Self { now, best_millis, crowding: taste.crowding, spread: taste.spread }
+    }
+}
 
 /// How much a server's queue grows with its load, for a call that waits for its answer: a full server
 /// takes twice as long.
-pub const CALL_CROWDING: f64 = 1.0;
+const CALL_CROWDING: f64 = 1.0;
 /// How much a full batch slows each text of an engine, as a share of the time that one alone takes. A
 /// slow server is taken only once the faster ones are nearly full: texts that are expected to be long
 /// are placed first.
-pub const TEXT_CROWDING: f64 = 0.2;
+const TEXT_CROWDING: f64 = 0.2;
 
 /// What a server's rank depends on beside the server.
 #[derive(Debug, Clone, Copy)]
@@ -31,18 +54,32 @@
     pub best_millis: f64,
     /// How much a full server slows a request, as a share of its idle time.
     pub crowding: f64,
+    /// Ratio of means up to which servers count as equally fast.
+    pub spread: f64,
 }
 
-/// Mean time of the fastest of some servers, in milliseconds.
-pub fn best_millis<'a>(servers: impl Iterator<Item = &'a Server>) -> f64 {
+/// Mean time of the fastest of some servers, in milliseconds; for calls no more than the usual time of
+/// their service's answers, which the only server that is known may exceed.
+pub fn best_millis<'a>(
+    servers: impl Iterator<Item = &'a Server>,
+    usual: Option<f64>,
+    taste: Taste,
+) -> f64 {
     let known = servers.filter_map(|server| server.load.mean_millis);
-    known.reduce(f64::min).unwrap_or(UNKNOWN_MILLIS)
+    let best = known.reduce(f64::min);
+    let usual = usual.filter(|_| taste == CALL);
+    match (best, usual) {
+        (Some(best), Some(usual)) => best.min(usual),
+        (best, usual) => best.or(usual).unwrap_or(UNKNOWN_MILLIS),
+    }
 }
 
 /// Expected time of one more request at a server, in milliseconds; `distance_millis` is what its zone
 /// adds.
 pub fn cost(server: &Server, weights: &Weights, distance_millis: f64, is_connected: bool) -> f64 {
     let mean = server.load.faded_millis(weights.now, weights.best_millis).max(LEAST_MILLIS);
+    let is_as_fast = mean <= weights.best_millis * weights.spread;
+    let mean = if is_as_fast { weights.best_millis.max(LEAST_MILLIS) } else { mean };
     let occupied = f64::from(server.load.in_flight) / f64::from(server.listing.slots.max(1));
     let connecting = if is_connected { 0.0 } else { CONNECT_MILLIS };
     mean * (1.0 + weights.crowding * occupied) + distance_millis + connecting
--- a/crates/heronbend/src/placement/tests.rs
+++ b/crates/heronbend/src/placement/tests.rs
@@ -105,6 +105,40 @@
     assert!(slow > 20, "{slow}");
 }
 
+#[test]
+fn a_daemon_with_few_calls_keeps_to_few_servers_however_the_work_of_calls_differs() {
+    let mut fleet = Fleet::new();
+    for (id, zone) in [("near", "a"), ("other", "b"), ("third", "b"), ("far", "c")] {
+        fleet.add(id, "app", zone);
+    }
+    let need = fleet.need("app");
+    let mut random = SmallRng::seed_from_u64(SEED);
+    let mut connected: BTreeMap<ServerKey, u32> = BTreeMap::new();
+    for number in 0..100 {
+        let now = SECOND * number;
+        let known = connected.clone();
+        let none = History::default();
+        let is_connected = |server| known.contains_key(&server);
+        let answer = fleet.placer.call(now, &need, &none, &waited(now), is_connected);
+        let Answer::Place(choice) = answer else {
+            panic!("{answer:?}");
+        };
+        *connected.entry(choice.server).or_default() += 1;
+        let id = fleet.placer.id(choice.server).unwrap().to_owned();
+        // Work of calls as of application servers: 25 ms in the mean, some twice as much.
+        let work = random.random_range(18..36) * MILLI;
+        fleet.placer.note(now, &id, AttemptEnd::Answered(work));
+    }
+    let near = fleet.placer.key("near").unwrap();
+    assert!(connected[&near] >= 95, "{connected:?}");
+    // A server that turns slow is left all the same.
+    for _ in 0..5 {
+        fleet.placer.note(SECOND * 100, "near", AttemptEnd::Answered(120 * MILLI));
+    }
+    let chosen = fleet.call(SECOND * 100, &need);
+    assert_ne!(fleet.id(chosen), "near");
+}
+
 #[test]
 fn one_lost_answer_does_not_make_a_server_avoided_and_two_do() {
     let mut fleet = Fleet::new();
