Texts spread over servers near and far; results that are due wait for the last text while a read is held; texts prefer open connections

Trainers read without a pause, but act half a second after a read began that brought results early: a chunk before the last one delays the step's end. A further result made the waiting ones be listed sooner than their time (test failed first).

--- a/crates/heronbend-gateway/src/batch/appender.rs
+++ b/crates/heronbend-gateway/src/batch/appender.rs
@@ -114,8 +114,8 @@
         let step = step(gateway, job);
         let is_full = is_full(job);
         let waited = gateway.now().saturating_sub(begun);
-        let limit = gathering::wait(step.as_ref()).filter(|_| !is_full);
-        let Some(left) = limit.and_then(|limit| limit.checked_sub(waited)) else {
+        let left = gathering::wait(step.as_ref(), waited).filter(|_| !is_full);
+        let Some(left) = left.filter(|left| !left.is_zero()) else {
             return;
         };
         wait::at_most(left, waits).await;
@@ -143,8 +143,20 @@
     let due = gateway.configuration().and_then(|configuration| {
         configuration.route(&specification.host, &specification.path)?.result_deadline
     });
-    let time_left = due.and_then(|due| due.checked_sub(age));
-    Some(gathering::Step { desired, listed, whole, required_missing, required_unlisted, time_left })
+    let due = due.map(|due| match due.checked_sub(age) {
+        Some(left) => gathering::Due::In(left),
+        None => gathering::Due::Since(age - due),
+    });
+    let held_for = job.read_held_until.get().saturating_sub(gateway.now());
+    Some(gathering::Step {
+        desired,
+        listed,
+        whole,
+        required_missing,
+        required_unlisted,
+        due,
+        held_for,
+    })
 }
 
 async fn write(gateway: &Gateway, job: &Job, chunk: &Chunk) -> Result<Writer, StoreError> {
--- a/crates/heronbend-gateway/src/batch/reading.rs
+++ b/crates/heronbend-gateway/src/batch/reading.rs
@@ -57,7 +57,9 @@
             if left.is_zero() || job.ended.get() {
                 return page_here(&job, from);
             }
+            job.read_held_until.set(wait_until);
             wait::at_most(left, grew).await;
+            job.read_held_until.set(Moment::ZERO);
             continue;
         }
         // An owner holds a call until it has news; the store answers at once.
@@ -150,7 +152,9 @@
         if has_news || left.is_zero() || job.ended.get() || !job.running.get() {
             break;
         }
+        job.read_held_until.set(until);
         wait::at_most(left, grew).await;
+        job.read_held_until.set(Moment::ZERO);
     }
     let log = job.log.borrow();
     let results = log.page(from).iter().map(|result| (**result).clone()).collect();
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -59,6 +59,8 @@
     pub next_checkpoint: Cell<u32>,
     /// Notified when the log has grown.
     pub grew: Event,
+    /// Until when a read of the newest results is held, here or by a daemon that asks this one.
+    pub read_held_until: Cell<Moment>,
     /// Notified when a result waits to be written.
     pub result_waits: Event,
     /// Whether it has ended.
@@ -98,6 +100,7 @@
             texts: RefCell::default(),
             next_checkpoint: Cell::new(0),
             grew: Event::new(),
+            read_held_until: Cell::new(Moment::ZERO),
             result_waits: Event::new(),
             stopping: Event::new(),
             running: Cell::new(false),
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -92,7 +92,10 @@
         }
         Call::EndJob { job } => {
             let ended = hand_in::end(gateway, &job, &caller, arrived + STORE_PATIENCE).await;
-            log::info!("event=job_end_asked job={job} outcome={ended:?}");
+            log::info!(
+                "event=job_end_asked job={job} outcome={ended:?} ms={}",
+                gateway.now().saturating_sub(arrived).as_millis()
+            );
             ("end_job".to_owned(), end_answer(ended))
         }
         Call::Forward | Call::Malformed(_) => {
--- a/crates/heronbend-gateway/src/directory.rs
+++ b/crates/heronbend-gateway/src/directory.rs
@@ -7,10 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use heronbend::placement::Choice;
 use heronbend::placement::Listing;
 use heronbend::placement::Need;
 use heronbend::placement::Placer;
 use heronbend::placement::ServerKey;
+use heronbend::placement::TicketKey;
 use heronbend::Moment;
 use serde::Deserialize;
 use serde::Serialize;
@@ -119,6 +121,18 @@
         self.by_key.get(&key).cloned()
     }
 
+    /// The most urgent text that a place is free for, with the place.
+    pub fn next_placed(
+        &mut self,
+        now: Moment,
+        pool: &ConnectionPool,
+    ) -> Option<(TicketKey, Choice)> {
+        let by_key = &self.by_key;
+        let is_connected =
+            |key| by_key.get(&key).is_some_and(|server| pool.has_idle(server.address));
+        self.placer.next_placed(now, is_connected)
+    }
+
     /// Servers for a need to which a connection waits to be used again.
     pub fn connected(&self, pool: &ConnectionPool, need: &Need) -> BTreeSet<ServerKey> {
         let servers = self.by_key.iter().filter(|(key, _)| self.placer.serves(**key, need));
--- a/crates/heronbend-gateway/src/places.rs
+++ b/crates/heronbend-gateway/src/places.rs
@@ -155,7 +155,7 @@
 fn place_waiting(gateway: &Rc<Gateway>) {
     loop {
         let now = gateway.now();
-        let next = gateway.directory.borrow_mut().placer.next_placed(now);
+        let next = gateway.directory.borrow_mut().next_placed(now, &gateway.servers);
         let Some((ticket, choice)) = next else {
             break;
         };
--- a/crates/heronbend-gateway/tests/gathering.rs
+++ b/crates/heronbend-gateway/tests/gathering.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use heronbend_gateway::batch::gathering::wait;
+use heronbend_gateway::batch::gathering;
+use heronbend_gateway::batch::gathering::Due;
 use heronbend_gateway::batch::gathering::Step;
 use heronbend_gateway::batch::ownership::Ownership;
 use heronbend_gateway::batch::registry::JobRegistry;
@@ -22,10 +23,16 @@
         whole,
         required_missing: 0,
         required_unlisted: 0,
-        time_left: Some(Duration::from_secs(5)),
+        due: Some(Due::In(Duration::from_secs(5))),
+        held_for: Duration::ZERO,
     }
 }
 
+/// How long results wait in all if nothing changes.
+fn wait(step: Option<&Step>) -> Option<Duration> {
+    gathering::wait(step, Duration::ZERO)
+}
+
 #[test]
 fn what_makes_a_step_whole_is_listed_at_once() {
     assert_eq!(wait(Some(&step(10, 8))), None);
@@ -55,16 +62,46 @@
 
 #[test]
 fn whole_groups_are_listed_before_the_results_are_due() {
-    let due = Step { time_left: Some(Duration::from_secs(1)), ..step(8, 7) };
+    let due = Step { due: Some(Due::In(Duration::from_secs(1))), ..step(8, 7) };
     assert!(wait(Some(&due)).unwrap() < Duration::from_secs(1));
 }
 
 #[test]
 fn a_late_step_is_listed_as_soon_as_a_plain_job() {
-    let late = Step { time_left: None, ..step(8, 7) };
+    let late = Step { due: Some(Due::Since(Duration::ZERO)), ..step(8, 7) };
     assert_eq!(wait(Some(&late)), wait(None));
 }
 
+#[test]
+fn a_further_result_does_not_make_the_others_wait_for_less() {
+    let millis = Duration::from_millis;
+    // Due in 1.6 s when the first one came, and looked at again when another one did.
+    let first =
+        gathering::wait(Some(&Step { due: Some(Due::In(millis(1600))), ..step(8, 7) }), millis(0));
+    let second = Step { due: Some(Due::In(millis(800))), ..step(8, 7) };
+    let second = gathering::wait(Some(&second), millis(800));
+    assert_eq!(first.map(|left| left - millis(800)), second);
+}
+
+#[test]
+fn while_a_read_is_held_what_is_due_waits_for_the_last_text_until_the_read_ends() {
+    let millis = Duration::from_millis;
+    let left = |due, held| {
+        let step = Step { due: Some(due), held_for: millis(held), ..step(8, 7) };
+        gathering::wait(Some(&step), millis(0))
+    };
+    // The read ends before, and the next one begins too late.
+    assert!(left(Due::In(millis(900)), 500).unwrap() < millis(500));
+    // The next one begins in time.
+    assert_eq!(left(Due::In(millis(2000)), 500), left(Due::In(millis(2000)), 0));
+    // Held beyond the time at which the results are due: a little longer than that.
+    let longer = left(Due::In(millis(100)), 900).unwrap();
+    assert!(millis(100) < longer && longer < millis(800), "{longer:?}");
+    assert!(left(Due::Since(millis(200)), 900).unwrap() < millis(300));
+    // Not for ever.
+    assert_eq!(left(Due::Since(millis(600)), 900), wait(None));
+}
+
 #[test]
 fn what_comes_last_fits_into_one_chunk() {
     let mut log = ResultLog::default();
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -624,10 +624,14 @@
     }
 
     /// The most urgent text that a place is free for, with the place. Whoever drives the machine notes
-    /// that it began before it asks for the next one.
-    pub fn next_placed(&mut self, now: Moment) -> Option<(TicketKey, Choice)> {
+    /// that it began before it asks for the next one. Servers that are not connected cost a little more.
+    pub fn next_placed(
+        &mut self,
+        now: Moment,
+        is_connected: impl Fn(ServerKey) -> bool,
+    ) -> Option<(TicketKey, Choice)> {
         for need in self.queue.needs() {
-            if let Some(placed) = self.place_first(now, &need) {
+            if let Some(placed) = self.place_first(now, &need, &is_connected) {
                 self.queue.remove(placed.0);
                 return Some(placed);
             }
@@ -636,7 +640,12 @@
     }
 
     /// The first text of a lane that some free server fits.
-    fn place_first(&mut self, now: Moment, need: &Need) -> Option<(TicketKey, Choice)> {
+    fn place_first(
+        &mut self,
+        now: Moment,
+        need: &Need,
+        is_connected: &dyn Fn(ServerKey) -> bool,
+    ) -> Option<(TicketKey, Choice)> {
         let (open, mut tally) = self.open(now, need);
         let free = self.unengaged(now, need, &open, true, &mut tally);
         let waiting = u32::try_from(self.queue.waiting(need)).unwrap_or(u32::MAX);
@@ -646,7 +655,7 @@
         }
         for ticket in self.queue.lane(need) {
             let history = self.queue.history(ticket).cloned().unwrap_or_default();
-            if let Some(key) = self.text_place(now, &open, &free, &history) {
+            if let Some(key) = self.text_place(now, (&open, &free), &history, is_connected) {
                 let choice = self.choice(now, need, key)?;
                 return Some((ticket, choice));
             }
@@ -659,9 +668,9 @@
     fn text_place(
         &mut self,
         now: Moment,
-        open: &[ServerKey],
-        free: &[ServerKey],
+        (open, free): (&[ServerKey], &[ServerKey]),
         history: &History,
+        is_connected: &dyn Fn(ServerKey) -> bool,
     ) -> Option<ServerKey> {
         let has_failed = |key: &ServerKey| history.failed.contains(key);
         let has_sound = open.iter().any(|key| !has_failed(key));
@@ -671,15 +680,15 @@
         }
         let other: Vec<ServerKey> =
             fit.iter().copied().filter(|key| Some(*key) != history.last).collect();
-        self.cheapest(now, &other, rank::TEXT, |_| true)
-            .or_else(|| self.cheapest(now, &fit, rank::TEXT, |_| true))
+        self.cheapest(now, &other, rank::TEXT, is_connected)
+            .or_else(|| self.cheapest(now, &fit, rank::TEXT, is_connected))
     }
 
     /// A place for a text now, without waiting.
     pub fn text(&mut self, now: Moment, need: &Need, history: &History) -> Option<Choice> {
         let (open, mut tally) = self.open(now, need);
         let free = self.unengaged(now, need, &open, true, &mut tally);
-        let key = self.text_place(now, &open, &free, history)?;
+        let key = self.text_place(now, (&open, &free), history, &|_| true)?;
         self.choice(now, need, key)
     }
 
--- a/crates/heronbend/src/placement/rank.rs
+++ b/crates/heronbend/src/placement/rank.rs
@@ -13,6 +13,10 @@
 /// under way at the server costs, so that a daemon with few calls keeps to few servers. Platforms state
 /// some 1 ms for a new connection; the rest is what it takes of the connections a server bears.
 const CONNECT_MILLIS: f64 = 4.0;
+/// How much of the distance counts for each event of a text: it is paid once, and texts have some
+/// twenty events. Were it to count whole, the servers nearby would be filled before any other is used,
+/// which slows each of their texts by a twentieth.
+const TEXT_DISTANCE: f64 = 0.05;
 /// Calls differ in the work that they make: up to this ratio to the fastest server's mean a server
 /// counts as no slower. Without it a daemon with few calls goes after whichever server had the
 /// shortest of them last, and has connections to all.
@@ -23,17 +27,19 @@
 pub struct Taste {
     crowding: f64,
     spread: f64,
+    distance: f64,
 }
 
 /// For calls, whose answer somebody waits for.
-pub const CALL: Taste = Taste { crowding: CALL_CROWDING, spread: CALL_SPREAD };
+pub const CALL: Taste = Taste { crowding: CALL_CROWDING, spread: CALL_SPREAD, distance: 1.0 };
 /// For texts, whose pace is measured over many events.
-pub const TEXT: Taste = Taste { crowding: TEXT_CROWDING, spread: 1.0 };
+pub const TEXT: Taste = Taste { crowding: TEXT_CROWDING, spread: 1.0, distance: TEXT_DISTANCE };
 
 impl Weights {
     /// Weights at a time, where the fastest server's mean is so many milliseconds.
     pub fn new(now: Moment, best_millis: f64, taste: Taste) -> Self {
-        Self { now, best_millis, crowding: taste.crowding, spread: taste.spread }
+        let Taste { crowding, spread, distance } = taste;
+        Self { now, best_millis, crowding, spread, distance }
     }
 }
 
@@ -56,6 +62,8 @@
     pub crowding: f64,
     /// Ratio of means up to which servers count as equally fast.
     pub spread: f64,
+    /// How much of the time to a server and back counts.
+    pub distance: f64,
 }
 
 /// Mean time of the fastest of some servers, in milliseconds; for calls no more than the usual time of
@@ -82,5 +90,6 @@
     let mean = if is_as_fast { weights.best_millis.max(LEAST_MILLIS) } else { mean };
     let occupied = f64::from(server.load.in_flight) / f64::from(server.listing.slots.max(1));
     let connecting = if is_connected { 0.0 } else { CONNECT_MILLIS };
-    mean * (1.0 + weights.crowding * occupied) + distance_millis + connecting
+    let distance = distance_millis * weights.distance;
+    mean * (1.0 + weights.crowding * occupied) + distance + connecting
 }
--- a/crates/heronbend/src/placement/tests.rs
+++ b/crates/heronbend/src/placement/tests.rs
@@ -283,14 +283,14 @@
     for number in 0..5 {
         let _ = fleet.placer.wait(SECOND, need, urgency(SECOND, number), History::default());
     }
-    assert_eq!(fleet.placer.next_placed(SECOND), None);
+    assert_eq!(fleet.placer.next_placed(SECOND, |_| true), None);
     assert_eq!(fleet.placer.take_shortages(SECOND), [Shortage { server: cold, permits: 5 }]);
     // It is asked for once at a time.
-    assert_eq!(fleet.placer.next_placed(SECOND), None);
+    assert_eq!(fleet.placer.next_placed(SECOND, |_| true), None);
     assert_eq!(fleet.placer.take_shortages(SECOND), []);
     fleet.placer.note_loan(SECOND, cold, 2, SECOND + 300 * MILLI, None);
     let mut placed = 0;
-    while let Some((_, choice)) = fleet.placer.next_placed(SECOND) {
+    while let Some((_, choice)) = fleet.placer.next_placed(SECOND, |_| true) {
         assert_eq!(choice.server, cold);
         fleet.placer.began(SECOND, "e");
         placed += 1;
@@ -299,9 +299,9 @@
     assert_eq!(fleet.placer.take_shortages(SECOND), [Shortage { server: cold, permits: 3 }]);
     // Permits that were not used in time are of no use.
     fleet.placer.note_loan(SECOND, cold, 3, SECOND + 300 * MILLI, None);
-    assert_eq!(fleet.placer.next_placed(SECOND + 300 * MILLI), None);
+    assert_eq!(fleet.placer.next_placed(SECOND + 300 * MILLI, |_| true), None);
     // Once it is warm none is needed.
-    assert!(fleet.placer.next_placed(SECOND * 4).is_some());
+    assert!(fleet.placer.next_placed(SECOND * 4, |_| true).is_some());
 }
 
 #[test]
@@ -310,12 +310,12 @@
     let cold = fleet.add_cold("e", "a");
     let need = fleet.need("engines");
     let _ = fleet.placer.wait(SECOND, need, urgency(SECOND, 1), History::default());
-    assert_eq!(fleet.placer.next_placed(SECOND), None);
+    assert_eq!(fleet.placer.next_placed(SECOND, |_| true), None);
     assert_eq!(fleet.placer.take_shortages(SECOND).len(), 1);
     fleet.placer.note_loan(SECOND, cold, 0, SECOND, Some(400 * MILLI));
     for (millis, asked) in [(399, 0), (400, 1)] {
         let now = SECOND + millis * MILLI;
-        assert_eq!(fleet.placer.next_placed(now), None);
+        assert_eq!(fleet.placer.next_placed(now, |_| true), None);
         assert_eq!(fleet.placer.take_shortages(now).len(), asked, "after {millis} ms");
     }
 }
@@ -413,6 +413,25 @@
     assert_eq!((fast, chosen[8].as_str()), (8, "slow"), "{chosen:?}");
 }
 
+#[test]
+fn texts_are_spread_over_servers_near_and_far() {
+    let mut fleet = Fleet::new();
+    for (id, zone) in [("near", "a"), ("other", "b"), ("far", "c")] {
+        fleet.add(id, "engines", zone);
+        fleet.placer.note(SECOND, id, AttemptEnd::Answered(49 * MILLI));
+    }
+    let need = fleet.need("engines");
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..12 {
+        let choice = fleet.placer.text(SECOND, &need, &History::default()).unwrap();
+        let id = fleet.placer.id(choice.server).unwrap().to_owned();
+        fleet.placer.began(SECOND, &id);
+        *counts.entry(id).or_default() += 1;
+    }
+    // Half of the places are taken, and no server is full.
+    assert!(counts.values().all(|count| (3..=5).contains(count)), "{counts:?}");
+}
+
 #[test]
 fn a_long_rest_is_worth_a_move_to_a_faster_server_and_a_short_one_is_not() {
     let mut fleet = Fleet::new();
@@ -477,7 +496,7 @@
     let first = placer.wait(SECOND, need(4), ranked, none());
     assert_eq!(placer.place_in_line(short), Some(2));
     let mut order = Vec::new();
-    while let Some((ticket, _)) = placer.next_placed(SECOND) {
+    while let Some((ticket, _)) = placer.next_placed(SECOND, |_| true) {
         placer.began(SECOND, "e");
         order.push(ticket);
         placer.ended(SECOND, "e", AttemptEnd::Abandoned);
@@ -525,7 +544,7 @@
     }
 
     fn place(&mut self) {
-        while let Some((ticket, choice)) = self.fleet.placer.next_placed(self.now) {
+        while let Some((ticket, choice)) = self.fleet.placer.next_placed(self.now, |_| true) {
             let id = self.fleet.placer.id(choice.server).unwrap().to_owned();
             self.fleet.placer.began(self.now, &id);
             let text = self.waiting.remove(&ticket).unwrap();
@@ -651,7 +670,7 @@
     let mut sent: BTreeMap<ServerKey, Vec<Moment>> = BTreeMap::new();
     for step in 0..300 {
         let now = SECOND + step * 10 * MILLI;
-        while let Some((_, choice)) = fleet.placer.next_placed(now) {
+        while let Some((_, choice)) = fleet.placer.next_placed(now, |_| true) {
             let id = fleet.placer.id(choice.server).unwrap().to_owned();
             fleet.placer.began(now, &id);
             fleet.placer.ended(now, &id, AttemptEnd::Abandoned);
