--- a/crates/heronbend/src/placement/eligible.rs
+++ b/crates/heronbend/src/placement/eligible.rs
@@ -127,14 +127,14 @@
     if !at.is_home {
         return Some(Exclusion::OutsideHomes);
     }
-    if fitness(server, need, at.now) == Fitness::Unfit {
-        return Some(Exclusion::Version);
-    }
-    (server.load.in_flight >= at.share).then_some(Exclusion::Share)
+    (fitness(server, need, at.now) == Fitness::Unfit).then_some(Exclusion::Version)
 }
 
 /// Why a server cannot be sent a request now, though nothing bars it.
 pub fn engaged(server: &Server, at: &Circumstances, needs_slot: bool) -> Option<Exclusion> {
+    if server.load.in_flight >= at.share {
+        return Some(Exclusion::Share);
+    }
     if needs_slot && server.free_slots() == 0 {
         return Some(Exclusion::Full);
     }
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -39,6 +40,16 @@
 use super::server::LAPSED_USE;
 use crate::Moment;
 
+/// How long what bars servers from a need is believed without looking again, while nothing is told of
+/// any server: only the mere passing of time changes it then.
+const OPEN_BELIEVED: Duration = Duration::from_millis(50);
+/// Of more free servers than this a text is offered so many, drawn at random: the best of them is
+/// nearly as good as the best of all, and a fleet of thousands costs no more than one of a hundred
+/// (Mitzenmacher, "The power of two choices in randomized load balancing", 2001).
+const SAMPLE: usize = 64;
+/// Texts of a lane that a free server is offered to: the first one takes it unless all free servers
+/// failed at it.
+const LOOK_AHEAD: usize = 16;
 /// Another server counts as faster from this ratio on; paces vary by a few parts in a hundred.
 const FASTER: f64 = 1.15;
 /// Weight of a new sample in the usual time of a service's answers: one server that turns slow is told
@@ -80,6 +91,16 @@
     usual_millis: Option<f64>,
 }
 
+/// Servers that nothing bars from a need, as of some moment.
+struct Open {
+    need: Need,
+    /// Count of changes that it was found after.
+    changes: u64,
+    at: Moment,
+    servers: Rc<[ServerKey]>,
+    tally: Tally,
+}
+
 struct Place {
     generation: u32,
     server: Option<Server>,
@@ -105,6 +126,10 @@
     asking: HashMap<ServerKey, Option<Moment>>,
     shortages: BTreeMap<ServerKey, u32>,
     random: SmallRng,
+    /// Counts what may change which servers a need is barred from.
+    changes: u64,
+    /// What was found last, by need.
+    known_open: Vec<Open>,
 }
 
 impl Placer {
@@ -128,6 +153,8 @@
             asking: HashMap::new(),
             shortages: BTreeMap::new(),
             random: SmallRng::seed_from_u64(seed),
+            changes: 0,
+            known_open: Vec::new(),
         }
     }
 
@@ -168,6 +195,7 @@
 
     /// Notes the region of a zone.
     pub fn set_region(&mut self, zone: &str, region: &str) {
+        self.changes += 1;
         let (zone, region) = (self.zones.key(zone), self.regions.key(region));
         self.region_of.insert(zone, region);
     }
@@ -227,6 +255,7 @@
 
     /// Notes that nothing may be sent to a zone's servers any more.
     pub fn evacuate(&mut self, zone: &str) {
+        self.changes += 1;
         let zone = self.zones.key(zone);
         self.evacuated.insert(zone);
     }
@@ -234,6 +263,7 @@
     /// Notes that a zone's servers may be sent to again. They may have turned cold a moment ago,
     /// before their entries tell of it.
     pub fn readmit(&mut self, now: Moment, zone: &str) {
+        self.changes += 1;
         let zone = self.zones.key(zone);
         if !self.evacuated.remove(&zone) {
             return;
@@ -256,6 +286,7 @@
 
     /// Takes in a server's entry.
     pub fn list(&mut self, now: Moment, id: &str, listing: Listing) -> ServerKey {
+        self.changes += 1;
         let service = listing.service;
         if let Some(key) = self.by_id.get(id).copied() {
             if let Some(server) = self.get_mut(key) {
@@ -289,6 +320,7 @@
 
     /// Notes that a server's entry went.
     pub fn unlist(&mut self, now: Moment, id: &str) {
+        self.changes += 1;
         if let Some(server) = self.key(id).and_then(|key| self.get_mut(key)) {
             server.gone_since.get_or_insert(now);
         }
@@ -355,6 +387,7 @@
 
     /// Notes an order that a server has taken.
     pub fn order_taken(&mut self, now: Moment, id: &str, model: &str, version: u64) {
+        self.changes += 1;
         let model = self.models.key(model);
         if let Some(server) = self.key(id).and_then(|key| self.get_mut(key)) {
             server.order_taken(OpenOrder { model, version, since: now });
@@ -502,6 +535,22 @@
         self.of_service(service).any(|(_, server)| server.is_ready())
     }
 
+    /// Servers that nothing bars from a need, with what bars the others, as of a moment ago.
+    fn open_lately(&mut self, now: Moment, need: &Need) -> (Rc<[ServerKey]>, Tally) {
+        let changes = self.changes;
+        let is_current = |open: &Open| open.changes == changes && now < open.at + OPEN_BELIEVED;
+        self.known_open.retain(is_current);
+        if let Some(open) = self.known_open.iter().find(|open| open.need == *need) {
+            return (open.servers.clone(), open.tally.clone());
+        }
+        let (servers, tally) = self.open(now, need);
+        let servers: Rc<[ServerKey]> = servers.into();
+        let open = Open { need: *need, changes, at: now, servers, tally };
+        let found = (open.servers.clone(), open.tally.clone());
+        self.known_open.push(open);
+        found
+    }
+
     /// Servers that nothing bars from a need, with what bars the others.
     fn open(&self, now: Moment, need: &Need) -> (Vec<ServerKey>, Tally) {
         let has_listed = self.has_listed(need.service);
@@ -646,14 +695,14 @@
         need: &Need,
         is_connected: &dyn Fn(ServerKey) -> bool,
     ) -> Option<(TicketKey, Choice)> {
-        let (open, mut tally) = self.open(now, need);
-        let free = self.unengaged(now, need, &open, true, &mut tally);
+        let (open, mut tally) = self.open_lately(now, need);
+        let free = self.free_for_text(now, need, &open, &mut tally);
         let waiting = u32::try_from(self.queue.waiting(need)).unwrap_or(u32::MAX);
         if free.is_empty() {
             self.note_shortage(now, need, &open, waiting);
             return None;
         }
-        for ticket in self.queue.lane(need) {
+        for ticket in self.queue.first(need, LOOK_AHEAD) {
             let history = self.queue.history(ticket).cloned().unwrap_or_default();
             if let Some(key) = self.text_place(now, (&open, &free), &history, is_connected) {
                 let choice = self.choice(now, need, key)?;
@@ -686,8 +735,8 @@
 
     /// A place for a text now, without waiting.
     pub fn text(&mut self, now: Moment, need: &Need, history: &History) -> Option<Choice> {
-        let (open, mut tally) = self.open(now, need);
-        let free = self.unengaged(now, need, &open, true, &mut tally);
+        let (open, mut tally) = self.open_lately(now, need);
+        let free = self.free_for_text(now, need, &open, &mut tally);
         let key = self.text_place(now, (&open, &free), history, &|_| true)?;
         self.choice(now, need, key)
     }
@@ -703,8 +752,8 @@
         remaining: u32,
     ) -> Option<Duration> {
         let here = self.key(id);
-        let (open, mut tally) = self.open(now, need);
-        let mut free = self.unengaged(now, need, &open, true, &mut tally);
+        let (open, mut tally) = self.open_lately(now, need);
+        let mut free = self.free_for_text(now, need, &open, &mut tally);
         free.retain(|key| Some(*key) != here);
         let other = self.cheapest(now, &free, rank::TEXT, |_| true)?;
         let there = self.expected_latency(now, other, need.service)?;
@@ -730,6 +779,26 @@
         is_known.then(|| Duration::from_secs_f64(millis / 1e3))
     }
 
+    /// Those of `open` servers that have a place for a text: of many only some, where that is enough.
+    fn free_for_text(
+        &mut self,
+        now: Moment,
+        need: &Need,
+        open: &[ServerKey],
+        tally: &mut Tally,
+    ) -> Vec<ServerKey> {
+        if open.len() > SAMPLE {
+            let drawn = rand::seq::index::sample(&mut self.random, open.len(), SAMPLE);
+            let some: Vec<ServerKey> = drawn.into_iter().map(|index| open[index]).collect();
+            let mut free = self.unengaged(now, need, &some, true, &mut Tally::default());
+            free.retain(|key| self.get(*key).is_some_and(|server| !server.is_cold(now)));
+            if !free.is_empty() {
+                return free;
+            }
+        }
+        self.unengaged(now, need, open, true, tally)
+    }
+
     /// Those of `open` servers that can be sent a request now. Warm ones come alone where there are
     /// any: a cold server's rate is kept for when nothing else is free.
     fn unengaged(
@@ -838,7 +907,7 @@
 }
 
 /// What keeps servers from a request, counted.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Tally {
     counts: BTreeMap<Exclusion, u32>,
 }
--- a/crates/heronbend/src/placement/queue.rs
+++ b/crates/heronbend/src/placement/queue.rs
@@ -106,10 +106,10 @@
         needs.into_iter().map(|(_, _, need)| need).collect()
     }
 
-    /// The tickets of a need in order of urgency.
-    pub fn lane(&self, need: &Need) -> Vec<TicketKey> {
-        let lane = self.lanes.get(need);
-        lane.map_or_else(Vec::new, |lane| lane.keys().map(|(_, key)| *key).collect())
+    /// The most urgent tickets of a need, in order.
+    pub fn first(&self, need: &Need, count: usize) -> Vec<TicketKey> {
+        let lane = self.lanes.get(need).into_iter().flatten();
+        lane.map(|((_, key), ())| *key).take(count).collect()
     }
 
     /// Tickets that are served before this one among those with the same need.
--- a/crates/heronbend/src/placement/tests.rs
+++ b/crates/heronbend/src/placement/tests.rs
@@ -642,6 +642,21 @@
     }
 }
 
+#[test]
+fn of_thousands_of_servers_the_last_free_place_is_found() {
+    let mut fleet = Fleet::new();
+    for number in 0..2000 {
+        let id = format!("e{number}");
+        fleet.add(&id, "engines", "a");
+        (0..8).for_each(|_| fleet.placer.began(SECOND, &id));
+    }
+    let need = fleet.need("engines");
+    assert_eq!(fleet.placer.text(SECOND, &need, &History::default()), None);
+    fleet.placer.ended(SECOND, "e1234", AttemptEnd::Abandoned);
+    let choice = fleet.placer.text(SECOND, &need, &History::default()).unwrap();
+    assert_eq!(fleet.placer.id(choice.server), Some("e1234"));
+}
+
 #[test]
 fn a_later_step_never_holds_up_an_earlier_one() {
     let mut replay = worst_load(1);
--- a/crates/heronbend/src/rate/circle.rs
+++ b/crates/heronbend/src/rate/circle.rs
@@ -23,7 +23,7 @@
 }
 
 /// A daemon that was lost, or left.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Lost {
     name: NodeName,
     since: Moment,
@@ -32,7 +32,7 @@
 }
 
 /// The daemons that are alive, this one among them, and those that were of late.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Circle {
     me: NodeName,
     started: Moment,
--- a/crates/heronbend/src/rate/lender.rs
+++ b/crates/heronbend/src/rate/lender.rs
@@ -1,6 +1,6 @@
 //! What one daemon has lent.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -18,9 +18,9 @@
 }
 
 /// Permits lent of late, by key.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Lender {
-    lent: HashMap<String, VecDeque<Moment>>,
+    lent: BTreeMap<String, VecDeque<Moment>>,
 }
 
 impl Lender {
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -34,4 +34,5 @@
 pub mod result_log;
 pub mod saved_texts;
 pub mod scenario;
+pub mod shared_rate;
 pub mod usage_reports;
--- a/spec/tests/gateway_protocols.rs
+++ b/spec/tests/gateway_protocols.rs
@@ -8,6 +8,8 @@
 use heronbend_spec::result_log::{self, SharedLog};
 use heronbend_spec::saved_texts;
 use heronbend_spec::saved_texts::SavedTexts;
+use heronbend_spec::shared_rate;
+use heronbend_spec::shared_rate::SharedRate;
 use heronbend_spec::usage_reports;
 use heronbend_spec::usage_reports::UsageReports;
 
@@ -54,6 +56,22 @@
     mutation: usage_reports::Mutation::None,
 };
 
+/// Five daemons, of which two are lost within a window.
+const RATE: SharedRate = SharedRate {
+    daemons: 5,
+    ticks: 1,
+    kills: 2,
+    cuts: 0,
+    asks: 3,
+    mutation: shared_rate::Mutation::None,
+};
+/// One is lost, for long.
+const LONG_RATE: SharedRate = SharedRate { daemons: 3, ticks: 6, kills: 1, ..RATE };
+/// Daemons that are cut off from each other.
+const CUT_RATE: SharedRate = SharedRate { daemons: 3, ticks: 5, kills: 0, cuts: 3, ..RATE };
+/// Permits that are used late.
+const LATE_RATE: SharedRate = SharedRate { daemons: 2, ticks: 9, kills: 0, cuts: 0, ..RATE };
+
 fn run<S: System + std::fmt::Debug>(system: &S) -> Report {
     let report = explore(system, MAX_STATES);
     println!(
@@ -159,3 +177,18 @@
         fails(&UsageReports { mutation, ..USAGE });
     }
 }
+
+#[test]
+fn a_shared_rate_is_kept_whoever_is_lost_or_late() {
+    for system in [RATE, LONG_RATE, CUT_RATE, LATE_RATE] {
+        holds(&system);
+    }
+}
+
+#[test]
+fn every_guard_of_the_shared_rate_is_needed() {
+    use shared_rate::Mutation::{CountsFromAnswer, MinorityLends, TakesOverAtOnce};
+    fails(&SharedRate { mutation: TakesOverAtOnce, ..RATE });
+    fails(&SharedRate { mutation: MinorityLends, ..CUT_RATE });
+    fails(&SharedRate { mutation: CountsFromAnswer, ..LATE_RATE });
+}
