--- a/crates/heronbend-gateway/src/batch/hand_in.rs
+++ b/crates/heronbend-gateway/src/batch/hand_in.rs
@@ -200,6 +200,7 @@
     let asking = async move {
         let owner = ownership.owner.clone();
         let specification = JobSpecification::clone(&specification);
+        let ownership = Box::new(ownership);
         let request = PeerRequest::RunJob { ownership, revision, specification };
         let reply = client::call(&gateway, &owner, &request, Duration::ZERO).await;
         log::info!("event=job_passed_on job={} owner={owner} reply={reply:?}", job.id);
--- a/crates/heronbend-gateway/src/directory.rs
+++ b/crates/heronbend-gateway/src/directory.rs
@@ -144,10 +144,4 @@
     pub fn all(&self) -> impl Iterator<Item = &Rc<Server>> {
         self.servers.values()
     }
-
-    /// Servers that may be sent requests of a need.
-    pub fn usable(&self, now: Moment, need: &Need) -> Vec<Rc<Server>> {
-        let keys = self.placer.usable(now, need).into_iter();
-        keys.filter_map(|key| self.chosen(key)).collect()
-    }
 }
--- a/crates/heronbend-gateway/src/duties/scaling.rs
+++ b/crates/heronbend-gateway/src/duties/scaling.rs
@@ -109,6 +109,10 @@
         let mut has_changed = plan.planner.note_floor(&zones);
         let now = self.gateway.now();
         for order in plan.planner.plan(now, &scaling.terms, &zones, demand) {
+            // Nothing is sent there: servers would be paid for and stand idle.
+            if self.gateway.evacuated.borrow().contains(&order.zone) {
+                continue;
+            }
             if !self.lease.ensure().await {
                 break;
             }
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -128,6 +128,8 @@
     pub permits_lent: Count,
     /// Whether a zone is evacuated: 1 or 0.
     pub zones_evacuated: Family<ZoneLabels, Gauge>,
+    /// Servers that are cold, by zone.
+    pub cold_servers: Family<ZoneLabels, Gauge>,
     /// Log lines that were dropped.
     pub log_lines_dropped: Count,
 }
@@ -160,6 +162,7 @@
             permits_borrowed: Count::default(),
             permits_lent: Count::default(),
             zones_evacuated: Family::default(),
+            cold_servers: Family::default(),
             log_lines_dropped: Count::default(),
         }
     }
@@ -222,6 +225,13 @@
         self.zones_evacuated.get_or_create(&labels).set(i64::from(is_evacuated));
     }
 
+    /// Notes how many servers of a zone are cold.
+    pub fn servers_cold(&self, zone: &str, servers: usize) {
+        let labels = ZoneLabels { zone: zone.to_owned() };
+        let servers = i64::try_from(servers).unwrap_or(i64::MAX);
+        self.cold_servers.get_or_create(&labels).set(servers);
+    }
+
     /// Notes a call to the provider.
     pub fn duty_called(&self, duty: &'static str, is_done: bool) {
         let outcome = if is_done { "done" } else { "failed" };
@@ -262,6 +272,8 @@
         let lent = self.permits_lent.clone();
         registry.register("permits_lent", "Permits for cold servers lent", lent);
         let evacuated = self.zones_evacuated.clone();
+        let cold = self.cold_servers.clone();
+        registry.register("cold_servers", "Servers that are cold", cold);
         registry.register("zone_evacuated", "Whether a zone is evacuated", evacuated);
         registry.register("log_lines_dropped", "Lines dropped", self.log_lines_dropped.clone());
         let mut page = String::new();
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -266,7 +266,7 @@
     };
     let reply = match request {
         PeerRequest::RunJob { ownership, revision, specification } => {
-            hand_in::run_here(&gateway, ownership, revision, specification, false)
+            hand_in::run_here(&gateway, *ownership, revision, specification, false)
         }
         PeerRequest::Store(call) => PeerReply::Store(store_relay::answer(&gateway, call).await),
         PeerRequest::Follow { kind, since, wait_millis } => {
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -112,7 +112,7 @@
     /// Asks the peer to run a job that was handed in for it.
     RunJob {
         /// What the store holds of it.
-        ownership: Ownership,
+        ownership: Box<Ownership>,
         /// At which revision.
         revision: u64,
         /// Its items.
--- a/crates/heronbend-gateway/src/permits.rs
+++ b/crates/heronbend-gateway/src/permits.rs
@@ -12,10 +12,10 @@
 use heronbend::placement::ColdTerms;
 use heronbend::placement::Shortage;
 use heronbend::rate;
-use heronbend::rate::Circle;
 use heronbend::rate::Lender;
 use heronbend::rate::Loan;
 use heronbend::rate::Refusal;
+use heronbend::rate::View;
 use heronbend::Moment;
 
 use crate::gateway::Gateway;
@@ -44,14 +44,14 @@
 
 /// The lender's part, and who lends.
 pub struct Permits {
-    circle: RefCell<Circle>,
+    view: RefCell<View>,
     lender: RefCell<Lender>,
 }
 
 impl Permits {
     /// A daemon that has just started.
     pub fn new(me: NodeName) -> Self {
-        Self { circle: RefCell::new(Circle::new(me, Moment::ZERO)), lender: RefCell::default() }
+        Self { view: RefCell::new(View::new(me, Moment::ZERO)), lender: RefCell::default() }
     }
 }
 
@@ -64,7 +64,7 @@
     };
     let alive = names(&|liveness| liveness <= Liveness::Suspect);
     let left = names(&|liveness| liveness == Liveness::Left);
-    gateway.permits.circle.borrow_mut().update(gateway.now(), alive, &left);
+    gateway.permits.view.borrow_mut().update(gateway.now(), alive, &left);
 }
 
 /// Asks for permits for the cold servers that requests wait for.
@@ -105,7 +105,7 @@
 
 /// What the lender for a server lends; nothing where it does not answer.
 async fn loan(gateway: &Rc<Gateway>, server: &str, permits: u32) -> Option<Loan> {
-    let lender = gateway.permits.circle.borrow().lender(server).clone();
+    let lender = gateway.permits.view.borrow().lender(server).clone();
     if lender == gateway.identity.node.name {
         return lend(gateway, server, permits).ok();
     }
@@ -139,7 +139,7 @@
     if gateway.is_alone_of_several() {
         return Err(Refusal::Minority);
     }
-    match gateway.permits.circle.borrow().may_lend(now, server) {
+    match gateway.permits.view.borrow().may_lend(now, server) {
         Ok(()) => {}
         Err(Refusal::Unsettled(left)) => return Ok(Loan { permits: 0, again: left }),
         Err(refusal) => return Err(refusal),
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -405,10 +405,21 @@
 async fn log_counts(gateway: Rc<Gateway>) {
     loop {
         Timer::after(COUNTS_PERIOD).await;
+        count_cold_servers(&gateway);
         log_count(&gateway);
     }
 }
 
+fn count_cold_servers(gateway: &Gateway) {
+    let now = gateway.now();
+    let mut directory = gateway.directory.borrow_mut();
+    let zones: BTreeSet<String> = directory.all().map(|server| server.zone.clone()).collect();
+    for zone in zones {
+        let key = directory.placer.zone(&zone);
+        gateway.metrics.servers_cold(&zone, directory.placer.cold_servers(now, key));
+    }
+}
+
 fn log_count(gateway: &Gateway) {
     if let Some(line) = gateway.metrics.line() {
         log::info!("{line}");
--- /dev/null
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -0,0 +1,448 @@
+//! Where requests go: the decisions of the [`Placer`], over what it is fed with.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::eligible;
+use super::eligible::Circumstances;
+use super::eligible::Exclusion;
+use super::eligible::Fitness;
+use super::eligible::History;
+use super::eligible::Need;
+use super::keys::HomesKey;
+use super::keys::ServerKey;
+use super::keys::ServiceKey;
+use super::keys::ZoneKey;
+use super::patience;
+use super::patience::Answer;
+use super::patience::Waited;
+use super::placer::Choice;
+use super::placer::Open;
+use super::placer::Placer;
+use super::queue::TicketKey;
+use super::queue::Urgency;
+use super::rank;
+use super::rank::Profile;
+use super::rank::Weights;
+use super::server::Server;
+use super::tally::Tally;
+use crate::Moment;
+
+/// How long what bars servers from a need is believed without looking again, while nothing is told of
+/// any server: only the mere passing of time changes it then.
+const OPEN_BELIEVED: Duration = Duration::from_millis(50);
+/// Of more free servers than this a text is offered so many, drawn at random: the best of them is
+/// nearly as good as the best of all, and a fleet of thousands costs no more than one of a hundred
+/// (Mitzenmacher, "The power of two choices in randomized load balancing", 2001).
+const SAMPLE: usize = 64;
+/// Texts of a lane that a free server is offered to: the first one takes it unless all free servers
+/// failed at it.
+const LOOK_AHEAD: usize = 16;
+/// Another server counts as faster from this ratio on; paces vary by a few parts in a hundred.
+const FASTER: f64 = 1.15;
+
+impl Placer {
+    fn circumstances(
+        &self,
+        now: Moment,
+        server: &Server,
+        need: &Need,
+        has_listed: bool,
+    ) -> Circumstances {
+        let terms = self.terms.get(&need.service).copied().unwrap_or_default();
+        Circumstances {
+            now,
+            has_listed,
+            is_evacuated: self.evacuated.contains(&server.listing.zone),
+            is_home: self.is_home(server.listing.zone, need.homes),
+            share: terms.share.unwrap_or(u32::MAX),
+            needs_permit: terms.cold.is_some(),
+        }
+    }
+
+    fn is_home(&self, zone: ZoneKey, homes: Option<HomesKey>) -> bool {
+        let Some(homes) = homes else {
+            return true;
+        };
+        let index: u32 = homes.into();
+        let homes = self.homes.get(index as usize);
+        let region = self.region_of.get(&zone);
+        homes.zip(region).is_some_and(|(homes, region)| homes.contains(region))
+    }
+
+    fn has_listed(&self, service: ServiceKey) -> bool {
+        self.of_service(service).any(|(_, server)| server.is_ready())
+    }
+
+    /// Servers that nothing bars from a need, with what bars the others, as of a moment ago.
+    fn open_lately(&mut self, now: Moment, need: &Need) -> (Rc<[ServerKey]>, Tally) {
+        let changes = self.changes;
+        let is_current = |open: &Open| open.changes == changes && now < open.at + OPEN_BELIEVED;
+        self.known_open.retain(is_current);
+        if let Some(open) = self.known_open.iter().find(|open| open.need == *need) {
+            return (open.servers.clone(), open.tally.clone());
+        }
+        let (servers, tally) = self.open(now, need);
+        let servers: Rc<[ServerKey]> = servers.into();
+        let open = Open { need: *need, changes, at: now, servers, tally };
+        let found = (open.servers.clone(), open.tally.clone());
+        self.known_open.push(open);
+        found
+    }
+
+    /// Servers that nothing bars from a need, with what bars the others.
+    fn open(&self, now: Moment, need: &Need) -> (Vec<ServerKey>, Tally) {
+        let has_listed = self.has_listed(need.service);
+        let mut tally = Tally::default();
+        let mut open = Vec::new();
+        for (key, server) in self.of_service(need.service) {
+            let at = self.circumstances(now, server, need, has_listed);
+            match eligible::barred(server, need, &at) {
+                Some(exclusion) => tally.add(exclusion),
+                None => open.push(key),
+            }
+        }
+        (open, tally)
+    }
+
+    /// Servers that may be sent requests of a need.
+    pub fn usable(&self, now: Moment, need: &Need) -> Vec<ServerKey> {
+        self.open(now, need).0
+    }
+
+    /// Places of the servers that may be sent requests of a need.
+    pub fn slots(&self, now: Moment, need: &Need) -> u32 {
+        let usable = self.usable(now, need);
+        usable.into_iter().filter_map(|key| Some(self.get(key)?.listing.slots)).sum()
+    }
+
+    /// What becomes of a call. Servers that are not connected cost a little more; a server whose
+    /// places are all taken is used if no other is better, one that is avoided only if all are.
+    pub fn call(
+        &mut self,
+        now: Moment,
+        need: &Need,
+        history: &History,
+        waited: &Waited,
+        is_connected: impl Fn(ServerKey) -> bool,
+    ) -> Answer {
+        let (mut open, mut tally) = self.open(now, need);
+        skip_tried(&mut open, history, &mut tally);
+        let free = self.unengaged(now, need, &open, false, &mut tally);
+        if free.is_empty() {
+            self.note_shortage(now, need, &open, 1);
+            return patience::unplaced(now, waited, tally.reason());
+        }
+        let best = self.cheapest(now, &free, rank::CALL, is_connected);
+        match best.and_then(|key| self.choice(now, need, key)) {
+            Some(choice) => Answer::Place(choice),
+            None => patience::unplaced(now, waited, tally.reason()),
+        }
+    }
+
+    /// What becomes of a stream: of the servers with free places one with the newest weights, or the
+    /// best of all if none has a free place.
+    pub fn stream(
+        &mut self,
+        now: Moment,
+        need: &Need,
+        history: &History,
+        waited: &Waited,
+    ) -> Answer {
+        let (mut open, mut tally) = self.open(now, need);
+        skip_tried(&mut open, history, &mut tally);
+        let free = self.unengaged(now, need, &open, false, &mut tally);
+        let has_place =
+            |key: &ServerKey| self.get(*key).is_some_and(|server| server.free_slots() > 0);
+        let idle: Vec<ServerKey> = free.iter().copied().filter(has_place).collect();
+        let newest = idle.iter().map(|key| self.version_at(now, need, *key)).max();
+        let best: Vec<ServerKey> = idle
+            .into_iter()
+            .filter(|key| Some(self.version_at(now, need, *key)) == newest)
+            .collect();
+        let chosen = self
+            .cheapest(now, &best, rank::CALL, |_| true)
+            .or_else(|| self.cheapest(now, &free, rank::CALL, |_| true));
+        match chosen.and_then(|key| self.choice(now, need, key)) {
+            Some(choice) => Answer::Place(choice),
+            None => {
+                self.note_shortage(now, need, &open, 1);
+                patience::unplaced(now, waited, tally.reason())
+            }
+        }
+    }
+
+    /// Whether a stream that runs at a server could go on at another one.
+    pub fn has_other(&self, now: Moment, need: &Need, id: &str) -> bool {
+        let here = self.key(id);
+        self.usable(now, need).into_iter().any(|key| Some(key) != here)
+    }
+
+    /// Has a text wait for a place.
+    pub fn wait(
+        &mut self,
+        now: Moment,
+        need: Need,
+        urgency: Urgency,
+        history: History,
+    ) -> TicketKey {
+        self.queue.add(now, need, urgency, history)
+    }
+
+    /// Takes back a text that waited.
+    pub fn withdraw(&mut self, ticket: TicketKey) {
+        self.queue.remove(ticket);
+    }
+
+    /// Texts that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// What keeps most servers from texts of a need now.
+    pub fn obstacle(&self, now: Moment, need: &Need) -> Option<Exclusion> {
+        let (open, mut tally) = self.open(now, need);
+        self.unengaged(now, need, &open, true, &mut tally);
+        tally.reason()
+    }
+
+    /// Texts of the same need that are placed before this one.
+    pub fn place_in_line(&self, ticket: TicketKey) -> Option<usize> {
+        self.queue.place_in_line(ticket)
+    }
+
+    /// The most urgent text that a place is free for, with the place. Whoever drives the machine notes
+    /// that it began before it asks for the next one. Servers that are not connected cost a little more.
+    pub fn next_placed(
+        &mut self,
+        now: Moment,
+        is_connected: impl Fn(ServerKey) -> bool,
+    ) -> Option<(TicketKey, Choice)> {
+        for need in self.queue.needs() {
+            if let Some(placed) = self.place_first(now, &need, &is_connected) {
+                self.queue.remove(placed.0);
+                return Some(placed);
+            }
+        }
+        None
+    }
+
+    /// The first text of a lane that some free server fits.
+    fn place_first(
+        &mut self,
+        now: Moment,
+        need: &Need,
+        is_connected: &dyn Fn(ServerKey) -> bool,
+    ) -> Option<(TicketKey, Choice)> {
+        let (open, mut tally) = self.open_lately(now, need);
+        let free = self.free_for_text(now, need, &open, &mut tally);
+        let waiting = u32::try_from(self.queue.waiting(need)).unwrap_or(u32::MAX);
+        if free.is_empty() {
+            self.note_shortage(now, need, &open, waiting);
+            return None;
+        }
+        for ticket in self.queue.first(need, LOOK_AHEAD) {
+            let history = self.queue.history(ticket).cloned().unwrap_or_default();
+            if let Some(key) = self.text_place(now, (&open, &free), &history, is_connected) {
+                let choice = self.choice(now, need, key)?;
+                return Some((ticket, choice));
+            }
+        }
+        None
+    }
+
+    /// The place of a text among `free` servers: not one that failed at it while another one of `open`
+    /// has not, and not the one whose attempt ended last while another one is free.
+    fn text_place(
+        &mut self,
+        now: Moment,
+        (open, free): (&[ServerKey], &[ServerKey]),
+        history: &History,
+        is_connected: &dyn Fn(ServerKey) -> bool,
+    ) -> Option<ServerKey> {
+        let has_failed = |key: &ServerKey| history.failed.contains(key);
+        let has_sound = open.iter().any(|key| !has_failed(key));
+        let mut fit: Vec<ServerKey> = free.to_vec();
+        if has_sound {
+            fit.retain(|key| !has_failed(key));
+        }
+        let other: Vec<ServerKey> =
+            fit.iter().copied().filter(|key| Some(*key) != history.last).collect();
+        self.cheapest(now, &other, rank::TEXT, is_connected)
+            .or_else(|| self.cheapest(now, &fit, rank::TEXT, is_connected))
+    }
+
+    /// A place for a text now, without waiting.
+    pub fn text(&mut self, now: Moment, need: &Need, history: &History) -> Option<Choice> {
+        let (open, mut tally) = self.open_lately(now, need);
+        let free = self.free_for_text(now, need, &open, &mut tally);
+        let key = self.text_place(now, (&open, &free), history, &|_| true)?;
+        self.choice(now, need, key)
+    }
+
+    /// Time that a text with `remaining` events would win at the best other server with a free place,
+    /// where an event takes `per_event` at its own.
+    pub fn gain(
+        &mut self,
+        now: Moment,
+        need: &Need,
+        id: &str,
+        per_event: Duration,
+        remaining: u32,
+    ) -> Option<Duration> {
+        let here = self.key(id);
+        let (open, mut tally) = self.open_lately(now, need);
+        let mut free = self.free_for_text(now, need, &open, &mut tally);
+        free.retain(|key| Some(*key) != here);
+        let other = self.cheapest(now, &free, rank::TEXT, |_| true)?;
+        let there = self.expected_latency(now, other, need.service)?;
+        let is_faster = per_event.as_secs_f64() > there.as_secs_f64() * FASTER;
+        is_faster.then(|| (per_event - there) * remaining)
+    }
+
+    /// Expected latency of a server's answers, or of the events of its texts; nothing where no latency
+    /// of any server of its service is known.
+    fn expected_latency(
+        &self,
+        now: Moment,
+        key: ServerKey,
+        service: ServiceKey,
+    ) -> Option<Duration> {
+        let peers = || {
+            let servers = self.of_service(service).map(|(_, server)| server);
+            servers.filter(|server| server.is_ready())
+        };
+        let is_known = peers().any(|peer| peer.load.mean_millis.is_some());
+        let best = rank::best_millis(peers(), None, rank::TEXT);
+        let millis = self.get(key)?.load.faded_millis(now, best);
+        is_known.then(|| Duration::from_secs_f64(millis / 1e3))
+    }
+
+    /// Those of `open` servers that have a place for a text: of many only some, where that is enough.
+    fn free_for_text(
+        &mut self,
+        now: Moment,
+        need: &Need,
+        open: &[ServerKey],
+        tally: &mut Tally,
+    ) -> Vec<ServerKey> {
+        if open.len() > SAMPLE {
+            let drawn = rand::seq::index::sample(&mut self.random, open.len(), SAMPLE);
+            let some: Vec<ServerKey> = drawn.into_iter().map(|index| open[index]).collect();
+            let mut free = self.unengaged(now, need, &some, true, &mut Tally::default());
+            free.retain(|key| self.get(*key).is_some_and(|server| !server.is_cold(now)));
+            if !free.is_empty() {
+                return free;
+            }
+        }
+        self.unengaged(now, need, open, true, tally)
+    }
+
+    /// Those of `open` servers that can be sent a request now. Warm ones come alone where there are
+    /// any: a cold server's rate is kept for when nothing else is free.
+    fn unengaged(
+        &self,
+        now: Moment,
+        need: &Need,
+        open: &[ServerKey],
+        needs_slot: bool,
+        tally: &mut Tally,
+    ) -> Vec<ServerKey> {
+        let mut warm = Vec::new();
+        let mut cold = Vec::new();
+        for (key, server) in open.iter().filter_map(|key| Some((*key, self.get(*key)?))) {
+            let at = self.circumstances(now, server, need, true);
+            match eligible::engaged(server, &at, needs_slot) {
+                Some(exclusion) => tally.add(exclusion),
+                None if at.needs_permit && server.is_cold(now) => cold.push(key),
+                None => warm.push(key),
+            }
+        }
+        if warm.is_empty() {
+            cold
+        } else {
+            warm
+        }
+    }
+
+    /// Notes which cold servers `waiting` requests would use, as far as they have places.
+    fn note_shortage(&mut self, now: Moment, need: &Need, open: &[ServerKey], waiting: u32) {
+        let is_bounded = self.terms.get(&need.service).is_some_and(|terms| terms.cold.is_some());
+        if !is_bounded {
+            return;
+        }
+        let mut left = waiting;
+        for key in open {
+            let Some(server) = self.get(*key).filter(|server| server.is_cold(now)) else {
+                continue;
+            };
+            let permits = server.free_slots().min(left);
+            if permits > 0 && !server.load.is_avoided(now) {
+                left -= permits;
+                let noted = self.shortages.entry(*key).or_default();
+                *noted = (*noted).max(permits);
+            }
+        }
+    }
+
+    /// The cheapest of some servers; one that is avoided only if all are.
+    fn cheapest(
+        &mut self,
+        now: Moment,
+        keys: &[ServerKey],
+        profile: Profile,
+        is_connected: impl Fn(ServerKey) -> bool,
+    ) -> Option<ServerKey> {
+        let found = || keys.iter().filter_map(|key| self.get(*key));
+        let service = found().next().map(|server| server.listing.service);
+        let usual = service.and_then(|service| self.terms.get(&service)?.usual_millis);
+        let best_millis = rank::best_millis(found(), usual, profile);
+        let weights = Weights::new(now, best_millis, profile);
+        let mut best: Option<(bool, f64, ServerKey)> = None;
+        for key in keys {
+            let jitter = self.random.random::<f64>();
+            let Some(server) = self.get(*key) else {
+                continue;
+            };
+            let distance = self.distance(server.listing.zone).as_secs_f64() * 1e3;
+            let cost = rank::cost(server, &weights, distance, is_connected(*key)) + jitter;
+            let candidate = (server.load.is_avoided(now), cost, *key);
+            let is_better = best.is_none_or(|(avoided, known, _)| {
+                candidate.0.cmp(&avoided).then(candidate.1.total_cmp(&known)).is_lt()
+            });
+            if is_better {
+                best = Some(candidate);
+            }
+        }
+        best.map(|(_, _, key)| key)
+    }
+
+    fn choice(&self, now: Moment, need: &Need, key: ServerKey) -> Option<Choice> {
+        let fitness = eligible::fitness(self.get(key)?, need, now);
+        Some(Choice { server: key, fitness })
+    }
+
+    /// The version of the weights that a server has for a need.
+    fn version_at(&self, now: Moment, need: &Need, key: ServerKey) -> u64 {
+        let Some(server) = self.get(key) else {
+            return 0;
+        };
+        match eligible::fitness(server, need, now) {
+            Fitness::Expected(version) => version,
+            _ => need.model.and_then(|(model, _)| server.listed_version(model)).unwrap_or(0),
+        }
+    }
+}
+
+/// Leaves out servers that may not be sent a request again.
+fn skip_tried(open: &mut Vec<ServerKey>, history: &History, tally: &mut Tally) {
+    open.retain(|key| {
+        let is_tried = history.tried.contains(key);
+        if is_tried {
+            tally.add(Exclusion::Tried);
+        }
+        !is_tried
+    });
+}
--- a/crates/heronbend/src/placement/eligible.rs
+++ b/crates/heronbend/src/placement/eligible.rs
@@ -69,19 +69,6 @@
 }
 
 impl Exclusion {
-    /// All of them, in the order in which they are looked at.
-    pub const ALL: [Self; 9] = [
-        Self::Gone,
-        Self::Evacuated,
-        Self::OutsideHomes,
-        Self::Version,
-        Self::Share,
-        Self::Full,
-        Self::Avoided,
-        Self::Cold,
-        Self::Tried,
-    ];
-
     /// Its name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/heronbend/src/placement/mod.rs
+++ b/crates/heronbend/src/placement/mod.rs
@@ -11,8 +11,10 @@
 //! - [`rank`]: which of those is the best.
 //! - [`queue`]: texts that wait for a place, in order of urgency.
 //! - [`patience`]: how long a call waits for a server, and when it is refused.
-//! - [`placer`]: the machine.
+//! - [`placer`], [`decisions`]: the machine: what it is fed with, and what it decides.
+//! - [`tally`]: what keeps servers from a request.
 
+pub mod decisions;
 pub mod eligible;
 pub mod keys;
 pub mod load;
@@ -21,6 +23,7 @@
 pub mod queue;
 pub mod rank;
 pub mod server;
+pub mod tally;
 #[cfg(test)]
 mod tests;
 
--- a/crates/heronbend/src/placement/rank.rs
+++ b/crates/heronbend/src/placement/rank.rs
@@ -24,21 +24,21 @@
 
 /// How requests of a kind weigh a server's load and pace.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Taste {
+pub struct Profile {
     crowding: f64,
     spread: f64,
     distance: f64,
 }
 
 /// For calls, whose answer somebody waits for.
-pub const CALL: Taste = Taste { crowding: CALL_CROWDING, spread: CALL_SPREAD, distance: 1.0 };
+pub const CALL: Profile = Profile { crowding: CALL_CROWDING, spread: CALL_SPREAD, distance: 1.0 };
 /// For texts, whose pace is measured over many events.
-pub const TEXT: Taste = Taste { crowding: TEXT_CROWDING, spread: 1.0, distance: TEXT_DISTANCE };
+pub const TEXT: Profile = Profile { crowding: TEXT_CROWDING, spread: 1.0, distance: TEXT_DISTANCE };
 
 impl Weights {
     /// Weights at a time, where the fastest server's mean is so many milliseconds.
-    pub fn new(now: Moment, best_millis: f64, taste: Taste) -> Self {
-        let Taste { crowding, spread, distance } = taste;
+    pub fn new(now: Moment, best_millis: f64, profile: Profile) -> Self {
+        let Profile { crowding, spread, distance } = profile;
         Self { now, best_millis, crowding, spread, distance }
     }
 }
@@ -71,11 +71,11 @@
 pub fn best_millis<'a>(
     servers: impl Iterator<Item = &'a Server>,
     usual: Option<f64>,
-    taste: Taste,
+    profile: Profile,
 ) -> f64 {
     let known = servers.filter_map(|server| server.load.mean_millis);
     let best = known.reduce(f64::min);
-    let usual = usual.filter(|_| taste == CALL);
+    let usual = usual.filter(|_| profile == CALL);
     match (best, usual) {
         (Some(best), Some(usual)) => best.min(usual),
         (best, usual) => best.or(usual).unwrap_or(UNKNOWN_MILLIS),
--- a/crates/heronbend/src/rate/lender.rs
+++ b/crates/heronbend/src/rate/lender.rs
@@ -37,10 +37,4 @@
         let first = lent.front().copied().unwrap_or(now);
         Loan { permits, again: (first + SETTLED).saturating_sub(now) }
     }
-
-    /// Permits of a key that may still be used.
-    pub fn outstanding(&self, now: Moment, key: &str) -> usize {
-        let lent = self.lent.get(key);
-        lent.map_or(0, |lent| lent.iter().filter(|at| now < **at + SETTLED).count())
-    }
 }
--- a/crates/heronbend/src/rate/mod.rs
+++ b/crates/heronbend/src/rate/mod.rs
@@ -16,17 +16,17 @@
 //! - While views differ for a moment, two daemons may lend for one key. The rate that is lent leaves
 //!   room for that: see [`Terms::bounded`].
 
-pub mod circle;
 pub mod lender;
 #[cfg(test)]
 mod tests;
+pub mod view;
 
 use std::time::Duration;
 
-pub use circle::Circle;
-pub use circle::Refusal;
 pub use lender::Lender;
 pub use lender::Loan;
+pub use view::Refusal;
+pub use view::View;
 
 /// Length of the windows in which the rate is bounded.
 pub const WINDOW: Duration = Duration::from_secs(1);
--- a/crates/heronbend/src/rate/tests.rs
+++ b/crates/heronbend/src/rate/tests.rs
@@ -27,10 +27,10 @@
 }
 
 /// A daemon's view of others that have been there for long.
-fn circle(me: usize, others: impl IntoIterator<Item = usize>) -> Circle {
-    let mut circle = Circle::new(name(me), Moment::ZERO);
-    circle.update(Moment::ZERO, names(others), &[]);
-    circle
+fn view(me: usize, others: impl IntoIterator<Item = usize>) -> View {
+    let mut view = View::new(name(me), Moment::ZERO);
+    view.update(Moment::ZERO, names(others), &[]);
+    view
 }
 
 /// The daemons 0 to 4 in the order in which they lend for the key.
@@ -38,8 +38,8 @@
     let mut left: Vec<usize> = (0..5).collect();
     let mut line = Vec::new();
     while let Some(me) = left.first().copied() {
-        let circle = circle(me, left.iter().copied().filter(|other| *other != me));
-        let lender = circle.lender(KEY).clone();
+        let view = view(me, left.iter().copied().filter(|other| *other != me));
+        let lender = view.lender(KEY).clone();
         let first = left.iter().position(|number| name(*number) == lender).unwrap();
         line.push(left.remove(first));
     }
@@ -49,18 +49,18 @@
 #[test]
 fn one_daemon_lends_for_a_key_and_all_agree_who() {
     let lending = (0..5).filter(|me| {
-        let circle = circle(*me, (0..5).filter(|other| other != me));
-        circle.may_lend(SECOND * 60, KEY).is_ok()
+        let view = view(*me, (0..5).filter(|other| other != me));
+        view.may_lend(SECOND * 60, KEY).is_ok()
     });
     assert_eq!(lending.collect::<Vec<_>>(), [line()[0]]);
 }
 
 #[test]
 fn keys_are_shared_out_among_the_daemons() {
-    let circle = circle(0, 1..5);
+    let view = view(0, 1..5);
     let mut counts: BTreeMap<NodeName, u32> = BTreeMap::new();
     for number in 0..500 {
-        *counts.entry(circle.lender(&format!("k{number}")).clone()).or_default() += 1;
+        *counts.entry(view.lender(&format!("k{number}")).clone()).or_default() += 1;
     }
     assert_eq!(counts.len(), 5);
     assert!(counts.values().all(|count| (60..150).contains(count)), "{counts:?}");
@@ -69,28 +69,28 @@
 #[test]
 fn whoever_takes_over_from_a_lost_lender_waits_until_its_permits_are_over() {
     let line = line();
-    let mut circle = circle(line[1], line.iter().copied().filter(|other| *other != line[1]));
-    assert_matches!(circle.may_lend(SECOND * 60, KEY), Err(Refusal::Other(_)));
-    circle.update(SECOND * 60, names(line[2..].iter().copied()), &[]);
-    assert_eq!(circle.may_lend(SECOND * 60, KEY), Err(Refusal::Unsettled(SETTLED)));
-    assert_eq!(circle.may_lend(SECOND * 60 + SETTLED, KEY), Ok(()));
+    let mut view = view(line[1], line.iter().copied().filter(|other| *other != line[1]));
+    assert_matches!(view.may_lend(SECOND * 60, KEY), Err(Refusal::Other(_)));
+    view.update(SECOND * 60, names(line[2..].iter().copied()), &[]);
+    assert_eq!(view.may_lend(SECOND * 60, KEY), Err(Refusal::Unsettled(SETTLED)));
+    assert_eq!(view.may_lend(SECOND * 60 + SETTLED, KEY), Ok(()));
 }
 
 #[test]
 fn the_loss_of_a_daemon_that_did_not_lend_for_a_key_holds_nobody_up() {
     let line = line();
-    let mut circle = circle(line[0], line[1..].iter().copied());
-    circle.update(SECOND * 60, names(line[2..].iter().copied()), &[]);
-    assert_eq!(circle.may_lend(SECOND * 60, KEY), Ok(()));
+    let mut view = view(line[0], line[1..].iter().copied());
+    view.update(SECOND * 60, names(line[2..].iter().copied()), &[]);
+    assert_eq!(view.may_lend(SECOND * 60, KEY), Ok(()));
 }
 
 #[test]
 fn a_daemon_that_has_just_started_lends_nothing() {
     let line = line();
-    let mut circle = Circle::new(name(line[0]), SECOND);
-    circle.update(SECOND, names(line[1..].iter().copied()), &[]);
-    assert_matches!(circle.may_lend(SECOND + 100 * MILLI, KEY), Err(Refusal::Unsettled(_)));
-    assert_eq!(circle.may_lend(SECOND + SETTLED, KEY), Ok(()));
+    let mut view = View::new(name(line[0]), SECOND);
+    view.update(SECOND, names(line[1..].iter().copied()), &[]);
+    assert_matches!(view.may_lend(SECOND + 100 * MILLI, KEY), Err(Refusal::Unsettled(_)));
+    assert_eq!(view.may_lend(SECOND + SETTLED, KEY), Ok(()));
 }
 
 #[test]
@@ -100,10 +100,10 @@
         let mut lending = [0, 0];
         for (part, lends) in parts.iter().zip(&mut lending) {
             for me in part {
-                let mut circle = circle(*me, (0..5).filter(|other| other != me));
+                let mut view = view(*me, (0..5).filter(|other| other != me));
                 let seen = part.iter().copied().filter(|other| other != me);
-                circle.update(SECOND * 60, names(seen), &[]);
-                *lends += u32::from(circle.may_lend(SECOND * 62, KEY).is_ok());
+                view.update(SECOND * 60, names(seen), &[]);
+                *lends += u32::from(view.may_lend(SECOND * 62, KEY).is_ok());
             }
         }
         assert_eq!(lending, [0, 1], "{small} of five are cut off");
@@ -113,10 +113,10 @@
 #[test]
 fn daemons_that_said_that_they_leave_are_not_missed() {
     let line = line();
-    let mut circle = circle(line[0], line[1..].iter().copied());
+    let mut view = view(line[0], line[1..].iter().copied());
     let left = names(line[1..].iter().copied());
-    circle.update(SECOND * 60, Vec::new(), &left);
-    assert_eq!(circle.may_lend(SECOND * 60, KEY), Ok(()));
+    view.update(SECOND * 60, Vec::new(), &left);
+    assert_eq!(view.may_lend(SECOND * 60, KEY), Ok(()));
 }
 
 #[test]
@@ -128,7 +128,7 @@
     let none = lender.lend(SECOND + 300 * MILLI, KEY, 1, TERMS);
     assert_eq!(none, Loan { permits: 0, again: SETTLED - 300 * MILLI });
     assert_eq!(lent(&mut lender, SECOND + SETTLED, 9), 5);
-    assert_eq!(lender.outstanding(SECOND + SETTLED, KEY), 7);
+    assert_eq!(lent(&mut lender, SECOND + SETTLED, 9), 0);
     // Another key is another matter.
     assert_eq!(lender.lend(SECOND, "other", 9, TERMS).permits, 7);
 }
@@ -143,7 +143,7 @@
 
 /// A daemon in a run of many: its view, what it lent, and until when it stands still.
 struct Daemon {
-    circle: Circle,
+    view: View,
     lender: Lender,
     frozen_until: Moment,
 }
@@ -156,7 +156,7 @@
     let count = random.random_range(3..9);
     let mut daemons: Vec<Daemon> = (0..count)
         .map(|me| Daemon {
-            circle: circle(me, (0..count).filter(|other| *other != me)),
+            view: view(me, (0..count).filter(|other| *other != me)),
             lender: Lender::default(),
             frozen_until: Moment::ZERO,
         })
@@ -175,7 +175,7 @@
             let one = random.random_range(0..count);
             let seen = (0..count).filter(|other| *other != one && !dead[*other]);
             let seen = names(seen);
-            daemons[one].circle.update(now, seen, &[]);
+            daemons[one].view.update(now, seen, &[]);
         }
         if random.random_bool(0.02) {
             let one = random.random_range(0..count);
@@ -185,11 +185,11 @@
         let Some(borrower) = alive.choose(&mut random).copied() else {
             continue;
         };
-        let lender = daemons[borrower].circle.lender(KEY).clone();
+        let lender = daemons[borrower].view.lender(KEY).clone();
         let lender = (0..count).find(|number| name(*number) == lender).unwrap();
         let asked = now;
         let answered = asked.max(daemons[lender].frozen_until);
-        if dead[lender] || daemons[lender].circle.may_lend(answered, KEY).is_err() {
+        if dead[lender] || daemons[lender].view.may_lend(answered, KEY).is_err() {
             continue;
         }
         let loan = daemons[lender].lender.lend(answered, KEY, random.random_range(1..9), TERMS);
--- a/crates/heronbend/src/rate/circle.rs
+++ b/crates/heronbend/src/rate/view.rs
@@ -33,14 +33,14 @@
 
 /// The daemons that are alive, this one among them, and those that were of late.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Circle {
+pub struct View {
     me: NodeName,
     started: Moment,
     alive: Vec<NodeName>,
     lost: Vec<Lost>,
 }
 
-impl Circle {
+impl View {
     /// A daemon that started at `started` and knows of no other.
     pub fn new(me: NodeName, started: Moment) -> Self {
         Self { alive: vec![me.clone()], me, started, lost: Vec::new() }
--- a/spec/src/shared_rate.rs
+++ b/spec/src/shared_rate.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use heronbend::identity::NodeName;
-use heronbend::rate::Circle;
 use heronbend::rate::Lender;
 use heronbend::rate::Refusal;
 use heronbend::rate::Terms;
+use heronbend::rate::View;
 use heronbend::rate::SETTLED;
 use heronbend::Moment;
 
@@ -62,7 +62,7 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Daemon {
-    circle: Circle,
+    view: View,
     lender: Lender,
     is_dead: bool,
     /// Daemons that it sees.
@@ -93,7 +93,7 @@
 
 impl Daemon {
     fn see(&mut self, now: Moment, sees: Vec<usize>) {
-        self.circle.update(now, sees.iter().copied().map(name).collect(), &[]);
+        self.view.update(now, sees.iter().copied().map(name).collect(), &[]);
         self.sees = sees;
     }
 }
@@ -104,7 +104,7 @@
         let asks = state.asks.checked_sub(1)?;
         let daemon = state.daemons.get(lender).filter(|daemon| !daemon.is_dead)?;
         let now = at(state.tick);
-        match daemon.circle.may_lend(now, KEY) {
+        match daemon.view.may_lend(now, KEY) {
             Ok(()) => {}
             Err(Refusal::Unsettled(_)) if self.mutation == Mutation::TakesOverAtOnce => {}
             Err(Refusal::Minority) if self.mutation == Mutation::MinorityLends => {}
@@ -187,9 +187,9 @@
     fn start(&self) -> State {
         let daemon = |number| {
             let sees: Vec<usize> = (0..self.daemons).filter(|other| *other != number).collect();
-            let mut circle = Circle::new(name(number), Moment::ZERO);
-            circle.update(Moment::ZERO, sees.iter().copied().map(name).collect(), &[]);
-            Daemon { circle, lender: Lender::default(), is_dead: false, sees }
+            let mut view = View::new(name(number), Moment::ZERO);
+            view.update(Moment::ZERO, sees.iter().copied().map(name).collect(), &[]);
+            Daemon { view, lender: Lender::default(), is_dead: false, sees }
         };
         State {
             tick: 0,
