A text whose chosen place is gone waits anew; what nobody uses goes

By reading: a waiter whose sender was dropped without a place would have looked for it for ever without a rest. It can't happen while each server of the placement has its entry, which holds.

--- a/crates/heronbend-gateway/src/places.rs
+++ b/crates/heronbend-gateway/src/places.rs
@@ -16,7 +16,9 @@
 use heronbend::placement::TicketKey;
 use heronbend::placement::Urgency;
 use smol::channel::bounded;
+use smol::channel::Receiver;
 use smol::channel::Sender;
+use smol::Timer;
 
 use crate::directory::Server;
 use crate::exchange::CountedAttempt;
@@ -88,28 +90,40 @@
     history: History,
 ) -> Placed {
     let begun = gateway.now();
+    loop {
+        let (ticket, placed) = enqueue(gateway, need, urgency, history.clone());
+        if let Ok(placed) = placed.try_recv() {
+            return placed;
+        }
+        let obstacle = obstacle(gateway, &need, ticket.key);
+        if let Ok(placed) = placed.recv().await {
+            log_wait(gateway, item, &placed, begun, obstacle);
+            return placed;
+        }
+        // The place that was chosen is gone, which is logged there.
+        Timer::after(RECHECK).await;
+    }
+}
+
+/// Has a text wait, and gives it a place at once if there is one.
+fn enqueue(
+    gateway: &Rc<Gateway>,
+    need: Need,
+    urgency: Urgency,
+    history: History,
+) -> (Ticket<'_>, Receiver<Placed>) {
     let (sender, placed) = bounded(1);
     let key = {
+        let now = gateway.now();
         let placer = &mut gateway.directory.borrow_mut().placer;
-        placer.wait(begun, need, urgency, history)
+        placer.wait(now, need, urgency, history)
     };
     gateway.places.waiting.borrow_mut().insert(key, sender);
-    let ticket = Ticket { gateway, key };
     place_waiting(gateway);
     if !gateway.places.is_placing.replace(true) {
         gateway.executor.spawn(keep_placing(gateway.clone())).detach();
     }
-    let obstacle = match placed.try_recv() {
-        Ok(placed) => return placed,
-        Err(_) => obstacle(gateway, &need, ticket.key),
-    };
-    loop {
-        // The sender lives as long as the ticket waits.
-        if let Ok(placed) = placed.recv().await {
-            log_wait(gateway, item, &placed, begun, obstacle);
-            return placed;
-        }
-    }
+    (Ticket { gateway, key }, placed)
 }
 
 /// What holds a text up: which servers it cannot have, and how many texts come before it.
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -32,9 +32,10 @@
 /// Weight of a new sample in the usual time of a service's answers: one server that turns slow is told
 /// from it also by a daemon that sends to no other.
 const USUAL_WEIGHT: f64 = 0.02;
-/// Round trip to another zone of the same region that is assumed until one is measured.
+/// Time that a server of another zone of the same region adds to a request: a round trip and some more,
+/// so that a zone's calls stay in it.
 const OTHER_ZONE: Duration = Duration::from_millis(2);
-/// The same to another region.
+/// The same of another region.
 const OTHER_REGION: Duration = Duration::from_millis(20);
 /// Rest after a lender gave no permit, unless it says when there will be one.
 const PERMIT_REST: Duration = Duration::from_millis(100);
@@ -91,7 +92,6 @@
     pub(super) models: Names<ModelKey>,
     pub(super) homes: Vec<BTreeSet<RegionKey>>,
     pub(super) region_of: HashMap<ZoneKey, RegionKey>,
-    pub(super) round_trips: HashMap<ZoneKey, Duration>,
     pub(super) here: Option<ZoneKey>,
     pub(super) evacuated: BTreeSet<ZoneKey>,
     pub(super) terms: HashMap<ServiceKey, ServiceState>,
@@ -119,7 +119,6 @@
             models: Names::default(),
             homes: Vec::new(),
             region_of: HashMap::new(),
-            round_trips: HashMap::new(),
             here: None,
             evacuated: BTreeSet::new(),
             terms: HashMap::new(),
@@ -187,20 +186,11 @@
         self.here = Some(self.zones.key(zone));
     }
 
-    /// Notes how long a message to a zone and back takes.
-    pub fn set_round_trip(&mut self, zone: &str, time: Duration) {
-        let zone = self.zones.key(zone);
-        self.round_trips.insert(zone, time);
-    }
-
     /// Time that a zone adds to a request.
     pub fn distance(&self, zone: ZoneKey) -> Duration {
         if Some(zone) == self.here {
             return Duration::ZERO;
         }
-        if let Some(known) = self.round_trips.get(&zone) {
-            return (*known).max(OTHER_ZONE);
-        }
         let region = |zone: ZoneKey| self.region_of.get(&zone);
         let is_far = match (region(zone), self.here.and_then(region)) {
             (Some(there), Some(here)) => there != here,
@@ -254,11 +244,6 @@
         }
     }
 
-    /// Whether a zone is evacuated.
-    pub fn is_evacuated(&self, zone: ZoneKey) -> bool {
-        self.evacuated.contains(&zone)
-    }
-
     // Servers.
 
     /// Takes in a server's entry.
