Servers without a connection are tried at times, and calls return to a zone whose servers are back

Ruled out: load (the same at any speed). Now 1.5 ms, and one choice in 16 leaves connections out of account. Tests in the library fail before.

--- a/crates/heronbend/src/placement/decisions.rs
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -400,6 +400,7 @@
         let usual = service.and_then(|service| self.terms.get(&service)?.usual_millis);
         let best_millis = rank::best_millis(found(), usual, profile);
         let weights = Weights::new(now, best_millis, profile);
+        let explores = self.random.random_range(0..rank::EXPLORE_EVERY) == 0;
         let mut best: Option<(bool, f64, ServerKey)> = None;
         for key in keys {
             let jitter = self.random.random::<f64>();
@@ -407,7 +408,8 @@
                 continue;
             };
             let distance = self.distance(server.listing.zone).as_secs_f64() * 1e3;
-            let cost = rank::cost(server, &weights, distance, is_connected(*key)) + jitter;
+            let is_connected = explores || is_connected(*key);
+            let cost = rank::cost(server, &weights, distance, is_connected) + jitter;
             let candidate = (server.load.is_avoided(now), cost, *key);
             let is_better = best.is_none_or(|(avoided, known, _)| {
                 candidate.0.cmp(&avoided).then(candidate.1.total_cmp(&known)).is_lt()
--- a/crates/heronbend/src/placement/rank.rs
+++ b/crates/heronbend/src/placement/rank.rs
@@ -9,10 +9,13 @@
 /// Shortest time that a server is taken to need, in milliseconds: the spread of the draw among
 /// equals.
 const LEAST_MILLIS: f64 = 1.0;
-/// Added to a server to which no connection is open, in milliseconds: about as much as one more call
-/// under way at the server costs, so that a daemon with few calls keeps to few servers. Platforms state
-/// some 1 ms for a new connection; the rest is what it takes of the connections a server bears.
-const CONNECT_MILLIS: f64 = 4.0;
+/// Added to a server to which no connection is open, in milliseconds: more than the spread of the draw
+/// among equals, so that a daemon with few calls keeps to few servers; less than another zone adds, so
+/// that its calls return to a zone whose servers are back. Platforms state some 1 ms.
+const CONNECT_MILLIS: f64 = 1.5;
+/// One choice in so many leaves connections out of account: servers that are not connected are tried
+/// at times, and get their part again after they were slow or away.
+pub const EXPLORE_EVERY: u32 = 16;
 /// How much of the distance counts for each event of a text: it is paid once, and texts have some
 /// twenty events. Were it to count whole, the servers nearby would be filled before any other is used,
 /// which slows each of their texts by a twentieth.
--- a/crates/heronbend/src/placement/tests.rs
+++ b/crates/heronbend/src/placement/tests.rs
@@ -139,6 +139,34 @@
     assert_ne!(fleet.id(chosen), "near");
 }
 
+#[test]
+fn servers_without_a_connection_are_tried_at_times_and_calls_return_to_their_zone() {
+    let mut fleet = Fleet::new();
+    let known = fleet.add("known", "app", "a");
+    fleet.add("unknown", "app", "a");
+    let need = fleet.need("app");
+    let none = History::default();
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..400 {
+        let is_connected = |server| server == known;
+        let answer = fleet.placer.call(SECOND, &need, &none, &waited(SECOND), is_connected);
+        *counts.entry(fleet.id(answer)).or_default() += 1;
+    }
+    assert!((4..40).contains(&counts["unknown"]), "{counts:?}");
+    // The daemon has connections to another zone alone, and its own zone's servers are back.
+    let mut fleet = Fleet::new();
+    fleet.add("near", "app", "a");
+    let far = fleet.add("other", "app", "b");
+    let need = fleet.need("app");
+    let mut near = 0;
+    for _ in 0..100 {
+        let is_connected = |server| server == far;
+        let answer = fleet.placer.call(SECOND, &need, &none, &waited(SECOND), is_connected);
+        near += u32::from(fleet.id(answer) == "near");
+    }
+    assert!(near > 60, "{near}");
+}
+
 #[test]
 fn one_lost_answer_does_not_make_a_server_avoided_and_two_do() {
     let mut fleet = Fleet::new();
