Sight: a log line for each attempt that broke off, with what its server does to a new connection

The lines of a forwarded request named neither its servers nor why an attempt ended, nor whether two tries are the same request. Each attempt whose connection broke is now logged with a fingerprint of what repeats (method, host, target, tenant, body), the server, and whether the server's address refuses a new connection; a counter of those that do. No change of policy.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -1,5 +1,6 @@
 //! Runs one item: its text at one or more servers, then its score.
 
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::rc::Rc;
@@ -31,6 +32,7 @@
 use crate::http::client::{Exchange, ExchangeError};
 use crate::places;
 use crate::places::Placed;
+use crate::quarantine::evidence;
 
 /// Longest silence before the first event. A request may wait in the server's queue.
 const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(2500);
@@ -262,6 +264,9 @@
             Ok(exchange) => exchange,
             Err(failure) => {
                 self.log_attempt(server, &format!("{failure:?}"), 0);
+                if matches!(failure, AttemptFailure::BrokenOff) {
+                    evidence::look(self.gateway, server, &outgoing, 0).await;
+                }
                 counted.fail(&failure);
                 return RunEnd::Again;
             }
@@ -297,6 +302,9 @@
             }
             Err(reason) => {
                 self.log_attempt(server, reason, events);
+                if exchange::is_break(reason) {
+                    evidence::look(self.gateway, server, &outgoing, events).await;
+                }
                 counted.fail(&AttemptFailure::Unknown(reason));
                 RunEnd::Again
             }
@@ -343,6 +351,7 @@
             body: self.item.decoded_body(),
             hold: None,
             billing: None,
+            fingerprint: OnceCell::new(),
         })
     }
 
@@ -392,9 +401,9 @@
                 }
                 Ok(None) if self.last_event() == 0 => break Err("no events"),
                 Ok(None) if reader.is_between_events() => break Ok(()),
-                Ok(None) => break Err("cut within an event"),
+                Ok(None) => break Err(exchange::CUT),
                 Err(ExchangeError::Timeout) => break Err("silent"),
-                Err(_) => break Err("broken off"),
+                Err(_) => break Err(exchange::BROKEN_OFF),
             }
             if !self.versions_fit(route) {
                 break Err("versions do not fit");
--- a/crates/heronbend-gateway/src/batch/reward.rs
+++ b/crates/heronbend-gateway/src/batch/reward.rs
@@ -1,5 +1,6 @@
 //! The call that scores a whole text.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -90,6 +91,7 @@
         body: call.decoded_body(),
         hold: None,
         billing: None,
+        fingerprint: OnceCell::new(),
     };
     let owner = access::owner_of_job(&configuration, job.ownership.borrow().0.tenant.as_deref());
     let homes = homes::of(&configuration, route, &owner);
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -1,5 +1,6 @@
 //! Calls of clients and trainers: requests by the routes, and the interface of batch jobs.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -274,6 +275,7 @@
         body,
         hold: Some(Rc::new(hold)),
         billing: billing(gateway, &caller).map(Rc::new),
+        fingerprint: OnceCell::new(),
     };
     if route.kind == RouteKind::Stream {
         return pass_on_stream(gateway, &service, outgoing, allowance, route).await;
--- a/crates/heronbend-gateway/src/exchange.rs
+++ b/crates/heronbend-gateway/src/exchange.rs
@@ -1,10 +1,13 @@
 //! One attempt of a request at one server, with its answer judged.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use heronbend::placement::AttemptEnd;
+use heronbend::quarantine::fingerprint::Traits;
+use heronbend::quarantine::Fingerprint;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 
@@ -14,6 +17,7 @@
 use crate::headers;
 use crate::http::client::{Exchange, ExchangeError, WholeAnswer};
 use crate::memory::Hold;
+use crate::ports::HeaderNames;
 
 /// Largest whole answer in bytes.
 pub const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
@@ -35,6 +39,33 @@
     pub hold: Option<Rc<Hold>>,
     /// Where the request is counted, if it is a tenant's.
     pub billing: Option<Rc<Billing>>,
+    /// Found when it is first asked for: most requests never need it.
+    pub fingerprint: OnceCell<Fingerprint>,
+}
+
+impl Outgoing {
+    /// What tells that the request has come before.
+    pub fn fingerprint(&self, names: &HeaderNames) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            Fingerprint::of(&Traits {
+                method: self.method.as_str(),
+                host: headers::text(&self.headers, &http::header::HOST).unwrap_or_default(),
+                target: self.target.path_and_query().map_or("", |target| target.as_str()),
+                tenant: headers::text(&self.headers, &names.tenant),
+                body: &self.body,
+            })
+        })
+    }
+}
+
+/// Why a stream is left whose connection broke.
+pub const BROKEN_OFF: &str = "broken off";
+/// The same, where the connection ended in an orderly way and not between two events.
+pub const CUT: &str = "cut within an event";
+
+/// Whether a stream was left because its connection ended, and not for what it said or how slowly.
+pub fn is_break(reason: &str) -> bool {
+    [BROKEN_OFF, CUT].contains(&reason)
 }
 
 /// How an attempt failed.
@@ -44,7 +75,9 @@
     NotRun,
     /// It could not be reached, and nothing was sent.
     NotSent,
-    /// What became of the request is unknown.
+    /// The connection ended before the whole answer had come: the request may have run.
+    BrokenOff,
+    /// What became of the request is unknown for another reason.
     Unknown(&'static str),
 }
 
@@ -71,7 +104,7 @@
     let exchange = match gateway.servers.send(server.address, request).await {
         Ok(exchange) => exchange,
         Err(error) if error.is_not_sent() => return Err(AttemptFailure::NotSent),
-        Err(_) => return Err(AttemptFailure::Unknown("broken off")),
+        Err(_) => return Err(AttemptFailure::BrokenOff),
     };
     judge_head(gateway, outgoing, exchange)
 }
@@ -136,7 +169,7 @@
                 AttemptEnd::Refused
             }
             AttemptFailure::NotSent => AttemptEnd::Unreachable,
-            AttemptFailure::Unknown(_) => {
+            AttemptFailure::BrokenOff | AttemptFailure::Unknown(_) => {
                 metrics.failures.inc();
                 AttemptEnd::Failed
             }
@@ -163,6 +196,6 @@
 pub async fn read_whole(exchange: Exchange) -> Result<WholeAnswer, AttemptFailure> {
     exchange.read_whole(MAX_ANSWER_BYTES).await.map_err(|error| match error {
         ExchangeError::TooLarge(_) => AttemptFailure::Unknown("too large"),
-        _ => AttemptFailure::Unknown("cut"),
+        _ => AttemptFailure::BrokenOff,
     })
 }
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -23,6 +23,7 @@
 use crate::http::client::WholeAnswer;
 use crate::permits;
 use crate::places;
+use crate::quarantine::evidence;
 
 /// Share of the target latency after which a repeatable request is also sent to a second server.
 const HEDGE_SHARE: f64 = 0.5;
@@ -254,12 +255,15 @@
                 billing.sent(begun);
             }
             let result = answered.await;
+            if matches!(result, Err(AttemptFailure::BrokenOff)) {
+                evidence::look(&gateway, &server, &outgoing, 0).await;
+            }
             if let Some(billing) = billing {
                 match &result {
                     Ok(_) => billing.began(begun),
                     Err(AttemptFailure::NotRun | AttemptFailure::NotSent) => billing.not_run(begun),
                     // It may be answered by another server, which counts as the same request.
-                    Err(AttemptFailure::Unknown(_)) => {}
+                    Err(AttemptFailure::BrokenOff | AttemptFailure::Unknown(_)) => {}
                 }
             }
             match &result {
@@ -311,7 +315,7 @@
                 self.spent -= 1;
                 None
             }
-            Err(AttemptFailure::Unknown(_)) => None,
+            Err(AttemptFailure::BrokenOff | AttemptFailure::Unknown(_)) => None,
         }
     }
 
--- a/crates/heronbend-gateway/src/http/client.rs
+++ b/crates/heronbend-gateway/src/http/client.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -88,6 +89,28 @@
     }
 }
 
+/// What became of a new connection to an address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// It was made.
+    Accepted,
+    /// The machine is there, and nothing listens at the address.
+    Refused,
+    /// Nothing came back in time, or the way there is broken.
+    Silent,
+}
+
+impl Reach {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 struct PoolState {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     /// Told of each connection that is opened.
@@ -131,6 +154,20 @@
         self.state.idle.borrow_mut().remove(&address).map_or(0, |kept| kept.len())
     }
 
+    /// Whether something listens at an address: by a new connection, which is closed at once.
+    pub async fn probe(&self, address: SocketAddr) -> Reach {
+        let connecting = async { TcpStream::connect(address).await };
+        let late = async {
+            Timer::after(self.connect_timeout).await;
+            Err(io::Error::from(io::ErrorKind::TimedOut))
+        };
+        match connecting.or(late).await {
+            Ok(_) => Reach::Accepted,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Reach::Refused,
+            Err(_) => Reach::Silent,
+        }
+    }
+
     /// Reads the rest of an answer that nobody wants, so that its connection can be used again.
     pub fn reuse(&self, exchange: Exchange) {
         let reading = within(UNWANTED_LIMIT, exchange.read_whole(UNWANTED_BYTES));
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod permits;
 pub mod places;
 pub mod ports;
+pub mod quarantine;
 pub mod relayed_store;
 pub mod reload;
 pub mod replica;
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -91,6 +91,8 @@
     pub refusals: Count,
     /// Attempts that were broken off or did not end in time.
     pub failures: Count,
+    /// Attempts that broke off because their server ended.
+    pub servers_ended: Count,
     /// Second attempts made while the first was still open.
     pub hedges: Count,
     /// Retries that were not made because too many others had been.
@@ -143,6 +145,7 @@
             attempts: Count::default(),
             refusals: Count::default(),
             failures: Count::default(),
+            servers_ended: Count::default(),
             hedges: Count::default(),
             retries_withheld: Count::default(),
             foreign_answers: Count::default(),
@@ -248,6 +251,8 @@
         registry.register("attempts", "Attempts at servers", self.attempts.clone());
         registry.register("refusals", "Attempts refused by servers", self.refusals.clone());
         registry.register("failures", "Attempts broken off", self.failures.clone());
+        let ended = self.servers_ended.clone();
+        registry.register("servers_ended", "Attempts that broke off as their server ended", ended);
         registry.register("hedges", "Second attempts beside the first", self.hedges.clone());
         let withheld = self.retries_withheld.clone();
         registry.register("retries_withheld", "Retries over the budget", withheld);
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -45,6 +45,7 @@
 use crate::http::AnswerBody;
 use crate::permits;
 use crate::places;
+use crate::quarantine::evidence;
 
 /// Silence before the first event after which a resumable stream is moved. A request may wait in
 /// the server's queue.
@@ -198,14 +199,14 @@
                         self.run = Some(run);
                         return Ok(Some(bytes));
                     }
-                    Err(reason) => self.leave(run, reason)?,
+                    Err(reason) => self.leave(run, reason).await?,
                 },
                 Piece::End => {
                     self.note_head(&run);
                     self.finish(run);
                     return Ok(None);
                 }
-                Piece::Broken(reason) => self.leave(run, reason)?,
+                Piece::Broken(reason) => self.leave(run, reason).await?,
                 Piece::TimeOver => {
                     run.counted.end(AttemptEnd::Abandoned);
                     self.log_end("time over");
@@ -235,8 +236,8 @@
                 Err(_) => Piece::Broken("malformed"),
             },
             Some(Ok(None)) if run.parser.is_between_events() => Piece::End,
-            Some(Ok(None)) => Piece::Broken("cut within an event"),
-            Some(Err(_)) => Piece::Broken("broken off"),
+            Some(Ok(None)) => Piece::Broken(exchange::CUT),
+            Some(Err(_)) => Piece::Broken(exchange::BROKEN_OFF),
         }
     }
 
@@ -290,7 +291,7 @@
     }
 
     /// Leaves a server whose stream broke; an error when the stream cannot go on.
-    fn leave(&mut self, run: Run, reason: &'static str) -> Result<(), Break> {
+    async fn leave(&mut self, run: Run, reason: &'static str) -> Result<(), Break> {
         log::info!(
             "event=stream_left id={} server={} reason=\"{reason}\" last_event={} spent={}",
             self.outgoing.id,
@@ -298,6 +299,9 @@
             self.last_event,
             self.spent
         );
+        if exchange::is_break(reason) {
+            evidence::look(&self.gateway, &run.server, &self.outgoing, u64::from(run.events)).await;
+        }
         run.counted.fail(&AttemptFailure::Unknown(reason));
         if self.may_run_again() {
             self.gateway.metrics.streams_resumed.inc();
@@ -358,7 +362,12 @@
                     return Ok(Run { server, exchange, counted, parser, events: 0, version });
                 }
                 Ok(exchange) => self.take_failure(exchange, counted).await?,
-                Err(failure) => self.take_attempt(failure, counted)?,
+                Err(failure) => {
+                    if matches!(failure, AttemptFailure::BrokenOff) {
+                        evidence::look(&self.gateway, &server, &self.outgoing, 0).await;
+                    }
+                    self.take_attempt(failure, counted)?;
+                }
             }
         }
     }
@@ -412,8 +421,8 @@
                 self.spent -= 1;
                 Ok(())
             }
-            AttemptFailure::Unknown(_) if self.may_run_again() => Ok(()),
-            AttemptFailure::Unknown(_) => {
+            _ if self.may_run_again() => Ok(()),
+            AttemptFailure::BrokenOff | AttemptFailure::Unknown(_) => {
                 let is_late = self.gateway.now() >= self.allowance.deadline;
                 Err(Break::Failed(self.reason_to_give_up(is_late, SPENT)))
             }
--- a/crates/heronbend/src/lib.rs
+++ b/crates/heronbend/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`lifecycle`]: live and leaving back ends.
 //! - [`routing`]: which back end serves a request.
 //! - [`placement`]: which server runs a request, how long work waits, when it is turned away.
+//! - [`quarantine`]: requests that end the servers that run them.
 //! - [`rate`]: a rate that many daemons keep together.
 //! - [`access`]: tenants and their keys.
 //! - [`admission`]: caller limits and the retry budget.
@@ -29,6 +30,7 @@
 pub mod lifecycle;
 pub mod membership;
 pub mod placement;
+pub mod quarantine;
 pub mod rate;
 pub mod record;
 pub mod register;
