--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use event_listener::Event;
 use heronbend::access::KeyHasher;
@@ -26,6 +26,7 @@
 use crate::batch::moves::MoveCost;
 use crate::batch::registry::JobRegistry;
 use crate::batch::succession::Candidate;
+use crate::clock::Clock;
 use crate::configuration::Configuration;
 use crate::directory::Directory;
 use crate::duties::book::Book;
@@ -179,7 +180,9 @@
     pub retries: RefCell<RetryBudget>,
     /// Counters.
     pub metrics: Metrics,
-    started: Instant,
+    /// Notified when the machine goes on after it was suspended: waits are looked at anew.
+    pub resumed: Event,
+    clock: Clock,
 }
 
 impl Gateway {
@@ -190,7 +193,17 @@
         executor: Rc<LocalExecutor<'static>>,
         tuning: Tuning,
     ) -> Rc<Self> {
-        let started = Instant::now();
+        Self::with_clock(identity, ports, executor, tuning, Clock::system())
+    }
+
+    /// The same, with a clock of its own.
+    pub fn with_clock(
+        identity: Identity,
+        ports: Ports,
+        executor: Rc<LocalExecutor<'static>>,
+        tuning: Tuning,
+        clock: Clock,
+    ) -> Rc<Self> {
         let metrics = Metrics::default();
         let Ports { store, dialect, provider } = ports;
         let permits = Permits::new(identity.node.name.clone());
@@ -230,7 +243,10 @@
             move_cost: RefCell::default(),
             crowd: Crowd::default(),
             reward_gate: Gate::default(),
-            jobs: JobRegistry::new(move || started.elapsed()),
+            jobs: JobRegistry::new({
+                let clock = clock.clone();
+                move || clock.now()
+            }),
             usage,
             duty_lease: LeaseNews::default(),
             versions: VersionBoard::default(),
@@ -243,15 +259,16 @@
             memory: Budget::new(tuning.max_held_bytes),
             retries: RefCell::default(),
             metrics,
-            started,
+            resumed: Event::new(),
+            clock,
         });
         gateway.store.relay_through(&gateway);
         gateway
     }
 
-    /// Time since this daemon started, by the steady clock.
+    /// Time since this daemon started.
     pub fn now(&self) -> Moment {
-        self.started.elapsed()
+        self.clock.now()
     }
 
     /// Time constants.
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -10,6 +10,8 @@
 //! - [`calls`], [`forward`], [`stream`], [`exchange`], [`split`]: requests passed on.
 //! - [`directory`], [`places`], [`permits`], [`evacuations`], [`homes`]: what decides where they go.
 //! - [`events`]: the events of a server's stream.
+//! - [`quarantine`]: requests that end the servers that run them.
+//! - [`clock`]: the time that rights and deadlines are judged by.
 //! - [`memory`]: the bound on what clients make a daemon hold.
 //! - [`batch`]: batch jobs.
 //! - [`versions`]: versions of weights.
@@ -24,6 +26,7 @@
 pub mod access;
 pub mod batch;
 pub mod calls;
+pub mod clock;
 pub mod configuration;
 pub mod day;
 pub mod day_plot;
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use heronbend::membership::{Liveness, Member};
 use heronbend::quarantine::Limits;
 use heronbend_gateway::batch::{Item, ItemResult, ItemState, JobSpecification, TrainerStep};
+use heronbend_gateway::clock::Clock;
 use heronbend_gateway::configuration::{Destination, Route, RouteKind};
 use heronbend_gateway::directory::{Server, ServerState};
 use heronbend_gateway::gateway::{Gateway, Identity, Tuning};
@@ -148,6 +149,19 @@
     Gateway::new(identity, ports, executor.clone(), TUNING)
 }
 
+/// The same, by a clock that jumps.
+pub fn gateway_with_clock(
+    name: &str,
+    store: &Rc<MemoryStore>,
+    executor: &Rc<LocalExecutor<'static>>,
+    clock: Clock,
+) -> Rc<Gateway> {
+    let identity = Identity { node: node(name), zone: "z".to_owned(), region: "r".to_owned() };
+    let dialect = Rc::new(OwnDialect::default());
+    let ports = Ports { store: store.clone(), dialect, provider: None };
+    Gateway::with_clock(identity, ports, executor.clone(), TUNING, clock)
+}
+
 /// Runs a test's future, with all tasks that it spawns.
 pub fn run<T>(
     test: impl FnOnce(Rc<LocalExecutor<'static>>) -> futures_lite::future::BoxedLocal<T>,
