One clock that counts suspensions, for the gateway and the standalone daemon

Cause: the daemons' clock was the steady one, which stands still while a machine is suspended. Leases, confirmed ownership, permits, views of members, the age of the store's last answer and kept connections looked younger than they were.

Waits for a request's deadline are looked at anew when a suspension is noticed, by the detector's tick: timers go by the steady clock still. The standalone daemon's state machines go by the same clock; deadlines within its generations do not yet.

--- a/crates/heronbend-daemon/src/shared.rs
+++ b/crates/heronbend-daemon/src/shared.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use heronbend::identity::{epoch_millis, NodeId, NodeName};
@@ -16,6 +16,7 @@
 use heronbend::routing::LoadReport;
 use heronbend::settings::{Policy, SettingsObject};
 use heronbend::Moment;
+use heronbend_net::boot_clock::BootClock;
 use serde::{Deserialize, Serialize};
 use smol::channel::{bounded, Receiver, Sender};
 
@@ -151,7 +152,7 @@
     /// Who this daemon is.
     pub identity: Identity,
     /// Time zero of every [`Moment`].
-    start: Instant,
+    clock: BootClock,
     /// Settings in force; none until first learnt. Written by the settings duty.
     pub settings: ArcSwapOption<SettingsInForce>,
     /// The shard map. Written by the register duty.
@@ -204,7 +205,7 @@
     pub fn new(identity: Identity, failpoints_allowed: bool) -> Arc<Self> {
         Arc::new(Self {
             identity,
-            start: Instant::now(),
+            clock: BootClock::start(),
             settings: ArcSwapOption::empty(),
             shard_map: ArcSwap::default(),
             backends: ArcSwap::default(),
@@ -231,7 +232,7 @@
 
     /// The present time, for state machines.
     pub fn now(&self) -> Moment {
-        self.start.elapsed()
+        self.clock.elapsed()
     }
 
     /// A number that no other run of any daemon uses: start time, random bits and a count.
--- a/crates/heronbend-gateway/src/clock.rs
+++ b/crates/heronbend-gateway/src/clock.rs
@@ -2,19 +2,22 @@
 
 use std::fmt;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use heronbend::Moment;
+use heronbend_net::boot_clock::BootClock;
 
 /// Tells the time since the daemon's start.
 #[derive(Clone)]
 pub struct Clock(Rc<dyn Fn() -> Moment>);
 
 impl Clock {
-    /// The system's clock, from now on.
+    /// The system's clock, from now on. It counts the time for which the machine is suspended: what
+    /// others may do meanwhile does not wait.
     pub fn system() -> Self {
-        let started = Instant::now();
-        Self(Rc::new(move || started.elapsed()))
+        let clock = BootClock::start();
+        Self(Rc::new(move || clock.elapsed()))
     }
 
     /// A clock that is told the time.
@@ -33,3 +36,38 @@
         write!(formatter, "Clock({:?})", self.now())
     }
 }
+
+/// Longest difference between the two clocks that is no suspension: they are read one after the other.
+const READING_GAP: Duration = Duration::from_millis(200);
+
+/// Notices suspensions: the steady clock, by which waits go, falls behind.
+#[derive(Debug)]
+pub struct SuspensionWatch {
+    steady: Instant,
+    full: Moment,
+}
+
+impl SuspensionWatch {
+    /// A watch that begins now.
+    pub fn new(clock: &Clock) -> Self {
+        Self { steady: steady_now(), full: clock.now() }
+    }
+
+    /// How long the machine was suspended since the last look, if it was.
+    pub fn look(&mut self, clock: &Clock) -> Option<Duration> {
+        let next = Self::new(clock);
+        let by_steady = next.steady.duration_since(self.steady);
+        let suspended = (next.full - self.full).saturating_sub(by_steady);
+        *self = next;
+        (suspended > READING_GAP).then_some(suspended)
+    }
+}
+
+/// The clock of the timers, which stands still while the machine is suspended.
+#[expect(
+    clippy::disallowed_methods,
+    reason = "it is told apart from the clock that all else goes by"
+)]
+pub fn steady_now() -> Instant {
+    Instant::now()
+}
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -31,6 +31,7 @@
 use crate::quarantine::Isolation;
 use crate::quarantine::Pass;
 use crate::quarantine::Refused;
+use crate::wait;
 
 /// Share of the target latency after which a repeatable request is also sent to a second server.
 const HEDGE_SHARE: f64 = 0.5;
@@ -206,7 +207,6 @@
         ended: &smol::channel::Receiver<Result<WholeAnswer, AttemptFailure>>,
         hedge_at: Moment,
     ) -> Event {
-        let now = self.gateway.now();
         let may_hedge = self.allowance.is_repeatable && !self.is_alone() && self.may_try_again();
         let hedges = may_hedge && hedge_at < self.allowance.deadline;
         let wake_at = if hedges { hedge_at } else { self.allowance.deadline };
@@ -217,7 +217,7 @@
             }
         };
         let wake = async {
-            Timer::after(wake_at.saturating_sub(now)).await;
+            wait::until(&self.gateway, wake_at).await;
             if hedges {
                 Event::HedgeDue
             } else {
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -215,7 +215,7 @@
             usage.map(|terms| Rc::new(Book::new(identity.node.clone(), terms, Moment::ZERO)));
         let gateway = Rc::new(Self {
             identity,
-            store: RelayedStore::new(store, metrics.clone()),
+            store: RelayedStore::new(store, metrics.clone(), clock.clone()),
             dialect,
             provider,
             servers: ConnectionPool::told(executor.clone(), SERVER_CONNECT_TIMEOUT, {
@@ -271,6 +271,11 @@
         self.clock.now()
     }
 
+    /// The clock that it goes by.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
     /// Time constants.
     pub fn tuning(&self) -> Tuning {
         self.tuning.get()
--- a/crates/heronbend-gateway/src/http/client.rs
+++ b/crates/heronbend-gateway/src/http/client.rs
@@ -8,10 +8,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
+use heronbend::Moment;
+use heronbend_net::boot_clock::since_boot;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -64,7 +66,9 @@
 
 struct Idle {
     connection: Connection,
-    until: Instant,
+    /// Until when it may be used again, by the clock that counts suspensions: its server closes it
+    /// meanwhile.
+    until: Moment,
 }
 
 /// Why a connection is opened.
@@ -144,7 +148,7 @@
     /// Whether a connection to an address waits to be used again.
     pub fn has_idle(&self, address: SocketAddr) -> bool {
         let idle = self.state.idle.borrow();
-        let now = Instant::now();
+        let now = since_boot();
         let is_usable = |idle: &Idle| idle.until > now && idle.connection.sender.is_ready();
         idle.get(&address).is_some_and(|kept| kept.iter().any(is_usable))
     }
@@ -256,7 +260,7 @@
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.state.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
-        let now = Instant::now();
+        let now = since_boot();
         kept.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
         let position = kept.iter().rposition(|idle| idle.connection.sender.is_ready())?;
         Some(kept.swap_remove(position).connection)
@@ -393,7 +397,7 @@
             return;
         }
         let mut idle = pool.state.idle.borrow_mut();
-        let until = Instant::now() + kept_for;
+        let until = since_boot() + kept_for;
         idle.entry(address).or_default().push(Idle { connection, until });
     }
 }
--- a/crates/heronbend-gateway/src/peers/duty.rs
+++ b/crates/heronbend-gateway/src/peers/duty.rs
@@ -18,6 +18,8 @@
 use super::view_log::ViewLog;
 use super::{introduction, store_relay, Command};
 use crate::batch::{hand_in, ownership_duty, reading};
+use crate::clock::steady_now;
+use crate::clock::SuspensionWatch;
 use crate::dissemination;
 use crate::gateway::Gateway;
 use crate::http::server::{read_body, BodyLimits};
@@ -60,13 +62,18 @@
     let mut detector = Detector::new(DETECTOR, me, rand::rng().random());
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     // The first tick greets the seeds at once.
-    let mut ticks = Timer::interval_at(std::time::Instant::now(), TICK);
+    let mut ticks = Timer::interval_at(steady_now(), TICK);
     let mut tick_number = 0_u32;
     let mut head = Head::default();
     let mut view_log = ViewLog::default();
+    let mut suspension = SuspensionWatch::new(gateway.clock());
     loop {
         let event = next_event(&gateway, &socket, &mut buffer, &mut ticks).await;
         let now = gateway.now();
+        if let Some(suspended) = suspension.look(gateway.clock()) {
+            log::warn!("event=resumed suspended_ms={}", suspended.as_millis());
+            gateway.resumed.notify(usize::MAX);
+        }
         let effects = match event {
             Event::Tick => {
                 let mut effects = detector.tick(now);
--- a/crates/heronbend-gateway/src/relayed_store.rs
+++ b/crates/heronbend-gateway/src/relayed_store.rs
@@ -3,14 +3,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_trait::async_trait;
+use heronbend::Moment;
 use rand::seq::IndexedRandom;
 use serde_json::Value;
 
 use crate::batch::checkpoint::PROGRESS;
 use crate::batch::registry::RESULTS;
+use crate::clock::Clock;
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::peers::relayed::{StoreCall, StoreReply};
@@ -33,18 +35,20 @@
     direct: Rc<dyn ObjectStore>,
     metrics: Metrics,
     gateway: RefCell<Weak<Gateway>>,
-    failed: Cell<Option<Instant>>,
+    clock: Clock,
+    failed: Cell<Option<Moment>>,
     /// Calls in a row that were refused for now.
     refused: Cell<u32>,
-    answered: Cell<Option<Instant>>,
+    answered: Cell<Option<Moment>>,
 }
 
 impl RelayedStore {
     /// A store without peers so far.
-    pub fn new(direct: Rc<dyn ObjectStore>, metrics: Metrics) -> Self {
+    pub fn new(direct: Rc<dyn ObjectStore>, metrics: Metrics, clock: Clock) -> Self {
         Self {
             direct,
             metrics,
+            clock,
             gateway: RefCell::new(Weak::new()),
             failed: Cell::new(None),
             refused: Cell::new(0),
@@ -62,9 +66,13 @@
         self.direct.clone()
     }
 
+    fn age(&self, at: Moment) -> Duration {
+        self.clock.now().saturating_sub(at)
+    }
+
     /// Whether the daemon's own way to the store works, as far as is known.
     pub fn is_reached(&self) -> bool {
-        self.failed.get().is_none_or(|at| at.elapsed() >= LOST_FOR)
+        self.failed.get().is_none_or(|at| self.age(at) >= LOST_FOR)
     }
 
     /// Notes how a call by the own way ended. An answer that is lost while others come says nothing
@@ -72,7 +80,7 @@
     /// either; several in a row say that this daemon is refused.
     fn note<T>(&self, kind: &str, result: &Result<T, StoreError>) {
         self.metrics.store_call(purpose(kind));
-        let now = Instant::now();
+        let now = self.clock.now();
         match result {
             Err(StoreError::Throttled) => {
                 self.refused.set(self.refused.get().saturating_add(1));
@@ -92,12 +100,12 @@
     }
 
     fn has_answered_lately(&self) -> bool {
-        self.answered.get().is_some_and(|at| at.elapsed() < ANSWERS_HOLD)
+        self.answered.get().is_some_and(|at| self.age(at) < ANSWERS_HOLD)
     }
 
     /// How long ago the store answered by the own way.
     pub fn silent_for(&self) -> Duration {
-        self.answered.get().map_or(Duration::MAX, |at| at.elapsed())
+        self.answered.get().map_or(Duration::MAX, |at| self.age(at))
     }
 
     /// Asks peers to make a call; nothing when none of them could.
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -51,6 +51,7 @@
 use crate::quarantine::isolation::Busy;
 use crate::quarantine::Isolation;
 use crate::quarantine::Pass;
+use crate::wait;
 
 /// Silence before the first event after which a resumable stream is moved. A request may wait in
 /// the server's queue.
@@ -240,7 +241,7 @@
         let limit = if may_move { silence.min(left) } else { left };
         let bytes = async { Some(run.exchange.next_bytes().await) };
         let silent = async {
-            Timer::after(limit).await;
+            wait::until(&self.gateway, now + limit).await;
             None
         };
         match bytes.or(silent).await {
@@ -443,8 +444,9 @@
         }
         let left = self.allowance.deadline.saturating_sub(self.gateway.now());
         let limit = if self.is_resumable { left.min(FIRST_SILENCE) } else { left };
+        let until = self.gateway.now() + limit;
         let late = async {
-            Timer::after(limit).await;
+            wait::until(&self.gateway, until).await;
             Err(AttemptFailure::Unknown("no head in time"))
         };
         exchange::begin(&self.gateway, server, &outgoing, left).or(late).await
