The last sound server is not risked for a request that ended others; a record stays that the watch tells of first

Test failed first: a_record_that_the_watch_tells_of_before_its_writing_is_answered_stays.

A server that is known to be gone is avoided by all daemons until its entry lapses. Servers whose entries go without a word confirm doubts.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -148,7 +148,7 @@
             let Some(pass) = self.admit(&route).await else {
                 continue;
             };
-            self.history.is_alone = pass != Pass::Free;
+            self.keep_apart(pass, &route);
             let history = self.history.clone();
             let placed = places::text(self.gateway, &self.item.id, need, urgency, history).await;
             // What is known may have changed while it waited for a place.
@@ -215,6 +215,12 @@
         None
     }
 
+    fn keep_apart(&mut self, pass: Pass, route: &Route) {
+        let mut history = std::mem::take(&mut self.history);
+        quarantine::keep_apart(self.gateway, pass, || self.fingerprint(route), &mut history);
+        self.history = history;
+    }
+
     /// Whether the item, for which nothing had been known, may not be sent to engines by now.
     fn is_barred(&self, route: &Route) -> bool {
         !quarantine::may_go_on(self.gateway, || self.fingerprint(route))
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -207,7 +207,8 @@
         ended: &smol::channel::Receiver<Result<WholeAnswer, AttemptFailure>>,
         hedge_at: Moment,
     ) -> Event {
-        let may_hedge = self.allowance.is_repeatable && !self.is_alone() && self.may_try_again();
+        let may_hedge =
+            self.allowance.is_repeatable && !self.history.is_alone && self.may_try_again();
         let hedges = may_hedge && hedge_at < self.allowance.deadline;
         let wake_at = if hedges { hedge_at } else { self.allowance.deadline };
         let answer = async {
@@ -245,13 +246,14 @@
         }
     }
 
-    fn fingerprint(&self) -> Fingerprint {
-        self.outgoing.fingerprint(self.gateway.dialect.headers())
+    fn keep_apart(&mut self) {
+        let (gateway, outgoing) = (&self.gateway, &self.outgoing);
+        let fingerprint = || outgoing.fingerprint(gateway.dialect.headers());
+        quarantine::keep_apart(gateway, self.pass, fingerprint, &mut self.history);
     }
 
-    /// Whether it is kept apart from other requests.
-    fn is_alone(&self) -> bool {
-        self.pass != Pass::Free || quarantine::is_suspect(&self.gateway, || self.fingerprint())
+    fn fingerprint(&self) -> Fingerprint {
+        self.outgoing.fingerprint(self.gateway.dialect.headers())
     }
 
     /// Whether the retries that failures cause are still within their budget.
@@ -265,7 +267,7 @@
 
     /// Starts an attempt at the best server that has not been tried.
     fn start_one(&mut self, sender: &Sender<Result<WholeAnswer, AttemptFailure>>) -> Start {
-        self.history.is_alone = self.is_alone();
+        self.keep_apart();
         let choice = match self.decide() {
             Answer::Place(choice) => choice,
             Answer::Wait(rest) => return Start::Wait(rest),
--- a/crates/heronbend-gateway/src/quarantine/evidence.rs
+++ b/crates/heronbend-gateway/src/quarantine/evidence.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use heronbend::placement::AttemptEnd;
 use smol::Timer;
 
 use super::note;
@@ -56,12 +57,15 @@
     gateway.quarantine.looking.borrow_mut().remove(&server.id);
 }
 
-/// Notes that a server is gone without having said that it would leave.
+/// Notes that a server is gone without having said that it would leave. Its entry may take seconds to
+/// lapse.
 pub fn note_gone(gateway: &Rc<Gateway>, server: &str) {
+    let now = gateway.now();
+    gateway.directory.borrow_mut().placer.note(now, server, AttemptEnd::Ended);
     if gateway.quarantine.is_empty() {
         return;
     }
-    let confirmed = gateway.quarantine.table.borrow_mut().confirm(gateway.now(), server);
+    let confirmed = gateway.quarantine.table.borrow_mut().confirm(now, server);
     if !confirmed.is_empty() {
         gateway.metrics.servers_ended.inc();
         log::info!("event=server_ended server={server} requests={}", confirmed.len());
--- a/crates/heronbend-gateway/src/quarantine/mod.rs
+++ b/crates/heronbend-gateway/src/quarantine/mod.rs
@@ -19,6 +19,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use heronbend::placement::History;
 use heronbend::quarantine::table::Change;
 use heronbend::quarantine::Admission;
 use heronbend::quarantine::Fingerprint;
@@ -111,9 +112,17 @@
     matches!(admission(gateway, request), Admission::Free | Admission::Alone)
 }
 
-/// Whether something is held against a request.
-pub fn is_suspect(gateway: &Gateway, request: impl FnOnce() -> Fingerprint) -> bool {
-    admission(gateway, request) != Admission::Free
+/// How a request is kept apart from others, and from the last server, for what is known of it.
+pub fn keep_apart(
+    gateway: &Gateway,
+    pass: Pass,
+    request: impl Fn() -> Fingerprint,
+    history: &mut History,
+) {
+    let is_suspect = admission(gateway, &request) != Admission::Free;
+    history.is_alone = pass != Pass::Free || is_suspect;
+    let table = gateway.quarantine.table.borrow();
+    history.spares_last = is_suspect && table.is_last_run(request());
 }
 
 /// What may become of a request. Most of the time nothing is known of any, and none is looked at.
--- a/crates/heronbend-gateway/src/quarantine/record.rs
+++ b/crates/heronbend-gateway/src/quarantine/record.rs
@@ -120,17 +120,15 @@
 }
 
 async fn write(gateway: &Rc<Gateway>, request: Fingerprint) {
-    let is_wanted = || {
-        let table = gateway.quarantine.table.borrow();
-        let is_quarantined = table.quarantined().any(|known| known == request);
-        is_quarantined && table.record(request).is_none()
-    };
+    let is_quarantined = || gateway.quarantine.table.borrow().is_quarantined(request);
+    let is_recorded = || gateway.quarantine.table.borrow().record(request).is_some();
     let mut failures = 0;
-    while is_wanted() {
+    while is_quarantined() && !is_recorded() {
         let content = json!(Content::of(gateway, request, 0));
         match gateway.store.create(KIND, &request.to_string(), content).await {
-            // An answer to it came meanwhile.
-            Ok(_) if !is_wanted() => remove(gateway, request),
+            // An answer to it came meanwhile. That the record is known already says nothing: the watch
+            // may tell of it before the store answers here.
+            Ok(_) if !is_quarantined() => remove(gateway, request),
             Ok(object) => {
                 take(gateway, &object);
             }
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -27,6 +27,7 @@
 use crate::peers;
 use crate::ports::{Change, Object, Ports};
 use crate::quarantine;
+use crate::quarantine::evidence;
 use crate::reload;
 use crate::versions;
 use crate::wait;
@@ -379,9 +380,23 @@
     }
 }
 
+impl DirectorySink {
+    /// A server whose entry went, and that had not said that it would leave: where connections to it
+    /// broke a moment ago, it has ended.
+    fn note_gone(&self, id: &str) {
+        let state = self.0.directory.borrow().get(id).map(|server| server.state);
+        if state == Some(ServerState::Ready) {
+            evidence::note_gone(&self.0, id);
+        }
+    }
+}
+
 impl MirrorSink for DirectorySink {
     fn reset(&self, objects: Vec<Object>) {
-        let names = objects.iter().map(|object| object.name.clone()).collect();
+        let names: BTreeSet<String> = objects.iter().map(|object| object.name.clone()).collect();
+        let known: Vec<String> =
+            self.0.directory.borrow().all().map(|server| server.id.clone()).collect();
+        known.iter().filter(|id| !names.contains(*id)).for_each(|id| self.note_gone(id));
         self.0.directory.borrow_mut().retain(self.0.now(), &names);
         objects.iter().for_each(|object| self.take(object));
         log::info!("event=servers_listed servers={}", names.len());
@@ -393,6 +408,7 @@
             Change::Set(object) => self.take(&object),
             Change::Removed(name) => {
                 log::info!("event=server_gone server={name}");
+                self.note_gone(&name);
                 self.0.directory.borrow_mut().remove(self.0.now(), &name);
             }
         }
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -355,13 +355,14 @@
         }
     }
 
-    fn fingerprint(&self) -> Fingerprint {
-        self.outgoing.fingerprint(self.gateway.dialect.headers())
+    fn keep_apart(&mut self) {
+        let (gateway, outgoing) = (&self.gateway, &self.outgoing);
+        let fingerprint = || outgoing.fingerprint(gateway.dialect.headers());
+        quarantine::keep_apart(gateway, self.pass, fingerprint, &mut self.history);
     }
 
-    /// Whether it is kept apart from other requests.
-    fn is_alone(&self) -> bool {
-        self.pass != Pass::Free || quarantine::is_suspect(&self.gateway, || self.fingerprint())
+    fn fingerprint(&self) -> Fingerprint {
+        self.outgoing.fingerprint(self.gateway.dialect.headers())
     }
 
     /// Sends the request to a server, until one has begun to answer.
@@ -371,7 +372,7 @@
                 let is_late = self.gateway.now() >= self.allowance.deadline;
                 return Err(Break::Failed(self.reason_to_give_up(is_late, SPENT)));
             }
-            self.history.is_alone = self.is_alone();
+            self.keep_apart();
             let Choice { server: key, fitness } = match self.decide() {
                 Answer::Place(choice) => choice,
                 Answer::Wait(rest) => {
--- a/crates/heronbend-gateway/tests/support/memory_store.rs
+++ b/crates/heronbend-gateway/tests/support/memory_store.rs
@@ -46,6 +46,8 @@
     late: RefCell<Vec<LateWrite>>,
     down: Cell<bool>,
     muted: Cell<bool>,
+    /// Time after which it is answered that an object was made.
+    answer_delay: Cell<Duration>,
     pub calls: Cell<u64>,
 }
 
@@ -58,6 +60,10 @@
         self.watch_faults.borrow_mut().extend(faults);
     }
 
+    pub fn delay_answers(&self, delay: Duration) {
+        self.answer_delay.set(delay);
+    }
+
     pub fn set_down(&self, down: bool) {
         self.down.set(down);
     }
@@ -234,7 +240,9 @@
     }
 
     async fn create(&self, kind: &str, name: &str, content: Value) -> Result<Object, StoreError> {
-        self.write(kind, name, content, None)
+        let made = self.write(kind, name, content, None);
+        Timer::after(self.answer_delay.get()).await;
+        made
     }
 
     async fn replace(
--- a/crates/heronbend/src/placement/decisions.rs
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -133,6 +133,9 @@
         skip_tried(&mut open, history, &mut tally);
         let free = self.unengaged(now, need, &open, false, &mut tally);
         let free = self.apart(free, history.is_alone);
+        if history.spares_last && self.is_last(now, need.service, &free) {
+            return patience::unplaced(now, waited, Some(Exclusion::Last));
+        }
         if free.is_empty() {
             self.note_shortage(now, need, &open, 1);
             return patience::unplaced(now, waited, tally.reason());
@@ -157,6 +160,9 @@
         skip_tried(&mut open, history, &mut tally);
         let free = self.unengaged(now, need, &open, false, &mut tally);
         let free = self.apart(free, history.is_alone);
+        if history.spares_last && self.is_last(now, need.service, &free) {
+            return patience::unplaced(now, waited, Some(Exclusion::Last));
+        }
         let has_place =
             |key: &ServerKey| self.get(*key).is_some_and(|server| server.free_slots() > 0);
         let idle: Vec<ServerKey> = free.iter().copied().filter(has_place).collect();
@@ -272,6 +278,10 @@
             fit.retain(|key| !has_failed(key));
         }
         let fit = self.apart(fit, history.is_alone);
+        let service = fit.first().and_then(|key| Some(self.get(*key)?.listing.service));
+        if history.spares_last && service.is_some_and(|service| self.is_last(now, service, &fit)) {
+            return None;
+        }
         let other: Vec<ServerKey> =
             fit.iter().copied().filter(|key| Some(*key) != history.last).collect();
         self.cheapest(now, &other, rank::TEXT, is_connected)
@@ -302,6 +312,17 @@
         }
     }
 
+    /// Whether some servers, which could be chosen, hold the last sound one of a service that lists
+    /// several.
+    fn is_last(&self, now: Moment, service: ServiceKey, servers: &[ServerKey]) -> bool {
+        let listed = || self.of_service(service).filter(|(_, server)| server.is_ready());
+        let is_sound = |server: &Server| !server.load.is_avoided(now);
+        let sound: Vec<ServerKey> =
+            listed().filter(|(_, server)| is_sound(server)).map(|(key, _)| key).collect();
+        let is_risked = sound.first().is_some_and(|last| servers.contains(last));
+        sound.len() == 1 && listed().count() > 1 && is_risked
+    }
+
     /// A place for a text now, without waiting.
     pub fn text(&mut self, now: Moment, need: &Need, history: &History) -> Option<Choice> {
         let (open, mut tally) = self.open_lately(now, need);
--- a/crates/heronbend/src/placement/eligible.rs
+++ b/crates/heronbend/src/placement/eligible.rs
@@ -34,6 +34,8 @@
     pub last: Option<ServerKey>,
     /// Whether it may end the server that runs it, so that it is kept apart from other requests.
     pub is_alone: bool,
+    /// Whether it is likely to end it: the last sound server of several is not risked for it.
+    pub spares_last: bool,
 }
 
 /// Whether a server can run requests of a model under a version.
@@ -68,6 +70,8 @@
     Cold,
     /// The request may not be sent there again.
     Tried,
+    /// It is the last sound one, and the request is likely to end it.
+    Last,
 }
 
 impl Exclusion {
@@ -83,6 +87,7 @@
             Self::Avoided => "avoided",
             Self::Cold => "cold",
             Self::Tried => "tried",
+            Self::Last => "last",
         }
     }
 }
--- a/crates/heronbend/src/placement/load.rs
+++ b/crates/heronbend/src/placement/load.rs
@@ -31,6 +31,8 @@
     Refused,
     /// It could not be reached at all.
     Unreachable,
+    /// It is gone: its process has ended.
+    Ended,
     /// It broke off, or did not answer in time.
     Failed,
     /// The attempt was given up for other reasons.
@@ -79,6 +81,8 @@
             AttemptEnd::Refused => self.avoid_until = now + REFUSED_PAUSE,
             AttemptEnd::Unreachable => self.fail(now, FAILURES_TO_AVOID),
             AttemptEnd::Failed => self.fail(now, 1),
+            // What starts in its place is another server.
+            AttemptEnd::Ended => self.avoid_until = now + LONGEST_PAUSE,
             AttemptEnd::Abandoned => {}
         }
     }
--- a/crates/heronbend/src/placement/patience.rs
+++ b/crates/heronbend/src/placement/patience.rs
@@ -21,7 +21,8 @@
 const OFFERED_SHARE: f64 = 1.0;
 /// When a refused caller is to come back if nothing is known of when a server will be free.
 pub const COME_BACK: Duration = Duration::from_millis(400);
-/// The same where an operator has taken all servers out: nothing changes by itself.
+/// The same where an operator has taken all servers out, or all but one are gone: that takes longer
+/// than a call may wait.
 const COME_BACK_LATER: Duration = Duration::from_secs(1);
 
 /// How long a call has waited, and how long it may.
@@ -59,7 +60,8 @@
 
 /// What becomes of a call that no server can be sent now, where `reason` keeps it from most of them.
 pub fn unplaced(now: Moment, waited: &Waited, reason: Option<Exclusion>) -> Answer {
-    let changes_by_itself = !matches!(reason, Some(Exclusion::Evacuated | Exclusion::OutsideHomes));
+    let changes_by_itself =
+        !matches!(reason, Some(Exclusion::Evacuated | Exclusion::OutsideHomes | Exclusion::Last));
     if !changes_by_itself {
         return Answer::Refuse(Refusal { reason, come_back: COME_BACK_LATER });
     }
--- a/crates/heronbend/src/placement/tests.rs
+++ b/crates/heronbend/src/placement/tests.rs
@@ -766,3 +766,36 @@
     fleet.placer.end_isolation("b");
     assert_eq!(call(&mut fleet, true).as_deref(), Some("b"));
 }
+
+#[test]
+fn the_last_sound_server_of_several_is_not_risked_for_a_request_that_ended_others() {
+    let mut fleet = Fleet::new();
+    for id in ["a", "b", "c"] {
+        fleet.add(id, "app", "a");
+    }
+    let need = fleet.need("app");
+    let risky = History { is_alone: true, spares_last: true, ..History::default() };
+    let call =
+        |fleet: &mut Fleet, now| fleet.placer.call(now, &need, &risky, &waited(now), |_| true);
+    assert_matches!(call(&mut fleet, SECOND), Answer::Place(_));
+    fleet.placer.note(SECOND, "a", AttemptEnd::Ended);
+    assert_matches!(call(&mut fleet, SECOND), Answer::Place(_));
+    fleet.placer.note(SECOND, "b", AttemptEnd::Ended);
+    let refused = call(&mut fleet, SECOND);
+    assert_matches!(refused, Answer::Refuse(Refusal { reason: Some(Exclusion::Last), .. }));
+    // Others are served by it.
+    let chosen = fleet.call(SECOND, &need);
+    assert_eq!(fleet.id(chosen), "c");
+    assert!(fleet.placer.text(SECOND, &need, &risky).is_none());
+    // The servers that took the place of the others are there.
+    for id in ["a", "b"] {
+        fleet.placer.unlist(2 * SECOND, id);
+        fleet.add(&format!("{id}2"), "app", "a");
+    }
+    assert_matches!(call(&mut fleet, 2 * SECOND), Answer::Place(_));
+    // Where there is only one at all, nothing is spared.
+    for id in ["a2", "b2"] {
+        fleet.placer.unlist(3 * SECOND, id);
+    }
+    assert_matches!(call(&mut fleet, 3 * SECOND), Answer::Place(_));
+}
--- a/crates/heronbend/src/quarantine/suspect.rs
+++ b/crates/heronbend/src/quarantine/suspect.rs
@@ -105,9 +105,9 @@
         self.record.is_some() || self.count() >= limits.endings
     }
 
-    pub fn is_last_run(&self, now: Moment, limits: &Limits) -> bool {
-        let known = self.count() + self.open_doubts(now);
-        self.is_quarantined(limits) || known + 1 >= limits.endings
+    /// Whether one more ending quarantines it. Doubts do not count: links that break end nobody.
+    pub fn is_last_run(&self, limits: &Limits) -> bool {
+        self.is_quarantined(limits) || self.count() + 1 >= limits.endings
     }
 
     pub fn admission(&self, now: Moment, limits: &Limits) -> Admission {
--- a/crates/heronbend/src/quarantine/table.rs
+++ b/crates/heronbend/src/quarantine/table.rs
@@ -58,6 +58,12 @@
         quarantined.map(|(request, _)| *request)
     }
 
+    /// Whether a request is quarantined.
+    pub fn is_quarantined(&self, request: Fingerprint) -> bool {
+        let suspect = self.suspects.get(&request);
+        suspect.is_some_and(|suspect| suspect.is_quarantined(&self.limits))
+    }
+
     /// What may become of a request.
     pub fn admission(&self, now: Moment, request: Fingerprint) -> Admission {
         let suspect = self.suspects.get(&request);
@@ -65,9 +71,9 @@
     }
 
     /// Whether one more ending quarantines a request, or it is quarantined already.
-    pub fn is_last_run(&self, now: Moment, request: Fingerprint) -> bool {
+    pub fn is_last_run(&self, request: Fingerprint) -> bool {
         let suspect = self.suspects.get(&request);
-        suspect.is_some_and(|suspect| suspect.is_last_run(now, &self.limits))
+        suspect.is_some_and(|suspect| suspect.is_last_run(&self.limits))
     }
 
     /// Notes that a request's connection to a server broke before its answer had come.
