--- a/crates/heronbend-gateway/src/batch/reward.rs
+++ b/crates/heronbend-gateway/src/batch/reward.rs
@@ -12,9 +12,10 @@
 use super::specification::RewardCall;
 use crate::access;
 use crate::exchange::Outgoing;
-use crate::forward::{forward, Allowance};
+use crate::forward::{forward, Allowance, ForwardError};
 use crate::gateway::Gateway;
 use crate::homes;
+use crate::http::client::WholeAnswer;
 
 /// Servers that one round of a call may be sent to.
 const ATTEMPTS_A_ROUND: u32 = 2;
@@ -23,6 +24,8 @@
 /// A round is given this many times the route's target latency.
 const ROUND_TARGETS: u32 = 4;
 const REST: Duration = Duration::from_millis(40);
+/// Longest rest until it is looked again whether a call that is held back may be made.
+const HELD_REST: Duration = Duration::from_secs(1);
 
 /// How a reward call ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,6 +60,7 @@
                 _ => failures += 1,
             }
         }
+        let rest = rest(&answer);
         log::info!(
             "event=reward_failed job={} item={item} reward={} failures={failures} status={}",
             job.id,
@@ -66,7 +70,15 @@
         if failures >= most {
             return Score::Failed;
         }
-        Timer::after(REST).await;
+        Timer::after(rest).await;
+    }
+}
+
+/// Rest before the next round: longer where the call is kept from servers.
+fn rest(answer: &Result<WholeAnswer, ForwardError>) -> Duration {
+    match answer {
+        Err(ForwardError::Quarantined(refused)) => refused.come_back.clamp(REST, HELD_REST),
+        _ => REST,
     }
 }
 
