--- a/crates/heronbend-gateway/src/explain.rs
+++ b/crates/heronbend-gateway/src/explain.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 /// Keys whose values identify what a line is about.
-const SUBJECTS: [&str; 5] = ["id", "job", "item", "reward", "server"];
+const SUBJECTS: [&str; 6] = ["id", "job", "item", "reward", "server", "request"];
 /// Keys that lead from one subject to another that explains it.
 const LEADS: [(&str, &str); 2] = [("item", "job"), ("reward", "item")];
 
--- a/crates/heronbend-gateway/src/quarantine/record.rs
+++ b/crates/heronbend-gateway/src/quarantine/record.rs
@@ -217,6 +217,46 @@
     executor.spawn(removal).detach();
 }
 
+/// A request that is quarantined, as the store holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Quarantined {
+    /// The request.
+    pub request: Fingerprint,
+    /// Servers that ended while they ran it.
+    pub servers: Vec<String>,
+    /// Probes that have been granted.
+    pub probes: usize,
+}
+
+/// All requests that the store holds quarantined, for an operator.
+pub async fn list(store: &dyn ObjectStore) -> Result<Vec<Quarantined>, StoreError> {
+    let mut quarantined = Vec::new();
+    let mut after: Option<String> = None;
+    loop {
+        let page = store.list(KIND, after.as_deref()).await?;
+        for object in &page.objects {
+            quarantined.push(read_record(object)?);
+        }
+        after = page.objects.last().map(|object| object.name.clone());
+        if !page.more || after.is_none() {
+            return Ok(quarantined);
+        }
+    }
+}
+
+fn read_record(object: &Object) -> Result<Quarantined, StoreError> {
+    let malformed = |error: &dyn ToString| StoreError::Malformed(error.to_string());
+    let request = object.name.parse::<Fingerprint>().map_err(|error| malformed(&error))?;
+    let content = Content::deserialize(&object.content).map_err(|error| malformed(&error))?;
+    let servers = content.endings.into_iter().map(|ending| ending.server).collect();
+    Ok(Quarantined { request, servers, probes: content.probes })
+}
+
+/// Releases a request at all daemons, for an operator.
+pub async fn release(store: &dyn ObjectStore, request: Fingerprint) -> Result<(), StoreError> {
+    store.remove(KIND, &request.to_string()).await
+}
+
 /// Follows the records until the daemon ends.
 pub async fn follow(gateway: Rc<Gateway>) {
     let sink = Sink { gateway: gateway.clone(), listed: RefCell::default() };
--- a/crates/heronbend-gateway/tests/explain.rs
+++ b/crates/heronbend-gateway/tests/explain.rs
@@ -34,3 +34,13 @@
     assert_eq!(numbers("s2"), [3]);
     assert!(numbers("r").is_empty());
 }
+
+#[test]
+fn a_fingerprint_is_explained_by_the_attempts_that_it_was_found_in() {
+    let lines = [
+        "level=INFO event=attempt_broken id=r1 request=f1 server=s1 beside=0 events=0",
+        "level=INFO event=attempt_broken id=r2 request=f2 server=s1 beside=0 events=0",
+        "level=WARN event=request_quarantined request=f1 endings=3 by=Here",
+    ];
+    assert_eq!(explain("f1", &lines), [lines[0], lines[2]]);
+}
