--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -35,7 +35,7 @@
 use crate::places::Placed;
 use crate::quarantine;
 use crate::quarantine::evidence;
-use crate::quarantine::Isolation;
+use crate::quarantine::passage;
 use crate::quarantine::Pass;
 
 /// Longest silence before the first event. A request may wait in the server's queue.
@@ -152,7 +152,7 @@
             let history = self.history.clone();
             let placed = places::text(self.gateway, &self.item.id, need, urgency, history).await;
             // What is known may have changed while it waited for a place.
-            if pass == Pass::Free && self.is_barred(&route) {
+            if pass != Pass::Probe && self.is_barred(&route) {
                 continue;
             }
             let before = self.last_event();
@@ -221,7 +221,7 @@
         self.history = history;
     }
 
-    /// Whether the item, for which nothing had been known, may not be sent to engines by now.
+    /// Whether the item, which was admitted, may not be sent to engines by now.
     fn is_barred(&self, route: &Route) -> bool {
         !quarantine::may_go_on(self.gateway, || self.fingerprint(route))
     }
@@ -315,20 +315,16 @@
     async fn attempt(&mut self, placed: Placed, need: Need, route: &Route) -> RunEnd {
         let Placed { server, fitness, counted, .. } = placed;
         let server = &server;
-        let mut _isolation = None;
-        if self.history.is_alone {
-            let request = self.fingerprint(route);
-            match Isolation::begin(self.gateway, &server.id, request).await {
-                Ok(isolation) => _isolation = Some(isolation),
-                Err(_) => {
-                    counted.fail(&AttemptFailure::Held);
-                    return RunEnd::Again;
-                }
-            }
-        }
         let Some(outgoing) = self.outgoing(fitness, route) else {
             return RunEnd::Impossible;
         };
+        let is_alone = self.history.is_alone;
+        let isolated = passage::isolate(self.gateway, server, &outgoing, is_alone).await;
+        // Kept until the attempt has ended.
+        let Ok(_isolation) = isolated else {
+            counted.fail(&AttemptFailure::Held);
+            return RunEnd::Again;
+        };
         let first_event = self.last_event();
         let asked = self.gateway.now();
         let answer = exchange::begin(self.gateway, server, &outgoing, ITEM_DEADLINE);
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -12,14 +12,12 @@
 use heronbend::placement::Need;
 use heronbend::placement::Refusal;
 use heronbend::placement::Waited;
-use heronbend::quarantine::Fingerprint;
 use heronbend::Moment;
 use http::{HeaderValue, StatusCode};
 use smol::channel::{bounded, Sender};
 use smol::{Task, Timer};
 
 use crate::configuration::Route;
-use crate::directory::Server;
 use crate::exchange::{self, AttemptFailure, CountedAttempt, Outgoing};
 use crate::gateway::Gateway;
 use crate::http::client::WholeAnswer;
@@ -28,8 +26,8 @@
 use crate::quarantine;
 use crate::quarantine::evidence;
 use crate::quarantine::isolation::Busy;
-use crate::quarantine::Isolation;
-use crate::quarantine::Pass;
+use crate::quarantine::passage;
+use crate::quarantine::Passage;
 use crate::quarantine::Refused;
 use crate::wait;
 
@@ -116,10 +114,8 @@
     history: History,
     /// When its wait for a server began.
     begun: Moment,
-    /// How it may be sent to servers.
-    pass: Pass,
-    /// Whether an attempt reached a server.
-    has_reached: bool,
+    /// How it may be sent to servers, for what is known of requests like it.
+    passage: Passage,
     /// Attempts that may have run it.
     spent: u32,
     open: Vec<Task<()>>,
@@ -146,8 +142,8 @@
     allowance: Allowance,
 ) -> Result<WholeAnswer, ForwardError> {
     gateway.retries.borrow_mut().deposit(RETRY_SHARE);
-    let fingerprint = || outgoing.fingerprint(gateway.dialect.headers());
-    let pass = quarantine::admit(gateway, fingerprint).await.map_err(ForwardError::Quarantined)?;
+    let admitted = Passage::begin(gateway, &outgoing).await;
+    let passage = admitted.map_err(ForwardError::Quarantined)?;
     let forwarding = Forwarding {
         gateway: gateway.clone(),
         outgoing: Rc::new(outgoing),
@@ -155,8 +151,7 @@
         allowance,
         history: History::default(),
         begun: gateway.now(),
-        pass,
-        has_reached: false,
+        passage,
         spent: 0,
         open: Vec::new(),
         last_failure: None,
@@ -234,28 +229,10 @@
         let may_repeat = self.spent == 0 || self.allowance.is_repeatable;
         within_budget
             && may_repeat
-            && self.is_let_through()
+            && self.passage.is_open(&self.gateway, &self.outgoing)
             && self.gateway.now() < self.allowance.deadline
     }
 
-    /// Whether it may still be sent to a server, for all that is known of requests like it.
-    fn is_let_through(&self) -> bool {
-        match self.pass {
-            Pass::Probe => !self.has_reached,
-            Pass::Free | Pass::Alone => quarantine::may_go_on(&self.gateway, || self.fingerprint()),
-        }
-    }
-
-    fn keep_apart(&mut self) {
-        let (gateway, outgoing) = (&self.gateway, &self.outgoing);
-        let fingerprint = || outgoing.fingerprint(gateway.dialect.headers());
-        quarantine::keep_apart(gateway, self.pass, fingerprint, &mut self.history);
-    }
-
-    fn fingerprint(&self) -> Fingerprint {
-        self.outgoing.fingerprint(self.gateway.dialect.headers())
-    }
-
     /// Whether the retries that failures cause are still within their budget.
     fn may_retry(&self) -> bool {
         let within_budget = self.spent == 0 || self.gateway.retries.borrow_mut().withdraw();
@@ -267,7 +244,7 @@
 
     /// Starts an attempt at the best server that has not been tried.
     fn start_one(&mut self, sender: &Sender<Result<WholeAnswer, AttemptFailure>>) -> Start {
-        self.keep_apart();
+        self.passage.keep_apart(&self.gateway, &self.outgoing, &mut self.history);
         let choice = match self.decide() {
             Answer::Place(choice) => choice,
             Answer::Wait(rest) => return Start::Wait(rest),
@@ -285,7 +262,8 @@
         let counted = CountedAttempt::begin(&gateway, &server);
         let is_alone = self.history.is_alone;
         let task = self.gateway.executor.spawn(async move {
-            let isolation = match isolation(&gateway, &server, &outgoing, is_alone).await {
+            let isolated = passage::isolate(&gateway, &server, &outgoing, is_alone).await;
+            let isolation = match isolated {
                 Ok(isolation) => isolation,
                 Err(Busy) => {
                     counted.fail(&AttemptFailure::Held);
@@ -361,7 +339,7 @@
 
     /// Takes an attempt's end in; the answer if it is to be passed on.
     fn take(&mut self, result: Result<WholeAnswer, AttemptFailure>) -> Option<WholeAnswer> {
-        self.has_reached |= !matches!(result, Err(AttemptFailure::NotSent | AttemptFailure::Held));
+        self.passage.note_attempt(result.as_ref().err());
         match result {
             Ok(answer) if answer.status.is_server_error() && self.allowance.is_repeatable => {
                 self.last_failure = Some(answer);
@@ -399,20 +377,6 @@
     }
 }
 
-/// Keeps others from a server while a suspect request runs there; nothing for any other request.
-async fn isolation(
-    gateway: &Rc<Gateway>,
-    server: &Server,
-    outgoing: &Outgoing,
-    is_alone: bool,
-) -> Result<Option<Isolation>, Busy> {
-    if !is_alone {
-        return Ok(None);
-    }
-    let request = outgoing.fingerprint(gateway.dialect.headers());
-    Isolation::begin(gateway, &server.id, request).await.map(Some)
-}
-
 /// The value of a `Retry-After` header, in seconds.
 pub fn retry_after(duration: Duration) -> HeaderValue {
     HeaderValue::from_str(&format!("{:.1}", duration.as_secs_f64()))
--- a/crates/heronbend-gateway/src/quarantine/mod.rs
+++ b/crates/heronbend-gateway/src/quarantine/mod.rs
@@ -7,11 +7,13 @@
 //! - [`evidence`]: what an attempt that broke off says of its server.
 //! - [`isolation`]: suspects kept apart from other requests.
 //! - [`news`]: what daemons tell each other.
+//! - [`passage`]: a call or a stream on its way to servers.
 //! - [`record`]: what the store holds.
 
 pub mod evidence;
 pub mod isolation;
 pub mod news;
+pub mod passage;
 pub mod record;
 
 use std::cell::RefCell;
@@ -32,6 +34,7 @@
 use crate::gateway::Gateway;
 
 pub use self::isolation::Isolation;
+pub use self::passage::Passage;
 
 /// Time between two looks for what is to be forgotten, or not recorded yet.
 const UPKEEP: Duration = Duration::from_secs(5);
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -21,7 +21,6 @@
 use heronbend::placement::Need;
 use heronbend::placement::Refusal;
 use heronbend::placement::Waited;
-use heronbend::quarantine::Fingerprint;
 use heronbend::Moment;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -48,9 +47,9 @@
 use crate::places;
 use crate::quarantine;
 use crate::quarantine::evidence;
-use crate::quarantine::isolation::Busy;
+use crate::quarantine::passage;
 use crate::quarantine::Isolation;
-use crate::quarantine::Pass;
+use crate::quarantine::Passage;
 use crate::wait;
 
 /// Silence before the first event after which a resumable stream is moved. A request may wait in
@@ -120,10 +119,8 @@
     version: Option<u64>,
     /// Servers that were sent the request.
     history: History,
-    /// How it may be sent to servers.
-    pass: Pass,
-    /// Whether an attempt reached a server.
-    has_reached: bool,
+    /// How it may be sent to servers, for what is known of requests like it.
+    passage: Passage,
     /// Servers that may have run it.
     spent: u32,
     run: Option<Run>,
@@ -142,8 +139,8 @@
     is_resumable: bool,
 ) -> Result<Opened, ForwardError> {
     let names = gateway.dialect.headers();
-    let fingerprint = || outgoing.fingerprint(names);
-    let pass = quarantine::admit(gateway, fingerprint).await.map_err(ForwardError::Quarantined)?;
+    let admitted = Passage::begin(gateway, &outgoing).await;
+    let passage = admitted.map_err(ForwardError::Quarantined)?;
     let last_event = headers::text(&outgoing.headers, &names.last_event);
     let model = headers::text(&outgoing.headers, &names.model).map(|model| (model, 0));
     let is_engine = |configuration: &Configuration| {
@@ -162,8 +159,7 @@
         has_begun: false,
         version: None,
         history: History::default(),
-        pass,
-        has_reached: false,
+        passage,
         spent: 0,
         run: None,
         head: None,
@@ -343,28 +339,10 @@
         let within_budget = self.spent < self.allowance.max_attempts;
         within_budget
             && (self.spent == 0 || self.is_resumable)
-            && self.is_let_through()
+            && self.passage.is_open(&self.gateway, &self.outgoing)
             && self.gateway.now() < self.allowance.deadline
     }
 
-    /// Whether it may still be sent to a server, for all that is known of requests like it.
-    fn is_let_through(&self) -> bool {
-        match self.pass {
-            Pass::Probe => !self.has_reached,
-            Pass::Free | Pass::Alone => quarantine::may_go_on(&self.gateway, || self.fingerprint()),
-        }
-    }
-
-    fn keep_apart(&mut self) {
-        let (gateway, outgoing) = (&self.gateway, &self.outgoing);
-        let fingerprint = || outgoing.fingerprint(gateway.dialect.headers());
-        quarantine::keep_apart(gateway, self.pass, fingerprint, &mut self.history);
-    }
-
-    fn fingerprint(&self) -> Fingerprint {
-        self.outgoing.fingerprint(self.gateway.dialect.headers())
-    }
-
     /// Sends the request to a server, until one has begun to answer.
     async fn start(&mut self) -> Result<Run, Break> {
         loop {
@@ -372,7 +350,7 @@
                 let is_late = self.gateway.now() >= self.allowance.deadline;
                 return Err(Break::Failed(self.reason_to_give_up(is_late, SPENT)));
             }
-            self.keep_apart();
+            self.passage.keep_apart(&self.gateway, &self.outgoing, &mut self.history);
             let Choice { server: key, fitness } = match self.decide() {
                 Answer::Place(choice) => choice,
                 Answer::Wait(rest) => {
@@ -391,12 +369,14 @@
             self.history.tried.push(key);
             self.spent += 1;
             let counted = CountedAttempt::begin(&self.gateway, &server);
-            let Ok(isolation) = self.isolation(&server).await else {
+            let is_alone = self.history.is_alone;
+            let isolated = passage::isolate(&self.gateway, &server, &self.outgoing, is_alone).await;
+            let Ok(isolation) = isolated else {
                 self.take_attempt(AttemptFailure::Held, counted)?;
                 continue;
             };
             let sent = self.send(&server, fitness).await;
-            self.has_reached |= !matches!(sent, Err(AttemptFailure::NotSent));
+            self.passage.note_attempt(sent.as_ref().err());
             match sent {
                 Ok(exchange) if exchange.status == StatusCode::OK => {
                     self.unplaced_since = None;
@@ -425,14 +405,6 @@
         }
     }
 
-    /// Keeps others from a server where this request may end it.
-    async fn isolation(&self, server: &Server) -> Result<Option<Isolation>, Busy> {
-        if !self.history.is_alone {
-            return Ok(None);
-        }
-        Isolation::begin(&self.gateway, &server.id, self.fingerprint()).await.map(Some)
-    }
-
     async fn send(&self, server: &Server, fitness: Fitness) -> Result<Exchange, AttemptFailure> {
         let mut outgoing = self.outgoing.clone();
         let names = self.gateway.dialect.headers();
