Failing test: an answer that does not show that a request was run clears it

Failures of a server's own and refusals clear a request that had ended three servers, so that it ends three more. The status is handed in, and not yet used.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -345,7 +345,7 @@
         };
         if exchange.status != StatusCode::OK {
             let status = exchange.status;
-            quarantine::note_answer(self.gateway, &outgoing);
+            quarantine::note_answer(self.gateway, &outgoing, status);
             self.log_attempt(server, status.as_str(), 0);
             // A server that fails at all it gets is always free, and would get ever more.
             let is_failure = status == StatusCode::INTERNAL_SERVER_ERROR;
@@ -366,7 +366,7 @@
             Ok(()) => {
                 let per_event = counted.elapsed() / u32::try_from(events.max(1)).unwrap_or(1);
                 counted.end(AttemptEnd::Answered(per_event));
-                quarantine::note_answer(self.gateway, &outgoing);
+                quarantine::note_answer(self.gateway, &outgoing, StatusCode::OK);
                 RunEnd::Whole
             }
             Err(reason @ (OUTPACED | EVACUATED)) => {
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -284,7 +284,7 @@
             let result = answered.await;
             drop(isolation);
             match &result {
-                Ok(_) => quarantine::note_answer(&gateway, &outgoing),
+                Ok(answer) => quarantine::note_answer(&gateway, &outgoing, answer.status),
                 Err(AttemptFailure::BrokenOff) => {
                     evidence::note_break(&gateway, &server, &outgoing, 0);
                 }
--- a/crates/heronbend-gateway/src/quarantine/mod.rs
+++ b/crates/heronbend-gateway/src/quarantine/mod.rs
@@ -27,6 +27,7 @@
 use heronbend::quarantine::Fingerprint;
 use heronbend::quarantine::Limits;
 use heronbend::quarantine::Table;
+use http::StatusCode;
 use smol::Timer;
 
 use self::isolation::Keeper;
@@ -137,7 +138,7 @@
 }
 
 /// Notes a whole answer to a request: whatever ended servers under it, it was not this.
-pub fn note_answer(gateway: &Rc<Gateway>, outgoing: &Outgoing) {
+pub fn note_answer(gateway: &Rc<Gateway>, outgoing: &Outgoing, _status: StatusCode) {
     if gateway.quarantine.is_empty() {
         return;
     }
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -298,7 +298,7 @@
     fn finish(&mut self, run: Run) {
         let per_event = run.counted.elapsed() / run.events.max(1);
         run.counted.end(AttemptEnd::Answered(per_event));
-        quarantine::note_answer(&self.gateway, &self.outgoing);
+        quarantine::note_answer(&self.gateway, &self.outgoing, run.exchange.status);
         run.exchange.keep();
         self.log_end("whole");
     }
@@ -436,7 +436,7 @@
             Ok(answer) => answer,
             Err(failure) => return self.take_attempt(failure, counted),
         };
-        quarantine::note_answer(&self.gateway, &self.outgoing);
+        quarantine::note_answer(&self.gateway, &self.outgoing, answer.status);
         counted.end(AttemptEnd::Abandoned);
         if is_retried && self.may_run_again() {
             return Ok(());
--- a/crates/heronbend-gateway/tests/quarantine.rs
+++ b/crates/heronbend-gateway/tests/quarantine.rs
@@ -17,6 +17,7 @@
 use heronbend_gateway::quarantine::Pass;
 use heronbend_gateway::quarantine::Refused;
 use http::Method;
+use http::StatusCode;
 use smol::Timer;
 use support::gateway;
 use support::memory_store::MemoryStore;
@@ -119,7 +120,7 @@
             executor.spawn(record::follow(gateway.clone())).detach();
             end_servers(&gateway, 3);
             wait_until("it is recorded", || record_of(&store, &gateway)).await;
-            quarantine::note_answer(&gateway, &outgoing());
+            quarantine::note_answer(&gateway, &outgoing(), StatusCode::OK);
             assert_eq!(admit(&gateway).await, Ok(Pass::Free));
             wait_until("its record is gone", || !record_of(&store, &gateway)).await;
         })
@@ -138,3 +139,25 @@
         })
     });
 }
+
+/// A server that fails at all it gets, or that sheds load, answers without having run the request: such
+/// an answer to one that had ended three servers let it end three more.
+#[test]
+fn an_answer_that_does_not_show_that_the_request_was_run_clears_nothing() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            end_servers(&gateway, 3);
+            wait_until("it is recorded", || record_of(&store, &gateway)).await;
+            for status in [500, 503, 504, 429, 421, 408] {
+                let status = StatusCode::from_u16(status).unwrap();
+                quarantine::note_answer(&gateway, &outgoing(), status);
+                assert!(admit(&gateway).await.is_err(), "{status}");
+            }
+            // An error of the request's own does.
+            quarantine::note_answer(&gateway, &outgoing(), StatusCode::UNPROCESSABLE_ENTITY);
+            assert_eq!(admit(&gateway).await, Ok(Pass::Free));
+        })
+    });
+}
