Only an answer that shows that a request was run clears it

Servers' own failures, and 408, 421, 429, clear nothing: a server that fails at all it gets, or sheds load, has not run it.

--- a/crates/heronbend-gateway/src/quarantine/mod.rs
+++ b/crates/heronbend-gateway/src/quarantine/mod.rs
@@ -137,9 +137,20 @@
     gateway.quarantine.table.borrow().admission(gateway.now(), request())
 }
 
+/// Whether an answer shows that a server ran the request. One that fails at all it gets, or sheds load,
+/// answers without.
+fn shows_run(status: StatusCode) -> bool {
+    let promises_not_run = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    !status.is_server_error() && !promises_not_run.contains(&status)
+}
+
 /// Notes a whole answer to a request: whatever ended servers under it, it was not this.
-pub fn note_answer(gateway: &Rc<Gateway>, outgoing: &Outgoing, _status: StatusCode) {
-    if gateway.quarantine.is_empty() {
+pub fn note_answer(gateway: &Rc<Gateway>, outgoing: &Outgoing, status: StatusCode) {
+    if gateway.quarantine.is_empty() || !shows_run(status) {
         return;
     }
     let request = outgoing.fingerprint(gateway.dialect.headers());
