Specification of the quarantine, with three guards taken out

Each of the mutations (endings not kept, probes not granted, granted whatever the revision) has a counterexample.

--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -21,7 +21,7 @@
 //! The gateway's protocols at the store are models of their own, explored by [`explore`]:
 //! [`order_lease`], under which one daemon at a time gives orders, [`result_log`], which two
 //! daemons may append to at once, [`saved_texts`], the checkpoints of texts under way,
-//! [`usage_reports`], what tenants use, and [`followed_news`], what daemons hear of the store by way
+//! [`usage_reports`], what tenants use, [`quarantine`], requests that end their servers, and [`followed_news`], what daemons hear of the store by way
 //! of others. They drive the gateway's own
 //! state machines as well.
 
@@ -31,6 +31,7 @@
 pub mod interner;
 pub mod model;
 pub mod order_lease;
+pub mod quarantine;
 pub mod result_log;
 pub mod saved_texts;
 pub mod scenario;
--- a/spec/tests/gateway_protocols.rs
+++ b/spec/tests/gateway_protocols.rs
@@ -5,6 +5,8 @@
 use heronbend_spec::followed_news;
 use heronbend_spec::followed_news::FollowedNews;
 use heronbend_spec::order_lease::{self, Bounds, OrderLease};
+use heronbend_spec::quarantine;
+use heronbend_spec::quarantine::Quarantine;
 use heronbend_spec::result_log::{self, SharedLog};
 use heronbend_spec::saved_texts;
 use heronbend_spec::saved_texts::SavedTexts;
@@ -72,6 +74,21 @@
 /// Permits that are used late.
 const LATE_RATE: SharedRate = SharedRate { daemons: 2, ticks: 9, kills: 0, cuts: 0, ..RATE };
 
+/// Two daemons, enough sends for all endings and one more than all probes.
+const QUARANTINE: Quarantine = Quarantine {
+    daemons: 2,
+    sends: 8,
+    restarts: 0,
+    lost_answers: 1,
+    mutation: quarantine::Mutation::None,
+};
+/// One of them starts anew.
+const RESTARTED_QUARANTINE: Quarantine =
+    Quarantine { sends: 5, restarts: 1, lost_answers: 0, ..QUARANTINE };
+/// Three daemons.
+const THREE_QUARANTINE: Quarantine =
+    Quarantine { daemons: 3, sends: 4, lost_answers: 0, ..QUARANTINE };
+
 fn run<S: System + std::fmt::Debug>(system: &S) -> Report {
     let report = explore(system, MAX_STATES);
     println!(
@@ -192,3 +209,18 @@
     fails(&SharedRate { mutation: MinorityLends, ..CUT_RATE });
     fails(&SharedRate { mutation: CountsFromAnswer, ..LATE_RATE });
 }
+
+#[test]
+fn a_quarantined_request_ends_few_servers_whatever_news_is_lost() {
+    for system in [QUARANTINE, RESTARTED_QUARANTINE, THREE_QUARANTINE] {
+        holds(&system);
+    }
+}
+
+#[test]
+fn every_guard_of_the_quarantine_is_needed() {
+    use quarantine::Mutation::{ForgetsEndings, GrantsUnconditionally, ProbesUngranted};
+    for mutation in [ForgetsEndings, GrantsUnconditionally, ProbesUngranted] {
+        fails(&Quarantine { mutation, ..QUARANTINE });
+    }
+}
