A suspect text is kept apart until its first event only

Cause: a text that was queued at an engine that went is suspect, and runs for seconds; others kept away and further suspects waited for its end. What ends a server as it begins has done so by the first event.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -36,6 +36,7 @@
 use crate::quarantine;
 use crate::quarantine::evidence;
 use crate::quarantine::passage;
+use crate::quarantine::Isolation;
 use crate::quarantine::Pass;
 
 /// Longest silence before the first event. A request may wait in the server's queue.
@@ -320,8 +321,7 @@
         };
         let is_alone = self.history.is_alone;
         let isolated = passage::isolate(self.gateway, server, &outgoing, is_alone).await;
-        // Kept until the attempt has ended.
-        let Ok(_isolation) = isolated else {
+        let Ok(isolation) = isolated else {
             counted.fail(&AttemptFailure::Held);
             return RunEnd::Again;
         };
@@ -360,7 +360,8 @@
         if first_event > 0 {
             self.gateway.metrics.items_resumed.inc();
         }
-        let outcome = self.read_events(server, exchange, (need, route), asked).await;
+        let reading = (need, route);
+        let outcome = self.read_events(server, exchange, reading, asked, isolation).await;
         let events = self.last_event().saturating_sub(first_event);
         match outcome {
             Ok(()) => {
@@ -436,8 +437,9 @@
         exchange: Exchange,
         (need, route): (Need, &Route),
         asked: Moment,
+        isolation: Option<Isolation>,
     ) -> Result<(), &'static str> {
-        let mut exchange = exchange;
+        let (mut exchange, mut isolation) = (exchange, isolation);
         let mut pace = PaceMeter::new(self.gateway.now());
         let names = self.gateway.dialect.headers();
         // An answer that has nothing to add to the text tells no version.
@@ -459,6 +461,8 @@
                         Ok(0) => {}
                         Ok(events) => {
                             limit = EVENT_LIMIT;
+                            // It has begun and its engine lives: others need not wait for its end.
+                            drop(isolation.take());
                             if let Some(asked) = resumed_at.take() {
                                 let delay = self.gateway.now().saturating_sub(asked);
                                 self.gateway.move_cost.borrow_mut().learn(delay);
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -88,7 +88,7 @@
     exchange: Exchange,
     counted: CountedAttempt,
     /// Keeps others from the server where the request may end it.
-    _isolation: Option<Isolation>,
+    isolation: Option<Isolation>,
     parser: Parser,
     events: u32,
     /// Version of the weights that the answer starts under.
@@ -272,6 +272,8 @@
             self.version = event.version.or(run.version.take()).or(self.version);
             self.has_begun = true;
             run.events += 1;
+            // It has begun and its server lives: others need not wait for its end.
+            run.isolation = None;
             bytes.extend_from_slice(&event.raw);
         }
         Ok(bytes.freeze())
@@ -388,7 +390,7 @@
                         server,
                         exchange,
                         counted,
-                        _isolation: isolation,
+                        isolation,
                         parser,
                         events,
                         version,
