Loads by need; a daemon's subset of the servers; half of a server's connections for those that run jobs

Cause, by reading: every server got every second version though a step fills some twenty (3,900 orders a version of eight models, each told to all 834 daemons); a text was offered 64 servers drawn anew, so nearly each opened a connection; 1,600 connections among 835 daemons are one each, so that whoever runs a job gave each server one text (at 300 daemons the same holds for servers of 550). Work that grew with the square of the servers: places of the arena and forgotten servers were looked for in all. Change: servers follow a model by the texts of two steps and a reserve; orders are told to those concerned; the plan takes a tenth of the processor at most; placement::share; subsets in place of samples.

--- a/crates/heronbend-gateway/src/batch/ownership.rs
+++ b/crates/heronbend-gateway/src/batch/ownership.rs
@@ -66,7 +66,7 @@
 }
 
 /// What the order for a job goes by; the largest comes first.
-pub(super) fn rank(job: &str, node: &NodeId) -> (u64, NodeId) {
+pub(crate) fn rank(job: &str, node: &NodeId) -> (u64, NodeId) {
     let key = format!("{job}/{}", node.name);
     (rapidhash::v3::rapidhash_v3(key.as_bytes()), node.clone())
 }
--- a/crates/heronbend-gateway/src/batch/succession.rs
+++ b/crates/heronbend-gateway/src/batch/succession.rs
@@ -6,12 +6,10 @@
 use std::cmp::Reverse;
 
 use heronbend::identity::NodeId;
+use heronbend::placement::share::is_large;
 
 use super::ownership::rank;
 
-/// A daemon with less than this share of the largest one's processor is a small one.
-const LARGE_SHARE: f64 = 0.5;
-
 /// A daemon that may run jobs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -69,7 +67,6 @@
 
 fn large(candidates: &[Candidate]) -> Vec<&NodeId> {
     let largest = candidates.iter().map(|candidate| candidate.processor_millis).max().unwrap_or(0);
-    let least = f64::from(largest) * LARGE_SHARE;
-    let large = candidates.iter().filter(|one| f64::from(one.processor_millis) >= least);
+    let large = candidates.iter().filter(|one| is_large(one.processor_millis, largest));
     large.map(|candidate| &candidate.node).collect()
 }
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -328,10 +328,8 @@
         };
         let answer = {
             let mut directory = gateway.directory.borrow_mut();
-            let connected = directory.connected(&gateway.servers, &self.need);
-            let is_connected = |server| connected.contains(&server);
-            let placer = &mut directory.placer;
-            placer.call(gateway.now(), &self.need, &self.history, &waited, is_connected)
+            let pool = &gateway.servers;
+            directory.place_call(gateway.now(), pool, &self.need, &self.history, &waited)
         };
         permits::ask(gateway);
         answer
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -1,10 +1,14 @@
 //! Holds the lease and gives the orders that the plan asks for.
 
+use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use heronbend::identity::Incarnation;
+use heronbend::identity::NodeId;
 use heronbend::identity::NodeName;
 use heronbend::placement::server::EXPECTED_LOAD;
 use heronbend::Moment;
@@ -13,9 +17,10 @@
 use smol::Timer;
 
 use super::lease::LEASE_DURATION;
-use super::named::{is_candidate, newest_job, place_in_line};
+use super::named::{candidates, is_candidate, newest_job, place_in_line};
 use super::plan::{self, EngineState, Load, ModelState, Urgency};
 use super::{EngineReport, SwapMode, VersionOrder};
+use crate::configuration::{Destination, RouteKind};
 use crate::directory::{Server, ServerState};
 use crate::gateway::Gateway;
 use crate::http::client::WholeAnswer;
@@ -42,18 +47,27 @@
 /// Rest after an order failed.
 const FAILED_REST: Duration = Duration::from_millis(400);
 const IDLE_WAIT: Duration = Duration::from_millis(500);
+/// Rest after a look at what is due, in times that it took: among thousands of servers something changes
+/// all the time, and the looks take a tenth of the processor at most.
+const PLAN_RESTS: u32 = 9;
 const MAX_REPORT_BYTES: usize = 1024 * 1024;
 
-/// Notes an order that some daemon has given.
+/// Notes an order that some daemon has given to a run of a server.
 pub fn note_order_taken(
     gateway: &Rc<Gateway>,
     holder: NodeName,
-    server: &str,
+    (server, incarnation): (&str, Incarnation),
     model: &str,
     version: u64,
 ) {
     let now = gateway.now();
-    gateway.directory.borrow_mut().placer.order_taken(now, server, model, version);
+    let mut directory = gateway.directory.borrow_mut();
+    let is_known_run = directory.get(server).is_none_or(|known| known.incarnation == incarnation);
+    // Daemons of an earlier build do not tell which run it was.
+    if is_known_run || incarnation == Incarnation::default() {
+        directory.placer.order_taken(now, server, model, version);
+    }
+    drop(directory);
     gateway.versions.order_taken(now, holder);
     gateway.places.changed.notify(usize::MAX);
     wake_when_loaded(gateway);
@@ -69,6 +83,35 @@
     gateway.executor.spawn(wake).detach();
 }
 
+/// Whether streams of clients go to servers that hold models.
+fn serves_streams(gateway: &Gateway) -> bool {
+    gateway.configuration().is_some_and(|configuration| {
+        let has_models = |part: &Destination| {
+            configuration.services.get(&part.service).is_some_and(|service| service.is_engine)
+        };
+        let streams = configuration.routes.iter().filter(|route| route.kind == RouteKind::Stream);
+        streams.flat_map(|route| &route.destinations).any(has_models)
+    })
+}
+
+/// Tells of an order whoever has to know: the daemons that run jobs, which send texts to the server, and
+/// those that may give the next orders. Where clients' streams go to such servers, all daemons.
+///
+/// Told to all, the orders of one version for some hundred servers were some hundred thousand datagrams
+/// among a thousand daemons, all from one.
+fn tell_of_order(gateway: &Gateway, order: Hint) {
+    if serves_streams(gateway) {
+        gateway.members.tell_all(order);
+        return;
+    }
+    let jobs = gateway.jobs.all();
+    let open = jobs.iter().filter(|job| !job.ended.get());
+    let mut concerned: BTreeSet<NodeId> = open.map(|job| job.owner()).collect();
+    concerned.extend(candidates(gateway));
+    concerned.remove(&gateway.identity.node);
+    gateway.members.tell(concerned.into_iter().collect(), order);
+}
+
 /// A load that this daemon orders, or has ordered.
 #[derive(Debug, Clone)]
 struct Begun {
@@ -82,12 +125,19 @@
     lease: LeaseKeeper,
     /// Servers that an order is being given to, or that rest after one failed.
     busy: RefCell<HashMap<String, Option<Begun>>>,
+    /// Time that the last looks at what is due took.
+    plan_took: Cell<Duration>,
 }
 
 /// Runs until the daemon ends.
 pub async fn run(gateway: Rc<Gateway>) {
     let lease = LeaseKeeper::new(gateway.clone(), LeaseName::Orders);
-    let duty = Rc::new(Duty { gateway: gateway.clone(), lease, busy: RefCell::default() });
+    let duty = Rc::new(Duty {
+        gateway: gateway.clone(),
+        lease,
+        busy: RefCell::default(),
+        plan_took: Cell::default(),
+    });
     gateway.members.introduction.wait().await;
     // The others were told of the holder, and hear of its renewals.
     if is_candidate(&gateway) || !gateway.members.introduction.is_complete() {
@@ -103,6 +153,7 @@
             duty.busy.borrow_mut().insert(load.server.clone(), Some(begun));
             gateway.executor.spawn(duty.clone().carry_out(load)).detach();
         }
+        Timer::after((duty.plan_took.take() * PLAN_RESTS).min(IDLE_WAIT)).await;
         wait::at_most(IDLE_WAIT, changed).await;
     }
 }
@@ -129,21 +180,32 @@
             return Vec::new();
         }
         let now = self.gateway.now();
-        let is_cut_by_loads = self.gateway.configuration().is_some_and(|configuration| {
+        let configuration = self.gateway.configuration();
+        let is_cut_by_loads = configuration.is_some_and(|configuration| {
             configuration.routes.iter().any(|route| route.single_version)
         });
+        let serves_streams = serves_streams(&self.gateway);
         let models = named
             .into_iter()
             .map(|(model, (version, since))| {
-                let demand = newest_job(&self.gateway, &model)
-                    .map_or(0, |job| job.ownership.borrow().0.expected_tokens);
+                let job = newest_job(&self.gateway, &model);
+                let (demand, texts) = job.map_or((0, 0), |job| {
+                    let ownership = &job.ownership.borrow().0;
+                    (ownership.expected_tokens, ownership.total)
+                });
+                // How many streams come is not known beforehand: all servers take part.
+                let texts = if serves_streams { 0 } else { texts };
                 let is_pressed = self.gateway.versions.is_pressed(&model);
                 let named_for = now.saturating_sub(since);
-                let state = ModelState { version, demand, is_pressed, named_for, is_cut_by_loads };
+                let state =
+                    ModelState { version, demand, texts, is_pressed, named_for, is_cut_by_loads };
                 (model, state)
             })
             .collect();
-        plan::loads_due(&models, &self.engines())
+        let due = plan::loads_due(&models, &self.engines());
+        let took = self.gateway.now().saturating_sub(now);
+        self.plan_took.set(self.plan_took.get() + took);
+        due
     }
 
     fn engines(&self) -> Vec<EngineState> {
@@ -151,9 +213,13 @@
         let directory = self.gateway.directory.borrow();
         let busy = self.busy.borrow();
         let evacuated = self.gateway.evacuated.borrow();
+        let Some(configuration) = self.gateway.configuration() else {
+            return Vec::new();
+        };
         let trains = |server: &&Rc<Server>| {
             let is_ready = server.state == ServerState::Ready && !server.models.is_empty();
-            is_ready && !evacuated.contains(&server.zone)
+            let is_known = configuration.services.contains_key(&server.service);
+            is_ready && is_known && !evacuated.contains(&server.zone)
         };
         directory
             .all()
@@ -170,8 +236,7 @@
                 let is_under_way =
                     loading.as_ref().is_some_and(|load| now < load.since + LOAD_SHARED);
                 EngineState {
-                    id: server.id.clone(),
-                    models: server.models.clone(),
+                    server: server.clone(),
                     is_loading: busy.contains_key(&server.id) || loading.is_some(),
                     loading: loading.map(|load| (load.model, load.version)),
                     is_under_way,
@@ -241,6 +306,10 @@
         let Some(report) = self.report(&server).await else {
             return false;
         };
+        if report.incarnation > server.incarnation {
+            // It has started again, and its entry of before tells nothing of it any more.
+            return false;
+        }
         if report.models.get(&load.model).is_some_and(|version| *version >= load.version) {
             self.note_loaded(&server, &report);
             return true;
@@ -291,13 +360,16 @@
             }
         } else {
             let holder = gateway.identity.node.name.clone();
-            note_order_taken(gateway, holder.clone(), &server.id, &load.model, load.version);
-            gateway.members.tell_all(Hint::OrderTaken {
+            let run = (server.id.as_str(), server.incarnation);
+            note_order_taken(gateway, holder.clone(), run, &load.model, load.version);
+            let hint = Hint::OrderTaken {
                 holder,
                 server: server.id.clone(),
                 model: load.model.clone(),
                 version: load.version,
-            });
+                incarnation: server.incarnation,
+            };
+            tell_of_order(gateway, hint);
         }
         self.follow(&server, load).await
     }
@@ -309,7 +381,7 @@
         while self.gateway.now() < begun + LOAD_LIMIT {
             Timer::after(rest).await;
             rest = REPORT_PERIOD;
-            if self.gateway.directory.borrow().get(&server.id).is_none() {
+            if !self.is_listed(server) {
                 return false;
             }
             let Some(report) = self.report(server).await else {
@@ -334,8 +406,17 @@
         false
     }
 
+    /// Whether this very run of a server is listed.
+    fn is_listed(&self, server: &Server) -> bool {
+        let directory = self.gateway.directory.borrow();
+        directory.get(&server.id).is_some_and(|known| known.incarnation == server.incarnation)
+    }
+
     /// Takes a server's own word for its versions ahead of its entry.
     fn note_loaded(&self, server: &Server, report: &EngineReport) {
+        if !self.is_listed(server) || report.incarnation > server.incarnation {
+            return;
+        }
         let mut directory = self.gateway.directory.borrow_mut();
         let Some(known) = directory.get(&server.id) else {
             return;
--- a/crates/heronbend-gateway/src/versions/mod.rs
+++ b/crates/heronbend-gateway/src/versions/mod.rs
@@ -14,6 +14,7 @@
 
 use std::collections::BTreeMap;
 
+use heronbend::identity::Incarnation;
 use serde::{Deserialize, Serialize};
 
 /// A version that a trainer has named for a model.
@@ -36,6 +37,9 @@
     pub requests: u32,
     /// Orders taken since the server's start.
     pub sequence: u64,
+    /// Which run of the server tells this; zero where servers do not say.
+    #[serde(default)]
+    pub incarnation: Incarnation,
 }
 
 /// What becomes of requests that run while weights are exchanged.
--- a/crates/heronbend-gateway/src/versions/named.rs
+++ b/crates/heronbend-gateway/src/versions/named.rs
@@ -1,5 +1,7 @@
 //! Named versions, and the daemons that follow them: those that are next in line for the lease.
 
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -50,8 +52,8 @@
 }
 
 impl MirrorSink for VersionSink {
-    fn reset(&self, objects: Vec<Object>) {
-        objects.iter().for_each(|object| self.take(object));
+    fn keep(&self, _names: &BTreeSet<String>) {
+        // Versions only rise: one whose object is gone was named all the same.
     }
 
     fn change(&self, change: Change) {
@@ -102,6 +104,15 @@
     is_holder || place_in_line(gateway, None) < CANDIDATES
 }
 
+/// The first in line for the lease.
+pub(super) fn candidates(gateway: &Gateway) -> Vec<NodeId> {
+    let mut line = gateway.members.alive();
+    line.push(gateway.identity.node.clone());
+    line.sort_by_cached_key(|node| Reverse(ownership::rank(LeaseName::Orders.object(), node)));
+    line.truncate(CANDIDATES);
+    line
+}
+
 /// How many daemons that are alive come before this one, without `holder`.
 pub(super) fn place_in_line(gateway: &Gateway, holder: Option<&NodeName>) -> usize {
     let me = &gateway.identity.node;
--- a/crates/heronbend-gateway/tests/versions.rs
+++ b/crates/heronbend-gateway/tests/versions.rs
@@ -3,14 +3,17 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use heronbend::identity::NodeName;
+use heronbend_gateway::directory::Server;
 use heronbend_gateway::versions::board::VersionBoard;
 use heronbend_gateway::versions::lease::{LeaseHold, LeaseRecord, LEASE_DURATION};
 use heronbend_gateway::versions::plan::{
     loads_at_once, loads_due, EngineState, Load, ModelState, Urgency, STEP_BEGUN,
 };
+use support::server;
 
 const PAUSE: Duration = Duration::from_secs(3);
 const SECOND: Duration = Duration::from_secs(1);
@@ -127,9 +130,9 @@
 }
 
 fn engine(id: &str, versions: &[(&str, u64)]) -> EngineState {
+    let models = versions.iter().map(|(model, version)| ((*model).to_owned(), *version)).collect();
     EngineState {
-        id: id.to_owned(),
-        models: versions.iter().map(|(model, version)| ((*model).to_owned(), *version)).collect(),
+        server: Rc::new(Server { models, ..server(id, "engines") }),
         is_loading: false,
         loading: None,
         is_under_way: false,
@@ -137,10 +140,15 @@
     }
 }
 
+fn hold_version(engine: &mut EngineState, model: &str, version: u64) {
+    Rc::make_mut(&mut engine.server).models.insert(model.to_owned(), version);
+}
+
 fn models(states: &[(&str, u64, u64, bool)]) -> BTreeMap<String, ModelState> {
     let state = |version, demand, is_pressed| ModelState {
         version,
         demand,
+        texts: 0,
         is_pressed,
         named_for: STEP_BEGUN,
         is_cut_by_loads: false,
@@ -157,8 +165,8 @@
             return done;
         }
         for load in due {
-            let engine = engines.iter_mut().find(|engine| engine.id == load.server).unwrap();
-            engine.models.insert(load.model.clone(), load.version);
+            let engine = engines.iter_mut().find(|engine| engine.server.id == load.server).unwrap();
+            hold_version(engine, &load.model, load.version);
             done.push(load);
         }
     }
@@ -181,7 +189,7 @@
     for version in 2..12 {
         let loads = load_all(&models(&[("m", version, 100, false)]), &mut engines);
         assert_eq!(loads.len(), 4, "version {version}");
-        assert!(engines.iter().all(|engine| engine.models["m"] + 1 >= version));
+        assert!(engines.iter().all(|engine| engine.server.models["m"] + 1 >= version));
     }
 }
 
@@ -208,7 +216,7 @@
 #[test]
 fn a_server_that_cannot_serve_a_step_loads_at_once() {
     let mut engines: Vec<_> = (0..4).map(|n| engine(&format!("e{n}"), &[("m", 2)])).collect();
-    engines[0].models.insert("m".to_owned(), 1);
+    hold_version(&mut engines[0], "m", 1);
     let mut models = models(&[("m", 3, 100, true)]);
     models.get_mut("m").unwrap().named_for = Duration::ZERO;
     let loads = loads_due(&models, &engines);
@@ -284,10 +292,96 @@
     // Most servers that follow the first model hold what its newest step allows.
     for load in load_all(&models, &mut engines.clone()) {
         if load.model == "a" {
-            let engine = engines.iter_mut().find(|engine| engine.id == load.server).unwrap();
-            engine.models.insert("a".to_owned(), 2);
+            let engine = engines.iter_mut().find(|engine| engine.server.id == load.server).unwrap();
+            hold_version(engine, "a", 2);
         }
     }
     let due = loads_due(&models, &engines);
     assert!(due.iter().all(|load| load.model == "b"), "{due:?}");
 }
+
+/// 7,777 servers of six places that hold the first version of eight models, or twice as many.
+fn fleet(servers: usize) -> Vec<EngineState> {
+    let names: Vec<String> = (0..8).map(|number| format!("m{number}")).collect();
+    let held: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    let slots = |mut engine: EngineState| {
+        Rc::make_mut(&mut engine.server).slots = 6;
+        engine
+    };
+    (0..servers).map(|number| slots(engine(&format!("e{number:05}"), &held))).collect()
+}
+
+/// Eight trainers whose steps have 72 to 128 texts.
+fn trainers(version: u64) -> BTreeMap<String, ModelState> {
+    let texts = [72, 128, 112, 80, 112, 128, 96, 120];
+    let state = |texts| ModelState {
+        version,
+        demand: 100,
+        texts,
+        named_for: STEP_BEGUN,
+        ..ModelState::default()
+    };
+    texts.iter().enumerate().map(|(number, texts)| (format!("m{number}"), state(*texts))).collect()
+}
+
+/// Loads of eight versions, beginning where all servers hold the first one.
+fn loads_of_a_run(servers: usize) -> Vec<usize> {
+    let mut engines = fleet(servers);
+    (2..10).map(|version| load_all(&trainers(version), &mut engines).len()).collect()
+}
+
+#[test]
+fn how_many_servers_load_a_version_follows_from_the_texts_and_not_from_the_fleet() {
+    let loads = loads_of_a_run(7777);
+    assert_eq!(loads, loads_of_a_run(2 * 7777));
+    // 848 texts, two steps of them, on servers of six places: 283 of these; twice as many follow, and
+    // one half of them loads each version.
+    assert!(loads.iter().all(|loads| (283..=300).contains(loads)), "{loads:?}");
+}
+
+#[test]
+fn a_step_that_is_owed_has_places_although_half_of_its_servers_load() {
+    let mut engines = fleet(7777);
+    for version in 2..6 {
+        load_all(&trainers(version), &mut engines);
+        for (model, state) in trainers(version) {
+            let holds = |allowed| {
+                let has = |engine: &&EngineState| engine.server.models[&model] >= allowed;
+                engines.iter().filter(has).map(|engine| engine.server.slots as usize).sum::<usize>()
+            };
+            assert!(holds(version) >= 2 * state.texts, "{model} at {version}");
+            assert!(holds(version - 1) >= 4 * state.texts, "{model} at {version}");
+        }
+    }
+}
+
+#[test]
+fn servers_stay_with_their_models_however_many_there_are() {
+    let mut engines = fleet(2000);
+    let mut hosts = BTreeMap::new();
+    for version in 2..10 {
+        for load in load_all(&trainers(version), &mut engines) {
+            let host = hosts.entry(load.server.clone()).or_insert_with(|| load.model.clone());
+            assert_eq!(*host, load.model, "{} at {version}", load.server);
+        }
+    }
+    assert!(hosts.len() <= 600, "{}", hosts.len());
+}
+
+#[test]
+fn while_a_zone_is_lost_the_other_servers_take_its_models_over() {
+    let mut engines = fleet(2000);
+    for version in 2..5 {
+        load_all(&trainers(version), &mut engines);
+    }
+    let mut number = 0;
+    engines.retain(|_| {
+        number += 1;
+        number % 5 > 0
+    });
+    load_all(&trainers(5), &mut engines);
+    for (model, state) in trainers(5) {
+        let fit = engines.iter().filter(|engine| engine.server.models[&model] >= 5);
+        assert!(fit.count() * 6 >= 2 * state.texts, "{model}");
+    }
+}
--- a/crates/heronbend/src/placement/decisions.rs
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -34,10 +34,15 @@
 /// How long what bars servers from a need is believed without looking again, while nothing is told of
 /// any server: only the mere passing of time changes it then.
 const OPEN_BELIEVED: Duration = Duration::from_millis(50);
-/// Of more free servers than this a text is offered so many, drawn at random: the best of them is
-/// nearly as good as the best of all, and a fleet of thousands costs no more than one of a hundred
-/// (Mitzenmacher, "The power of two choices in randomized load balancing", 2001).
-const SAMPLE: usize = 64;
+/// Of more servers than this a text is offered a subset, always the same one of a daemon while it has
+/// places: a fleet of thousands costs no more than one of a hundred, and each daemon keeps to servers
+/// that it is connected to and whose pace it knows. Drawn anew for each text, nearly every text of a fleet
+/// of 7,777 servers would open a connection. So many places hold two steps of some hundred texts.
+const SUBSET: usize = 128;
+/// A subset with fewer free servers than this is no choice, and a larger one is looked at.
+const MIN_CHOICE: usize = 8;
+/// How much larger the next subset is.
+const SUBSET_GROWTH: usize = 4;
 /// Texts of a lane that a free server is offered to: the first one takes it unless all free servers
 /// failed at it.
 const LOOK_AHEAD: usize = 16;
@@ -131,7 +136,7 @@
     ) -> Answer {
         let (mut open, mut tally) = self.open(now, need);
         skip_tried(&mut open, history, &mut tally);
-        let free = self.unengaged(now, need, &open, false, &mut tally);
+        let free = self.free_for_call(now, need, &open, &mut tally);
         let free = self.apart(free, history.is_alone);
         if history.spares_last && self.is_last(now, need.service, &free) {
             return patience::unplaced(now, waited, Some(Exclusion::Last));
@@ -371,24 +376,53 @@
 
     /// Those of `open` servers that have a place for a text: of many only some, where that is enough.
     fn free_for_text(
-        &mut self,
+        &self,
         now: Moment,
         need: &Need,
         open: &[ServerKey],
         tally: &mut Tally,
     ) -> Vec<ServerKey> {
-        if open.len() > SAMPLE {
-            let drawn = rand::seq::index::sample(&mut self.random, open.len(), SAMPLE);
-            let some: Vec<ServerKey> = drawn.into_iter().map(|index| open[index]).collect();
+        let mut size = SUBSET;
+        while size < open.len() {
+            let some = self.subset(open, size);
             let mut free = self.unengaged(now, need, &some, true, &mut Tally::default());
             free.retain(|key| self.get(*key).is_some_and(|server| !server.is_cold(now)));
-            if !free.is_empty() {
+            if free.len() >= MIN_CHOICE {
                 return free;
             }
+            size *= SUBSET_GROWTH;
         }
         self.unengaged(now, need, open, true, tally)
     }
 
+    /// Those of `open` servers that can be sent a call: of many only some, where enough of these have
+    /// free places.
+    fn free_for_call(
+        &self,
+        now: Moment,
+        need: &Need,
+        open: &[ServerKey],
+        tally: &mut Tally,
+    ) -> Vec<ServerKey> {
+        if open.len() > SUBSET {
+            let some = self.subset(open, SUBSET);
+            let free = self.unengaged(now, need, &some, true, &mut Tally::default());
+            if free.len() >= MIN_CHOICE {
+                return free;
+            }
+        }
+        self.unengaged(now, need, open, false, tally)
+    }
+
+    /// So many of some servers, which are in the order of their keys: those that follow a place of this
+    /// daemon's own in that order. Servers that come and go move it by as many.
+    fn subset(&self, servers: &[ServerKey], size: usize) -> Vec<ServerKey> {
+        let own = self.own_place * self.places.len() as f64;
+        let first = servers.partition_point(|key| f64::from(key.index) < own);
+        let (before, from) = servers.split_at(first);
+        from.iter().chain(before).take(size).copied().collect()
+    }
+
     /// Those of `open` servers that can be sent a request now. Warm ones come alone where there are
     /// any: a cold server's rate is kept for when nothing else is free.
     fn unengaged(
--- a/crates/heronbend/src/placement/mod.rs
+++ b/crates/heronbend/src/placement/mod.rs
@@ -12,6 +12,7 @@
 //! - [`queue`]: texts that wait for a place, in order of urgency.
 //! - [`patience`]: how long a call waits for a server, and when it is refused.
 //! - [`placer`], [`decisions`]: the machine: what it is fed with, and what it decides.
+//! - [`share`]: how many requests one daemon may have at a server that all daemons share.
 //! - [`tally`]: what keeps servers from a request.
 
 pub mod decisions;
@@ -23,6 +24,7 @@
 pub mod queue;
 pub mod rank;
 pub mod server;
+pub mod share;
 pub mod tally;
 #[cfg(test)]
 mod tests;
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
+use rand::Rng;
 use rand::SeedableRng;
 
 use super::eligible::Fitness;
@@ -96,6 +97,11 @@
     pub(super) evacuated: BTreeSet<ZoneKey>,
     pub(super) terms: HashMap<ServiceKey, ServiceState>,
     pub(super) places: Vec<Place>,
+    /// Indices of `places` that hold no server.
+    free: Vec<u32>,
+    /// Servers whose entries went and that are not forgotten yet: a release of thousands costs for each
+    /// that leaves a look at those that left a moment ago, and not at all that there are.
+    gone: BTreeSet<ServerKey>,
     pub(super) by_id: HashMap<String, ServerKey>,
     pub(super) by_service: BTreeMap<ServiceKey, BTreeSet<ServerKey>>,
     pub(super) queue: Queue,
@@ -105,6 +111,8 @@
     pub(super) asking: HashMap<ServerKey, Option<Moment>>,
     pub(super) shortages: BTreeMap<ServerKey, u32>,
     pub(super) random: SmallRng,
+    /// Where the subset of this daemon begins among all servers, from 0 to 1.
+    pub(super) own_place: f64,
     /// Counts what may change which servers a need is barred from.
     pub(super) changes: u64,
     /// What was found last, by need.
@@ -114,6 +122,8 @@
 impl Placer {
     /// A machine that knows nothing yet and draws among equals by `seed`.
     pub fn new(seed: u64) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let own_place = random.random();
         Self {
             services: Names::default(),
             zones: Names::default(),
@@ -125,13 +135,16 @@
             evacuated: BTreeSet::new(),
             terms: HashMap::new(),
             places: Vec::new(),
+            free: Vec::new(),
+            gone: BTreeSet::new(),
             by_id: HashMap::new(),
             by_service: BTreeMap::new(),
             queue: Queue::default(),
             suspects: 0,
             asking: HashMap::new(),
             shortages: BTreeMap::new(),
-            random: SmallRng::seed_from_u64(seed),
+            random,
+            own_place,
             changes: 0,
             known_open: Vec::new(),
         }
@@ -250,32 +263,48 @@
     // Servers.
 
     /// Takes in a server's entry.
+    ///
+    /// A later run of the server than the one that is known gets another key: nothing that was known of
+    /// the former one holds for it. An entry of an earlier run changes nothing.
     pub fn list(&mut self, now: Moment, id: &str, listing: Listing) -> ServerKey {
         self.changes += 1;
-        let service = listing.service;
-        if let Some(key) = self.by_id.get(id).copied() {
-            if let Some(server) = self.get_mut(key) {
-                let before = server.listing.service;
-                server.relist(now, listing);
-                if before != service {
-                    self.unlink(before, key);
-                }
-                self.by_service.entry(service).or_default().insert(key);
+        let known = self.key(id).and_then(|key| Some((key, self.get(key)?.listing.incarnation)));
+        match known {
+            Some((key, known)) if known > listing.incarnation => return key,
+            Some((key, known)) if known == listing.incarnation => {
+                self.relist(now, key, listing);
                 return key;
             }
+            Some((key, _)) => self.forget(key),
+            None => {}
         }
+        let service = listing.service;
         let key = self.add(Server::new(now, id, listing));
         self.by_id.insert(id.to_owned(), key);
         self.by_service.entry(service).or_default().insert(key);
         key
     }
 
+    /// Takes in a further entry of the run of a server that is known.
+    fn relist(&mut self, now: Moment, key: ServerKey, listing: Listing) {
+        self.gone.remove(&key);
+        let service = listing.service;
+        let Some(server) = self.get_mut(key) else {
+            return;
+        };
+        let before = server.listing.service;
+        server.relist(now, listing);
+        if before != service {
+            self.unlink(before, key);
+        }
+        self.by_service.entry(service).or_default().insert(key);
+    }
+
     fn add(&mut self, server: Server) -> ServerKey {
-        if let Some(index) = self.places.iter().position(|place| place.server.is_none()) {
-            let place = &mut self.places[index];
+        if let Some(index) = self.free.pop() {
+            let place = &mut self.places[index as usize];
             place.generation += 1;
             place.server = Some(server);
-            let index = u32::try_from(index).unwrap_or(u32::MAX);
             return ServerKey { index, generation: place.generation };
         }
         let index = u32::try_from(self.places.len()).unwrap_or(u32::MAX);
@@ -283,35 +312,46 @@
         ServerKey { index, generation: 0 }
     }
 
-    /// Notes that a server's entry went.
-    pub fn unlist(&mut self, now: Moment, id: &str) {
+    /// Notes that a server's entry went; the servers that are forgotten by now.
+    pub fn unlist(&mut self, now: Moment, id: &str) -> Vec<ServerKey> {
         self.changes += 1;
-        if let Some(server) = self.key(id).and_then(|key| self.get_mut(key)) {
+        let key = self.key(id);
+        if let Some((key, server)) = key.and_then(|key| Some((key, self.get_mut(key)?))) {
             server.gone_since.get_or_insert(now);
+            self.gone.insert(key);
         }
-        self.forget_gone(now);
+        self.forget_gone(now)
     }
 
     /// Forgets servers whose entries went long ago and at which nothing is under way.
-    fn forget_gone(&mut self, now: Moment) {
+    fn forget_gone(&mut self, now: Moment) -> Vec<ServerKey> {
         let is_over = |server: &Server| {
             let gone = server.gone_since.is_some_and(|since| now >= since + LAPSED_USE);
             gone && server.load.in_flight == 0
         };
-        let mut forgotten = Vec::new();
-        for (index, place) in self.places.iter_mut().enumerate() {
-            if place.server.as_ref().is_some_and(is_over) {
-                let index = u32::try_from(index).unwrap_or(u32::MAX);
-                let key = ServerKey { index, generation: place.generation };
-                forgotten.extend(place.server.take().map(|server| (key, server)));
-            }
-        }
-        for (key, server) in forgotten {
-            self.unlink(server.listing.service, key);
-            self.by_id.remove(&server.id);
-            self.asking.remove(&key);
-            self.shortages.remove(&key);
+        let over: Vec<ServerKey> =
+            self.gone.iter().copied().filter(|key| self.get(*key).is_none_or(&is_over)).collect();
+        for key in &over {
+            self.forget(*key);
         }
+        over
+    }
+
+    /// Forgets a server, with whatever was known of it.
+    fn forget(&mut self, key: ServerKey) {
+        self.gone.remove(&key);
+        let place = self.places.get_mut(key.index as usize);
+        let Some(place) = place.filter(|place| place.generation == key.generation) else {
+            return;
+        };
+        let Some(server) = place.server.take() else {
+            return;
+        };
+        self.free.push(key.index);
+        self.unlink(server.listing.service, key);
+        self.by_id.remove(&server.id);
+        self.asking.remove(&key);
+        self.shortages.remove(&key);
     }
 
     fn unlink(&mut self, service: ServiceKey, key: ServerKey) {
@@ -330,11 +370,6 @@
         self.get(key).map(|server| server.id.as_str())
     }
 
-    /// Whether a server belongs to the service of a need.
-    pub fn serves(&self, key: ServerKey, need: &Need) -> bool {
-        self.get(key).is_some_and(|server| server.listing.service == need.service)
-    }
-
     pub(super) fn get(&self, key: ServerKey) -> Option<&Server> {
         let place = self.places.get(key.index as usize)?;
         place.server.as_ref().filter(|_| place.generation == key.generation)
@@ -369,29 +404,36 @@
 
     // What is under way.
 
-    /// Notes that a request is being sent; one that goes to a cold server uses a permit.
-    pub fn began(&mut self, now: Moment, id: &str) {
-        let key = self.key(id);
-        let is_bounded = key.and_then(|key| self.cold_terms(key)).is_some();
-        if let Some(server) = key.and_then(|key| self.get_mut(key)) {
-            server.load.in_flight += 1;
-            if is_bounded && server.is_cold(now) {
-                server.use_permit(now);
-            }
+    /// Notes that a request is being sent to the run of a server that is known; one that goes to a cold
+    /// server uses a permit.
+    pub fn began(&mut self, now: Moment, id: &str) -> Option<ServerKey> {
+        let key = self.key(id)?;
+        let is_bounded = self.cold_terms(key).is_some();
+        let server = self.get_mut(key)?;
+        server.load.in_flight += 1;
+        if is_bounded && server.is_cold(now) {
+            server.use_permit(now);
         }
+        Some(key)
     }
 
-    /// Notes how a request ended.
-    pub fn ended(&mut self, now: Moment, id: &str, end: AttemptEnd) {
-        if let Some(server) = self.key(id).and_then(|key| self.get_mut(key)) {
+    /// Notes how a request ended at the run of a server that it was sent to.
+    pub fn ended(&mut self, now: Moment, key: ServerKey, end: AttemptEnd) {
+        if let Some(server) = self.get_mut(key) {
             server.load.in_flight = server.load.in_flight.saturating_sub(1);
         }
-        self.note(now, id, end);
+        self.note_at(now, key, end);
     }
 
     /// Notes an outcome without a request ending.
     pub fn note(&mut self, now: Moment, id: &str, end: AttemptEnd) {
-        let Some(server) = self.key(id).and_then(|key| self.get_mut(key)) else {
+        if let Some(key) = self.key(id) {
+            self.note_at(now, key, end);
+        }
+    }
+
+    fn note_at(&mut self, now: Moment, key: ServerKey, end: AttemptEnd) {
+        let Some(server) = self.get_mut(key) else {
             return;
         };
         server.load.note(now, end);
--- a/crates/heronbend/src/placement/server.rs
+++ b/crates/heronbend/src/placement/server.rs
@@ -6,6 +6,7 @@
 use super::keys::ServiceKey;
 use super::keys::ZoneKey;
 use super::load::Load;
+use crate::identity::Incarnation;
 use crate::Moment;
 
 /// Time from an order until the server may have loaded the version.
@@ -19,6 +20,8 @@
 /// What a server's entry says, as the decisions need it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listing {
+    /// The run of the server that wrote it; zero where servers do not say.
+    pub incarnation: Incarnation,
     /// Its service.
     pub service: ServiceKey,
     /// Its zone.
@@ -79,7 +82,7 @@
 impl Server {
     /// A server that was listed at `now`.
     pub fn new(now: Moment, id: &str, listing: Listing) -> Self {
-        let cold_until = now + listing.cold_for;
+        let cold_until = now.saturating_add(listing.cold_for);
         Self {
             id: id.to_owned(),
             listing,
@@ -95,7 +98,7 @@
     /// Takes a newer entry in. One that is known already says nothing of how cold the server is now.
     pub fn relist(&mut self, now: Moment, listing: Listing) {
         if listing.revision > self.listing.revision {
-            self.cold_until = now + listing.cold_for;
+            self.cold_until = now.saturating_add(listing.cold_for);
         }
         self.listing = listing;
         self.gone_since = None;
--- a/crates/heronbend/src/placement/tests.rs
+++ b/crates/heronbend/src/placement/tests.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use assert_matches::assert_matches;
@@ -10,6 +11,7 @@
 use rand::SeedableRng;
 
 use super::*;
+use crate::identity::Incarnation;
 use crate::placement::server::EXPECTED_LOAD;
 use crate::Moment;
 
@@ -46,6 +48,7 @@
             is_leaving: false,
             versions: Vec::new(),
             cold_for: Duration::ZERO,
+            incarnation: Incarnation::default(),
             revision: self.revision,
         }
     }
@@ -476,7 +479,9 @@
     assert!(long > SECOND && short < 100 * MILLI);
     // The fast one has nowhere to gain, and nobody moves to a full server.
     assert_eq!(gain(&mut fleet, "fast", 40, 100), None);
-    (0..8).for_each(|_| fleet.placer.began(SECOND, "fast"));
+    for _ in 0..8 {
+        fleet.placer.began(SECOND, "fast");
+    }
     assert_eq!(gain(&mut fleet, "slow", 52, 100), None);
 }
 
@@ -498,7 +503,9 @@
     fleet.add("good", "engines", "b");
     let need = fleet.need("engines");
     let history = History { failed: vec![bad], ..History::default() };
-    (0..8).for_each(|_| fleet.placer.began(SECOND, "good"));
+    for _ in 0..8 {
+        fleet.placer.began(SECOND, "good");
+    }
     // The other one is full and will have a place again.
     assert_eq!(fleet.placer.text(SECOND, &need, &history), None);
     fleet.placer.unlist(SECOND, "good");
@@ -525,9 +532,9 @@
     assert_eq!(placer.place_in_line(short), Some(2));
     let mut order = Vec::new();
     while let Some((ticket, _)) = placer.next_placed(SECOND, |_| true) {
-        placer.began(SECOND, "e");
+        let key = placer.began(SECOND, "e").unwrap();
         order.push(ticket);
-        placer.ended(SECOND, "e", AttemptEnd::Abandoned);
+        placer.ended(SECOND, key, AttemptEnd::Abandoned);
     }
     assert_eq!(order, [first, long, short, later]);
     assert_eq!(placer.obstacle(SECOND, &need(5)), Some(Exclusion::Version));
@@ -589,7 +596,8 @@
             self.now = at;
             let took = text.work * self.slowness.get(&id).copied().unwrap_or(1);
             let per_event = took / u32::try_from(text.work.as_millis() / 50).unwrap().max(1);
-            self.fleet.placer.ended(at, &id, AttemptEnd::Answered(per_event));
+            let key = self.fleet.placer.key(&id).unwrap();
+            self.fleet.placer.ended(at, key, AttemptEnd::Answered(per_event));
             self.ended.push((at, text));
             self.place();
         }
@@ -601,7 +609,8 @@
         let is_lost = |(_, server, _): &(Moment, String, Text)| server == id;
         let lost: Vec<_> = self.running.extract_if(.., |run| is_lost(run)).collect();
         for (_, server, text) in lost {
-            self.fleet.placer.ended(self.now, &server, AttemptEnd::Failed);
+            let key = self.fleet.placer.key(&server).unwrap();
+            self.fleet.placer.ended(self.now, key, AttemptEnd::Failed);
             self.hand_in(text);
         }
     }
@@ -676,11 +685,14 @@
     for number in 0..2000 {
         let id = format!("e{number}");
         fleet.add(&id, "engines", "a");
-        (0..8).for_each(|_| fleet.placer.began(SECOND, &id));
+        for _ in 0..8 {
+            fleet.placer.began(SECOND, &id);
+        }
     }
     let need = fleet.need("engines");
     assert_eq!(fleet.placer.text(SECOND, &need, &History::default()), None);
-    fleet.placer.ended(SECOND, "e1234", AttemptEnd::Abandoned);
+    let key = fleet.placer.key("e1234").unwrap();
+    fleet.placer.ended(SECOND, key, AttemptEnd::Abandoned);
     let choice = fleet.placer.text(SECOND, &need, &History::default()).unwrap();
     assert_eq!(fleet.placer.id(choice.server), Some("e1234"));
 }
@@ -715,8 +727,8 @@
         let now = SECOND + step * 10 * MILLI;
         while let Some((_, choice)) = fleet.placer.next_placed(now, |_| true) {
             let id = fleet.placer.id(choice.server).unwrap().to_owned();
-            fleet.placer.began(now, &id);
-            fleet.placer.ended(now, &id, AttemptEnd::Abandoned);
+            let key = fleet.placer.began(now, &id).unwrap();
+            fleet.placer.ended(now, key, AttemptEnd::Abandoned);
             sent.entry(choice.server).or_default().push(now);
         }
         for shortage in fleet.placer.take_shortages(now) {
@@ -799,3 +811,62 @@
     }
     assert_matches!(call(&mut fleet, 3 * SECOND), Answer::Place(_));
 }
+
+/// Steps of 128 texts, one after the other, before the engines of a whole fleet or of one of twice the
+/// size. All of them may run any text, as at the begin of a training run.
+#[test]
+fn a_daemon_keeps_to_few_servers_however_many_there_are() {
+    for servers in [7_777, 15_554] {
+        let mut fleet = Fleet::new();
+        for number in 0..servers {
+            let listing = Listing { slots: 6, ..fleet.listing("engines", "a") };
+            fleet.placer.list(SECOND, &format!("e{number}"), listing);
+        }
+        fleet.placer.set_service("engines", 16, None);
+        let need = fleet.need("engines");
+        let mut used: BTreeSet<ServerKey> = BTreeSet::new();
+        for _ in 0..6 {
+            let mut running = Vec::new();
+            for _ in 0..128 {
+                let none = History::default();
+                let choice = fleet.placer.text(SECOND, &need, &none).expect("a place");
+                let id = fleet.placer.id(choice.server).unwrap().to_owned();
+                fleet.placer.began(SECOND, &id);
+                running.push(choice.server);
+            }
+            for key in running {
+                fleet.placer.ended(SECOND, key, AttemptEnd::Answered(40 * MILLI));
+                used.insert(key);
+            }
+        }
+        assert!(used.len() <= 128, "{} of {servers} servers", used.len());
+    }
+}
+
+/// A release of a whole fleet's engines: as many come as leave, one after the other.
+#[test]
+fn servers_that_leave_are_forgotten_and_their_places_are_used_again() {
+    let mut fleet = Fleet::new();
+    for number in 0..4000_u32 {
+        let now = SECOND + number * 10 * MILLI;
+        let listing = fleet.listing("engines", "a");
+        fleet.placer.list(now, &format!("e{number}"), listing);
+        if let Some(left) = number.checked_sub(200) {
+            fleet.placer.unlist(now, &format!("e{left}"));
+        }
+    }
+    assert!(fleet.placer.places.len() <= 340, "{} places", fleet.placer.places.len());
+}
+
+#[test]
+fn a_server_that_is_listed_again_keeps_its_place_and_what_is_known_of_it() {
+    let mut fleet = Fleet::new();
+    let key = fleet.add("e", "engines", "a");
+    fleet.placer.began(SECOND, "e");
+    fleet.placer.unlist(SECOND, "e");
+    assert_eq!(fleet.add("e", "engines", "a"), key);
+    // Others that leave later do not have it forgotten.
+    fleet.add("f", "engines", "a");
+    fleet.placer.unlist(9 * SECOND, "f");
+    assert_eq!((fleet.placer.key("e"), fleet.placer.in_flight("e")), (Some(key), 1));
+}
