Servers that start again under their name; entries of other writers take nothing from others

A later run (identity::Incarnation) gets another key: load, orders, permits, suspicion and connections of the former are dropped at once, and an entry of an earlier run changes nothing. Reports and hints of orders name the run. Each object of the store is read apart from the others; one that cannot be understood names no server, also if it did before, and is logged once and counted.

--- a/crates/heronbend-gateway/src/directory.rs
+++ b/crates/heronbend-gateway/src/directory.rs
@@ -7,12 +7,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use heronbend::identity::Incarnation;
+use heronbend::placement::Answer;
 use heronbend::placement::Choice;
+use heronbend::placement::History;
 use heronbend::placement::Listing;
 use heronbend::placement::Need;
 use heronbend::placement::Placer;
 use heronbend::placement::ServerKey;
 use heronbend::placement::TicketKey;
+use heronbend::placement::Waited;
 use heronbend::Moment;
 use serde::Deserialize;
 use serde::Serialize;
@@ -32,8 +36,11 @@
 /// One run of a server process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
-    /// Identifies this run; never used again.
+    /// Its name; a server may start again under the one that it had.
     pub id: String,
+    /// Which run of the server this is; zero where servers do not say.
+    #[serde(default)]
+    pub incarnation: Incarnation,
     /// The service that it belongs to.
     pub service: String,
     /// Where it listens; may belong to another server later.
@@ -59,6 +66,17 @@
     pub revision: u64,
 }
 
+/// Which run of a server an entry is of, beside the one that was known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Run {
+    /// The same, or the first one.
+    Same,
+    /// A later one: the server has started again.
+    Later,
+    /// An earlier one, which has ended.
+    Earlier,
+}
+
 /// All listed servers, and the machine that decides which of them runs what.
 pub struct Directory {
     servers: BTreeMap<String, Rc<Server>>,
@@ -74,8 +92,14 @@
         Self { servers: BTreeMap::new(), by_key: HashMap::new(), placer: Placer::new(seed) }
     }
 
-    /// Takes in a server's entry.
-    pub fn insert(&mut self, now: Moment, server: Server) {
+    /// Takes in a server's entry, and tells what it says of the run that was known. One of an earlier
+    /// run changes nothing.
+    pub fn insert(&mut self, now: Moment, server: Server) -> Run {
+        let run = match self.servers.get(&server.id).map(|known| known.incarnation) {
+            Some(known) if known > server.incarnation => return Run::Earlier,
+            Some(known) if known < server.incarnation => Run::Later,
+            _ => Run::Same,
+        };
         let placer = &mut self.placer;
         let versions = server.models.iter().map(|(model, version)| (placer.model(model), *version));
         let listing = Listing {
@@ -85,20 +109,26 @@
             slots: server.slots,
             is_leaving: server.state == ServerState::Draining,
             cold_for: server.cold_for,
+            incarnation: server.incarnation,
             revision: server.revision,
         };
+        let known = placer.key(&server.id);
         let key = placer.list(now, &server.id, listing);
+        if let Some(former) = known.filter(|known| *known != key) {
+            self.by_key.remove(&former);
+        }
         let server = Rc::new(server);
         self.by_key.insert(key, server.clone());
         self.servers.insert(server.id.clone(), server);
+        run
     }
 
     /// Notes that a server's entry went.
     pub fn remove(&mut self, now: Moment, id: &str) {
         if self.servers.remove(id).is_some() {
-            self.placer.unlist(now, id);
-            let placer = &self.placer;
-            self.by_key.retain(|key, _| placer.id(*key).is_some());
+            for forgotten in self.placer.unlist(now, id) {
+                self.by_key.remove(&forgotten);
+            }
         }
     }
 
@@ -133,11 +163,19 @@
         self.placer.next_placed(now, is_connected)
     }
 
-    /// Servers for a need to which a connection waits to be used again.
-    pub fn connected(&self, pool: &ConnectionPool, need: &Need) -> BTreeSet<ServerKey> {
-        let servers = self.by_key.iter().filter(|(key, _)| self.placer.serves(**key, need));
-        let connected = servers.filter(|(_, server)| pool.has_idle(server.address));
-        connected.map(|(key, _)| *key).collect()
+    /// What becomes of a call.
+    pub fn place_call(
+        &mut self,
+        now: Moment,
+        pool: &ConnectionPool,
+        need: &Need,
+        history: &History,
+        waited: &Waited,
+    ) -> Answer {
+        let by_key = &self.by_key;
+        let is_connected =
+            |key| by_key.get(&key).is_some_and(|server| pool.has_idle(server.address));
+        self.placer.call(now, need, history, waited, is_connected)
     }
 
     /// All listed servers.
--- a/crates/heronbend-gateway/src/exchange.rs
+++ b/crates/heronbend-gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use heronbend::placement::AttemptEnd;
+use heronbend::placement::ServerKey;
 use heronbend::quarantine::fingerprint::Traits;
 use heronbend::quarantine::Fingerprint;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
@@ -139,7 +140,8 @@
 /// Counts an attempt at a server for as long as it lives.
 pub struct CountedAttempt {
     gateway: Rc<Gateway>,
-    server: Rc<Server>,
+    /// The run of the server that was sent it; nothing where the server was no longer known.
+    at: Option<ServerKey>,
     begun: heronbend::Moment,
     is_open: bool,
 }
@@ -148,8 +150,8 @@
     /// Notes that an attempt begins.
     pub fn begin(gateway: &Rc<Gateway>, server: &Rc<Server>) -> Self {
         let begun = gateway.now();
-        gateway.directory.borrow_mut().placer.began(begun, &server.id);
-        Self { gateway: gateway.clone(), server: server.clone(), begun, is_open: true }
+        let at = gateway.directory.borrow_mut().placer.began(begun, &server.id);
+        Self { gateway: gateway.clone(), at, begun, is_open: true }
     }
 
     /// Time since the attempt began.
@@ -183,7 +185,9 @@
     fn close(&mut self, end: AttemptEnd) {
         if std::mem::take(&mut self.is_open) {
             let now = self.gateway.now();
-            self.gateway.directory.borrow_mut().placer.ended(now, &self.server.id, end);
+            if let Some(key) = self.at {
+                self.gateway.directory.borrow_mut().placer.ended(now, key, end);
+            }
             self.gateway.places.changed.notify(usize::MAX);
         }
     }
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -93,6 +93,10 @@
     pub failures: Count,
     /// Servers that ended while they ran a request of this daemon.
     pub servers_ended: Count,
+    /// Servers that started again under the name that they had.
+    pub servers_restarted: Count,
+    /// Entries of servers that cannot be understood.
+    pub server_entries_malformed: Count,
     /// Requests that were refused because servers ended under them.
     pub quarantine_refusals: Count,
     /// Requests that are quarantined.
@@ -150,6 +154,8 @@
             refusals: Count::default(),
             failures: Count::default(),
             servers_ended: Count::default(),
+            servers_restarted: Count::default(),
+            server_entries_malformed: Count::default(),
             quarantine_refusals: Count::default(),
             requests_quarantined: Gauge::default(),
             hedges: Count::default(),
@@ -259,6 +265,10 @@
         registry.register("failures", "Attempts broken off", self.failures.clone());
         let ended = self.servers_ended.clone();
         registry.register("servers_ended", "Servers that ended under a request", ended);
+        let restarted = self.servers_restarted.clone();
+        registry.register("servers_restarted", "Servers started again by their name", restarted);
+        let malformed = self.server_entries_malformed.clone();
+        registry.register("server_entries_malformed", "Entries not understood", malformed);
         let refused = self.quarantine_refusals.clone();
         registry.register("quarantine_refusals", "Requests refused as they end servers", refused);
         let quarantined = self.requests_quarantined.clone();
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -1,5 +1,6 @@
 //! The daemon that callers reach: starts the parts, answers calls, and stops without a loss.
 
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
@@ -15,6 +16,7 @@
 use crate::batch::ownership_duty;
 use crate::configuration::Configuration;
 use crate::configuration::Finding;
+use crate::directory::Server;
 use crate::directory::ServerState;
 use crate::duties;
 use crate::evacuations;
@@ -25,7 +27,7 @@
 use crate::lease_news::LeaseName;
 use crate::mirror::{self, MirrorSink, Source};
 use crate::peers;
-use crate::ports::{Change, Object, Ports};
+use crate::ports::{Change, DialectError, Object, Ports};
 use crate::quarantine;
 use crate::quarantine::evidence;
 use crate::reload;
@@ -206,7 +208,7 @@
         let gathering = followed.tuning().configuration_notice.mul_f64(CONFIGURATION_GATHERING);
         mirror::follow(followed, configurations, Source::Watchers, gathering, configuration).await;
     }) as std::pin::Pin<Box<dyn std::future::Future<Output = ()>>>);
-    let directory = DirectorySink(gateway.clone());
+    let directory = DirectorySink::new(gateway.clone());
     let gathering = gateway.tuning().drain_notice.mul_f64(DIRECTORY_GATHERING);
     spawn(Box::pin(mirror::follow(
         gateway.clone(),
@@ -346,8 +348,8 @@
 }
 
 impl MirrorSink for ConfigurationSink {
-    fn reset(&self, objects: Vec<Object>) {
-        objects.iter().for_each(|object| self.take(object));
+    fn keep(&self, _names: &BTreeSet<String>) {
+        // A configuration stays in force until there is a later one.
     }
 
     fn change(&self, change: Change) {
@@ -357,50 +359,89 @@
     }
 }
 
-struct DirectorySink(Rc<Gateway>);
+struct DirectorySink {
+    gateway: Rc<Gateway>,
+    /// Names of entries that cannot be understood: each is logged once.
+    malformed: RefCell<BTreeSet<String>>,
+}
 
 impl DirectorySink {
+    fn new(gateway: Rc<Gateway>) -> Self {
+        Self { gateway, malformed: RefCell::default() }
+    }
+
     fn take(&self, object: &Object) {
-        match self.0.dialect.server(&object.name, &object.content) {
+        match self.gateway.dialect.server(&object.name, &object.content) {
             Ok(mut server) => {
                 server.revision = object.revision;
-                let mut directory = self.0.directory.borrow_mut();
-                let known = directory.get(&server.id).map(|known| known.state);
-                if server.state == ServerState::Draining && known != Some(server.state) {
-                    log::info!(
-                        "event=server_draining server={} revision={}",
-                        server.id,
-                        object.revision
-                    );
-                }
-                directory.insert(self.0.now(), server);
+                self.malformed.borrow_mut().remove(&object.name);
+                self.note_draining(&server);
+                self.note_restart(&server);
+                self.gateway.directory.borrow_mut().insert(self.gateway.now(), server);
             }
-            Err(error) => log::warn!("event=server_malformed error=\"{error}\""),
+            Err(error) => self.drop_malformed(&object.name, &error),
         }
     }
-}
 
-impl DirectorySink {
+    /// An entry that cannot be understood names no server to use, whatever it said before.
+    fn drop_malformed(&self, name: &str, error: &DialectError) {
+        self.gateway.directory.borrow_mut().remove(self.gateway.now(), name);
+        if self.malformed.borrow_mut().insert(name.to_owned()) {
+            self.gateway.metrics.server_entries_malformed.inc();
+            log::warn!("event=server_malformed error=\"{error}\"");
+        }
+    }
+
+    fn note_draining(&self, server: &Server) {
+        let directory = self.gateway.directory.borrow();
+        let known = directory.get(&server.id).map(|known| known.state);
+        if server.state == ServerState::Draining && known != Some(server.state) {
+            log::info!("event=server_draining server={} revision={}", server.id, server.revision);
+        }
+    }
+
+    /// A server that has started again under the id that it had: its former run has ended, with what ran
+    /// there and the connections to it.
+    fn note_restart(&self, server: &Server) {
+        let known = self.gateway.directory.borrow().get(&server.id).cloned();
+        let Some(known) = known.filter(|known| known.incarnation < server.incarnation) else {
+            return;
+        };
+        log::info!(
+            "event=server_restarted server={} incarnation={} before={}",
+            server.id,
+            server.incarnation,
+            known.incarnation
+        );
+        self.gateway.metrics.servers_restarted.inc();
+        self.note_gone(&server.id);
+        self.gateway.servers.close_idle(known.address);
+    }
+
     /// A server whose entry went, and that had not said that it would leave: where connections to it
     /// broke a moment ago, it has ended.
     fn note_gone(&self, id: &str) {
-        let state = self.0.directory.borrow().get(id).map(|server| server.state);
+        let state = self.gateway.directory.borrow().get(id).map(|server| server.state);
         if state == Some(ServerState::Ready) {
-            evidence::note_gone(&self.0, id);
+            evidence::note_gone(&self.gateway, id);
         }
     }
 }
 
 impl MirrorSink for DirectorySink {
-    fn reset(&self, objects: Vec<Object>) {
-        let names: BTreeSet<String> = objects.iter().map(|object| object.name.clone()).collect();
+    fn keep(&self, names: &BTreeSet<String>) {
+        let gateway = &self.gateway;
         let known: Vec<String> =
-            self.0.directory.borrow().all().map(|server| server.id.clone()).collect();
+            gateway.directory.borrow().all().map(|server| server.id.clone()).collect();
         known.iter().filter(|id| !names.contains(*id)).for_each(|id| self.note_gone(id));
-        self.0.directory.borrow_mut().retain(self.0.now(), &names);
-        objects.iter().for_each(|object| self.take(object));
-        log::info!("event=servers_listed servers={}", names.len());
-        self.0.directory_known.set(true);
+        gateway.directory.borrow_mut().retain(gateway.now(), names);
+        self.malformed.borrow_mut().retain(|name| names.contains(name));
+    }
+
+    fn listed(&self) {
+        let servers = self.gateway.directory.borrow().all().count();
+        log::info!("event=servers_listed servers={servers}");
+        self.gateway.directory_known.set(true);
     }
 
     fn change(&self, change: Change) {
@@ -409,14 +450,15 @@
             Change::Removed(name) => {
                 log::info!("event=server_gone server={name}");
                 self.note_gone(&name);
-                self.0.directory.borrow_mut().remove(self.0.now(), &name);
+                self.malformed.borrow_mut().remove(&name);
+                self.gateway.directory.borrow_mut().remove(self.gateway.now(), &name);
             }
         }
     }
 
     fn applied(&self) {
-        self.0.places.changed.notify(usize::MAX);
-        self.0.versions.changed.notify(usize::MAX);
+        self.gateway.places.changed.notify(usize::MAX);
+        self.gateway.versions.changed.notify(usize::MAX);
     }
 }
 
--- a/crates/heronbend-gateway/tests/quarantine.rs
+++ b/crates/heronbend-gateway/tests/quarantine.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use heronbend::identity::Incarnation;
 use heronbend_gateway::directory::Server;
 use heronbend_gateway::directory::ServerState;
 use heronbend_gateway::exchange::Outgoing;
@@ -34,6 +35,7 @@
 fn server(id: &str) -> Rc<Server> {
     Rc::new(Server {
         id: id.to_owned(),
+        incarnation: Incarnation::default(),
         service: "app".to_owned(),
         address: dead_address(),
         zone: "z".to_owned(),
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -47,6 +47,7 @@
 pub fn server(id: &str, service: &str) -> Server {
     Server {
         id: id.to_owned(),
+        incarnation: Incarnation::default(),
         service: service.to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "z".to_owned(),
--- a/crates/heronbend-gateway/tests/suspension.rs
+++ b/crates/heronbend-gateway/tests/suspension.rs
@@ -10,6 +10,7 @@
 
 use assert_matches::assert_matches;
 use futures_lite::FutureExt;
+use heronbend::identity::Incarnation;
 use heronbend::Moment;
 use heronbend_gateway::clock::Clock;
 use heronbend_gateway::directory::Server;
@@ -61,6 +62,7 @@
 fn mute_server(listener: &TcpListener) -> Server {
     Server {
         id: "mute".to_owned(),
+        incarnation: Incarnation::default(),
         service: "app".to_owned(),
         address: listener.local_addr().unwrap(),
         zone: "z".to_owned(),
