A client does not use a connection again whose server said that it closes

A daemon that drains answers with connection: close and closes a moment later; our client put the connection back into its pool and, where its next request came before the close, lost it.

Ruled out: the listener's queue (resets 1 to 4 s after it was closed), stale counts of connections at the exit, requests left unread.

Test: kept_connections, two of three failed before.

--- a/crates/heronbend-http/src/client.rs
+++ b/crates/heronbend-http/src/client.rs
@@ -130,6 +130,15 @@
     peeked.is_none()
 }
 
+/// Whether the server has said that it closes the connection after this answer.
+fn closes_connection(response: &Response) -> bool {
+    let Some(values) = response.header("connection") else {
+        return false;
+    };
+    let mut options = values.iter().flat_map(|value| value.as_str().split(','));
+    options.any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
 async fn connect(address: SocketAddr) -> Result<GuardedStream, ClientError> {
     let connecting = TcpStream::connect(address).or(async {
         Timer::after(CONNECT_TIMEOUT).await;
@@ -182,9 +191,13 @@
 
     /// Returns the connection to the pool. Only for a body that was read to its proper end: on any
     /// doubt drop the reply, which closes the connection.
+    ///
+    /// A server that has said that it closes the connection may be slow to do so. A request that is sent
+    /// meanwhile is reset, and nobody can tell whether it was run.
     pub fn finish(self) {
+        let is_closing = closes_connection(&self.response);
         let Home { pool, address, stream } = self.home;
-        if !stream.is_drained() {
+        if is_closing || !stream.is_drained() {
             return;
         }
         let mut pool = pool.borrow_mut();
