Servers that hold the same versions share one map of them

Cause: the map of eight models takes some 630 bytes a server, as much as all else that the directory keeps of it, and thousands of servers hold the same.

Weighed: pairs of keys in place of names (128 bytes a server whatever they hold, but the adapter decodes names, and the plan goes by them); kept for when a fleet's servers differ.

--- a/crates/heronbend-gateway/src/directory.rs
+++ b/crates/heronbend-gateway/src/directory.rs
@@ -22,6 +22,7 @@
 use serde::Serialize;
 
 use crate::http::client::ConnectionPool;
+use crate::pool::Pool;
 
 /// What a server says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,8 +52,8 @@
     pub slots: u32,
     /// What it says of itself.
     pub state: ServerState,
-    /// Models that it holds, with the version of their weights.
-    pub models: BTreeMap<String, u64>,
+    /// Models that it holds, with the version of their weights; one map for all servers that hold the same.
+    pub models: Rc<BTreeMap<String, u64>>,
     /// Orders that it has taken since its start.
     pub sequence: u64,
     /// Whether it may be taken away.
@@ -82,6 +83,8 @@
     servers: BTreeMap<String, Rc<Server>>,
     /// Those that the machine may still choose, listed or not.
     by_key: HashMap<ServerKey, Rc<Server>>,
+    /// What servers hold. Of thousands that follow a few models most hold the same.
+    models: Pool<BTreeMap<String, u64>>,
     /// The machine that decides.
     pub placer: Placer,
 }
@@ -89,12 +92,17 @@
 impl Directory {
     /// A directory without servers, which draws among equal ones by `seed`.
     pub fn new(seed: u64) -> Self {
-        Self { servers: BTreeMap::new(), by_key: HashMap::new(), placer: Placer::new(seed) }
+        Self {
+            servers: BTreeMap::new(),
+            by_key: HashMap::new(),
+            models: Pool::default(),
+            placer: Placer::new(seed),
+        }
     }
 
     /// Takes in a server's entry, and tells what it says of the run that was known. One of an earlier
     /// run changes nothing.
-    pub fn insert(&mut self, now: Moment, server: Server) -> Run {
+    pub fn insert(&mut self, now: Moment, mut server: Server) -> Run {
         let run = match self.servers.get(&server.id).map(|known| known.incarnation) {
             Some(known) if known > server.incarnation => return Run::Earlier,
             Some(known) if known < server.incarnation => Run::Later,
@@ -117,6 +125,7 @@
         if let Some(former) = known.filter(|known| *known != key) {
             self.by_key.remove(&former);
         }
+        server.models = self.models.share(server.models);
         let server = Rc::new(server);
         self.by_key.insert(key, server.clone());
         self.servers.insert(server.id.clone(), server);
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod peers;
 pub mod permits;
 pub mod places;
+pub mod pool;
 pub mod ports;
 pub mod quarantine;
 pub mod relayed_store;
--- a/crates/heronbend-gateway/src/versions/duty.rs
+++ b/crates/heronbend-gateway/src/versions/duty.rs
@@ -422,8 +422,9 @@
             return;
         };
         let mut updated = Server::clone(known);
+        let models = Rc::make_mut(&mut updated.models);
         for (model, version) in &report.models {
-            let held = updated.models.entry(model.clone()).or_default();
+            let held = models.entry(model.clone()).or_default();
             *held = (*held).max(*version);
         }
         directory.insert(self.gateway.now(), updated);
--- a/crates/heronbend-gateway/tests/directory.rs
+++ b/crates/heronbend-gateway/tests/directory.rs
@@ -20,7 +20,7 @@
 fn run(incarnation: u64, version: u64) -> Server {
     Server {
         incarnation: Incarnation(incarnation),
-        models: BTreeMap::from([("m".to_owned(), version)]),
+        models: BTreeMap::from([("m".to_owned(), version)]).into(),
         ..server("e", "engines")
     }
 }
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -5,7 +5,6 @@
 pub mod memory_store;
 pub mod own_dialect;
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -53,7 +52,7 @@
         zone: "z".to_owned(),
         slots: 8,
         state: ServerState::Ready,
-        models: BTreeMap::new(),
+        models: Rc::default(),
         sequence: 0,
         is_revocable: false,
         cold_for: Duration::ZERO,
--- a/crates/heronbend-gateway/tests/versions.rs
+++ b/crates/heronbend-gateway/tests/versions.rs
@@ -130,9 +130,10 @@
 }
 
 fn engine(id: &str, versions: &[(&str, u64)]) -> EngineState {
-    let models = versions.iter().map(|(model, version)| ((*model).to_owned(), *version)).collect();
+    let held = versions.iter().map(|(model, version)| ((*model).to_owned(), *version));
+    let models: BTreeMap<String, u64> = held.collect();
     EngineState {
-        server: Rc::new(Server { models, ..server(id, "engines") }),
+        server: Rc::new(Server { models: models.into(), ..server(id, "engines") }),
         is_loading: false,
         loading: None,
         is_under_way: false,
@@ -141,7 +142,8 @@
 }
 
 fn hold_version(engine: &mut EngineState, model: &str, version: u64) {
-    Rc::make_mut(&mut engine.server).models.insert(model.to_owned(), version);
+    let server = Rc::make_mut(&mut engine.server);
+    Rc::make_mut(&mut server.models).insert(model.to_owned(), version);
 }
 
 fn models(states: &[(&str, u64, u64, bool)]) -> BTreeMap<String, ModelState> {
