--- a/crates/heronbend-gateway/tests/memory_of_servers.rs
+++ b/crates/heronbend-gateway/tests/memory_of_servers.rs
@@ -52,7 +52,7 @@
         revision: 1,
         content: json!({
             "service": "writers", "address": "10.128.0.9:8080", "zone": "z", "version": "v1",
-            "slots": 6, "state": "ready", "cold_remaining_ms": 0, "stage": "both", "sequence": 4,
+            "slots": 6, "state": "ready", "remaining_millis": 0, "part": "both", "sequence": 4,
             "models": (0..MODELS).map(model).collect::<Vec<_>>(),
         }),
         status: Value::Null,
