An introduction does not pack objects that it will not tell

Cause, by reading: a daemon that is asked by a starter packed all objects only to learn that they are too many, and dropped them; at ten thousand servers some half of a second of an eighth of a core, again after each change, while its peers probe it and the asker waits for 0.4 s. A herd that starts beside a release meets this at every parent.

Now the bytes of the texts are summed as they come and go, and the bound goes by them: 640 KB, of which a tenth is left once packed, as the 64 KB of before. Ruled out: a lasting packed state (it changes with each server that comes). Test: what_a_whole_state_takes_is_known_without_packing_it (there was no such figure before).

--- a/crates/heronbend-gateway/src/dissemination.rs
+++ b/crates/heronbend-gateway/src/dissemination.rs
@@ -138,14 +138,27 @@
     gateway.tree().is_root(&gateway.identity.node)
 }
 
-/// All objects that are known here, packed, for a daemon that starts.
-pub fn packed_states(gateway: &Gateway) -> Vec<PackedKind> {
+/// The kinds of which this daemon may tell another one all that it knows.
+pub fn known_kinds(gateway: &Gateway) -> Vec<&'static str> {
     let kinds: Vec<&'static str> = gateway.replicas.borrow().keys().copied().collect();
-    let told = kinds.into_iter().filter(|kind| fresh_age(gateway, kind).is_some());
-    let packed = told.filter_map(|kind| match known_since(gateway, kind, 0, Checking::ByDigest) {
-        Known::Later(packed) => Some(PackedKind { kind: kind.to_owned(), packed: packed.to_vec() }),
-        Known::Nothing | Known::Unknown => None,
-    });
+    kinds.into_iter().filter(|kind| fresh_age(gateway, kind).is_some()).collect()
+}
+
+/// Bytes of all objects of some kinds that are known here, before they are packed.
+pub fn bytes(gateway: &Gateway, kinds: &[&'static str]) -> usize {
+    let replicas = gateway.replicas.borrow();
+    kinds.iter().filter_map(|kind| replicas.get(kind)).map(Replica::bytes).sum()
+}
+
+/// All objects of some kinds that are known here, packed, for a daemon that starts.
+pub fn packed_states(gateway: &Gateway, kinds: &[&'static str]) -> Vec<PackedKind> {
+    let packed =
+        kinds.iter().filter_map(|kind| match known_since(gateway, kind, 0, Checking::ByDigest) {
+            Known::Later(packed) => {
+                Some(PackedKind { kind: (*kind).to_owned(), packed: packed.to_vec() })
+            }
+            Known::Nothing | Known::Unknown => None,
+        });
     packed.collect()
 }
 
--- a/crates/heronbend-gateway/src/encoded_object.rs
+++ b/crates/heronbend-gateway/src/encoded_object.rs
@@ -43,6 +43,11 @@
 }
 
 impl EncodedObject {
+    /// Bytes of its name and its texts.
+    pub fn bytes(&self) -> usize {
+        self.name.len() + self.content.len() + self.status.len()
+    }
+
     /// The object; an error where its texts are not JSON.
     pub fn decode(&self) -> Result<Object, StoreError> {
         let parse = |text: &str| {
--- a/crates/heronbend-gateway/src/peers/introduction.rs
+++ b/crates/heronbend-gateway/src/peers/introduction.rs
@@ -52,9 +52,10 @@
 const UNANSWERED_REST: Duration = Duration::from_millis(1500);
 /// Time that a daemon is given to answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
-/// Most bytes of packed objects in one answer: as much as a link of 60 Mbit/s carries to thirty askers at
-/// once within the time for a call.
-const MAX_PACKED_BYTES: usize = 64 * 1024;
+/// Most bytes of objects in one answer, before they are packed. A tenth is left then, which a link of 60
+/// Mbit/s carries to thirty askers at once within the time for a call. To pack what is not told would
+/// cost a small daemon half of a second for ten thousand servers, for each asker after each change.
+const MAX_OBJECT_BYTES: usize = 640 * 1024;
 /// A second daemon is asked so long after the first one answered, which may have started itself a
 /// moment before.
 const SECOND_LOOK: Duration = Duration::from_millis(1500);
@@ -291,14 +292,13 @@
     let renewal = |(revision, record, _)| LeaseRenewal { revision, record };
     let time = gateway.usage.as_ref().map(|book| book.time(gateway.now()).as_millis());
     let is_old = wanted.objects && !wanted.takes_packed;
-    let mut packed_kinds = Vec::new();
+    let mut kinds = Vec::new();
     if wanted.objects && wanted.takes_packed {
-        packed_kinds = dissemination::packed_states(gateway);
+        kinds = dissemination::known_kinds(gateway);
     }
-    let bytes: usize = packed_kinds.iter().map(|kind| kind.packed.len()).sum();
-    let has_many_objects = bytes > MAX_PACKED_BYTES;
+    let has_many_objects = dissemination::bytes(gateway, &kinds) > MAX_OBJECT_BYTES;
     if has_many_objects {
-        packed_kinds.clear();
+        kinds.clear();
     }
     PeerReply::Introduced {
         members: if wanted.members { gateway.members.all() } else { Vec::new() },
@@ -309,7 +309,7 @@
         suspects: news::reports(gateway),
         time_millis: time.and_then(|millis| u64::try_from(millis).ok()),
         kinds: if is_old { dissemination::states(gateway) } else { Vec::new() },
-        packed_kinds,
+        packed_kinds: dissemination::packed_states(gateway, &kinds),
         has_many_objects,
     }
 }
--- a/crates/heronbend-gateway/src/replica.rs
+++ b/crates/heronbend-gateway/src/replica.rs
@@ -32,6 +32,8 @@
     /// Removals that are remembered however few objects there are.
     min_remembered: usize,
     digest: Digest,
+    /// Bytes of all objects' names and texts.
+    bytes: usize,
 }
 
 /// Tells sets of names apart: the names' hashes, joined so that each can be put in and taken out.
@@ -87,6 +89,7 @@
             listed: 0,
             min_remembered,
             digest: Digest::default(),
+            bytes: 0,
         }
     }
 
@@ -106,10 +109,12 @@
     }
 
     fn set(&mut self, object: Rc<EncodedObject>) {
-        if !self.objects.contains_key(&object.name) {
-            self.digest.toggle(&object.name);
+        self.bytes += object.bytes();
+        let name = object.name.clone();
+        match self.objects.insert(name.clone(), object) {
+            Some(replaced) => self.bytes -= replaced.bytes(),
+            None => self.digest.toggle(&name),
         }
-        self.objects.insert(object.name.clone(), object);
     }
 
     /// Takes in changes up to a revision.
@@ -124,7 +129,8 @@
     }
 
     fn remove(&mut self, name: String, at: Revision) {
-        if self.objects.remove(&name).is_some() {
+        if let Some(removed) = self.objects.remove(&name) {
+            self.bytes -= removed.bytes();
             self.digest.toggle(&name);
         }
         self.removed.push_back((at, name));
@@ -140,6 +146,11 @@
         self.objects.values()
     }
 
+    /// Bytes of all objects' names and texts: what a whole state takes before it is packed.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Revision up to which the objects are known.
     pub fn at(&self) -> Revision {
         self.at
--- a/crates/heronbend-gateway/tests/dissemination.rs
+++ b/crates/heronbend-gateway/tests/dissemination.rs
@@ -50,6 +50,21 @@
     assert_eq!(replica.since(6, Unchecked), None);
 }
 
+#[test]
+fn what_a_whole_state_takes_is_known_without_packing_it() {
+    let bytes = |objects: &[Rc<EncodedObject>]| objects.iter().map(|object| object.bytes()).sum();
+    let mut replica = Replica::default();
+    assert_eq!(replica.bytes(), 0);
+    replica.reset(&[listed("a", 1), listed("b", 2)], 2);
+    replica.apply(&[set("b", 1000), set("c", 1001), Change::Removed("a".to_owned())], 1002);
+    // One that is gone already, and one that is told again, change nothing.
+    replica.apply(&[Change::Removed("a".to_owned()), set("c", 1001)], 1003);
+    let expected: usize = bytes(&[listed("b", 1000), listed("c", 1001)]);
+    assert_eq!(replica.bytes(), expected);
+    replica.reset(&[listed("c", 1001)], 1004);
+    assert_eq!(replica.bytes(), bytes(&[listed("c", 1001)]));
+}
+
 #[test]
 fn what_a_list_lacks_is_not_told_to_who_knew_it() {
     let mut replica = Replica::default();
