A test waits until restarted daemons know each other's present runs

when_all_daemons_are_lost_an_operator_opens_the_shards_again failed once in a whole run of the checks, alone on the machine: 0 shards rebuilt where 8 were expected. Traced by its log: a daemon that has just started takes the former runs of the others, which the list of machines still shows, for alive; gauge-1 did until 0.1 and 0.6 s after its start. While it believes in two of them no shard has lost its majority, and the operator's order opens none, which is right. The test waited until two members were known, whichever runs these were, and gave its order in that time.

Now it waits for exactly the present runs; all assertions are as they were. 144 runs after, 24 beside each other and twelve busy processes: none failed. The failure did not come again in 143 runs before either (two of these met a port that was taken), so the cause rests on the log and the code.

--- a/crates/heronbend-emulator/tests/faults.rs
+++ b/crates/heronbend-emulator/tests/faults.rs
@@ -2,12 +2,14 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use heronbend_http::http_types::{Method, StatusCode};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use support::{get_json, post, request, wait_until, Cluster};
+use serde_json::Value;
+use support::{get_json, post, request, wait_until, Cluster, Daemon};
 
 const TOWN: (&str, &str) = ("authorization", "Bearer municipality-token");
 
@@ -228,6 +230,15 @@
     assert!(runs <= 1, "{ledger}");
 }
 
+/// The runs of the other daemons that a daemon knows, as it names its own.
+fn member_runs(status: &Value) -> impl Iterator<Item = String> + '_ {
+    let members = status["members"].as_array().into_iter().flatten();
+    members.filter_map(|member| {
+        let (name, run) = (&member["id"]["name"], &member["id"]["incarnation"]);
+        Some(format!("{}#{}", name.as_str()?, run.as_u64()?))
+    })
+}
+
 #[test]
 fn when_all_daemons_are_lost_an_operator_opens_the_shards_again() {
     let mut cluster = Cluster::start();
@@ -239,11 +250,19 @@
     for daemon in &mut cluster.daemons {
         daemon.process.restart();
     }
+    let status = |daemon: &Daemon| get_json(daemon.admin, "/admin/status").unwrap_or_default();
+    let run = |daemon: &Daemon| status(daemon)["node"].as_str().map(str::to_owned);
+    let runs: BTreeSet<String> = cluster.daemons.iter().filter_map(run).collect();
+    assert_eq!(runs.len(), 3);
     for daemon in &cluster.daemons {
-        wait_until("the daemons know each other and the map", || {
-            let status = get_json(daemon.admin, "/admin/status").unwrap_or_default();
-            let members = status["members"].as_array().map_or(0, Vec::len);
-            members == 2 && status["shard_epochs"].as_u64() > Some(0)
+        // The list of machines shows the former runs for a moment, and while these are believed in no
+        // shard has lost its majority.
+        wait_until("the daemons know each other's runs and the map", || {
+            let status = status(daemon);
+            let mut known: BTreeSet<String> = member_runs(&status).collect();
+            let others = known.len();
+            known.extend(status["node"].as_str().map(str::to_owned));
+            others == 2 && known == runs && status["shard_epochs"].as_u64() > Some(0)
         });
     }
     let (code, text) = cluster.command(0, &["shards", "rebuild"]);
