One type for a daemon that may be given work; one look at a server's run; hops that a change made needless

Found when the whole change was read once more; behaviour is as it was.

- succession::Candidate and overlay::Candidate are membership::Candidate, made from a member in one place.
- Directory::run says of which run an entry is; insert and the sink of the directory both go by it.
- Both ways to place work share what tells whether a server is connected.
- share::Daemons knows its largest daemon, so that who asks for a share need not find it again.
- A replica clones an object's name once for each change, not twice.
- Sinks' take had one caller left each, which is put: it stands there.

Looked at and left: free_for_text and free_for_call take the same arguments and begin alike, but only texts pass over cold servers and look at larger subsets. The gateway's own HTTP client compares the whole value of the connection header, ours of the standalone daemon its options; to make one of them would change what the gateway does.

--- a/crates/heronbend-gateway/src/batch/succession.rs
+++ b/crates/heronbend-gateway/src/batch/succession.rs
@@ -6,19 +6,11 @@
 use std::cmp::Reverse;
 
 use heronbend::identity::NodeId;
+use heronbend::membership::Candidate;
 use heronbend::placement::share::is_large;
 
 use super::ownership::rank;
 
-/// A daemon that may run jobs.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Candidate {
-    /// The daemon.
-    pub node: NodeId,
-    /// Thousandths of a core that it may use; 0 where it does not say.
-    pub processor_millis: u32,
-}
-
 /// The owner of a model's newest job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Tenure {
--- a/crates/heronbend-gateway/src/directory.rs
+++ b/crates/heronbend-gateway/src/directory.rs
@@ -100,14 +100,22 @@
         }
     }
 
+    /// Which run of its server an entry is of.
+    pub fn run(&self, server: &Server) -> Run {
+        match self.servers.get(&server.id).map(|known| known.incarnation) {
+            Some(known) if known > server.incarnation => Run::Earlier,
+            Some(known) if known < server.incarnation => Run::Later,
+            _ => Run::Same,
+        }
+    }
+
     /// Takes in a server's entry, and tells what it says of the run that was known. One of an earlier
     /// run changes nothing.
     pub fn insert(&mut self, now: Moment, mut server: Server) -> Run {
-        let run = match self.servers.get(&server.id).map(|known| known.incarnation) {
-            Some(known) if known > server.incarnation => return Run::Earlier,
-            Some(known) if known < server.incarnation => Run::Later,
-            _ => Run::Same,
-        };
+        let run = self.run(&server);
+        if run == Run::Earlier {
+            return run;
+        }
         let placer = &mut self.placer;
         let versions = server.models.iter().map(|(model, version)| (placer.model(model), *version));
         let listing = Listing {
@@ -166,10 +174,7 @@
         now: Moment,
         pool: &ConnectionPool,
     ) -> Option<(TicketKey, Choice)> {
-        let by_key = &self.by_key;
-        let is_connected =
-            |key| by_key.get(&key).is_some_and(|server| pool.has_idle(server.address));
-        self.placer.next_placed(now, is_connected)
+        self.placer.next_placed(now, is_connected(&self.by_key, pool))
     }
 
     /// What becomes of a call.
@@ -181,10 +186,7 @@
         history: &History,
         waited: &Waited,
     ) -> Answer {
-        let by_key = &self.by_key;
-        let is_connected =
-            |key| by_key.get(&key).is_some_and(|server| pool.has_idle(server.address));
-        self.placer.call(now, need, history, waited, is_connected)
+        self.placer.call(now, need, history, waited, is_connected(&self.by_key, pool))
     }
 
     /// All listed servers.
@@ -192,3 +194,11 @@
         self.servers.values()
     }
 }
+
+/// Whether a connection to a server waits to be used again.
+fn is_connected<'a>(
+    servers: &'a HashMap<ServerKey, Rc<Server>>,
+    pool: &'a ConnectionPool,
+) -> impl Fn(ServerKey) -> bool + 'a {
+    |key| servers.get(&key).is_some_and(|server| pool.has_idle(server.address))
+}
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use heronbend::access::KeyHasher;
 use heronbend::admission::RetryBudget;
 use heronbend::identity::NodeId;
-use heronbend::overlay;
+use heronbend::membership::Candidate;
 use heronbend::overlay::Tree;
 use heronbend::placement::share;
 use heronbend::quarantine::Limits;
@@ -28,7 +28,6 @@
 use crate::batch::length::Lengths;
 use crate::batch::moves::MoveCost;
 use crate::batch::registry::JobRegistry;
-use crate::batch::succession::Candidate;
 use crate::clock::Clock;
 use crate::configuration::Configuration;
 use crate::directory::Directory;
@@ -348,10 +347,7 @@
             return tree.clone();
         }
         let mut candidates = self.members.overlay_candidates(&self.identity.zone);
-        candidates.push(overlay::Candidate {
-            node: self.identity.node.clone(),
-            processor_millis: self.tuning().processor_millis,
-        });
+        candidates.push(self.own_candidate());
         let tree = Rc::new(Tree::new(candidates));
         *known = Some((version, tree.clone()));
         tree
@@ -362,12 +358,16 @@
         Tree::new(self.members.overlay_candidates(zone))
     }
 
+    fn own_candidate(&self) -> Candidate {
+        let processor_millis = self.tuning().processor_millis;
+        Candidate { node: self.identity.node.clone(), processor_millis }
+    }
+
     /// The daemons that may run jobs with these homes now, this one among them unless it stops.
     pub fn job_candidates(&self, homes: Option<&BTreeSet<String>>) -> Vec<Candidate> {
         let mut candidates = self.members.alive_candidates(homes);
         if !self.draining.get() && homes::allow(homes, &self.identity.region) {
-            let processor_millis = self.tuning().processor_millis;
-            candidates.push(Candidate { node: self.identity.node.clone(), processor_millis });
+            candidates.push(self.own_candidate());
         }
         candidates
     }
@@ -394,18 +394,12 @@
         let mut processors = self.members.alive_processors();
         processors.push(own);
         let daemons = share::Daemons::count(&processors);
-        let largest = processors.iter().copied().max().unwrap_or(own);
-        let is_large = share::is_large(own, largest);
         let Some(configuration) = self.configuration() else {
             return;
         };
         let placer = &mut self.directory.borrow_mut().placer;
         for service in configuration.services.values() {
-            let share = if is_large {
-                daemons.share_of_large(service.max_connections)
-            } else {
-                daemons.share_of_small(service.max_connections)
-            };
+            let share = daemons.share(own, service.max_connections);
             placer.set_service(&service.name, share, service.cold);
         }
     }
--- a/crates/heronbend-gateway/src/keeper.rs
+++ b/crates/heronbend-gateway/src/keeper.rs
@@ -82,20 +82,6 @@
     open: RefCell<Vec<String>>,
 }
 
-impl RetirementSink {
-    fn take(&self, object: &Object) {
-        if self.gateway.dialect.is_retired(&object.status) {
-            return;
-        }
-        if self.open.borrow().contains(&object.name) {
-            return;
-        }
-        self.open.borrow_mut().push(object.name.clone());
-        let retiring = retire(self.gateway.clone(), object.name.clone());
-        self.gateway.executor.spawn(retiring).detach();
-    }
-}
-
 /// Records that a machine holds nothing any more.
 async fn retire(gateway: Rc<Gateway>, machine: String) {
     let kind = gateway.dialect.kinds().retirements;
@@ -131,7 +117,15 @@
     }
 
     fn put(&self, object: &Object) {
-        self.take(object);
+        if self.gateway.dialect.is_retired(&object.status) {
+            return;
+        }
+        if self.open.borrow().contains(&object.name) {
+            return;
+        }
+        self.open.borrow_mut().push(object.name.clone());
+        let retiring = retire(self.gateway.clone(), object.name.clone());
+        self.gateway.executor.spawn(retiring).detach();
     }
 
     fn remove(&self, name: &str) {
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -20,12 +20,10 @@
 
 use event_listener::Event;
 use heronbend::identity::{NodeId, NodeName};
-use heronbend::membership::{Liveness, Member};
-use heronbend::overlay;
+use heronbend::membership::{Candidate, Liveness, Member};
 use heronbend::Moment;
 use smol::channel::{bounded, Receiver, Sender};
 
-use crate::batch::succession::Candidate;
 use crate::homes;
 
 pub use messages::{Hint, PeerReply, PeerRequest};
@@ -169,11 +167,7 @@
         let members = self.members.borrow();
         let alive = members.iter().filter(|member| member.liveness == Liveness::Alive);
         let alive = alive.filter(|member| homes::allow(homes, &member.region));
-        let candidate = |member: &Member| Candidate {
-            node: member.id.clone(),
-            processor_millis: member.processor_millis,
-        };
-        alive.map(candidate).collect()
+        alive.map(Candidate::from).collect()
     }
 
     /// The other daemons of a region that are alive.
@@ -185,14 +179,10 @@
 
     /// The other daemons of a zone that may have a place in its tree. Suspects keep theirs: most refute
     /// the suspicion, and whoever follows them goes on elsewhere as soon as they do not answer.
-    pub fn overlay_candidates(&self, zone: &str) -> Vec<overlay::Candidate> {
+    pub fn overlay_candidates(&self, zone: &str) -> Vec<Candidate> {
         let members = self.members.borrow();
         let may_live = members.iter().filter(|member| member.liveness <= Liveness::Suspect);
-        let candidate = |member: &Member| overlay::Candidate {
-            node: member.id.clone(),
-            processor_millis: member.processor_millis,
-        };
-        may_live.filter(|member| member.zone == zone).map(candidate).collect()
+        may_live.filter(|member| member.zone == zone).map(Candidate::from).collect()
     }
 
     /// Grows with each change of what is known of the others.
--- a/crates/heronbend-gateway/src/quarantine/record.rs
+++ b/crates/heronbend-gateway/src/quarantine/record.rs
@@ -270,12 +270,6 @@
 }
 
 impl Sink {
-    fn set(&self, object: &Object) {
-        if let Some(request) = take(&self.gateway, object) {
-            self.listed.borrow_mut().insert(request);
-        }
-    }
-
     fn release(&self, request: Fingerprint) {
         self.listed.borrow_mut().remove(&request);
         let was_held = self.gateway.quarantine.table.borrow_mut().clear(request);
@@ -295,7 +289,9 @@
     }
 
     fn put(&self, object: &Object) {
-        self.set(object);
+        if let Some(request) = take(&self.gateway, object) {
+            self.listed.borrow_mut().insert(request);
+        }
     }
 
     fn remove(&self, name: &str) {
--- a/crates/heronbend-gateway/src/replica.rs
+++ b/crates/heronbend-gateway/src/replica.rs
@@ -110,10 +110,9 @@
 
     fn set(&mut self, object: Rc<EncodedObject>) {
         self.bytes += object.bytes();
-        let name = object.name.clone();
-        match self.objects.insert(name.clone(), object) {
+        match self.objects.insert(object.name.clone(), object.clone()) {
             Some(replaced) => self.bytes -= replaced.bytes(),
-            None => self.digest.toggle(&name),
+            None => self.digest.toggle(&object.name),
         }
     }
 
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -16,6 +16,7 @@
 use crate::batch::ownership_duty;
 use crate::configuration::Configuration;
 use crate::configuration::Finding;
+use crate::directory::Run;
 use crate::directory::Server;
 use crate::directory::ServerState;
 use crate::duties;
@@ -285,16 +286,6 @@
 }
 
 impl ConfigurationSink {
-    fn take(&self, object: &Object) {
-        if object.name != self.gateway.dialect.kinds().configuration_name {
-            return;
-        }
-        match self.gateway.dialect.configuration(&object.content, &self.gateway.key_hasher) {
-            Ok(configuration) => self.adopt(configuration),
-            Err(error) => log::error!("event=configuration_malformed error=\"{error}\""),
-        }
-    }
-
     fn adopt(&self, configuration: Configuration) {
         let known = self.gateway.configuration().map_or(0, |known| known.version);
         if configuration.version <= known && known > 0 {
@@ -353,7 +344,13 @@
     }
 
     fn put(&self, object: &Object) {
-        self.take(object);
+        if object.name != self.gateway.dialect.kinds().configuration_name {
+            return;
+        }
+        match self.gateway.dialect.configuration(&object.content, &self.gateway.key_hasher) {
+            Ok(configuration) => self.adopt(configuration),
+            Err(error) => log::error!("event=configuration_malformed error=\"{error}\""),
+        }
     }
 
     fn remove(&self, _name: &str) {
@@ -372,19 +369,6 @@
         Self { gateway, malformed: RefCell::default() }
     }
 
-    fn take(&self, object: &Object) {
-        match self.gateway.dialect.server(&object.name, &object.content) {
-            Ok(mut server) => {
-                server.revision = object.revision;
-                self.malformed.borrow_mut().remove(&object.name);
-                self.note_draining(&server);
-                self.note_restart(&server);
-                self.gateway.directory.borrow_mut().insert(self.gateway.now(), server);
-            }
-            Err(error) => self.drop_malformed(&object.name, &error),
-        }
-    }
-
     /// An entry that cannot be understood names no server to use, whatever it said before.
     fn drop_malformed(&self, name: &str, error: &DialectError) {
         self.gateway.directory.borrow_mut().remove(self.gateway.now(), name);
@@ -405,8 +389,10 @@
     /// A server that has started again under the id that it had: its former run has ended, with what ran
     /// there and the connections to it.
     fn note_restart(&self, server: &Server) {
-        let known = self.gateway.directory.borrow().get(&server.id).cloned();
-        let Some(known) = known.filter(|known| known.incarnation < server.incarnation) else {
+        if self.gateway.directory.borrow().run(server) != Run::Later {
+            return;
+        }
+        let Some(known) = self.gateway.directory.borrow().get(&server.id).cloned() else {
             return;
         };
         log::info!(
@@ -447,7 +433,16 @@
     }
 
     fn put(&self, object: &Object) {
-        self.take(object);
+        match self.gateway.dialect.server(&object.name, &object.content) {
+            Ok(mut server) => {
+                server.revision = object.revision;
+                self.malformed.borrow_mut().remove(&object.name);
+                self.note_draining(&server);
+                self.note_restart(&server);
+                self.gateway.directory.borrow_mut().insert(self.gateway.now(), server);
+            }
+            Err(error) => self.drop_malformed(&object.name, &error),
+        }
     }
 
     fn remove(&self, name: &str) {
--- a/crates/heronbend-gateway/src/versions/named.rs
+++ b/crates/heronbend-gateway/src/versions/named.rs
@@ -29,8 +29,12 @@
 /// Takes in the versions that trainers name.
 pub struct VersionSink(pub Rc<Gateway>);
 
-impl VersionSink {
-    fn take(&self, object: &Object) {
+impl MirrorSink for VersionSink {
+    fn keep(&self, _names: &BTreeSet<String>) {
+        // Versions only rise: one whose object is gone was named all the same.
+    }
+
+    fn put(&self, object: &Object) {
         match self.0.dialect.named_version(&object.content) {
             Ok(named) => {
                 log::info!(
@@ -48,16 +52,6 @@
             Err(error) => log::warn!("event=version_malformed error=\"{error}\""),
         }
     }
-}
-
-impl MirrorSink for VersionSink {
-    fn keep(&self, _names: &BTreeSet<String>) {
-        // Versions only rise: one whose object is gone was named all the same.
-    }
-
-    fn put(&self, object: &Object) {
-        self.take(object);
-    }
 
     fn remove(&self, _name: &str) {
         // As above.
--- a/crates/heronbend-gateway/tests/dissemination.rs
+++ b/crates/heronbend-gateway/tests/dissemination.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use heronbend::identity::NodeId;
-use heronbend::overlay::Candidate;
+use heronbend::membership::Candidate;
 use heronbend::overlay::Tree;
 use heronbend_gateway::dissemination::own_order;
 use heronbend_gateway::encoded_object::EncodedObject;
--- a/crates/heronbend-gateway/tests/succession.rs
+++ b/crates/heronbend-gateway/tests/succession.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
+use heronbend::membership::Candidate;
 use heronbend_gateway::batch::succession::line;
 use heronbend_gateway::batch::succession::owner;
-use heronbend_gateway::batch::succession::Candidate;
 use heronbend_gateway::batch::succession::Tenure;
 use support::node;
 
--- a/crates/heronbend/src/membership/messages.rs
+++ b/crates/heronbend/src/membership/messages.rs
@@ -55,6 +55,21 @@
     }
 }
 
+/// A daemon that may be given work, by the processor that it has for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The daemon.
+    pub node: NodeId,
+    /// Thousandths of a core that it may use; 0 where it does not say.
+    pub processor_millis: u32,
+}
+
+impl From<&Member> for Candidate {
+    fn from(member: &Member) -> Self {
+        Self { node: member.id.clone(), processor_millis: member.processor_millis }
+    }
+}
+
 /// Time after its start in which a daemon may not be known to all others yet.
 const INTRODUCTION_MILLIS: u64 = 60_000;
 
--- a/crates/heronbend/src/overlay/mod.rs
+++ b/crates/heronbend/src/overlay/mod.rs
@@ -16,6 +16,7 @@
 use rapidhash::v3::rapidhash_v3;
 
 use crate::identity::NodeId;
+use crate::membership::Candidate;
 
 /// Roots of a zone: one may die, freeze or be cut off while the other goes on.
 pub const ROOTS: usize = 2;
@@ -27,15 +28,6 @@
 /// Parents that a daemon follows at the same time.
 const PARENTS: usize = 2;
 
-/// A daemon that may have a place in the tree.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Candidate {
-    /// The daemon.
-    pub node: NodeId,
-    /// Thousandths of a core that it may use; 0 where it does not say.
-    pub processor_millis: u32,
-}
-
 /// The tree of a zone.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Tree {
--- a/crates/heronbend/src/placement/share.rs
+++ b/crates/heronbend/src/placement/share.rs
@@ -18,6 +18,8 @@
     pub large: u32,
     /// The others.
     pub small: u32,
+    /// Thousandths of a core that the largest one may use.
+    largest: u32,
 }
 
 impl Daemons {
@@ -26,7 +28,16 @@
         let largest = processor_millis.iter().copied().max().unwrap_or(0);
         let large = processor_millis.iter().filter(|own| is_large(**own, largest)).count();
         let count = |daemons: usize| u32::try_from(daemons).unwrap_or(u32::MAX);
-        Self { large: count(large), small: count(processor_millis.len() - large) }
+        Self { large: count(large), small: count(processor_millis.len() - large), largest }
+    }
+
+    /// Requests that a daemon with so much processor may have at a server that takes so many connections.
+    pub fn share(&self, processor_millis: u32, max_connections: u32) -> u32 {
+        if is_large(processor_millis, self.largest) {
+            self.share_of_large(max_connections)
+        } else {
+            self.share_of_small(max_connections)
+        }
     }
 
     /// Requests that a large daemon may have at a server that takes so many connections.
