Endings that a quarantined request explains are held against no request with fewer

Cause: a server that ends is an ending for each request that ran there, and the ends were counted by request alone.

A request with endings enough explains them: they don't count against those with fewer. It follows from what is known alone, so it doesn't depend on the order of news, and a request with twice the limit is quarantined whoever explains it. A record that was written meanwhile goes by lot and excuses nothing.

The test of the library failed first (Refused in place of Free).

--- a/crates/heronbend-gateway/src/quarantine/mod.rs
+++ b/crates/heronbend-gateway/src/quarantine/mod.rs
@@ -210,8 +210,16 @@
             continue;
         }
         let expired = gateway.quarantine.table.borrow_mut().expire(gateway.now());
-        let quarantined: Vec<Fingerprint> =
-            gateway.quarantine.table.borrow().quarantined().collect();
+        let (quarantined, in_vain): (Vec<Fingerprint>, Vec<Fingerprint>) = {
+            let table = gateway.quarantine.table.borrow();
+            (table.quarantined().collect(), table.recorded_in_vain().collect())
+        };
+        for request in in_vain {
+            if record::falls_here(&gateway) {
+                log::info!("event=request_explained request={request}");
+                record::remove(&gateway, request);
+            }
+        }
         for request in quarantined {
             if !record::falls_here(&gateway) {
                 continue;
--- a/crates/heronbend-gateway/src/quarantine/record.rs
+++ b/crates/heronbend-gateway/src/quarantine/record.rs
@@ -272,7 +272,7 @@
 impl Sink {
     fn release(&self, request: Fingerprint) {
         self.listed.borrow_mut().remove(&request);
-        let was_held = self.gateway.quarantine.table.borrow_mut().clear(request);
+        let was_held = self.gateway.quarantine.table.borrow_mut().release(request);
         if was_held {
             log::info!("event=request_released request={request}");
         }
--- a/crates/heronbend/src/quarantine/mod.rs
+++ b/crates/heronbend/src/quarantine/mod.rs
@@ -12,6 +12,10 @@
 //!   come back that was blamed wrongly; each has to be granted, so that all daemons together make no
 //!   more of them.
 //!
+//! - A server that goes is an ending for each request that ran there, and one of them ended it. Where one
+//!   of them is quarantined, it *explains* the ending: that does not count against those with fewer
+//!   endings, for as long as they have few.
+//!
 //! What daemons know of a request is a set of endings, each of which may be excused later on. Sets are
 //! joined, so that it does not matter in which order news comes, how often, or by whom.
 //!
@@ -68,6 +72,12 @@
         PROBE_RESTS.get(probes).map(|rests| self.first_probe * *rests)
     }
 
+    /// Endings from which on a request is quarantined even if others explain them, so that two which come
+    /// together end no more servers than this each.
+    pub fn most_endings(&self) -> usize {
+        2 * self.endings
+    }
+
     /// Time that all probes together take.
     pub fn probing(&self) -> Duration {
         self.first_probe * PROBE_RESTS.iter().sum()
--- a/crates/heronbend/src/quarantine/suspect.rs
+++ b/crates/heronbend/src/quarantine/suspect.rs
@@ -1,6 +1,7 @@
 //! What is known of one request that servers ended under.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::Admission;
@@ -17,11 +18,21 @@
 /// Servers that are told of a request: more than any decision needs.
 const MOST_ENDINGS: usize = 16;
 
+/// A request with so many endings that it is quarantined, unless a likelier one explains them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Culprit {
+    endings: BTreeSet<String>,
+}
+
 /// What is known of one request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct Suspect {
     /// Servers that went while they ran it; whether each is excused.
     endings: BTreeMap<String, bool>,
+    /// How many of those that count are explained by a likelier request.
+    explained: usize,
+    /// Whether this daemon itself found one of the servers gone.
+    is_witnessed: bool,
     /// Servers at which its connection broke, and when.
     doubts: BTreeMap<String, Moment>,
     /// What the store holds of it, and when that was learnt.
@@ -31,9 +42,41 @@
 }
 
 impl Suspect {
+    fn counted(&self) -> impl Iterator<Item = &String> {
+        let counted = self.endings.iter().filter(|(_, is_excused)| !**is_excused);
+        counted.map(|(server, _)| server)
+    }
+
     /// Servers that count against it.
     pub fn count(&self) -> usize {
-        self.endings.values().filter(|is_excused| !**is_excused).count()
+        self.counted().count()
+    }
+
+    /// Servers that count against it and that no likelier request explains.
+    fn unexplained(&self) -> usize {
+        self.count() - self.explained.min(self.count())
+    }
+
+    /// Notes which of its endings the likelier ones of `culprits` explain.
+    pub fn weigh(&mut self, culprits: &[Culprit]) {
+        let count = self.count();
+        let likelier = || culprits.iter().filter(|culprit| culprit.endings.len() > count);
+        let is_explained =
+            |server: &&String| likelier().any(|culprit| culprit.endings.contains(*server));
+        self.explained = self.counted().filter(is_explained).count();
+    }
+
+    /// The request as one that may explain what is held against others, if it has endings enough.
+    pub fn culprit(&self, limits: &Limits) -> Option<Culprit> {
+        if self.count() < limits.endings {
+            return None;
+        }
+        Some(Culprit { endings: self.counted().cloned().collect() })
+    }
+
+    /// Whether this daemon itself found one of the servers gone.
+    pub fn is_witnessed(&self) -> bool {
+        self.is_witnessed
     }
 
     fn open_doubts(&self, now: Moment) -> usize {
@@ -59,6 +102,7 @@
         let is_ending = since.is_some_and(|since| now < since + DOUBT);
         if is_ending {
             self.add(now, server, false);
+            self.is_witnessed = true;
         }
         is_ending
     }
@@ -87,6 +131,11 @@
         was_held
     }
 
+    /// Forgets what the store held of it.
+    pub fn drop_record(&mut self) {
+        self.record = None;
+    }
+
     pub fn record(&self) -> Option<Record> {
         self.record.map(|(record, _)| record)
     }
@@ -102,19 +151,26 @@
     }
 
     pub fn is_quarantined(&self, limits: &Limits) -> bool {
-        self.record.is_some() || self.count() >= limits.endings
+        let is_held = self.record.is_some() || self.count() >= limits.endings;
+        is_held && !self.is_explained(limits)
+    }
+
+    /// Whether likelier requests explain so much that too little is left to quarantine it.
+    fn is_explained(&self, limits: &Limits) -> bool {
+        let may_be_explained = self.count() < limits.most_endings();
+        self.explained > 0 && may_be_explained && self.unexplained() < limits.endings
     }
 
     /// Whether one more ending quarantines it. Doubts do not count: links that break end nobody.
     pub fn is_last_run(&self, limits: &Limits) -> bool {
-        self.is_quarantined(limits) || self.count() + 1 >= limits.endings
+        self.is_quarantined(limits) || self.unexplained() + 1 >= limits.endings
     }
 
     pub fn admission(&self, now: Moment, limits: &Limits) -> Admission {
         if self.is_quarantined(limits) {
             return self.quarantined(now, limits);
         }
-        let (endings, doubts) = (self.count(), self.open_doubts(now));
+        let (endings, doubts) = (self.unexplained(), self.open_doubts(now));
         match endings + doubts {
             0 => Admission::Free,
             known if known >= limits.endings => Admission::Refused { come_back: DOUBT_COUNTS },
--- a/crates/heronbend/src/quarantine/table.rs
+++ b/crates/heronbend/src/quarantine/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use super::suspect::Culprit;
 use super::suspect::Suspect;
 use super::Admission;
 use super::Ending;
@@ -44,6 +45,7 @@
     /// Changes the limits; what is known is kept.
     pub fn set_limits(&mut self, limits: Limits) {
         self.limits = limits;
+        self.weigh();
     }
 
     /// Whether nothing is held against any request: nobody has to be looked up.
@@ -86,25 +88,40 @@
     /// these, with what has changed.
     pub fn confirm(&mut self, now: Moment, server: &str) -> Vec<(Fingerprint, Change)> {
         let limits = self.limits;
-        let confirmed = self.suspects.iter_mut().filter_map(|(request, suspect)| {
-            let change = change(suspect, &limits, |suspect| suspect.confirm(now, server));
-            (change != Change::None).then_some((*request, change))
-        });
-        confirmed.collect()
+        let ended: Vec<(Fingerprint, Standing)> = self
+            .suspects
+            .iter_mut()
+            .filter_map(|(request, suspect)| {
+                let before = Standing::of(suspect, &limits);
+                suspect.confirm(now, server).then_some((*request, before))
+            })
+            .collect();
+        self.weigh();
+        ended.into_iter().map(|(request, before)| (request, self.change(request, before))).collect()
     }
 
     /// Joins what another daemon, or the store, tells of a request.
     pub fn join(&mut self, now: Moment, request: Fingerprint, endings: &[Ending]) -> Change {
         let limits = self.limits;
-        let change = change(self.suspect(request), &limits, |suspect| {
-            let news =
-                endings.iter().filter(|ending| suspect.add(now, &ending.server, ending.is_excused));
-            news.count() > 0
-        });
+        let suspect = self.suspect(request);
+        let before = Standing::of(suspect, &limits);
+        let news =
+            endings.iter().filter(|ending| suspect.add(now, &ending.server, ending.is_excused));
+        if news.count() == 0 {
+            self.evict();
+            return Change::None;
+        }
+        self.weigh();
+        let change = self.change(request, before);
         self.evict();
         change
     }
 
+    /// Whether this daemon itself found a server gone that ran a request.
+    pub fn is_witnessed(&self, request: Fingerprint) -> bool {
+        self.suspects.get(&request).is_some_and(Suspect::is_witnessed)
+    }
+
     /// Notes a whole answer to a request, or that an operator has released it: nothing that happened
     /// so far is held against it. Returns whether anything was.
     pub fn clear(&mut self, request: Fingerprint) -> bool {
@@ -115,9 +132,33 @@
         if suspect.endings().is_empty() {
             self.suspects.remove(&request);
         }
+        if was_held {
+            self.weigh();
+        }
         was_held
     }
 
+    /// Notes that the store holds nothing of a request any more: it is released, unless its record went
+    /// since other requests explain its endings. Returns whether anything was held against it.
+    pub fn release(&mut self, request: Fingerprint) -> bool {
+        let limits = self.limits;
+        match self.suspects.get_mut(&request) {
+            Some(suspect) if suspect.record().is_some() && !suspect.is_quarantined(&limits) => {
+                suspect.drop_record();
+                false
+            }
+            _ => self.clear(request),
+        }
+    }
+
+    /// Requests with a record that are not quarantined any more, since others explain their endings.
+    pub fn recorded_in_vain(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        let in_vain = self.suspects.iter().filter(|(_, suspect)| {
+            suspect.record().is_some() && !suspect.is_quarantined(&self.limits)
+        });
+        in_vain.map(|(request, _)| *request)
+    }
+
     /// Notes what the store holds of a request; whether that is newer than what was known.
     pub fn set_record(&mut self, now: Moment, request: Fingerprint, record: Record) -> bool {
         self.suspect(request).set_record(now, record)
@@ -150,10 +191,34 @@
         let is_over = |suspect: &Suspect| suspect.left(now, &limits).is_zero();
         self.suspects.retain(|_, suspect| !suspect.is_idle(now));
         self.suspects.retain(|_, suspect| !is_over(suspect) || suspect.record().is_some());
+        self.weigh();
         let over = self.suspects.iter().filter(|(_, suspect)| is_over(suspect));
         over.map(|(request, _)| *request).collect()
     }
 
+    /// Finds anew which endings are explained. It depends on what is known alone, not on the order in
+    /// which that came.
+    fn weigh(&mut self) {
+        let limits = self.limits;
+        let culprits: Vec<Culprit> =
+            self.suspects.values().filter_map(|suspect| suspect.culprit(&limits)).collect();
+        self.suspects.values_mut().for_each(|suspect| suspect.weigh(&culprits));
+    }
+
+    /// What some news changed for a request.
+    fn change(&self, request: Fingerprint, before: Standing) -> Change {
+        let Some(suspect) = self.suspects.get(&request) else {
+            return Change::None;
+        };
+        let now = Standing::of(suspect, &self.limits);
+        match now.count {
+            0 if before.count == 0 => Change::None,
+            0 => Change::Cleared,
+            count if now.is_quarantined && !before.is_quarantined => Change::Quarantined(count),
+            count => Change::Suspected(count),
+        }
+    }
+
     fn suspect(&mut self, request: Fingerprint) -> &mut Suspect {
         self.suspects.entry(request).or_default()
     }
@@ -172,21 +237,15 @@
     }
 }
 
-/// What some news changes for a request.
-fn change(
-    suspect: &mut Suspect,
-    limits: &Limits,
-    news: impl FnOnce(&mut Suspect) -> bool,
-) -> Change {
-    let was_quarantined = suspect.is_quarantined(limits);
-    let count_before = suspect.count();
-    if !news(suspect) {
-        return Change::None;
-    }
-    match suspect.count() {
-        0 if count_before == 0 => Change::None,
-        0 => Change::Cleared,
-        count if !was_quarantined && suspect.is_quarantined(limits) => Change::Quarantined(count),
-        count => Change::Suspected(count),
+/// How a request stood before some news.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Standing {
+    count: usize,
+    is_quarantined: bool,
+}
+
+impl Standing {
+    fn of(suspect: &Suspect, limits: &Limits) -> Self {
+        Self { count: suspect.count(), is_quarantined: suspect.is_quarantined(limits) }
     }
 }
--- a/crates/heronbend/src/quarantine/tests.rs
+++ b/crates/heronbend/src/quarantine/tests.rs
@@ -153,6 +153,88 @@
     assert!(table.is_empty());
 }
 
+fn endings(servers: &[&str]) -> Vec<Ending> {
+    let ending = |server: &&str| Ending { server: (*server).to_owned(), is_excused: false };
+    servers.iter().map(ending).collect()
+}
+
+/// Two servers ended under a fatal request and took a caller's with them twice, a third one at another
+/// daemon: the caller was refused for 5 s although the fatal request had ended all three and one more.
+#[test]
+fn endings_that_a_likelier_request_explains_are_held_against_nobody_else() {
+    let reports =
+        [(request(1), endings(&["a", "b", "c"])), (request(0), endings(&["a", "b", "c", "d"]))];
+    for order in [[0, 1], [1, 0]] {
+        let mut table = Table::default();
+        for (request, endings) in order.map(|index| &reports[index]) {
+            table.join(SECOND, *request, endings);
+        }
+        assert_eq!(table.admission(SECOND, request(1)), Admission::Free, "{order:?}");
+        assert!(!table.is_last_run(request(1)));
+        assert!(table.is_quarantined(request(0)));
+    }
+}
+
+/// As long as none of the requests has ended as many servers as quarantine it, nobody is likelier.
+#[test]
+fn a_request_that_is_not_quarantined_explains_nothing() {
+    let mut table = Table::default();
+    table.join(SECOND, request(0), &endings(&["a", "b"]));
+    table.join(SECOND, request(1), &endings(&["a"]));
+    assert_eq!(table.admission(SECOND, request(1)), Admission::Alone);
+}
+
+/// Two requests that end their servers and came together at first: the second one ends no more than as
+/// many again before it is quarantined as well.
+#[test]
+fn a_culprit_behind_another_one_is_quarantined_by_what_it_ends_alone() {
+    let mut table = Table::default();
+    table.join(SECOND, request(0), &endings(&["a", "b", "c", "d"]));
+    table.join(SECOND, request(1), &endings(&["a", "b", "c"]));
+    let mut ended = 3;
+    while table.admission(SECOND, request(1)) != (Admission::Refused { come_back: 5 * SECOND }) {
+        ended += 1;
+        end(&mut table, SECOND, request(1), &format!("own-{ended}"));
+    }
+    assert!(ended <= Limits::default().most_endings(), "{ended} servers ended");
+}
+
+#[test]
+fn a_request_with_many_endings_is_quarantined_whoever_explains_them() {
+    let mut table = Table::default();
+    table.join(SECOND, request(0), &endings(&["a", "b", "c", "d", "e", "f", "g"]));
+    table.join(SECOND, request(1), &endings(&["a", "b", "c", "d", "e"]));
+    assert_eq!(table.admission(SECOND, request(1)), Admission::Free);
+    table.join(SECOND, request(1), &endings(&["f"]));
+    assert_matches!(table.admission(SECOND, request(1)), Admission::Refused { .. });
+}
+
+/// What explained the endings may be answered: then they count again.
+#[test]
+fn endings_count_again_when_what_explained_them_is_cleared() {
+    let mut table = Table::default();
+    table.join(SECOND, request(0), &endings(&["a", "b", "c", "d"]));
+    table.join(SECOND, request(1), &endings(&["a", "b", "c"]));
+    table.clear(request(0));
+    assert!(table.is_quarantined(request(1)));
+}
+
+/// The record of a request whose endings are explained goes without excusing what it may have ended.
+#[test]
+fn a_record_that_goes_in_vain_excuses_nothing() {
+    let mut table = quarantined();
+    table.set_record(SECOND, request(1), Record { revision: 1, probes: 0 });
+    assert_eq!(table.recorded_in_vain().count(), 0);
+    table.join(SECOND, request(0), &endings(&["a", "b", "c", "d"]));
+    assert_eq!(table.recorded_in_vain().collect::<Vec<_>>(), [request(1)]);
+    assert!(!table.release(request(1)));
+    assert_eq!(table.record(request(1)), None);
+    assert_eq!(table.report(request(1)).endings, endings(&["a", "b", "c"]));
+    // An operator, or a probe, releases for good.
+    table.set_record(SECOND, request(0), Record { revision: 2, probes: 0 });
+    assert!(table.release(request(0)));
+}
+
 #[test]
 fn a_table_is_bounded_and_keeps_the_requests_with_most_endings() {
     let mut table = quarantined();
