A daemon whose own endings complete those of another records the request and tells the others

Cause: a daemon tells what it knows when it finds a server gone itself. Where the first news is lost (daemons that start together don't know each other yet), the parts stay apart: who joins them knows that the request is quarantined, logs `request_quarantined ... by=Peer`, and neither tells nor records it until its lot falls, within 5 s times the daemons. Evidence: the log of front-0 (endings=4 by=Peer at .463) against front-1 (three of them at +1.5 s).

Who saw one of the endings itself tells and records what it joins to a whole; those are few at any size of fleet. All who know it would write at once otherwise, so the others keep to their lot (second test).

--- a/crates/heronbend-gateway/tests/quarantine.rs
+++ b/crates/heronbend-gateway/tests/quarantine.rs
@@ -8,12 +8,15 @@
 use std::time::Duration;
 
 use heronbend::identity::Incarnation;
+use heronbend::quarantine::Ending;
+use heronbend::quarantine::Report;
 use heronbend_gateway::directory::Server;
 use heronbend_gateway::directory::ServerState;
 use heronbend_gateway::exchange::Outgoing;
 use heronbend_gateway::gateway::Gateway;
 use heronbend_gateway::quarantine;
 use heronbend_gateway::quarantine::evidence;
+use heronbend_gateway::quarantine::news;
 use heronbend_gateway::quarantine::record;
 use heronbend_gateway::quarantine::Pass;
 use heronbend_gateway::quarantine::Refused;
@@ -142,6 +145,44 @@
     });
 }
 
+/// A daemon that had seen two endings was told of two others by one that had never heard of the first:
+/// it alone knew all four, told nobody, and the request ended two more servers at the others in the 1.5 s
+/// until one of them had seen three.
+#[test]
+fn a_daemon_whose_own_endings_complete_those_of_another_records_the_request() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            end_servers(&gateway, 2);
+            wait_until("both are found gone", || gateway.metrics.servers_ended.get() == 2).await;
+            let ending = |server: &str| Ending { server: server.to_owned(), is_excused: false };
+            let request = outgoing().fingerprint(gateway.dialect.headers());
+            news::learn(&gateway, vec![Report { request, endings: vec![ending("other")] }]);
+            assert!(admit(&gateway).await.is_err());
+            wait_until("it is recorded", || record_of(&store, &gateway)).await;
+        })
+    });
+}
+
+/// Whoever saw none of the endings leaves that to those who did: a fleet would write at once.
+#[test]
+fn a_daemon_that_saw_no_ending_records_nothing() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            let ending = |server: &str| Ending { server: server.to_owned(), is_excused: false };
+            let request = outgoing().fingerprint(gateway.dialect.headers());
+            let endings = ["s0", "s1", "s2"].map(ending).to_vec();
+            news::learn(&gateway, vec![Report { request, endings }]);
+            assert!(admit(&gateway).await.is_err());
+            Timer::after(Duration::from_millis(500)).await;
+            assert!(!record_of(&store, &gateway));
+        })
+    });
+}
+
 /// A server that fails at all it gets, or that sheds load, answers without having run the request: such
 /// an answer to one that had ended three servers let it end three more.
 #[test]
