A test takes a process for started once its own log says so

Cause: a port is drawn, given up and bound again, and whatever listened there was taken for the process. In the run's log no daemon ever names engine-2: the ledger that was read as its own is of another copy's engine, whose requests have the same names. Ruled out: an untrue refusal. The 424 refusals have codes that are decided before anything is sent.

The log says started after the address is bound, so that only the process itself can say it.

--- a/crates/heronbend-emulator/tests/support/mod.rs
+++ b/crates/heronbend-emulator/tests/support/mod.rs
@@ -93,11 +93,13 @@
     command: Vec<String>,
     log: PathBuf,
     address: Option<SocketAddr>,
+    /// Runs that the log told of before this one.
+    earlier_runs: usize,
 }
 
 impl Process {
     /// Starts a process that listens at an address, and waits until it does.
-    fn serve(
+    pub fn serve(
         directory: &Path,
         name: &str,
         program: &Path,
@@ -110,26 +112,32 @@
         process
     }
 
-    /// Another process's outgoing connection may have taken a port meanwhile: then it is tried again.
+    /// Another process may have taken a port meanwhile: then it is tried again. That something listens
+    /// there shows nothing, it may be that process. This one says that it has started once it has bound.
     fn wait_listening(&mut self) {
         let Some(address) = self.address else {
             return;
         };
         let name = self.log.display().to_string();
         wait_until(&format!("{name} shows a process that listens"), || {
-            if matches!(self.child.try_wait(), Ok(Some(_))) {
+            if self.has_ended() {
                 self.child = spawn(&self.command, &self.log);
             }
-            TcpStream::connect(address).is_ok()
+            self.runs() > self.earlier_runs && TcpStream::connect(address).is_ok()
         });
     }
 
+    /// Runs that the log tells of.
+    fn runs(&self) -> usize {
+        self.log().matches("event=started").count()
+    }
+
     fn start(directory: &Path, name: &str, program: &Path, arguments: &[String]) -> Self {
         let log = directory.join(format!("{name}.log"));
         let mut command = vec![program.display().to_string()];
         command.extend_from_slice(arguments);
         let child = spawn(&command, &log);
-        Self { child, command, log, address: None }
+        Self { child, command, log, address: None, earlier_runs: 0 }
     }
 
     fn signal(&self, signal: Signal) {
@@ -159,8 +167,14 @@
         self.signal(Signal::SIGCONT);
     }
 
+    /// Whether it has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Starts it again after it ended.
     pub fn restart(&mut self) {
+        self.earlier_runs = self.runs();
         self.child = spawn(&self.command, &self.log);
         self.wait_listening();
     }
@@ -259,7 +273,8 @@
     _place: Place,
 }
 
-fn emulator() -> PathBuf {
+/// The program of the stand-ins.
+pub fn emulator() -> PathBuf {
     PathBuf::from(env!("CARGO_BIN_EXE_heronbend-emulator"))
 }
 
@@ -272,7 +287,8 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
 
-fn words(text: &str) -> Vec<String> {
+/// The arguments that a line of text states.
+pub fn words(text: &str) -> Vec<String> {
     text.split_whitespace().map(str::to_owned).collect()
 }
 
