A server that is known to have ended is sent nothing while its entry stands

Cause, one loop: a server that ended was only avoided, and what is avoided is used if all are; `wait_for_server` then forgets whom it tried and looks again 15 ms later. No rule took a 421 for the end of the listed server. Ruled out: the 60 ms of avoidance after a refusal (it holds, and counts for nothing where all are avoided).

An ended server is barred for 3 s (its entry may be of one that a fault hid), and a 421 to a request that asked for no version says that the listed one has ended: two refusals at most, one for each. Its replacement is used once listed.

--- a/crates/heronbend-gateway/src/exchange.rs
+++ b/crates/heronbend-gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 use crate::http::client::{Exchange, ExchangeError, WholeAnswer};
 use crate::memory::Hold;
 use crate::ports::HeaderNames;
+use crate::quarantine::evidence;
 
 /// Largest whole answer in bytes.
 pub const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
@@ -88,7 +89,7 @@
 ///
 /// The caller has counted the attempt as begun and notes its end.
 pub async fn begin(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     server: &Server,
     outgoing: &Outgoing,
     time_left: Duration,
@@ -109,9 +110,22 @@
         Err(error) if error.is_not_sent() => return Err(AttemptFailure::NotSent),
         Err(_) => return Err(AttemptFailure::BrokenOff),
     };
+    if is_another_server(gateway, outgoing, &exchange) {
+        log::info!("event=server_replaced server={} id={}", server.id, outgoing.id);
+        evidence::note_gone(gateway, &server.id);
+    }
     judge_head(gateway, outgoing, exchange)
 }
 
+/// Whether an answer says that another server stands at the address: one that was asked for no version
+/// misdirects a request for nothing else. Its entry may tell of the one that ended for seconds more.
+fn is_another_server(gateway: &Gateway, outgoing: &Outgoing, exchange: &Exchange) -> bool {
+    let names = gateway.dialect.headers();
+    exchange.status == StatusCode::MISDIRECTED_REQUEST
+        && exchange.header(&names.request_id) == Some(outgoing.id.as_str())
+        && !outgoing.headers.contains_key(&names.expected_version)
+}
+
 fn judge_head(
     gateway: &Gateway,
     outgoing: &Outgoing,
--- a/crates/heronbend-gateway/src/quarantine/mod.rs
+++ b/crates/heronbend-gateway/src/quarantine/mod.rs
@@ -191,9 +191,8 @@
     let is_quarantined = matches!(change, Change::Quarantined(_));
     // News may have been lost on its way to whoever told the rest: only those who know both parts know
     // that it is quarantined, and the few who saw one of the endings make that known.
-    let completes = by == By::Peer
-        && is_quarantined
-        && gateway.quarantine.table.borrow().is_witnessed(request);
+    let completes =
+        by == By::Peer && is_quarantined && gateway.quarantine.table.borrow().is_witnessed(request);
     if by == By::Here || completes {
         if is_quarantined {
             record::ensure(gateway, request);
--- a/crates/heronbend/src/placement/decisions.rs
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -78,8 +78,9 @@
         homes.zip(region).is_some_and(|(homes, region)| homes.contains(region))
     }
 
-    fn has_listed(&self, service: ServiceKey) -> bool {
-        self.of_service(service).any(|(_, server)| server.is_ready())
+    fn has_listed(&self, now: Moment, service: ServiceKey) -> bool {
+        let is_listed = |server: &Server| server.is_ready() && !server.load.has_ended(now);
+        self.of_service(service).any(|(_, server)| is_listed(server))
     }
 
     /// Servers that nothing bars from a need, with what bars the others, as of a moment ago.
@@ -100,7 +101,7 @@
 
     /// Servers that nothing bars from a need, with what bars the others.
     fn open(&self, now: Moment, need: &Need) -> (Vec<ServerKey>, Tally) {
-        let has_listed = self.has_listed(need.service);
+        let has_listed = self.has_listed(now, need.service);
         let mut tally = Tally::default();
         let mut open = Vec::new();
         for (key, server) in self.of_service(need.service) {
--- a/crates/heronbend/src/placement/eligible.rs
+++ b/crates/heronbend/src/placement/eligible.rs
@@ -52,6 +52,8 @@
 /// Why a server may not run a request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Exclusion {
+    /// Its process ended a moment ago. What starts in its place may be listed at any time.
+    Ended,
     /// Its entry went, or says that it is about to leave.
     Gone,
     /// The operator has its zone evacuated.
@@ -78,6 +80,7 @@
     /// Its name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Ended => "ended",
             Self::Gone => "gone",
             Self::Evacuated => "evacuated",
             Self::OutsideHomes => "outside_homes",
@@ -111,6 +114,9 @@
 
 /// Why a server may not be sent anything of a need at all, whatever its load; nothing if it may.
 pub fn barred(server: &Server, need: &Need, at: &Circumstances) -> Option<Exclusion> {
+    if server.load.has_ended(at.now) {
+        return Some(Exclusion::Ended);
+    }
     let is_usable = server.is_ready() || (!at.has_listed && server.is_lapsed(at.now));
     if !is_usable {
         return Some(Exclusion::Gone);
--- a/crates/heronbend/src/placement/load.rs
+++ b/crates/heronbend/src/placement/load.rs
@@ -51,6 +51,7 @@
     sampled: Moment,
     failures: u32,
     avoid_until: Moment,
+    ended_until: Moment,
 }
 
 impl Load {
@@ -59,6 +60,12 @@
         self.avoid_until > now
     }
 
+    /// Whether its process was found to have ended. That is believed for a while only: an entry that stays
+    /// may be of a server that could not be reached for another reason.
+    pub fn has_ended(&self, now: Moment) -> bool {
+        self.ended_until > now
+    }
+
     /// Mean time in milliseconds. What is known fades towards `best`, the mean of the fastest server.
     pub fn faded_millis(&self, now: Moment, best: f64) -> f64 {
         let age = now.saturating_sub(self.sampled).as_secs_f64();
@@ -77,12 +84,16 @@
                 self.sampled = now;
                 self.failures = 0;
                 self.avoid_until = Moment::ZERO;
+                self.ended_until = Moment::ZERO;
             }
             AttemptEnd::Refused => self.avoid_until = now + REFUSED_PAUSE,
             AttemptEnd::Unreachable => self.fail(now, FAILURES_TO_AVOID),
             AttemptEnd::Failed => self.fail(now, 1),
             // What starts in its place is another server.
-            AttemptEnd::Ended => self.avoid_until = now + LONGEST_PAUSE,
+            AttemptEnd::Ended => {
+                self.avoid_until = now + LONGEST_PAUSE;
+                self.ended_until = now + LONGEST_PAUSE;
+            }
             AttemptEnd::Abandoned => {}
         }
     }
--- a/crates/heronbend/src/placement/patience.rs
+++ b/crates/heronbend/src/placement/patience.rs
@@ -17,7 +17,8 @@
 /// listed: entries that lapse by mistake are back within a second, later than that its caller had
 /// better come back.
 const UNOFFERED_SHARE: f64 = 0.2;
-/// The same for a call that servers refused: after its target an answer is worth little.
+/// The same for a call that servers refused, or whose servers ended a moment ago: these start anew within
+/// a second or so. After its target an answer is worth little.
 const OFFERED_SHARE: f64 = 1.0;
 /// When a refused caller is to come back if nothing is known of when a server will be free.
 pub const COME_BACK: Duration = Duration::from_millis(400);
@@ -65,7 +66,8 @@
     if !changes_by_itself {
         return Answer::Refuse(Refusal { reason, come_back: COME_BACK_LATER });
     }
-    let share = if waited.was_offered { OFFERED_SHARE } else { UNOFFERED_SHARE };
+    let may_soon_be_offered = waited.was_offered || reason == Some(Exclusion::Ended);
+    let share = if may_soon_be_offered { OFFERED_SHARE } else { UNOFFERED_SHARE };
     let give_up_at = (waited.since + waited.target.mul_f64(share)).min(waited.deadline);
     if now >= give_up_at {
         return Answer::Refuse(Refusal { reason, come_back: COME_BACK });
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -427,6 +427,9 @@
 
     /// Notes an outcome without a request ending.
     pub fn note(&mut self, now: Moment, id: &str, end: AttemptEnd) {
+        if end == AttemptEnd::Ended {
+            self.changes += 1;
+        }
         if let Some(key) = self.key(id) {
             self.note_at(now, key, end);
         }
--- a/crates/heronbend/src/placement/tests.rs
+++ b/crates/heronbend/src/placement/tests.rs
@@ -812,6 +812,43 @@
     assert_matches!(call(&mut fleet, 3 * SECOND), Answer::Place(_));
 }
 
+/// Calls while the entries of servers that ended still stand: each was sent to their addresses every 16 ms.
+#[test]
+fn servers_that_have_ended_are_sent_nothing_until_that_is_old() {
+    let mut fleet = Fleet::new();
+    fleet.add("a", "app", "a");
+    let need = fleet.need("app");
+    fleet.placer.note(SECOND, "a", AttemptEnd::Ended);
+    // A refusal at its address is the word of another server.
+    fleet.placer.note(SECOND, "a", AttemptEnd::Refused);
+    let none = History::default();
+    let answer = fleet.placer.call(2 * SECOND, &need, &none, &waited(2 * SECOND), |_| true);
+    assert_matches!(answer, Answer::Wait(_));
+    let late = waited(SECOND);
+    let answer = fleet.placer.call(2 * SECOND, &need, &none, &late, |_| true);
+    assert_matches!(answer, Answer::Refuse(Refusal { reason: Some(Exclusion::Ended), .. }));
+    // What was taken for its end may have been a fault of the way there.
+    let chosen = fleet.call(5 * SECOND, &need);
+    assert_eq!(fleet.id(chosen), "a");
+}
+
+/// A server whose entry lapsed by mistake is used while none is listed, one that has ended is not; what is
+/// listed in its place is used at once.
+#[test]
+fn an_ended_server_that_is_listed_does_not_keep_lapsed_ones_from_being_used() {
+    let mut fleet = Fleet::new();
+    fleet.add("a", "app", "a");
+    fleet.add("b", "app", "a");
+    let need = fleet.need("app");
+    fleet.placer.unlist(SECOND, "b");
+    fleet.placer.note(SECOND, "a", AttemptEnd::Ended);
+    let chosen = fleet.call(SECOND, &need);
+    assert_eq!(fleet.id(chosen), "b");
+    fleet.add("c", "app", "a");
+    let chosen = fleet.call(SECOND, &need);
+    assert_eq!(fleet.id(chosen), "c");
+}
+
 /// Steps of 128 texts, one after the other, before the engines of a whole fleet or of one of twice the
 /// size. All of them may run any text, as at the begin of a training run.
 #[test]
