The standalone daemon sends a request no more that ended three back ends

Callers whose requests crash their back end ended it anew with each try: 8 servers in 8 tries (new test, before).

Ruled out: the breaker, which knows of back ends alone, and forgets a run once the next one is listed.

Each thread keeps the library's table: a broken connection is a doubt, an address that refuses a new one an ending; from three on the request is refused as not run with the time to come back, three probes follow. Not mended: other daemons of a standalone fleet are not told.

--- a/crates/heronbend-daemon/src/dispatch.rs
+++ b/crates/heronbend-daemon/src/dispatch.rs
@@ -11,15 +11,18 @@
 use heronbend::admission::{backoff, RetryBudget};
 use heronbend::external::engine::{ATTEMPT_HEADER, CALLER_REQUEST_HEADER, CODE_LEAVING};
 use heronbend::lifecycle::{Backend, BackendName, Phase, Signal, SignalSource, StatedPhase};
+use heronbend::quarantine::fingerprint::Traits;
+use heronbend::quarantine::Fingerprint;
 use heronbend::routing::{Query, RouteRefusal, Router, Verdict};
 use heronbend::settings::policy::PoolPolicy;
 use heronbend_http::http_types::{Method, Request, StatusCode, Url};
-use heronbend_http::{Client, ClientError, ErrorBody, Outcome, Reply, OUTCOME_HEADER};
+use heronbend_http::{Client, ClientError, ErrorBody, HeadError, Outcome, Reply, OUTCOME_HEADER};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use smol::Timer;
 use thiserror::Error;
 
+use crate::quarantine::Quarantine;
 use crate::shared::{BackendsInput, Shared};
 
 /// Largest answer of an application server in bytes.
@@ -40,6 +43,9 @@
     /// Every attempt was refused or never arrived; nothing was run.
     #[error("no back end took the request: {0}")]
     NotRun(String),
+    /// Requests like this one ended the back ends that ran them: it is not sent to any for so long.
+    #[error("requests like this one ended the back ends that ran them")]
+    Quarantined(Duration),
     /// A back end may have run the request, or part of it.
     #[error("the outcome is unknown: {0}")]
     Unknown(String),
@@ -50,7 +56,9 @@
     pub fn outcome(&self) -> Outcome {
         match self {
             Self::Unknown(_) => Outcome::Unknown,
-            Self::NoBackend(_) | Self::Full(_) | Self::NotRun(_) => Outcome::NotRun,
+            Self::NoBackend(_) | Self::Full(_) | Self::NotRun(_) | Self::Quarantined(_) => {
+                Outcome::NotRun
+            }
         }
     }
 }
@@ -72,6 +80,19 @@
     pub repeatable: bool,
 }
 
+impl ApplicationRequest {
+    /// What tells that the request has come before.
+    fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&Traits {
+            method: self.method.as_ref(),
+            host: "",
+            target: &self.target,
+            tenant: None,
+            body: &self.body,
+        })
+    }
+}
+
 /// A whole answer of an application server.
 #[derive(Debug, Clone)]
 pub struct ApplicationAnswer {
@@ -87,6 +108,8 @@
 pub enum AttemptFailure {
     /// Nothing was run.
     NotRun(String),
+    /// The connection ended before the answer had come: something may have been run.
+    BrokenOff(String),
     /// Something may have been run.
     Unknown(String),
 }
@@ -103,6 +126,7 @@
     router: RefCell<Router>,
     generation: Cell<u64>,
     budget: RefCell<RetryBudget>,
+    quarantine: Quarantine,
     random: RefCell<SmallRng>,
 }
 
@@ -140,6 +164,7 @@
                 router: RefCell::new(Router::new(&zone, seed)),
                 generation: Cell::new(0),
                 budget: RefCell::default(),
+                quarantine: Quarantine::default(),
                 random: RefCell::new(SmallRng::seed_from_u64(seed)),
                 shared,
             }),
@@ -225,6 +250,34 @@
         self.inner.budget.borrow_mut().deposit(share);
     }
 
+    /// Whether a request may be sent to a back end, for what is known of requests like it.
+    pub fn admit(&self, request: impl FnOnce() -> Fingerprint) -> Result<(), DispatchError> {
+        let admitted = self.inner.quarantine.admit(self.inner.shared.now(), request);
+        admitted.map_err(|refused| DispatchError::Quarantined(refused.come_back))
+    }
+
+    /// Notes a whole answer to a request.
+    pub fn note_answer(&self, request: impl FnOnce() -> Fingerprint) {
+        self.inner.quarantine.note_answer(request);
+    }
+
+    /// Notes how an attempt failed; the message that says it.
+    pub async fn note_failure(
+        &self,
+        failure: AttemptFailure,
+        request: Fingerprint,
+        backend: &Backend,
+    ) -> String {
+        match failure {
+            AttemptFailure::NotRun(message) | AttemptFailure::Unknown(message) => message,
+            AttemptFailure::BrokenOff(message) => {
+                let now = self.inner.shared.now();
+                self.inner.quarantine.note_break(now, request, backend).await;
+                message
+            }
+        }
+    }
+
     /// Sends one attempt and waits for the head of its answer.
     pub async fn attempt(
         &self,
@@ -265,6 +318,9 @@
             if number > 1 && !self.may_retry(number - 1).await {
                 break;
             }
+            if let Err(refusal) = self.admit(|| request.fingerprint()) {
+                return Err(last.unwrap_or(refusal));
+            }
             let chosen = match self.choose(pool, None, None, &tried).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => return Err(last.unwrap_or(refusal)),
@@ -274,6 +330,9 @@
             match self.exchange(&chosen.backend, request, left).await {
                 Ok(answer) => {
                     let failed = answer.status.is_server_error();
+                    if !failed {
+                        self.note_answer(|| request.fingerprint());
+                    }
                     chosen.conclude(if failed { Verdict::Failed } else { Verdict::Answered });
                     return Ok(answer);
                 }
@@ -281,8 +340,10 @@
                     chosen.conclude(Verdict::Failed);
                     last = last.or(Some(DispatchError::NotRun(message)));
                 }
-                Err(AttemptFailure::Unknown(message)) => {
+                Err(failure @ (AttemptFailure::BrokenOff(_) | AttemptFailure::Unknown(_))) => {
+                    let backend = chosen.backend.clone();
                     chosen.conclude(Verdict::Failed);
+                    let message = self.note_failure(failure, request.fingerprint(), &backend).await;
                     last = Some(DispatchError::Unknown(message));
                     if !request.repeatable {
                         break;
@@ -369,6 +430,7 @@
 pub fn retry_after(error: &DispatchError) -> Duration {
     match error {
         DispatchError::Full(_) => SECOND,
+        DispatchError::Quarantined(come_back) => *come_back,
         DispatchError::NoBackend(_) | DispatchError::NotRun(_) | DispatchError::Unknown(_) => {
             SECOND * 2
         }
@@ -377,9 +439,11 @@
 
 fn classify(error: &ClientError) -> AttemptFailure {
     let message = error.to_string();
-    if error.is_not_sent() {
-        AttemptFailure::NotRun(message)
-    } else {
-        AttemptFailure::Unknown(message)
+    match error {
+        error if error.is_not_sent() => AttemptFailure::NotRun(message),
+        ClientError::Exchange(_) | ClientError::Head(HeadError::Closed | HeadError::Io(_)) => {
+            AttemptFailure::BrokenOff(message)
+        }
+        _ => AttemptFailure::Unknown(message),
     }
 }
--- a/crates/heronbend-daemon/src/front/answer.rs
+++ b/crates/heronbend-daemon/src/front/answer.rs
@@ -51,6 +51,7 @@
             DispatchError::NoBackend(_) => (StatusCode::ServiceUnavailable, "no_back_end"),
             DispatchError::Full(_) => (StatusCode::TooManyRequests, "pool_full"),
             DispatchError::NotRun(_) => (StatusCode::ServiceUnavailable, "not_run"),
+            DispatchError::Quarantined(_) => (StatusCode::ServiceUnavailable, "quarantined"),
             DispatchError::Unknown(_) => (StatusCode::BadGateway, "outcome_unknown"),
         };
         let mut response = error_response(status, code, error.to_string(), error.outcome());
--- a/crates/heronbend-daemon/src/generation.rs
+++ b/crates/heronbend-daemon/src/generation.rs
@@ -11,6 +11,8 @@
 use futures_lite::{AsyncBufReadExt, FutureExt};
 use heronbend::external::engine::{GenerateChunk, GenerateRequest, Resume};
 use heronbend::lifecycle::BackendName;
+use heronbend::quarantine::fingerprint::Traits;
+use heronbend::quarantine::Fingerprint;
 use heronbend::rollout::sample::append_segment;
 use heronbend::rollout::{FinishReason, Segment};
 use heronbend::routing::Verdict;
@@ -48,6 +50,19 @@
     pub caller_request: String,
 }
 
+impl GenerationRequest {
+    /// What tells that the request has come before, whatever its seed.
+    fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&Traits {
+            method: "POST",
+            host: "",
+            target: &self.model,
+            tenant: None,
+            body: self.prompt.as_bytes(),
+        })
+    }
+}
+
 /// A piece of the text, as it comes.
 #[derive(Debug, Clone)]
 pub struct Piece {
@@ -142,6 +157,9 @@
         if number > 1 && !dispatcher.may_retry(number - 1).await {
             break;
         }
+        if let Err(refusal) = dispatcher.admit(|| request.fingerprint()) {
+            return Err(failure.unwrap_or(refusal).into());
+        }
         let choice = dispatcher.choose(pool, Some(prefix), request.min_version, &tried).await;
         let chosen = match choice {
             Ok(chosen) => chosen,
@@ -159,8 +177,11 @@
                 failure = Some(failure.unwrap_or(DispatchError::NotRun(message)));
                 continue;
             }
-            Err(AttemptFailure::Unknown(message)) => {
+            Err(broken @ (AttemptFailure::BrokenOff(_) | AttemptFailure::Unknown(_))) => {
+                let backend = chosen.backend.clone();
                 chosen.conclude(Verdict::Failed);
+                let request = request.fingerprint();
+                let message = dispatcher.note_failure(broken, request, &backend).await;
                 failure = Some(DispatchError::Unknown(message));
                 continue;
             }
@@ -171,6 +192,7 @@
         let end = read_stream(dispatcher, reply, &attempt, deadline, &mut progress, sink).await?;
         match end {
             StreamEnd::Finished(finish_reason) => {
+                dispatcher.note_answer(|| request.fingerprint());
                 chosen.conclude(Verdict::Answered);
                 return Ok(Generated {
                     text: progress.text,
@@ -179,7 +201,12 @@
                 });
             }
             StreamEnd::Broken(message) => {
+                let backend = chosen.backend.clone();
                 chosen.conclude(Verdict::Failed);
+                if progress.segments.is_empty() {
+                    let broken = AttemptFailure::BrokenOff(message.clone());
+                    dispatcher.note_failure(broken, request.fingerprint(), &backend).await;
+                }
                 failure = Some(DispatchError::Unknown(message));
             }
         }
--- a/crates/heronbend-daemon/src/main.rs
+++ b/crates/heronbend-daemon/src/main.rs
@@ -9,6 +9,7 @@
 mod generation;
 mod peer;
 mod platform_client;
+mod quarantine;
 mod serve;
 mod shared;
 mod telemetry;
--- a/crates/heronbend-emulator/src/application.rs
+++ b/crates/heronbend-emulator/src/application.rs
@@ -86,8 +86,16 @@
 /// Header with which a caller marks its request.
 pub const NONCE_HEADER: &str = "x-nonce";
 
+/// Faults of an application server, set by `POST /faults`.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct ApplicationFaults {
+    /// Its process ends when it begins a request with this path.
+    pub ends_on: Option<String>,
+}
+
 struct Server {
     name: String,
+    faults: RefCell<ApplicationFaults>,
     incarnation: Incarnation,
     phase: Rc<Cell<Phase>>,
     leaving_since: Cell<Option<Instant>>,
@@ -102,6 +110,7 @@
     serve(arguments.listen, move |executor, address| {
         let server = Rc::new(Server {
             name: arguments.name.clone(),
+            faults: RefCell::default(),
             incarnation: Incarnation::starting_now(),
             phase: Rc::new(Cell::new(Phase::Live)),
             leaving_since: Cell::new(None),
@@ -139,6 +148,17 @@
             server.leaving_since.set(Some(Instant::now()));
             Response::new(StatusCode::NoContent)
         }
+        (Method::Post, "/faults") => match read_json(&mut request).await {
+            Ok(faults) => {
+                server.faults.replace(faults);
+                Response::new(StatusCode::NoContent)
+            }
+            Err(response) => response,
+        },
+        (_, path) if server.faults.borrow().ends_on.as_deref() == Some(path) => {
+            log::info!("event=ended_by_fault path={path}");
+            std::process::exit(1)
+        }
         _ if server.phase.get() != Phase::Live => server.refuse_leaving(),
         (Method::Post, "/score") if duty == Duty::Score => {
             match read_json::<ScoreRequest>(&mut request).await {
