--- a/crates/heronbend/src/placement/eligible.rs
+++ b/crates/heronbend/src/placement/eligible.rs
@@ -52,7 +52,8 @@
 /// Why a server may not run a request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Exclusion {
-    /// Its process ended a moment ago. What starts in its place may be listed at any time.
+    /// Its process ended a moment ago, and its entry still stands. What starts in its place may be listed at
+    /// any time.
     Ended,
     /// Its entry went, or says that it is about to leave.
     Gone,
@@ -114,9 +115,6 @@
 
 /// Why a server may not be sent anything of a need at all, whatever its load; nothing if it may.
 pub fn barred(server: &Server, need: &Need, at: &Circumstances) -> Option<Exclusion> {
-    if server.load.has_ended(at.now) {
-        return Some(Exclusion::Ended);
-    }
     let is_usable = server.is_ready() || (!at.has_listed && server.is_lapsed(at.now));
     if !is_usable {
         return Some(Exclusion::Gone);
@@ -127,6 +125,9 @@
     if !at.is_home {
         return Some(Exclusion::OutsideHomes);
     }
+    if server.load.has_ended(at.now) {
+        return Some(if server.is_ready() { Exclusion::Ended } else { Exclusion::Gone });
+    }
     (fitness(server, need, at.now) == Fitness::Unfit).then_some(Exclusion::Version)
 }
 
