A daemon uses no server, and is not ready, before it knows the evacuations

Cause: readiness and placement waited for the servers and the configuration alone; that the evacuations were known first hung on the order in which kinds that a peer told together were taken in. A daemon that lists for itself has no such order. Ruled out: the watch (the evacuation is older than the start).

The machine that places holds all servers back until the evacuations are known, where the settings say that there may be any. What it costs where the store is away at the start: nothing, since the servers are not known either, unless peers know the servers and not the evacuations; then the daemon waits for the store.

--- a/crates/heronbend-gateway/src/evacuations.rs
+++ b/crates/heronbend-gateway/src/evacuations.rs
@@ -70,6 +70,10 @@
         self.end(zone);
     }
 
+    fn listed(&self) {
+        self.0.directory.borrow_mut().placer.know_evacuations();
+    }
+
     fn applied(&self) {
         self.0.places.changed.notify(usize::MAX);
         self.0.versions.changed.notify(usize::MAX);
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -328,7 +328,10 @@
 
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.directory_known.get() && self.configuration.borrow().is_some()
+        !self.draining.get()
+            && self.directory_known.get()
+            && self.directory.borrow().placer.knows_evacuations()
+            && self.configuration.borrow().is_some()
     }
 
     /// What is told of a lease.
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -219,6 +219,7 @@
         directory,
     )));
     if gateway.tuning().evacuation_notice.is_some() {
+        gateway.directory.borrow_mut().placer.await_evacuations();
         spawn(Box::pin(evacuations::follow(gateway.clone())));
     }
     spawn(Box::pin(quarantine::record::follow(gateway.clone())));
--- a/crates/heronbend/src/placement/decisions.rs
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -107,6 +107,7 @@
         for (key, server) in self.of_service(need.service) {
             let at = self.circumstances(now, server, need, has_listed);
             match eligible::barred(server, need, &at) {
+                _ if self.awaits_evacuations => tally.add(Exclusion::Gone),
                 Some(exclusion) => tally.add(exclusion),
                 None => open.push(key),
             }
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -95,6 +95,8 @@
     pub(super) region_of: HashMap<ZoneKey, RegionKey>,
     pub(super) here: Option<ZoneKey>,
     pub(super) evacuated: BTreeSet<ZoneKey>,
+    /// Whether the evacuations are still to be heard of: any zone may be evacuated until then.
+    pub(super) awaits_evacuations: bool,
     pub(super) terms: HashMap<ServiceKey, ServiceState>,
     pub(super) places: Vec<Place>,
     /// Indices of `places` that hold no server.
@@ -133,6 +135,7 @@
             region_of: HashMap::new(),
             here: None,
             evacuated: BTreeSet::new(),
+            awaits_evacuations: false,
             terms: HashMap::new(),
             places: Vec::new(),
             free: Vec::new(),
@@ -236,6 +239,22 @@
         self.terms.get(&service)?.cold
     }
 
+    /// Has no server used until the evacuations are known.
+    pub fn await_evacuations(&mut self) {
+        self.awaits_evacuations = true;
+    }
+
+    /// Notes that the evacuations are known.
+    pub fn know_evacuations(&mut self) {
+        self.changes += 1;
+        self.awaits_evacuations = false;
+    }
+
+    /// Whether the evacuations are known, where there may be any.
+    pub fn knows_evacuations(&self) -> bool {
+        !self.awaits_evacuations
+    }
+
     /// Notes that nothing may be sent to a zone's servers any more.
     pub fn evacuate(&mut self, zone: &str) {
         self.changes += 1;
