Of two requests with the same endings one is probed after a second

Cause: sets that are the same explain each other in neither direction, so that both are quarantined until the first probe, 5 s later. Ruled out: the list, the last server spared (no refusal `Last`).

One probe of either tells: an answer clears that one, an ending gives the fatal one more than the other has, which explains it. So the first probe of tied requests comes after a fifth of the rest; the others keep theirs, and there are as many in all. The library's test fails before (Refused at 1 s).

--- a/crates/heronbend/src/quarantine/suspect.rs
+++ b/crates/heronbend/src/quarantine/suspect.rs
@@ -15,6 +15,9 @@
 pub const DOUBT: Duration = Duration::from_secs(10);
 /// How long it counts as an ending that may yet be shown: several looks at the server's address.
 const DOUBT_COUNTS: Duration = Duration::from_secs(1);
+/// How much sooner the first probe of a request comes that is tied with another one: it releases one of
+/// them, whichever is probed.
+const TIED_PROBE_SHARE: u32 = 5;
 /// Servers that are told of a request: more than any decision needs.
 const MOST_ENDINGS: usize = 16;
 
@@ -31,6 +34,8 @@
     endings: BTreeMap<String, bool>,
     /// How many of those that count are explained by a likelier request.
     explained: usize,
+    /// Whether another request has just the same endings: nothing tells which of them it was.
+    is_tied: bool,
     /// Whether this daemon itself found one of the servers gone.
     is_witnessed: bool,
     /// Servers at which its connection broke, and when.
@@ -64,6 +69,12 @@
         let is_explained =
             |server: &&String| likelier().any(|culprit| culprit.endings.contains(*server));
         self.explained = self.counted().filter(is_explained).count();
+        let has_same = |culprit: &&Culprit| {
+            culprit.endings.len() == count
+                && self.counted().all(|server| culprit.endings.contains(server))
+        };
+        // One of them is this request itself.
+        self.is_tied = count > 0 && culprits.iter().filter(has_same).count() > 1;
     }
 
     /// The request as one that may explain what is held against others, if it has endings enough.
@@ -184,6 +195,7 @@
             return Admission::Refused { come_back: limits.first_probe };
         };
         let due = match limits.probe_rest(record.probes) {
+            Some(rest) if self.is_tied && record.probes == 0 => learnt + rest / TIED_PROBE_SHARE,
             Some(rest) => learnt + rest,
             None => return Admission::Refused { come_back: self.left(now, limits) },
         };
--- a/crates/heronbend/src/quarantine/tests.rs
+++ b/crates/heronbend/src/quarantine/tests.rs
@@ -175,6 +175,32 @@
     }
 }
 
+/// A caller whose calls met the fatal request at each of its servers was refused for 5 s as well: the two
+/// had the same endings. Whichever is probed first, the probe tells them apart.
+#[test]
+fn requests_with_the_same_endings_are_soon_told_apart_by_a_probe() {
+    let both = || {
+        let mut table = Table::default();
+        for number in 0..2 {
+            table.join(Moment::ZERO, request(number), &endings(&["a", "b", "c"]));
+            let record = Record { revision: 1, probes: 0 };
+            table.set_record(Moment::ZERO, request(number), record);
+        }
+        table
+    };
+    let mut table = both();
+    assert_matches!(table.admission(SECOND / 2, request(1)), Admission::Refused { .. });
+    assert_eq!(table.admission(SECOND, request(1)), Admission::Probe);
+    // The probe of the fatal one ends a server.
+    table.join(SECOND, request(0), &endings(&["d"]));
+    assert_eq!(table.admission(SECOND, request(1)), Admission::Free);
+    assert!(table.is_quarantined(request(0)));
+    // Or that of the other one is answered, and the fatal one has the rest of any.
+    let mut table = both();
+    table.clear(request(1));
+    assert_matches!(table.admission(SECOND, request(0)), Admission::Refused { .. });
+}
+
 /// As long as none of the requests has ended as many servers as quarantine it, nobody is likelier.
 #[test]
 fn a_request_that_is_not_quarantined_explains_nothing() {
