Who leaves a request does not take with it what its server's end tells

Cause: a caller that leaves has its attempts dropped, and with them the connection whose break is the evidence. Ruled out: the route's time, which ends a request in the same way but later than most servers would.

A dropped attempt notes that the server had the request. That alone keeps the request from nothing, since callers leave for reasons of their own; but if the server is found gone within the time for which a doubt is held, by its entry, a peer or a refused connection, it is an ending. An address that refuses a connection is looked at by whoever meets that, not only after a break. Attempts that lose a race against another one, and streams that have begun, note nothing.

--- a/crates/heronbend-gateway/src/exchange.rs
+++ b/crates/heronbend-gateway/src/exchange.rs
@@ -107,7 +107,10 @@
     gateway.metrics.attempts.inc();
     let exchange = match gateway.servers.send(server.address, request).await {
         Ok(exchange) => exchange,
-        Err(error) if error.is_not_sent() => return Err(AttemptFailure::NotSent),
+        Err(error) if error.is_not_sent() => {
+            evidence::look_at(gateway, server);
+            return Err(AttemptFailure::NotSent);
+        }
         Err(_) => return Err(AttemptFailure::BrokenOff),
     };
     if is_another_server(gateway, outgoing, &exchange) {
@@ -158,6 +161,8 @@
     at: Option<ServerKey>,
     begun: heronbend::Moment,
     is_open: bool,
+    /// Called if the attempt is dropped before it ended.
+    on_drop: Option<Box<dyn FnOnce()>>,
 }
 
 impl CountedAttempt {
@@ -165,7 +170,17 @@
     pub fn begin(gateway: &Rc<Gateway>, server: &Rc<Server>) -> Self {
         let begun = gateway.now();
         let at = gateway.directory.borrow_mut().placer.began(begun, &server.id);
-        Self { gateway: gateway.clone(), at, begun, is_open: true }
+        Self { gateway: gateway.clone(), at, begun, is_open: true, on_drop: None }
+    }
+
+    /// Has something done if the attempt is dropped before it ended.
+    pub fn on_drop(&mut self, act: impl FnOnce() + 'static) {
+        self.on_drop = Some(Box::new(act));
+    }
+
+    /// Has nothing done any more if the attempt is dropped.
+    pub fn keep_quiet(&mut self) {
+        self.on_drop = None;
     }
 
     /// Time since the attempt began.
@@ -209,6 +224,9 @@
 
 impl Drop for CountedAttempt {
     fn drop(&mut self) {
+        if let Some(act) = self.on_drop.take().filter(|_| self.is_open) {
+            act();
+        }
         self.close(AttemptEnd::Abandoned);
     }
 }
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Passing requests on to servers: attempts, retries and hedges within a request's time.
 
+use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -119,6 +120,8 @@
     /// Attempts that may have run it.
     spent: u32,
     open: Vec<Task<()>>,
+    /// Whether a server has answered: attempts that are dropped then had a caller who did not leave.
+    is_answered: Rc<Cell<bool>>,
     last_failure: Option<WholeAnswer>,
 }
 
@@ -154,6 +157,7 @@
         passage,
         spent: 0,
         open: Vec::new(),
+        is_answered: Rc::default(),
         last_failure: None,
     };
     forwarding.run().await
@@ -190,6 +194,7 @@
                 Event::Ended(result) => {
                     open -= 1;
                     if let Some(answer) = self.take(result) {
+                        self.is_answered.set(true);
                         return Ok(answer);
                     }
                 }
@@ -259,7 +264,8 @@
         let (gateway, outgoing) = (self.gateway.clone(), self.outgoing.clone());
         let (sender, deadline) = (sender.clone(), self.allowance.deadline);
         // Counted from now on: requests that are chosen for before the task has run must see it.
-        let counted = CountedAttempt::begin(&gateway, &server);
+        let mut counted = CountedAttempt::begin(&gateway, &server);
+        let is_answered = self.is_answered.clone();
         let is_alone = self.history.is_alone;
         let task = self.gateway.executor.spawn(async move {
             let isolated = passage::isolate(&gateway, &server, &outgoing, is_alone).await;
@@ -271,6 +277,15 @@
                     return;
                 }
             };
+            counted.on_drop({
+                let (gateway, server) = (gateway.clone(), server.clone());
+                let outgoing = outgoing.clone();
+                move || {
+                    if !is_answered.get() {
+                        evidence::note_left(&gateway, &server, &outgoing);
+                    }
+                }
+            });
             let time_left = deadline.saturating_sub(gateway.now());
             let answered = async {
                 let exchange = exchange::begin(&gateway, &server, &outgoing, time_left).await?;
--- a/crates/heronbend-gateway/src/quarantine/evidence.rs
+++ b/crates/heronbend-gateway/src/quarantine/evidence.rs
@@ -5,6 +5,7 @@
 //! end all at one moment, so that the address is looked at more than once; later on the store's entry
 //! of the server tells, or another daemon.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -38,23 +39,35 @@
         return;
     }
     gateway.quarantine.table.borrow_mut().doubt(gateway.now(), request, &server.id);
-    // One series of looks is enough for all that ran there.
+    look_at(gateway, server);
+}
+
+/// Notes that the caller of a request left while a server had it: the connection is closed, and nothing
+/// here will tell what becomes of the server. Whoever finds it gone later on does.
+pub fn note_left(gateway: &Rc<Gateway>, server: &Server, outgoing: &Outgoing) {
+    let request = outgoing.fingerprint(gateway.dialect.headers());
+    gateway.quarantine.table.borrow_mut().leave(gateway.now(), request, &server.id);
+}
+
+/// Looks whether a server is gone. One series of looks is enough for all that ran there.
+pub fn look_at(gateway: &Rc<Gateway>, server: &Server) {
     if gateway.quarantine.looking.borrow_mut().insert(server.id.clone()) {
-        gateway.executor.spawn(look(gateway.clone(), server.clone())).detach();
+        let looking = look(gateway.clone(), server.id.clone(), server.address);
+        gateway.executor.spawn(looking).detach();
     }
 }
 
-async fn look(gateway: Rc<Gateway>, server: Rc<Server>) {
+async fn look(gateway: Rc<Gateway>, server: String, address: SocketAddr) {
     for rest in LOOKS {
         Timer::after(rest).await;
-        let reach = gateway.servers.probe(server.address).await;
-        log::info!("event=server_looked_at server={} new_connection={}", server.id, reach.name());
+        let reach = gateway.servers.probe(address).await;
+        log::info!("event=server_looked_at server={server} new_connection={}", reach.name());
         if reach == Reach::Refused {
-            note_gone(&gateway, &server.id);
+            note_gone(&gateway, &server);
             break;
         }
     }
-    gateway.quarantine.looking.borrow_mut().remove(&server.id);
+    gateway.quarantine.looking.borrow_mut().remove(&server);
 }
 
 /// Notes that a server is gone without having said that it would leave. Its entry may take seconds to
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -274,6 +274,7 @@
             run.events += 1;
             // It has begun and its server lives: others need not wait for its end.
             run.isolation = None;
+            run.counted.keep_quiet();
             bytes.extend_from_slice(&event.raw);
         }
         Ok(bytes.freeze())
@@ -370,13 +371,18 @@
             };
             self.history.tried.push(key);
             self.spent += 1;
-            let counted = CountedAttempt::begin(&self.gateway, &server);
+            let mut counted = CountedAttempt::begin(&self.gateway, &server);
             let is_alone = self.history.is_alone;
             let isolated = passage::isolate(&self.gateway, &server, &self.outgoing, is_alone).await;
             let Ok(isolation) = isolated else {
                 self.take_attempt(AttemptFailure::Held, counted)?;
                 continue;
             };
+            counted.on_drop({
+                let (gateway, server) = (self.gateway.clone(), server.clone());
+                let outgoing = self.outgoing.clone();
+                move || evidence::note_left(&gateway, &server, &outgoing)
+            });
             let sent = self.send(&server, fitness).await;
             self.passage.note_attempt(sent.as_ref().err());
             match sent {
--- a/crates/heronbend/src/quarantine/suspect.rs
+++ b/crates/heronbend/src/quarantine/suspect.rs
@@ -40,6 +40,9 @@
     is_witnessed: bool,
     /// Servers at which its connection broke, and when.
     doubts: BTreeMap<String, Moment>,
+    /// Servers that had it when its caller left, and when. Callers leave for reasons of their own, so that
+    /// this alone keeps it from nothing.
+    left: BTreeMap<String, Moment>,
     /// What the store holds of it, and when that was learnt.
     record: Option<(Record, Moment)>,
     /// When the last thing was learnt of it.
@@ -96,7 +99,8 @@
 
     /// Whether nothing has come of the doubts that it was kept for.
     pub fn is_idle(&self, now: Moment) -> bool {
-        let is_open = self.doubts.values().any(|since| now < *since + DOUBT);
+        let mut since = self.doubts.values().chain(self.left.values());
+        let is_open = since.any(|since| now < *since + DOUBT);
         !is_open && self.endings.is_empty() && self.record.is_none()
     }
 
@@ -107,9 +111,18 @@
         }
     }
 
-    /// Takes a server that was in doubt for gone; false where it was not in doubt.
+    /// Notes that its caller left while a server had it.
+    pub fn leave(&mut self, now: Moment, server: &str) {
+        self.left.retain(|_, since| now < *since + DOUBT);
+        if !self.endings.contains_key(server) {
+            self.left.insert(server.to_owned(), now);
+            self.latest = now;
+        }
+    }
+
+    /// Takes a server that was in doubt, or had it when its caller left, for gone; false for any other.
     pub fn confirm(&mut self, now: Moment, server: &str) -> bool {
-        let since = self.doubts.remove(server);
+        let since = self.doubts.remove(server).max(self.left.remove(server));
         let is_ending = since.is_some_and(|since| now < since + DOUBT);
         if is_ending {
             self.add(now, server, false);
@@ -138,6 +151,7 @@
         let was_held = self.count() > 0;
         self.endings.values_mut().for_each(|is_excused| *is_excused = true);
         self.doubts.clear();
+        self.left.clear();
         self.record = None;
         was_held
     }
--- a/crates/heronbend/src/quarantine/table.rs
+++ b/crates/heronbend/src/quarantine/table.rs
@@ -84,8 +84,14 @@
         self.evict();
     }
 
-    /// Notes that a server is gone: an ending for each request whose connection to it broke. Returns
-    /// these, with what has changed.
+    /// Notes that the caller of a request left while a server had it.
+    pub fn leave(&mut self, now: Moment, request: Fingerprint, server: &str) {
+        self.suspect(request).leave(now, server);
+        self.evict();
+    }
+
+    /// Notes that a server is gone: an ending for each request whose connection to it broke, or whose
+    /// caller left it there. Returns these, with what has changed.
     pub fn confirm(&mut self, now: Moment, server: &str) -> Vec<(Fingerprint, Change)> {
         let limits = self.limits;
         let ended: Vec<(Fingerprint, Standing)> = self
