--- a/crates/heronbend-gateway/src/exchange.rs
+++ b/crates/heronbend-gateway/src/exchange.rs
@@ -178,8 +178,8 @@
         self.on_drop = Some(Box::new(act));
     }
 
-    /// Has nothing done any more if the attempt is dropped.
-    pub fn keep_quiet(&mut self) {
+    /// Has nothing done any more if the attempt is dropped before it ended.
+    pub fn disarm(&mut self) {
         self.on_drop = None;
     }
 
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -19,6 +19,7 @@
 use smol::{Task, Timer};
 
 use crate::configuration::Route;
+use crate::directory::Server;
 use crate::exchange::{self, AttemptFailure, CountedAttempt, Outgoing};
 use crate::gateway::Gateway;
 use crate::http::client::WholeAnswer;
@@ -26,7 +27,6 @@
 use crate::places;
 use crate::quarantine;
 use crate::quarantine::evidence;
-use crate::quarantine::isolation::Busy;
 use crate::quarantine::passage;
 use crate::quarantine::Passage;
 use crate::quarantine::Refused;
@@ -261,71 +261,19 @@
         };
         self.history.tried.push(choice.server);
         self.spent += 1;
-        let (gateway, outgoing) = (self.gateway.clone(), self.outgoing.clone());
-        let (sender, deadline) = (sender.clone(), self.allowance.deadline);
         // Counted from now on: requests that are chosen for before the task has run must see it.
-        let mut counted = CountedAttempt::begin(&gateway, &server);
-        let is_answered = self.is_answered.clone();
-        let is_alone = self.history.is_alone;
+        let counted = CountedAttempt::begin(&self.gateway, &server);
+        let attempt = Attempt {
+            gateway: self.gateway.clone(),
+            server,
+            outgoing: self.outgoing.clone(),
+            deadline: self.allowance.deadline,
+            is_alone: self.history.is_alone,
+            is_answered: self.is_answered.clone(),
+        };
+        let sender = sender.clone();
         let task = self.gateway.executor.spawn(async move {
-            let isolated = passage::isolate(&gateway, &server, &outgoing, is_alone).await;
-            let isolation = match isolated {
-                Ok(isolation) => isolation,
-                Err(Busy) => {
-                    counted.fail(&AttemptFailure::Held);
-                    let _ = sender.send(Err(AttemptFailure::Held)).await;
-                    return;
-                }
-            };
-            counted.on_drop({
-                let (gateway, server) = (gateway.clone(), server.clone());
-                let outgoing = outgoing.clone();
-                move || {
-                    if !is_answered.get() {
-                        evidence::note_left(&gateway, &server, &outgoing);
-                    }
-                }
-            });
-            let time_left = deadline.saturating_sub(gateway.now());
-            let answered = async {
-                let exchange = exchange::begin(&gateway, &server, &outgoing, time_left).await?;
-                exchange::read_whole(exchange).await
-            };
-            let billing = outgoing.billing.as_deref();
-            let begun = gateway.now();
-            if let Some(billing) = billing {
-                billing.sent(begun);
-            }
-            let result = answered.await;
-            drop(isolation);
-            match &result {
-                Ok(answer) => quarantine::note_answer(&gateway, &outgoing, answer.status),
-                Err(AttemptFailure::BrokenOff) => {
-                    evidence::note_break(&gateway, &server, &outgoing, 0);
-                }
-                Err(_) => {}
-            }
-            if let Some(billing) = billing {
-                match &result {
-                    Ok(_) => billing.began(begun),
-                    Err(
-                        AttemptFailure::NotRun | AttemptFailure::NotSent | AttemptFailure::Held,
-                    ) => billing.not_run(begun),
-                    // It may be answered by another server, which counts as the same request.
-                    Err(AttemptFailure::BrokenOff | AttemptFailure::Unknown(_)) => {}
-                }
-            }
-            match &result {
-                // A server that fails at all it gets is fast, and would get ever more.
-                Ok(answer) if answer.status.is_server_error() => {
-                    counted.end(AttemptEnd::Failed);
-                }
-                Ok(_) => {
-                    let latency = counted.elapsed();
-                    counted.end(AttemptEnd::Answered(latency));
-                }
-                Err(failure) => counted.fail(failure),
-            }
+            let result = attempt.run(counted).await;
             let _ = sender.send(result).await;
         });
         self.open.push(task);
@@ -390,6 +338,90 @@
     }
 }
 
+/// One attempt of a request at one server.
+struct Attempt {
+    gateway: Rc<Gateway>,
+    server: Rc<Server>,
+    outgoing: Rc<Outgoing>,
+    deadline: Moment,
+    /// Whether the request is kept apart from others.
+    is_alone: bool,
+    /// Whether some attempt of the request has been answered.
+    is_answered: Rc<Cell<bool>>,
+}
+
+impl Attempt {
+    /// Sends the request and notes what its end says of the server and of the request.
+    async fn run(self, mut counted: CountedAttempt) -> Result<WholeAnswer, AttemptFailure> {
+        let (gateway, server) = (&self.gateway, &self.server);
+        let isolated = passage::isolate(gateway, server, &self.outgoing, self.is_alone).await;
+        let Ok(isolation) = isolated else {
+            counted.fail(&AttemptFailure::Held);
+            return Err(AttemptFailure::Held);
+        };
+        counted.on_drop(self.leaving());
+        let begun = gateway.now();
+        if let Some(billing) = self.outgoing.billing.as_deref() {
+            billing.sent(begun);
+        }
+        let result = self.exchange().await;
+        drop(isolation);
+        self.note_evidence(&result);
+        self.bill(begun, &result);
+        match &result {
+            // A server that fails at all it gets is fast, and would get ever more.
+            Ok(answer) if answer.status.is_server_error() => counted.end(AttemptEnd::Failed),
+            Ok(_) => {
+                let latency = counted.elapsed();
+                counted.end(AttemptEnd::Answered(latency));
+            }
+            Err(failure) => counted.fail(failure),
+        }
+        result
+    }
+
+    async fn exchange(&self) -> Result<WholeAnswer, AttemptFailure> {
+        let time_left = self.deadline.saturating_sub(self.gateway.now());
+        let begun = exchange::begin(&self.gateway, &self.server, &self.outgoing, time_left);
+        exchange::read_whole(begun.await?).await
+    }
+
+    /// What is done if the attempt is dropped before it has ended.
+    fn leaving(&self) -> impl FnOnce() + 'static {
+        let (gateway, server) = (self.gateway.clone(), self.server.clone());
+        let (outgoing, is_answered) = (self.outgoing.clone(), self.is_answered.clone());
+        move || {
+            if !is_answered.get() {
+                evidence::note_left(&gateway, &server, &outgoing);
+            }
+        }
+    }
+
+    fn note_evidence(&self, result: &Result<WholeAnswer, AttemptFailure>) {
+        match result {
+            Ok(answer) => quarantine::note_answer(&self.gateway, &self.outgoing, answer.status),
+            Err(AttemptFailure::BrokenOff) => {
+                evidence::note_break(&self.gateway, &self.server, &self.outgoing, 0);
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn bill(&self, begun: Moment, result: &Result<WholeAnswer, AttemptFailure>) {
+        let Some(billing) = self.outgoing.billing.as_deref() else {
+            return;
+        };
+        match result {
+            Ok(_) => billing.began(begun),
+            Err(AttemptFailure::NotRun | AttemptFailure::NotSent | AttemptFailure::Held) => {
+                billing.not_run(begun);
+            }
+            // It may be answered by another server, which counts as the same request.
+            Err(AttemptFailure::BrokenOff | AttemptFailure::Unknown(_)) => {}
+        }
+    }
+}
+
 /// The value of a `Retry-After` header, in seconds.
 pub fn retry_after(duration: Duration) -> HeaderValue {
     HeaderValue::from_str(&format!("{:.1}", duration.as_secs_f64()))
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -274,7 +274,7 @@
             run.events += 1;
             // It has begun and its server lives: others need not wait for its end.
             run.isolation = None;
-            run.counted.keep_quiet();
+            run.counted.disarm();
             bytes.extend_from_slice(&event.raw);
         }
         Ok(bytes.freeze())
--- a/crates/heronbend/src/quarantine/suspect.rs
+++ b/crates/heronbend/src/quarantine/suspect.rs
@@ -36,7 +36,7 @@
     explained: usize,
     /// Whether another request has just the same endings: nothing tells which of them it was.
     is_tied: bool,
-    /// Whether this daemon itself found one of the servers gone.
+    /// Whether this daemon itself found one of the servers gone, and was not told.
     is_witnessed: bool,
     /// Servers at which its connection broke, and when.
     doubts: BTreeMap<String, Moment>,
