--- a/crates/heronbend-gateway/tests/quarantine.rs
+++ b/crates/heronbend-gateway/tests/quarantine.rs
@@ -77,6 +77,14 @@
     }
 }
 
+/// Another daemon tells that servers ended under the request.
+fn learn_endings(gateway: &Rc<Gateway>, servers: &[&str]) {
+    let request = outgoing().fingerprint(gateway.dialect.headers());
+    let ending = |server: &&str| Ending { server: (*server).to_owned(), is_excused: false };
+    let endings = servers.iter().map(ending).collect();
+    news::learn(gateway, vec![Report { request, endings }]);
+}
+
 fn record_of(store: &MemoryStore, gateway: &Gateway) -> bool {
     let name = outgoing().fingerprint(gateway.dialect.headers()).to_string();
     store.object(record::KIND, &name).is_some()
@@ -156,9 +164,7 @@
             let gateway = gateway("a", &store, &executor);
             end_servers(&gateway, 2);
             wait_until("both are found gone", || gateway.metrics.servers_ended.get() == 2).await;
-            let ending = |server: &str| Ending { server: server.to_owned(), is_excused: false };
-            let request = outgoing().fingerprint(gateway.dialect.headers());
-            news::learn(&gateway, vec![Report { request, endings: vec![ending("other")] }]);
+            learn_endings(&gateway, &["other"]);
             assert!(admit(&gateway).await.is_err());
             wait_until("it is recorded", || record_of(&store, &gateway)).await;
         })
@@ -172,10 +178,7 @@
         Box::pin(async move {
             let store = Rc::new(MemoryStore::default());
             let gateway = gateway("a", &store, &executor);
-            let ending = |server: &str| Ending { server: server.to_owned(), is_excused: false };
-            let request = outgoing().fingerprint(gateway.dialect.headers());
-            let endings = ["s0", "s1", "s2"].map(ending).to_vec();
-            news::learn(&gateway, vec![Report { request, endings }]);
+            learn_endings(&gateway, &["s0", "s1", "s2"]);
             assert!(admit(&gateway).await.is_err());
             Timer::after(Duration::from_millis(500)).await;
             assert!(!record_of(&store, &gateway));
--- a/crates/heronbend/src/quarantine/tests.rs
+++ b/crates/heronbend/src/quarantine/tests.rs
@@ -201,6 +201,51 @@
     assert_matches!(table.admission(SECOND, request(0)), Admission::Refused { .. });
 }
 
+/// The connection of a caller that leaves is closed, so that nobody sees its server end.
+#[test]
+fn a_server_that_is_found_gone_after_a_caller_left_counts_and_leaving_alone_does_not() {
+    let mut table = Table::default();
+    for server in ["a", "b", "c"] {
+        table.leave(SECOND, request(1), server);
+        assert_eq!(table.admission(SECOND, request(1)), Admission::Free);
+    }
+    assert_eq!(table.confirm(2 * SECOND, "a"), [(request(1), Change::Suspected(1))]);
+    assert_eq!(table.confirm(2 * SECOND, "b"), [(request(1), Change::Suspected(2))]);
+    // The third one lapses long after.
+    assert_eq!(table.confirm(60 * SECOND, "c"), []);
+    assert_eq!(table.admission(60 * SECOND, request(1)), Admission::Alone);
+}
+
+#[test]
+fn whatever_the_order_of_news_requests_stand_alike() {
+    for seed in 0..300 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut reports: Vec<Report> = (0..24)
+            .map(|_| Report {
+                request: request(random.random_range(0..4)),
+                endings: vec![Ending {
+                    server: format!("s{}", random.random_range(0..7)),
+                    is_excused: random.random_bool(0.1),
+                }],
+            })
+            .collect();
+        let standing = |reports: &[Report]| {
+            let mut table = Table::default();
+            for report in reports {
+                table.join(SECOND, report.request, &report.endings);
+            }
+            let stand = |number| {
+                let request = request(number);
+                (table.admission(SECOND, request), table.is_last_run(request))
+            };
+            (0..4).map(stand).collect::<Vec<_>>()
+        };
+        let before = standing(&reports);
+        reports.shuffle(&mut random);
+        assert_eq!(standing(&reports), before, "seed {seed}");
+    }
+}
+
 /// As long as none of the requests has ended as many servers as quarantine it, nobody is likelier.
 #[test]
 fn a_request_that_is_not_quarantined_explains_nothing() {
