What a daemon holds of an ended server takes no more memory than before

Seen in the first whole run of the checks on this code: what_is_held_of_a_server_..., 1,693 bytes a server of 10,000 where 1,677 are allowed (1,669 before). Cause: the load of each server had grown by the time until which it counts as ended, 16 bytes. It is avoided for just that time, so that a flag beside the other small fields says the same; a refusal or a failure does not shorten it, as before.

--- a/crates/heronbend/src/placement/load.rs
+++ b/crates/heronbend/src/placement/load.rs
@@ -51,7 +51,8 @@
     sampled: Moment,
     failures: u32,
     avoid_until: Moment,
-    ended_until: Moment,
+    /// Whether it is avoided since its process was found to have ended.
+    is_ended: bool,
 }
 
 impl Load {
@@ -63,7 +64,7 @@
     /// Whether its process was found to have ended. That is believed for a while only: an entry that stays
     /// may be of a server that could not be reached for another reason.
     pub fn has_ended(&self, now: Moment) -> bool {
-        self.ended_until > now
+        self.is_ended && self.is_avoided(now)
     }
 
     /// Mean time in milliseconds. What is known fades towards `best`, the mean of the fastest server.
@@ -76,6 +77,7 @@
 
     /// Notes an outcome.
     pub fn note(&mut self, now: Moment, end: AttemptEnd) {
+        self.is_ended = self.has_ended(now);
         match end {
             AttemptEnd::Answered(latency) => {
                 let millis = latency.as_secs_f64() * 1e3;
@@ -84,15 +86,15 @@
                 self.sampled = now;
                 self.failures = 0;
                 self.avoid_until = Moment::ZERO;
-                self.ended_until = Moment::ZERO;
+                self.is_ended = false;
             }
-            AttemptEnd::Refused => self.avoid_until = now + REFUSED_PAUSE,
+            AttemptEnd::Refused => self.avoid(now + REFUSED_PAUSE),
             AttemptEnd::Unreachable => self.fail(now, FAILURES_TO_AVOID),
             AttemptEnd::Failed => self.fail(now, 1),
             // What starts in its place is another server.
             AttemptEnd::Ended => {
                 self.avoid_until = now + LONGEST_PAUSE;
-                self.ended_until = now + LONGEST_PAUSE;
+                self.is_ended = true;
             }
             AttemptEnd::Abandoned => {}
         }
@@ -102,7 +104,12 @@
         self.failures += weight;
         if self.failures >= FAILURES_TO_AVOID {
             let doublings = (self.failures - FAILURES_TO_AVOID).min(MAX_PAUSE_DOUBLINGS);
-            self.avoid_until = now + (FAILED_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE);
+            self.avoid(now + (FAILED_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE));
         }
     }
+
+    /// Avoids the server until then; one that has ended for no less than it is already.
+    fn avoid(&mut self, until: Moment) {
+        self.avoid_until = if self.is_ended { self.avoid_until.max(until) } else { until };
+    }
 }
