Library: a queue of calls for a service whose servers cannot run all of them

Change: heronbend::admission learns the rate at which a daemon may send (adaptive_rate), admits calls by a token bucket in which calls with claims keep the last tokens (call_queue), shares it among tenants (fair_share), tells refused callers when to come back (return_schedule) and how long callers have been trying (caller_age). No I/O; nothing uses it yet.

--- a/crates/heronbend/src/admission/mod.rs
+++ b/crates/heronbend/src/admission/mod.rs
@@ -1,11 +1,27 @@
-//! Admission control: limits on in-flight requests per caller, and the retry budget.
+//! Admission control: which calls are sent to servers, and when callers may retry.
 //!
-//! Requests over a limit are rejected immediately with a retry-after; they are not queued.
+//! - [`call_queue`]: the queue of calls to a service whose servers cannot run all of them.
+//! - [`adaptive_rate`]: learns the rate at which calls may be sent to a service.
+//! - [`fair_share`]: weighted shares of the tenants.
+//! - [`caller_age`]: how long callers have been trying.
+//! - [`return_schedule`]: when refused callers should come back.
+//! - `caller_limits`, `retry_budget`: limits on in-flight requests per caller, and on retries.
 
+pub mod adaptive_rate;
+pub mod call_queue;
+pub mod caller_age;
 mod caller_limits;
+pub mod fair_share;
+#[cfg(test)]
+mod overload_tests;
 mod retry_budget;
+pub mod return_schedule;
 #[cfg(test)]
 mod tests;
 
+pub use adaptive_rate::AdaptiveRate;
+pub use call_queue::CallQueue;
+pub use caller_age::CallerAge;
 pub use caller_limits::{CallerLimits, CallerPermit};
+pub use fair_share::TenantKey;
 pub use retry_budget::{backoff, RetryBudget};
