Settings for the admission of calls and for steps by slack

Cause: nothing lets operators switch on the queue of calls, weigh tenants or routes in it, or place batch items by slack. Change: [admission] limit, tenant_weights, route_weights and [scheduling] by_slack, read and checked with all other settings, set at start and by reload; Gateway::admission_settings and Tuning::by_slack.

Weighed: weights without a limit are a finding rather than silently without effect. Names of tenants and routes are not checked: they belong to the configuration, which may name them later.

That reload brings the settings into force in a running daemon is not played yet: the tests compare the lists of changes.

--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use rand::Rng;
 use smol::LocalExecutor;
 
+use crate::admission_settings::AdmissionSettings;
 use crate::batch::in_flight::InFlightCalls;
 use crate::batch::length_estimate::LengthEstimator;
 use crate::batch::migration::MigrationCost;
@@ -102,6 +103,8 @@
     pub cold_margin: ColdStartMargin,
     /// Thresholds for quarantining requests that crash servers.
     pub quarantine: Limits,
+    /// Whether batch items are placed by the slack of their step.
+    pub by_slack: bool,
 }
 
 /// Shared state of one daemon.
@@ -169,6 +172,8 @@
     /// Peer addresses to contact while no other member is known.
     pub seeds: RefCell<Vec<SocketAddr>>,
     tuning: Cell<Tuning>,
+    /// Queueing of calls under load, if enabled.
+    admission_settings: RefCell<Option<Rc<AdmissionSettings>>>,
     /// Overlay tree of this daemon's zone, with the membership version it was built from.
     tree: RefCell<Option<(u64, Rc<Tree>)>>,
     /// When a peer last confirmed each kind as current, and the age of its state.
@@ -266,6 +271,7 @@
             versions: PublishedVersions::default(),
             seeds: RefCell::default(),
             tuning: Cell::new(tuning),
+            admission_settings: RefCell::default(),
             tree: RefCell::default(),
             update_ages: RefCell::default(),
             last_update_at: Cell::new(Moment::ZERO),
@@ -304,6 +310,16 @@
         self.tuning.set(tuning);
     }
 
+    /// How calls are queued under load; `None` if they are not.
+    pub fn admission_settings(&self) -> Option<Rc<AdmissionSettings>> {
+        self.admission_settings.borrow().clone()
+    }
+
+    /// Replaces the admission settings; `None` disables the queueing of calls.
+    pub fn set_admission_settings(&self, settings: Option<AdmissionSettings>) {
+        self.admission_settings.replace(settings.map(Rc::new));
+    }
+
     /// Active configuration, if one has been loaded.
     pub fn configuration(&self) -> Option<Rc<Configuration>> {
         self.configuration.borrow().clone()
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`directory`], [`slot_queue`], [`permits`], [`evacuations`], [`region_policy`]: placement of
 //!   requests on servers.
 //! - [`access`]: authentication of callers.
+//! - [`admission_settings`]: which calls have precedence under load.
 //! - [`events`]: parser for event streams.
 //! - [`quarantine`]: quarantine of requests that crash servers.
 //! - [`batch`]: batch jobs.
@@ -26,6 +27,7 @@
 //! - [`explain`], [`steps`], [`fleet_summary`], [`summary_plot`]: log analysis.
 
 pub mod access;
+pub mod admission_settings;
 pub mod attempt;
 pub mod batch;
 pub mod calls;
--- a/crates/heronbend-gateway/src/reload.rs
+++ b/crates/heronbend-gateway/src/reload.rs
@@ -132,6 +132,8 @@
         ("zones", old.zones != new.zones, true),
         ("evacuation_notice_ms", old.evacuation_notice != new.evacuation_notice, false),
         ("cold", old.cold_margin != new.cold_margin, true),
+        ("admission", old.admission != new.admission, true),
+        ("scheduling.by_slack", old.by_slack != new.by_slack, true),
         ("configuration_notice_ms", old.configuration_notice != new.configuration_notice, false),
     ];
     let differing = fields.into_iter().filter(|(_, differs, _)| *differs);
@@ -145,9 +147,11 @@
         stop_limit: settings.stop_limit,
         max_configuration_age: settings.tuning().max_configuration_age,
         cold_margin: settings.cold_margin,
+        by_slack: settings.by_slack,
         ..gateway.tuning()
     };
     gateway.set_tuning(tuning);
+    gateway.set_admission_settings(settings.admission.clone());
     gateway.set_zone_regions(&settings.zones);
     *gateway.seeds.borrow_mut() = settings.addresses().seeds;
 }
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -107,6 +107,7 @@
     let first_start = source.settings.first_start;
     let gateway = Gateway::new(identity, ports, executor.clone(), tuning);
     gateway.set_zone_regions(&source.settings.zones);
+    gateway.set_admission_settings(source.settings.admission.clone());
     smol::block_on(executor.run(async move {
         gateway.members.bootstrap.begin(first_start);
         let callers = start(&gateway, &addresses, ready_path)?;
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -10,6 +10,8 @@
 use thiserror::Error;
 use toml::{Table, Value};
 
+use crate::admission_settings::AdmissionSettings;
+use crate::admission_settings::LimitSource;
 use crate::duties::usage::ReportingSchedule;
 use crate::gateway::{Identity, Tuning};
 use crate::permits::ColdStartMargin;
@@ -112,6 +114,10 @@
     pub cold_margin: ColdStartMargin,
     /// Limits for quarantining requests that crash servers.
     pub quarantine: Limits,
+    /// Queueing of calls under load; `None` disables it.
+    pub admission: Option<AdmissionSettings>,
+    /// Whether batch items are placed by the slack of their step.
+    pub by_slack: bool,
 }
 
 /// A duty of the daemons towards the machine provider.
@@ -323,6 +329,61 @@
         limits
     }
 
+    /// Reads the admission settings; they are in force only if `admission.limit` is set.
+    fn admission(&mut self) -> Option<AdmissionSettings> {
+        let limit = self.limit_source("admission.limit");
+        let tenant_weights = self.weights("admission.tenant_weights");
+        let route_weights = self.weights("admission.route_weights");
+        let has_weights = !tenant_weights.is_empty() || !route_weights.is_empty();
+        if has_weights && self.optional("admission.limit").is_none() {
+            self.report("admission.limit", "is missing: weights are set");
+        }
+        limit.map(|limit| AdmissionSettings { limit, tenant_weights, route_weights })
+    }
+
+    fn limit_source(&mut self, field: &str) -> Option<LimitSource> {
+        let value = self.optional(field)?;
+        match value.as_str() {
+            Some("learned") => Some(LimitSource::Learned),
+            Some("shared") => Some(LimitSource::Shared),
+            _ => {
+                self.report(field, format!("{value} is neither \"learned\" nor \"shared\""));
+                None
+            }
+        }
+    }
+
+    /// Reads an optional table of positive weights by name.
+    fn weights(&mut self, field: &str) -> BTreeMap<String, f64> {
+        let table = match self.optional(field) {
+            None => return BTreeMap::new(),
+            Some(Value::Table(table)) => table,
+            Some(_) => {
+                self.report(field, "is not a table");
+                return BTreeMap::new();
+            }
+        };
+        let mut weights = BTreeMap::new();
+        for (name, value) in table {
+            let entry = format!("{field}.{name}");
+            self.known_fields.insert(entry.clone());
+            let weight = match value {
+                Value::Integer(weight) => weight as f64,
+                Value::Float(weight) => weight,
+                _ => {
+                    self.report(&entry, "is not a number");
+                    continue;
+                }
+            };
+            if weight.is_finite() && weight > 0.0 {
+                weights.insert(name, weight);
+            } else {
+                self.report(&entry, format!("{weight} is not positive and finite"));
+            }
+        }
+        weights
+    }
+
     /// Reads the duties towards the provider.
     fn duties(&mut self, field: &str) -> Vec<Duty> {
         let Some(value) = self.optional(field) else {
@@ -394,6 +455,8 @@
             evacuation_notice: reader.optional_millis("evacuation_notice_ms"),
             cold_margin: reader.cold_margin(),
             quarantine: reader.quarantine(),
+            admission: reader.admission(),
+            by_slack: reader.boolean("scheduling.by_slack"),
             usage: reader.usage(&duties),
             fail_closed: reader.boolean("access.fail_closed"),
             revocation_notice: reader.optional_millis("access.revocation_notice_ms"),
@@ -474,6 +537,7 @@
             evacuation_notice: self.evacuation_notice,
             cold_margin: self.cold_margin,
             quarantine: self.quarantine,
+            by_slack: self.by_slack,
         }
     }
 }
--- a/crates/heronbend-gateway/tests/settings.rs
+++ b/crates/heronbend-gateway/tests/settings.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use heronbend::quarantine::Limits;
+use heronbend_gateway::admission_settings::LimitSource;
+use heronbend_gateway::reload;
 use heronbend_gateway::settings::Settings;
 
 const VALID: &str = r#"
@@ -91,3 +93,76 @@
     }
     assert_eq!(findings.lines().count(), 2, "{findings}");
 }
+
+#[test]
+fn calls_are_not_queued_and_steps_not_placed_by_slack_unless_set() {
+    let settings = Settings::parse("node.toml", VALID).unwrap();
+    assert_eq!(settings.admission, None);
+    assert!(!settings.tuning().by_slack);
+    let empty = format!("{VALID}\n[admission]\n[scheduling]\n");
+    let settings = Settings::parse("node.toml", &empty).unwrap();
+    assert_eq!(settings.admission, None);
+    assert!(!settings.tuning().by_slack);
+}
+
+#[test]
+fn admission_and_scheduling_are_parsed() {
+    let set = format!(
+        "{VALID}\n[admission]\nlimit = \"learned\"\n[admission.tenant_weights]\nbig = 2\nsmall = 0.5\n\
+         [admission.route_weights]\nopen = 3.0\n[scheduling]\nby_slack = true\n"
+    );
+    let settings = Settings::parse("node.toml", &set).unwrap();
+    assert!(settings.tuning().by_slack);
+    let admission = settings.admission.unwrap();
+    assert_eq!(admission.limit, LimitSource::Learned);
+    assert_eq!(admission.weight(Some("big"), "open"), 2.0);
+    assert_eq!(admission.weight(Some("small"), "open"), 0.5);
+    assert_eq!(admission.weight(Some("other"), "open"), 1.0);
+    assert_eq!(admission.weight(None, "open"), 3.0);
+    assert_eq!(admission.weight(None, "other"), 1.0);
+    let shared = format!("{VALID}\n[admission]\nlimit = \"shared\"\n");
+    let admission = Settings::parse("node.toml", &shared).unwrap().admission.unwrap();
+    assert_eq!(admission.limit, LimitSource::Shared);
+}
+
+#[test]
+fn admission_and_scheduling_are_validated() {
+    let invalid = format!(
+        "{VALID}\n[admission]\nlimit = \"guessed\"\nqueue = 3\n\
+         [admission.tenant_weights]\nzero = 0\nbelow = -1.5\ntext = \"2\"\nendless = inf\n\
+         [admission.route_weights]\nundefined = nan\n[scheduling]\nby_slack = 1\n"
+    );
+    let findings = Settings::parse("node.toml", &invalid).unwrap_err().to_string();
+    for expected in [
+        "node.toml: front-1: admission.limit: \"guessed\" is neither \"learned\" nor \"shared\"",
+        "node.toml: front-1: admission.queue: is not a setting",
+        "node.toml: front-1: admission.tenant_weights.zero: 0 is not positive and finite",
+        "node.toml: front-1: admission.tenant_weights.below: -1.5 is not positive and finite",
+        "node.toml: front-1: admission.tenant_weights.text: is not a number",
+        "node.toml: front-1: admission.tenant_weights.endless: inf is not positive and finite",
+        "node.toml: front-1: admission.route_weights.undefined: NaN is not positive and finite",
+        "node.toml: front-1: scheduling.by_slack: is neither true nor false",
+    ] {
+        assert!(findings.contains(expected), "{expected} in\n{findings}");
+    }
+    assert_eq!(findings.lines().count(), 8, "{findings}");
+}
+
+#[test]
+fn weights_without_a_limit_are_a_finding() {
+    let weights = format!("{VALID}\n[admission.tenant_weights]\nbig = 2.0\n");
+    let findings = Settings::parse("node.toml", &weights).unwrap_err().to_string();
+    assert_eq!(findings, "node.toml: front-1: admission.limit: is missing: weights are set");
+}
+
+#[test]
+fn admission_and_scheduling_take_effect_on_reload() {
+    let old = Settings::parse("node.toml", VALID).unwrap();
+    let text =
+        format!("{VALID}\n[admission]\nlimit = \"learned\"\n[scheduling]\nby_slack = true\n");
+    let new = Settings::parse("node.toml", &text).unwrap();
+    let changes = reload::changes(&old, &new);
+    let fields: Vec<_> = changes.iter().map(|change| change.field).collect();
+    assert_eq!(fields, ["admission", "scheduling.by_slack"]);
+    assert!(changes.iter().all(|change| change.applies_live));
+}
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -138,6 +138,7 @@
         first_probe_delay: Duration::from_secs(5),
         retention: Duration::from_secs(900),
     },
+    by_slack: false,
 };
 
 /// Creates a gateway on `store`, which several gateways may share.
