--- a/crates/heronbend/src/admission/adaptive_rate.rs
+++ b/crates/heronbend/src/admission/adaptive_rate.rs
@@ -254,16 +254,20 @@
             return Some(Reason::Full);
         }
         let is_pressing = window.refused > 0 || offered >= rate * PRESSING_SHARE;
+        let elapsed = now.saturating_sub(window.started).min(MAX_WINDOW);
+        let min_raise = MIN_RAISE * elapsed.as_secs_f64();
+        if !is_pressing {
+            return self.relax(rate, offered);
+        }
+        // Without an answer there is no sign of load either.
         let Some(mean) = window.mean_millis() else {
-            return self.relax(rate, offered, is_pressing);
+            self.rate = Some(rate + min_raise);
+            return Some(Reason::Room);
         };
         if mean > self.max_millis(objective) {
             self.lower(rate, self.max_millis(objective) / mean);
             return Some(Reason::Latency);
         }
-        if !is_pressing {
-            return self.relax(rate, offered, is_pressing);
-        }
         let room = self.room_millis(objective);
         if mean > room {
             return None;
@@ -271,16 +275,12 @@
         let usual = self.usual_millis.unwrap_or(mean);
         let headroom = ((room - mean) / (room - usual).max(1.0)).clamp(0.0, 1.0);
         let raise = rate * (RAISE_SHARE + HEADROOM_RAISE_SHARE * headroom);
-        let elapsed = now.saturating_sub(window.started).min(MAX_WINDOW);
-        self.rate = Some(rate + raise.max(MIN_RAISE * elapsed.as_secs_f64()));
+        self.rate = Some(rate + raise.max(min_raise));
         Some(Reason::Room)
     }
 
     /// Raises a rate that callers don't use.
-    fn relax(&mut self, rate: f64, offered: f64, is_pressing: bool) -> Option<Reason> {
-        if is_pressing {
-            return None;
-        }
+    fn relax(&mut self, rate: f64, offered: f64) -> Option<Reason> {
         let highest = (offered * MAX_RELAXED).max(rate);
         self.rate = Some((rate * (1.0 + RELAX_SHARE)).min(highest));
         Some(Reason::Room)
