Gateway: calls are queued and refused by load where the settings ask for it

Change: call_admission drives heronbend::admission for each service; forward refuses a call once the servers that it could go to have rejected it, instead of sending it again each 15 ms; a hedge takes a token. Enabled by [admission] and only for services with fewer slots than there are daemons; reward calls and streams are as before.

All tests of the gateway pass.

--- a/crates/heronbend-gateway/src/batch/reward.rs
+++ b/crates/heronbend-gateway/src/batch/reward.rs
@@ -12,6 +12,7 @@
 use super::specification::RewardCall;
 use crate::access;
 use crate::attempt::OutgoingRequest;
+use crate::call_admission::AdmittedCall;
 use crate::forward::{forward, ForwardError, RequestLimits};
 use crate::gateway::Gateway;
 use crate::http::client::FullResponse;
@@ -50,7 +51,7 @@
         limits.deadline = gateway.now() + round_timeout;
         limits.is_idempotent = true;
         limits.max_attempts = ATTEMPTS_PER_ROUND;
-        let answer = forward(gateway, &service, outgoing, limits).await;
+        let answer = forward(gateway, &service, outgoing, limits, AdmittedCall::unlimited()).await;
         if let Ok(answer) = &answer {
             let signature = gateway.dialect.headers().signature.clone();
             let signature = answer.headers.get(signature).and_then(|value| value.to_str().ok());
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -18,6 +18,8 @@
 use crate::attempt::OutgoingRequest;
 use crate::batch::results_reader::{self, ReadError};
 use crate::batch::submission::{self, EndError, SubmitError};
+use crate::call_admission;
+use crate::call_admission::CallRequest;
 use crate::configuration::{Configuration, Route, RouteKind};
 use crate::duties::billing::Billing;
 use crate::forward::{forward, retry_after, ForwardError, RequestLimits};
@@ -266,6 +268,7 @@
     let allowed_regions = region_policy::allowed_regions(configuration, route, &caller);
     let limits = RequestLimits::for_route(route, arrived, client_timeout, allowed_regions);
     let tenant = caller.tenant().map(str::to_owned);
+    let priority = access::priority(configuration, &caller, route);
     let mut headers = headers::end_to_end(&head.headers);
     access::set_tenant_header(&mut headers, &names.tenant, &caller);
     let outgoing = OutgoingRequest {
@@ -281,20 +284,40 @@
     if route.kind == RouteKind::Stream {
         return forward_stream(gateway, &service, outgoing, limits, route).await;
     }
-    let result = forward(gateway, &service, outgoing, limits).await;
+    let call = CallRequest {
+        id: id.to_owned(),
+        route: route.name.clone(),
+        tenant: tenant.clone(),
+        priority,
+        objective: route.target_latency,
+        remaining: limits.deadline.saturating_sub(arrived),
+        deadline: limits.deadline,
+    };
+    let admitted = call_admission::admit(gateway, &service, &call).await;
+    let waited = admitted.as_ref().map_or(Duration::ZERO, |admitted| admitted.waited);
+    let result = match admitted {
+        Ok(admitted) => forward(gateway, &service, outgoing, limits, admitted).await,
+        Err(refusal) => Err(ForwardError::Overloaded(refusal)),
+    };
     let millis = gateway.now().saturating_sub(arrived).as_millis();
     let outcome = match &result {
         Ok(response) => response.status.as_str().to_owned(),
+        Err(ForwardError::Overloaded(_)) => "overloaded".to_owned(),
         Err(error) => format!("{error:?}"),
     };
     log::info!(
-        "event=forwarded id={id} route={} tenant={} service={service} configuration={} outcome={outcome} ms={millis}",
+        "event=forwarded id={id} route={} tenant={} priority={priority} service={service} configuration={} outcome={outcome} waited_ms={} ms={millis}",
         route.name,
         tenant.as_deref().unwrap_or("none"),
-        configuration.version
+        configuration.version,
+        waited.as_millis()
     );
     match result {
         Ok(response) => server_response(response, route),
+        Err(ForwardError::Overloaded(refusal)) => {
+            call_admission::note_refused(gateway, &service, &call, &refusal);
+            not_run_retry_after("the servers are full", refusal.retry_after)
+        }
         Err(ForwardError::NotRun(rejection)) => unplaced_response(gateway, &rejection),
         Err(ForwardError::Quarantined(refused)) => quarantined_response(refused),
         Err(error) => text_response(error.status(), "no answer of a server"),
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use heronbend::admission::call_queue::Refusal;
 use heronbend::placement::wait_policy::DEFAULT_RETRY_AFTER;
 use heronbend::placement::AttemptHistory;
 use heronbend::placement::AttemptOutcome;
@@ -19,6 +20,7 @@
 use smol::{Task, Timer};
 
 use crate::attempt::{self, AttemptFailure, AttemptGuard, OutgoingRequest};
+use crate::call_admission::AdmittedCall;
 use crate::configuration::Route;
 use crate::directory::Server;
 use crate::gateway::Gateway;
@@ -34,14 +36,18 @@
 
 /// Fraction of the target latency after which an idempotent request is hedged.
 const HEDGE_DELAY_RATIO: f64 = 0.5;
+/// Number of servers that may reject a call, whose service is limited, before it is refused.
+const MAX_REJECTIONS: u32 = 3;
 /// Retry tokens that each request adds to the shared retry budget.
 const RETRY_RATIO: f64 = 0.5;
 
 /// Why a request got no response from a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum ForwardError {
     /// The request was not run.
     NotRun(Rejection),
+    /// The request was not run: all servers it was sent to are full.
+    Overloaded(Refusal),
     /// The request may have run, but no response arrived.
     Unknown,
     /// The deadline passed; the request may have run.
@@ -54,7 +60,9 @@
     /// HTTP status of the response to the client.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NotRun(_) | Self::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotRun(_) | Self::Overloaded(_) | Self::Quarantined(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -120,6 +128,10 @@
     started_at: Moment,
     /// How the quarantine allows the request to be sent.
     admitted_request: AdmittedRequest,
+    /// How the call was admitted to its service.
+    admitted_call: AdmittedCall,
+    /// Attempts that servers rejected without running the request.
+    rejections: u32,
     /// Attempts that may have run the request.
     attempts_used: u32,
     attempt_tasks: Vec<Task<()>>,
@@ -147,6 +159,7 @@
     service: &str,
     outgoing: OutgoingRequest,
     limits: RequestLimits,
+    admitted_call: AdmittedCall,
 ) -> Result<FullResponse, ForwardError> {
     gateway.retries.borrow_mut().deposit(RETRY_RATIO);
     let admitted = AdmittedRequest::admit(gateway, &outgoing).await;
@@ -164,6 +177,8 @@
         history: AttemptHistory::default(),
         started_at: gateway.now(),
         admitted_request,
+        admitted_call,
+        rejections: 0,
         attempts_used: 0,
         attempt_tasks: Vec::new(),
         is_answered: Rc::default(),
@@ -179,6 +194,9 @@
         let mut in_flight = 0_usize;
         loop {
             if in_flight == 0 {
+                if let Some(refusal) = self.refuse_if_full(self.rejections >= MAX_REJECTIONS) {
+                    return Err(ForwardError::Overloaded(refusal));
+                }
                 if !self.may_attempt() || !self.take_retry_token() {
                     return self.give_up(ATTEMPTS_EXHAUSTED);
                 }
@@ -186,6 +204,9 @@
                     StartOutcome::Started => in_flight += 1,
                     StartOutcome::Rejected(rejection) => return self.give_up(rejection),
                     StartOutcome::Wait(delay) => {
+                        if let Some(refusal) = self.refuse_if_full(self.rejections > 0) {
+                            return Err(ForwardError::Overloaded(refusal));
+                        }
                         self.wait_for_server(delay).await;
                         continue;
                     }
@@ -195,7 +216,8 @@
                 Event::DeadlinePassed => return self.deadline_result(),
                 Event::HedgeDue => {
                     hedge_at = self.limits.deadline;
-                    if matches!(self.start_attempt(&sender), StartOutcome::Started) {
+                    let may_hedge = self.admitted_call.may_hedge();
+                    if may_hedge && matches!(self.start_attempt(&sender), StartOutcome::Started) {
                         self.gateway.metrics.hedges.inc();
                         in_flight += 1;
                     }
@@ -283,6 +305,7 @@
             deadline: self.limits.deadline,
             is_isolated: self.history.is_isolated,
             is_answered: self.is_answered.clone(),
+            admitted_call: self.admitted_call.clone(),
         };
         let sender = sender.clone();
         let task = self.gateway.executor.spawn(async move {
@@ -324,14 +347,30 @@
                 None
             }
             Ok(response) => Some(response),
-            Err(AttemptFailure::NotRun | AttemptFailure::NotSent | AttemptFailure::Held) => {
+            Err(
+                failure @ (AttemptFailure::NotRun | AttemptFailure::NotSent | AttemptFailure::Held),
+            ) => {
                 self.attempts_used -= 1;
+                if matches!(failure, AttemptFailure::NotRun) {
+                    self.rejections += 1;
+                    self.admitted_call.record_rejection();
+                }
                 None
             }
             Err(AttemptFailure::BrokenOff | AttemptFailure::Unknown(_)) => None,
         }
     }
 
+    /// Returns the refusal of a call that found all servers full, if its service is limited and
+    /// no server may have run it.
+    fn refuse_if_full(&self, found_full: bool) -> Option<Refusal> {
+        let has_run = self.attempts_used > 0 || self.last_failure.is_some();
+        if !found_full || has_run {
+            return None;
+        }
+        self.admitted_call.refuse_found_full()
+    }
+
     /// Waits before the next attempt to find a server.
     async fn wait_for_server(&mut self, delay: Duration) {
         if self.attempts_used == 0 || self.limits.is_idempotent {
@@ -366,6 +405,8 @@
     is_isolated: bool,
     /// Whether any attempt of the request has been answered.
     is_answered: Rc<Cell<bool>>,
+    /// How the call was admitted to its service.
+    admitted_call: AdmittedCall,
 }
 
 impl Attempt {
@@ -393,6 +434,7 @@
             Ok(response) if response.status.is_server_error() => guard.end(AttemptOutcome::Failed),
             Ok(_) => {
                 let latency = guard.elapsed();
+                self.admitted_call.record_answer(latency);
                 guard.end(AttemptOutcome::Succeeded(latency));
             }
             Err(failure) => guard.fail(failure),
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::batch::migration::MigrationCost;
 use crate::batch::read_pacing::ReadPacer;
 use crate::batch::registry::JobRegistry;
+use crate::call_admission::CallAdmission;
 use crate::clock::Clock;
 use crate::compressed_update::UpdateCache;
 use crate::configuration::Configuration;
@@ -143,6 +144,8 @@
     pub splitter: RefCell<TrafficSplitter>,
     /// Batch items waiting for a free slot.
     pub slot_queue: SlotQueue,
+    /// Calls that wait for a service whose servers cannot run all of them.
+    pub call_admission: CallAdmission,
     /// Permits for sending requests to cold servers.
     pub permits: Permits,
     /// Quarantine of requests that crash servers.
@@ -253,6 +256,7 @@
             servers_loaded: Cell::new(false),
             splitter: RefCell::new(TrafficSplitter::new(rand::rng().random())),
             slot_queue: SlotQueue::default(),
+            call_admission: CallAdmission::default(),
             permits,
             quarantine: Quarantine::new(tuning.quarantine),
             evacuated: RefCell::default(),
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod admission_settings;
 pub mod attempt;
 pub mod batch;
+pub mod call_admission;
 pub mod calls;
 pub mod clock;
 pub mod compressed_update;
--- a/crates/heronbend-gateway/tests/suspension.rs
+++ b/crates/heronbend-gateway/tests/suspension.rs
@@ -12,6 +12,7 @@
 use heronbend::identity::Incarnation;
 use heronbend::Moment;
 use heronbend_gateway::attempt::OutgoingRequest;
+use heronbend_gateway::call_admission::AdmittedCall;
 use heronbend_gateway::clock::Clock;
 use heronbend_gateway::directory::Server;
 use heronbend_gateway::directory::ServerState;
@@ -107,7 +108,9 @@
                     Timer::after(20 * SECOND).await;
                     panic!("the request did not time out");
                 };
-                forward(&request_gateway, "app", outgoing, limits).or(test_timeout).await
+                forward(&request_gateway, "app", outgoing, limits, AdmittedCall::unlimited())
+                    .or(test_timeout)
+                    .await
             });
             support::wait_until("the request is sent", || gateway.metrics.attempts.get() == 1)
                 .await;
