Refused callers are told a near time while no rate is known; real daemons under several times their servers' load

Cause: before the first window is over the spacing of returning calls was that of a rate of zero, so that the first callers were told 5 s.

--- a/crates/heronbend-gateway/src/call_admission.rs
+++ b/crates/heronbend-gateway/src/call_admission.rs
@@ -180,7 +180,7 @@
 impl ServiceQueue {
     fn apply(&self, gateway: &Gateway, adjustment: &Adjustment) {
         let millis = |value: Option<f64>| value.map_or("none".to_owned(), |v| format!("{v:.0}"));
-        let rate = adjustment.rate.map_or("none".to_owned(), |rate| format!("{rate:.1}"));
+        let rate = rate_text(adjustment.rate);
         log::info!(
             "event=rate_changed service={} rate_per_s={rate} reason={} answered={} rejected={} usual_ms={} mean_ms={}",
             self.name,
@@ -359,14 +359,14 @@
 pub fn note_refused(gateway: &Gateway, service: &str, request: &CallRequest, refusal: &Refusal) {
     gateway.metrics.record_call_refused(request.priority, "overloaded");
     log::info!(
-        "event=call_refused id={} route={} tenant={} priority={} service={service} reason=overloaded expected_wait_ms={} ahead={} rate_per_s={:.1} tokens={:.1} needed={:.1} retry_after_ms={} late={} over_share={}",
+        "event=call_refused id={} route={} tenant={} priority={} service={service} reason=overloaded expected_wait_ms={} ahead={} rate_per_s={} tokens={:.1} needed={:.1} retry_after_ms={} late={} over_share={}",
         request.id,
         request.route,
         request.tenant.as_deref().unwrap_or("none"),
         request.priority,
         refusal.expected_wait.as_millis(),
         refusal.ahead,
-        refusal.rate,
+        rate_text(refusal.rate),
         refusal.tokens,
         refusal.needed,
         refusal.retry_after.as_millis(),
@@ -374,3 +374,7 @@
         refusal.is_over_share
     );
 }
+
+fn rate_text(rate: Option<f64>) -> String {
+    rate.map_or_else(|| "none".to_owned(), |rate| format!("{rate:.1}"))
+}
--- a/crates/heronbend/src/admission/adaptive_rate.rs
+++ b/crates/heronbend/src/admission/adaptive_rate.rs
@@ -45,7 +45,7 @@
 /// Increase of the rate by one window, as a share of it: while calls wait, and in addition if none
 /// waits at all.
 const RAISE_SHARE: f64 = 0.03;
-const HEADROOM_RAISE_SHARE: f64 = 0.12;
+const HEADROOM_RAISE_SHARE: f64 = 0.06;
 /// Minimum increase within a second, in calls per second. Equal steps make unequal rates converge.
 const MIN_RAISE: f64 = 1.5;
 /// Increase by a window in which callers asked for less than the rate.
--- a/crates/heronbend/src/admission/call_queue.rs
+++ b/crates/heronbend/src/admission/call_queue.rs
@@ -70,8 +70,8 @@
     pub expected_wait: Duration,
     /// Number of waiting calls that were ahead of it.
     pub ahead: usize,
-    /// Admission rate in calls per second.
-    pub rate: f64,
+    /// Admission rate in calls per second; `None` if no limit is known yet.
+    pub rate: Option<f64>,
     /// Tokens in the bucket, and the number that the call needed.
     pub tokens: f64,
     pub needed: f64,
@@ -222,13 +222,12 @@
 
     /// Refuses a call that was admitted and found all servers full. It has not run anywhere.
     pub fn refuse_admitted(&mut self, now: Moment, call: &Call) -> Refusal {
-        let rate = self.rate.unwrap_or_default();
         let earliest = call.objective.mul_f64(MAX_WAIT_SHARE);
         Refusal {
-            retry_after: self.returns.next_delay(now, call.priority, rate, earliest),
+            retry_after: self.returns.next_delay(now, call.priority, self.rate, earliest),
             expected_wait: earliest,
             ahead: self.waiting.len(),
-            rate,
+            rate: self.rate,
             tokens: self.tokens,
             needed: self.needed(0),
             is_late: is_late(call),
@@ -287,17 +286,16 @@
     }
 
     fn refuse(&mut self, now: Moment, order: &Order, entry: &Waiting, ahead: usize) -> Refusal {
-        let rate = self.rate.unwrap_or_default();
         let expected_wait = self.expected_wait(order.lost_claims, ahead);
         let priority = entry.call.priority;
         if !entry.is_late {
             self.in_time_refused_at = Some(now);
         }
         Refusal {
-            retry_after: self.returns.next_delay(now, priority, rate, expected_wait),
+            retry_after: self.returns.next_delay(now, priority, self.rate, expected_wait),
             expected_wait,
             ahead,
-            rate,
+            rate: self.rate,
             tokens: self.tokens,
             needed: self.needed(order.lost_claims),
             is_late: entry.is_late,
--- a/crates/heronbend/src/admission/overload_tests.rs
+++ b/crates/heronbend/src/admission/overload_tests.rs
@@ -543,7 +543,7 @@
     let mut schedule = ReturnSchedule::default();
     let now = Moment::from_secs(1);
     let delay = |schedule: &mut ReturnSchedule, priority| {
-        schedule.next_delay(now, priority, 20.0, Duration::from_millis(40))
+        schedule.next_delay(now, priority, Some(20.0), Duration::from_millis(40))
     };
     let first = delay(&mut schedule, 2);
     let second = delay(&mut schedule, 2);
@@ -555,6 +555,16 @@
     assert!(delay(&mut schedule, 3) > second);
 }
 
+#[test]
+fn callers_that_are_refused_before_a_rate_is_known_are_not_sent_away_for_long() {
+    let mut schedule = ReturnSchedule::default();
+    let now = Moment::from_secs(1);
+    let delays: Vec<Duration> =
+        (0..10).map(|_| schedule.next_delay(now, 2, None, Duration::from_millis(40))).collect();
+    assert!(delays.windows(2).all(|pair| pair[0] < pair[1]));
+    assert!(delays.iter().all(|delay| *delay < OBJECTIVE), "{delays:?}");
+}
+
 #[test]
 fn a_caller_that_comes_back_is_as_old_as_its_time_is_shorter() {
     let mut ages = CallerAge::default();
--- a/crates/heronbend/src/admission/return_schedule.rs
+++ b/crates/heronbend/src/admission/return_schedule.rs
@@ -14,6 +14,8 @@
 /// Share of the rate that is expected to be free for returning calls. Calls that are still in time
 /// go first, and returning ones get what they leave.
 const RETURN_SHARE: f64 = 0.25;
+/// Time between two returning calls while no rate is known yet.
+const UNKNOWN_SPACING: Duration = Duration::from_millis(10);
 /// Longest delay. Overload is not predicted further ahead.
 pub const MAX_DELAY: Duration = Duration::from_secs(5);
 
@@ -26,15 +28,18 @@
 
 impl ReturnSchedule {
     /// Returns the delay after which a caller that is refused now should come back. `rate` is the
-    /// admission rate in calls per second, and `earliest` the delay after which there may be room.
+    /// admission rate in calls per second, if calls are limited, and `earliest` the delay after
+    /// which there may be room.
     pub fn next_delay(
         &mut self,
         now: Moment,
         priority: u8,
-        rate: f64,
+        rate: Option<f64>,
         earliest: Duration,
     ) -> Duration {
-        let spacing = Duration::try_from_secs_f64(1.0 / (rate * RETURN_SHARE)).unwrap_or(MAX_DELAY);
+        let spacing = rate.map_or(UNKNOWN_SPACING, |rate| {
+            Duration::try_from_secs_f64(1.0 / (rate * RETURN_SHARE)).unwrap_or(MAX_DELAY)
+        });
         let earliest = now + earliest;
         let scheduled = self.latest.range(..=priority).map(|(_, latest)| *latest + spacing).max();
         let at = scheduled.map_or(earliest, |scheduled| scheduled.max(earliest));
