Metrics of the queue of calls

Cause: how many calls wait, how long, which are refused and at which rate a daemon sends to a service can't be seen on the metrics page. Change: heronbend_calls_waiting{priority}, _call_wait_seconds{priority}, _calls_refused_total{reason,priority}, _admission_rate_calls_per_second{service}, _shares_told_total and _shares_used_total. Labels are bounded: priorities of the configuration, reasons of the code, services.

Weighed: a service without a limit has no rate rather than an infinite one. Tenants are no label.

Nothing sets these metrics yet.

--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -71,6 +71,29 @@
     pub zone: String,
 }
 
+/// Labels of a per-priority metric.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PriorityLabels {
+    /// Priority of the calls; 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// Labels of a call that was refused because its service is overloaded.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallRefusalLabels {
+    /// Reason for the refusal.
+    pub reason: &'static str,
+    /// Priority of the call; 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// Labels of a per-service metric.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// Name of the service.
+    pub service: String,
+}
+
 /// Counts, by label, since the last [`Metrics::take_log_line`].
 #[derive(Debug, Default)]
 struct UnloggedCounts {
@@ -140,13 +163,29 @@
     pub zones_evacuated: Family<ZoneLabels, Gauge>,
     /// Number of cold servers, by zone.
     pub cold_servers: Family<ZoneLabels, Gauge>,
+    /// Number of calls in the call queue, by priority.
+    pub calls_waiting: Family<PriorityLabels, Gauge>,
+    /// Seconds that calls spent in the call queue, by priority.
+    pub call_wait: Family<PriorityLabels, Histogram>,
+    /// Calls refused by the call queue, by reason and priority.
+    pub calls_refused: Family<CallRefusalLabels, Count>,
+    /// Calls per second that this daemon may send, by service; services without a limit are absent.
+    pub admission_rate: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
+    /// Shares of a service's capacity that this daemon told other daemons.
+    pub shares_told: Count,
+    /// Shares of a service's capacity that this daemon adopted as its limit.
+    pub shares_used: Count,
     /// Log lines dropped because the log buffer was full.
     pub log_lines_dropped: Count,
 }
 
+/// Creates a histogram of durations from 2 ms to 16 s.
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.002, 2.0, 14))
+}
+
 impl Default for Metrics {
     fn default() -> Self {
-        let histogram = || Histogram::new(exponential_buckets(0.002, 2.0, 14));
         Self {
             responses: Family::default(),
             latency: histogram(),
@@ -178,6 +217,12 @@
             permits_issued: Count::default(),
             zones_evacuated: Family::default(),
             cold_servers: Family::default(),
+            calls_waiting: Family::default(),
+            call_wait: Family::new_with_constructor(histogram),
+            calls_refused: Family::default(),
+            admission_rate: Family::default(),
+            shares_told: Count::default(),
+            shares_used: Count::default(),
             log_lines_dropped: Count::default(),
         }
     }
@@ -247,6 +292,35 @@
         self.cold_servers.get_or_create(&labels).set(servers);
     }
 
+    /// Records the time that a call spent in the call queue.
+    pub fn record_call_wait(&self, priority: u8, waited: Duration) {
+        let labels = PriorityLabels { priority };
+        self.call_wait.get_or_create(&labels).observe(waited.as_secs_f64());
+    }
+
+    /// Records a call that the call queue refused.
+    pub fn record_call_refused(&self, priority: u8, reason: &'static str) {
+        self.calls_refused.get_or_create(&CallRefusalLabels { reason, priority }).inc();
+    }
+
+    /// Sets the number of calls in the call queue.
+    pub fn set_calls_waiting(&self, priority: u8, count: i64) {
+        self.calls_waiting.get_or_create(&PriorityLabels { priority }).set(count);
+    }
+
+    /// Sets the rate at which this daemon may call a service; `None` removes the limit.
+    pub fn set_admission_rate(&self, service: &str, per_second: Option<f64>) {
+        let labels = ServiceLabels { service: service.to_owned() };
+        match per_second {
+            Some(per_second) => {
+                self.admission_rate.get_or_create(&labels).set(per_second);
+            }
+            None => {
+                self.admission_rate.remove(&labels);
+            }
+        }
+    }
+
     /// Records a call to the provider.
     pub fn record_provider_call(&self, duty: &'static str, succeeded: bool) {
         let outcome = if succeeded { "done" } else { "failed" };
@@ -304,10 +378,26 @@
         let cold = self.cold_servers.clone();
         registry.register("cold_servers", "Servers that are cold", cold);
         registry.register("zone_evacuated", "Whether a zone is evacuated", evacuated);
+        self.register_admission(&mut registry);
         registry.register("log_lines_dropped", "Lines dropped", self.log_lines_dropped.clone());
         let mut page = String::new();
         // Writing into a string cannot fail.
         let _ = prometheus_client::encoding::text::encode(&mut page, &registry);
         page
     }
+
+    fn register_admission(&self, registry: &mut Registry) {
+        let waiting = self.calls_waiting.clone();
+        registry.register("calls_waiting", "Calls in the queue", waiting);
+        let wait = self.call_wait.clone();
+        registry.register("call_wait_seconds", "Wait of calls in the queue", wait);
+        let refused = self.calls_refused.clone();
+        registry.register("calls_refused", "Calls refused by the queue", refused);
+        let rate = self.admission_rate.clone();
+        registry.register("admission_rate_calls_per_second", "Limit of calls to a service", rate);
+        let told = self.shares_told.clone();
+        registry.register("shares_told", "Shares of a service told to other daemons", told);
+        let used = self.shares_used.clone();
+        registry.register("shares_used", "Shares of a service adopted as a limit", used);
+    }
 }
