--- a/crates/heronbend-gateway/src/explain.rs
+++ b/crates/heronbend-gateway/src/explain.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use crate::call_explanation::rate_change_before;
+
 /// Keys whose values identify the subject of a line.
 const SUBJECT_KEYS: [&str; 6] = ["id", "job", "item", "reward", "server", "request"];
 /// Pairs of keys, from a subject to the parent that it belongs to.
@@ -22,7 +24,8 @@
 }
 
 /// Returns the lines that concern `subject`, in their original order: those that mention it or its
-/// parent item, and those about the job that it belongs to.
+/// parent item, those about the job that it belongs to, and the last change of the rate before a
+/// call waited or was refused.
 pub fn explain<'a>(subject: &str, lines: &[&'a str]) -> Vec<&'a str> {
     let mut subjects = BTreeSet::from([subject.to_owned()]);
     let mut jobs = BTreeSet::new();
@@ -42,12 +45,16 @@
             }
         }
     }
-    lines
-        .iter()
-        .copied()
-        .filter(|line| {
-            let is_direct = subjects.iter().any(|subject| mentions(line, subject));
-            is_direct || jobs.iter().any(|job| concerns_whole_job(line, job))
-        })
-        .collect()
+    let is_selected = |line: &str| {
+        let is_direct = subjects.iter().any(|subject| mentions(line, subject));
+        is_direct || jobs.iter().any(|job| concerns_whole_job(line, job))
+    };
+    let mut selected = BTreeSet::new();
+    for (number, line) in lines.iter().enumerate() {
+        if is_selected(line) {
+            selected.insert(number);
+            selected.extend(rate_change_before(lines, number));
+        }
+    }
+    selected.into_iter().map(|number| lines[number]).collect()
 }
--- a/crates/heronbend-gateway/src/fleet_summary.rs
+++ b/crates/heronbend-gateway/src/fleet_summary.rs
@@ -1,10 +1,12 @@
 //! Summarizes the activity of a fleet from the log lines of all its daemons: late steps with the
-//! cause of their delay, ownership changes of jobs, store calls and connections to servers.
+//! cause of their delay, who was refused or delayed under load, ownership changes of jobs, store
+//! calls and connections to servers.
 
 use std::collections::BTreeMap;
 use std::fmt;
 
 use crate::explain::key_value;
+use crate::load_summary::LoadSummary;
 use crate::steps;
 use crate::steps::Step;
 
@@ -64,6 +66,8 @@
     pub attempts: BTreeMap<String, u64>,
     /// Calls to the store, by the second in which daemons reported them.
     pub calls_by_time: BTreeMap<i64, u64>,
+    /// Calls and submitted steps, by whom they belong to.
+    pub load: LoadSummary,
 }
 
 /// Adds counts given as `label:count,label:count` to `into`, and returns their sum.
@@ -94,6 +98,7 @@
         for line in text.lines() {
             if let (Some(at), Some(event)) = (steps::line_time(line), key_value(line, "event")) {
                 summary.record_line(at, event, line);
+                summary.load.record_line(event, line);
             }
         }
         summary
@@ -171,6 +176,7 @@
         for (cause, (count, seconds)) in summary.late_by_cause(*limit) {
             writeln!(f, "  {count:>7}  {:10}  {seconds:.2} s over", cause.name())?;
         }
+        summary.load.write(f, &summary.steps, *limit)?;
         write_counts(f, "jobs that changed hands", &summary.adoptions)?;
         writeln!(f, "owners taken for lost that were well: {}", summary.false_suspicions)?;
         write_counts(f, "attempts that did not make a text whole", &summary.attempts)?;
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -24,12 +24,14 @@
 //! - [`memory`]: memory budget for request bodies.
 //! - [`service`], [`retirement`], [`settings`], [`reload`]: programs and their settings.
 //! - [`logging`], [`metrics`]: logs and metrics.
-//! - [`explain`], [`steps`], [`fleet_summary`], [`summary_plot`]: log analysis.
+//! - [`explain`], [`call_explanation`], [`steps`], [`fleet_summary`], [`load_summary`],
+//!   [`summary_plot`]: log analysis.
 
 pub mod access;
 pub mod admission_settings;
 pub mod attempt;
 pub mod batch;
+pub mod call_explanation;
 pub mod calls;
 pub mod clock;
 pub mod compressed_update;
@@ -50,6 +52,7 @@
 pub mod interner;
 pub mod lease_manager;
 pub mod lease_state;
+pub mod load_summary;
 pub mod logging;
 pub mod memory;
 pub mod metrics;
--- /dev/null
+++ b/crates/heronbend-gateway/src/load_summary.rs
@@ -0,0 +1,181 @@
+//! Sums up from log lines whose calls and steps suffered from load, by route, tenant and model.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::explain::key_value;
+use crate::steps::Step;
+
+/// Wait in the call queue from which a call counts as delayed, in milliseconds.
+const LONG_WAIT_MS: f64 = 250.0;
+/// Maximum number of routes, and of tenants, in a report.
+const MAX_ROWS: usize = 10;
+
+/// What the log tells of one call, over all of its attempts by the client.
+#[derive(Debug, Default, PartialEq)]
+struct Call {
+    route: String,
+    tenant: String,
+    is_refused: bool,
+    has_waited: bool,
+    is_late: bool,
+}
+
+/// Counts of calls.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CallCounts {
+    /// Distinct calls.
+    pub asked: u64,
+    /// Calls that the call queue refused at least once.
+    pub refused: u64,
+    /// Calls that waited longer than 250 ms in a call queue.
+    pub waited: u64,
+    /// Calls that timed out, or that came too late to be answered within their objective.
+    pub late: u64,
+}
+
+impl CallCounts {
+    fn add(&mut self, call: &Call) {
+        self.asked += 1;
+        self.refused += u64::from(call.is_refused);
+        self.waited += u64::from(call.has_waited);
+        self.late += u64::from(call.is_late);
+    }
+
+    /// Counts by which rows are sorted: refused and late calls first, then those that waited.
+    fn loss(&self) -> (u64, u64) {
+        (self.refused + self.late, self.waited)
+    }
+}
+
+/// Counts of the steps of one model's trainer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StepCounts {
+    /// Steps that were submitted.
+    pub steps: u64,
+    /// Steps that ended late.
+    pub late: u64,
+    /// Steps whose end is not in the log.
+    pub unfinished: u64,
+    /// Groups that the steps asked for.
+    pub groups: u64,
+}
+
+#[derive(Debug, PartialEq)]
+struct Submission {
+    model: String,
+    groups: u64,
+}
+
+/// Calls and submitted steps of a fleet.
+#[derive(Debug, Default, PartialEq)]
+pub struct LoadSummary {
+    calls: BTreeMap<String, Call>,
+    submissions: BTreeMap<String, Submission>,
+}
+
+impl LoadSummary {
+    /// Records a log line; those that tell of no call or submission are ignored.
+    pub(crate) fn record_line(&mut self, event: &str, line: &str) {
+        match event {
+            "forwarded" | "call_queued" | "call_refused" => self.record_call(event, line),
+            "job_handed_in" if line.contains("outcome=Ok") => self.record_submission(line),
+            _ => {}
+        }
+    }
+
+    fn record_call(&mut self, event: &str, line: &str) {
+        let Some(id) = key_value(line, "id") else {
+            return;
+        };
+        let call = self.calls.entry(id.to_owned()).or_default();
+        if let Some(route) = key_value(line, "route") {
+            route.clone_into(&mut call.route);
+        }
+        if let Some(tenant) = key_value(line, "tenant") {
+            tenant.clone_into(&mut call.tenant);
+        }
+        let waited_ms = key_value(line, "waited_ms").and_then(|waited| waited.parse().ok());
+        call.has_waited |= waited_ms.is_some_and(|waited: f64| waited > LONG_WAIT_MS);
+        call.is_refused |= event == "call_refused";
+        call.is_late |= key_value(line, "late") == Some("true");
+        call.is_late |= key_value(line, "outcome") == Some("TimedOut");
+    }
+
+    fn record_submission(&mut self, line: &str) {
+        let (Some(job), Some(model)) = (key_value(line, "job"), key_value(line, "model")) else {
+            return;
+        };
+        let groups = key_value(line, "desired").and_then(|groups| groups.parse().ok());
+        let submission = Submission { model: model.to_owned(), groups: groups.unwrap_or(0) };
+        self.submissions.insert(job.to_owned(), submission);
+    }
+
+    fn count_calls<'a>(&'a self, label: fn(&'a Call) -> &'a str) -> Vec<(&'a str, CallCounts)> {
+        let mut counts: BTreeMap<&str, CallCounts> = BTreeMap::new();
+        for call in self.calls.values() {
+            counts.entry(label(call)).or_default().add(call);
+        }
+        let mut rows: Vec<_> = counts.into_iter().collect();
+        rows.sort_by_key(|(_, counts)| std::cmp::Reverse(counts.loss()));
+        rows.truncate(MAX_ROWS);
+        rows
+    }
+
+    /// Returns the counts of the ten routes with the most refused and late calls.
+    pub fn by_route(&self) -> Vec<(&str, CallCounts)> {
+        self.count_calls(|call| &call.route)
+    }
+
+    /// Returns the counts of the ten tenants with the most refused and late calls. Calls without a
+    /// tenant count for `none`.
+    pub fn by_tenant(&self) -> Vec<(&str, CallCounts)> {
+        self.count_calls(|call| &call.tenant)
+    }
+
+    /// Returns the counts of each model's steps; steps over `limit` seconds are late.
+    pub fn by_model(&self, ended: &[Step], limit: f64) -> BTreeMap<&str, StepCounts> {
+        let totals: BTreeMap<_, _> = ended.iter().map(|step| (&step.job, step.total())).collect();
+        let mut models: BTreeMap<&str, StepCounts> = BTreeMap::new();
+        for (job, submission) in &self.submissions {
+            let counts = models.entry(&submission.model).or_default();
+            counts.steps += 1;
+            counts.groups += submission.groups;
+            match totals.get(job) {
+                Some(total) => counts.late += u64::from(*total > limit),
+                None => counts.unfinished += 1,
+            }
+        }
+        models
+    }
+
+    /// Writes the counts of calls by route and tenant, and of steps by model.
+    pub(crate) fn write(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+        ended: &[Step],
+        limit: f64,
+    ) -> fmt::Result {
+        write_calls(f, "calls by route", &self.by_route())?;
+        write_calls(f, "calls by tenant", &self.by_tenant())?;
+        writeln!(f, "steps by model:  steps     late unfinished   groups")?;
+        for (model, counts) in self.by_model(ended, limit) {
+            let StepCounts { steps, late, unfinished, groups } = counts;
+            writeln!(f, "  {steps:>20} {late:>8} {unfinished:>10} {groups:>8}  {model}")?;
+        }
+        Ok(())
+    }
+}
+
+fn write_calls(
+    f: &mut fmt::Formatter<'_>,
+    title: &str,
+    rows: &[(&str, CallCounts)],
+) -> fmt::Result {
+    writeln!(f, "{title:15}:  asked  refused   waited     late")?;
+    for (label, counts) in rows {
+        let CallCounts { asked, refused, waited, late } = counts;
+        writeln!(f, "  {asked:>21} {refused:>8} {waited:>8} {late:>8}  {label}")?;
+    }
+    Ok(())
+}
--- a/crates/heronbend-gateway/tests/day.rs
+++ b/crates/heronbend-gateway/tests/day.rs
@@ -4,6 +4,8 @@
 use heronbend_gateway::fleet_summary::Cause;
 use heronbend_gateway::fleet_summary::FleetSummary;
 use heronbend_gateway::fleet_summary::SummaryReport;
+use heronbend_gateway::load_summary::CallCounts;
+use heronbend_gateway::load_summary::StepCounts;
 use heronbend_gateway::metrics::Metrics;
 
 const LINES: &str = "\
@@ -72,3 +74,51 @@
         assert!(plot.contains("</svg>") && plot.contains("calls to the store"));
     }
 }
+
+const CALLS: &str = "\
+ 1.0 a level=INFO event=call_refused id=c1 route=r tenant=big priority=2 service=s reason=overloaded late=false over_share=true
+ 1.5 b level=INFO event=call_refused id=c1 route=r tenant=big priority=2 service=s reason=overloaded late=true over_share=true
+ 1.9 a level=INFO event=forwarded id=c1 route=r tenant=big service=s configuration=1 outcome=200 ms=20 priority=2 waited_ms=0
+ 2.0 a level=INFO event=call_queued id=c2 route=r tenant=small service=s position=3 waited_ms=251 outcome=admitted
+ 2.1 a level=INFO event=forwarded id=c2 route=r tenant=small service=s configuration=1 outcome=200 ms=271 priority=0 waited_ms=251
+ 2.2 a level=INFO event=forwarded id=c3 route=q tenant=none service=s configuration=1 outcome=TimedOut ms=900 priority=0 waited_ms=250
+ 2.3 a level=INFO event=forwarded id=c4 route=q tenant=none service=s configuration=1 outcome=200 ms=9 priority=0 waited_ms=0";
+
+#[test]
+fn calls_are_counted_by_route_and_tenant() {
+    let load = FleetSummary::from_log(CALLS).load;
+    let (r, q) = (
+        CallCounts { asked: 2, refused: 1, waited: 1, late: 1 },
+        CallCounts { asked: 2, refused: 0, waited: 0, late: 1 },
+    );
+    assert_eq!(load.by_route(), [("r", r), ("q", q)]);
+    let big = CallCounts { asked: 1, refused: 1, waited: 0, late: 1 };
+    let small = CallCounts { asked: 1, refused: 0, waited: 1, late: 0 };
+    assert_eq!(load.by_tenant(), [("big", big), ("none", q), ("small", small)]);
+}
+
+#[test]
+fn only_the_ten_tenants_that_lost_most_are_listed() {
+    let mut log = String::new();
+    for tenant in 0..12 {
+        for call in 0..=tenant {
+            log += &format!(
+                " 1.0 a event=call_refused id=c{tenant}-{call} route=r tenant=t{tenant}\n"
+            );
+        }
+    }
+    let load = FleetSummary::from_log(&log).load;
+    let tenants: Vec<_> = load.by_tenant().into_iter().map(|(tenant, _)| tenant).collect();
+    assert_eq!(tenants, ["t11", "t10", "t9", "t8", "t7", "t6", "t5", "t4", "t3", "t2"]);
+}
+
+#[test]
+fn steps_are_counted_by_model() {
+    let unfinished = " 40.0 front-1 level=INFO event=job_handed_in job=j3 items=2 step=6 model=n min_version=1 desired=8 outcome=Ok(()) ms=9";
+    let summary = FleetSummary::from_log(&format!("{LINES}\n{unfinished}"));
+    let models = summary.load.by_model(&summary.steps, 9.5);
+    assert_eq!(models["m"], StepCounts { steps: 2, late: 1, unfinished: 0, groups: 0 });
+    assert_eq!(models["n"], StepCounts { steps: 1, late: 0, unfinished: 1, groups: 8 });
+    let report = SummaryReport { summary: &summary, limit: 9.5 }.to_string();
+    assert!(report.contains("steps by model"), "{report}");
+}
