--- a/crates/heronbend-gateway/src/call_admission.rs
+++ b/crates/heronbend-gateway/src/call_admission.rs
@@ -348,8 +348,10 @@
 ) {
     let result = if outcome.result.is_ok() { "admitted" } else { "refused" };
     log::info!(
-        "event=call_queued id={} service={service} position={position} expected_wait_ms={} waited_ms={} outcome={result}",
+        "event=call_queued id={} tenant={} priority={} service={service} position={position} expected_wait_ms={} waited_ms={} outcome={result}",
         request.id,
+        request.tenant.as_deref().unwrap_or("none"),
+        request.priority,
         expected_wait.as_millis(),
         outcome.waited.as_millis()
     );
