Only a candidate that has listed versions takes over the command lease

Cause: only candidates are told of accepted commands. A former one kept its versions and the time of the last command it had heard, and its idle time went on growing.

The decision is a module without I/O, `versions::takeover`. A daemon that is no candidate never has the turn; one that is counts idle time at the earliest from the first complete list of its current watch. The order, the delays, the holder's precedence and draining stay as they were. Weighed: to count renewals of the lease, which all daemons hear, as activity (a holder that is cut off from the servers renews as well and would never be followed); to tell all daemons of commands (commands times daemons datagrams). Not changed: where all three candidates are alive but cut off from the store, nobody follows, as before: no other daemon has versions.

--- a/crates/heronbend-gateway/src/versions/dispatcher.rs
+++ b/crates/heronbend-gateway/src/versions/dispatcher.rs
@@ -18,6 +18,8 @@
 
 use super::lease::LEASE_DURATION;
 use super::plan::{self, EngineState, Load, ModelState, Urgency};
+use super::takeover::Holder;
+use super::takeover::TakeoverView;
 use super::watch::{candidates, is_candidate, newest_job, takeover_position};
 use super::{EngineReport, SwapMode, VersionCommand};
 use crate::configuration::{Destination, RouteKind};
@@ -31,9 +33,6 @@
 use crate::ports::dialect::ServerCall;
 use crate::wait;
 
-/// How long each daemon waits for the one ahead of it in the takeover order, if no command is
-/// accepted.
-const TAKEOVER_DELAY: Duration = Duration::from_millis(2500);
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Delay until a report shows whether a command was accepted.
 const REPORT_DELAY: Duration = Duration::from_millis(150);
@@ -255,44 +254,43 @@
     }
 
     /// Whether this daemon should issue the commands that are due.
-    ///
-    /// The last holder continues while it is alive. Otherwise the live daemons take over in a fixed
-    /// order with increasing delays, since the first one may be partitioned from the store without
-    /// the others knowing.
     fn is_my_turn(&self) -> bool {
         let gateway = &self.gateway;
-        let mut ahead = 0;
-        let holder = gateway.versions.lease.last_holder().map(|(holder, _)| holder);
-        if let Some(holder) = &holder {
-            if *holder == gateway.identity.node.name {
-                return true;
-            }
-            if gateway.draining.get() {
-                return false;
-            }
-            if !gateway.members.is_unreachable(gateway.now(), holder) {
-                ahead += 1;
-            }
+        let holder = gateway.versions.lease.holder();
+        let view = TakeoverView {
+            holder: self.holder_state(holder.as_ref()),
+            is_draining: gateway.draining.get(),
+            is_candidate: is_candidate(gateway),
+            listed_at: gateway.versions.listed_at(),
+            ahead: takeover_position(gateway, holder.as_ref()),
+            last_activity: self.last_activity(),
+        };
+        view.is_my_turn(gateway.now())
+    }
+
+    fn holder_state(&self, holder: Option<&NodeName>) -> Holder {
+        let gateway = &self.gateway;
+        match holder {
+            None => Holder::Unknown,
+            Some(holder) if *holder == gateway.identity.node.name => Holder::Local,
+            Some(holder) if gateway.members.is_unreachable(gateway.now(), holder) => Holder::Lost,
+            Some(_) => Holder::Reachable,
         }
-        ahead += takeover_position(gateway, holder.as_ref());
-        self.idle_time() >= TAKEOVER_DELAY * u32::try_from(ahead).unwrap_or(u32::MAX)
     }
 
-    /// Time during which commands were possible but none was accepted.
+    /// When a command was last accepted, or impossible.
     ///
     /// Excludes the time before the newest version was published, the holder's wait after a
     /// takeover, and store outages: the lease cannot be renewed then, and a change of holder costs
     /// a pause.
-    fn idle_time(&self) -> Duration {
+    fn last_activity(&self) -> Option<Moment> {
         let versions = &self.gateway.versions;
         let newest = versions.newest();
         let newest = newest.values().map(|(_, since)| *since).max();
         let takeover = LEASE_DURATION + self.gateway.tuning().lease_pause;
         let holder_active = versions.lease.last_holder().map(|(_, since)| since + takeover);
         let store_reached = Some(self.gateway.store_reachable_since.get());
-        let started =
-            [newest, versions.last_command(), holder_active, store_reached].into_iter().max();
-        self.gateway.now().saturating_sub(started.flatten().unwrap_or_default())
+        [newest, versions.last_command(), holder_active, store_reached].into_iter().flatten().max()
     }
 
     /// Commands a load and waits until the server reports the version.
--- a/crates/heronbend-gateway/src/versions/mod.rs
+++ b/crates/heronbend-gateway/src/versions/mod.rs
@@ -3,6 +3,7 @@
 //! - [`published`]: the published versions and the last accepted command.
 //! - [`plan`]: which servers load which version, without I/O.
 //! - [`lease`]: which daemon may issue commands, without I/O.
+//! - [`takeover`]: which daemon takes over the lease, without I/O.
 //! - [`watch`]: watches published versions at candidates for the lease.
 //! - [`dispatcher`]: holds the lease and issues the commands.
 
@@ -10,6 +11,7 @@
 pub mod lease;
 pub mod plan;
 pub mod published;
+pub mod takeover;
 pub mod watch;
 
 use std::collections::BTreeMap;
--- a/crates/heronbend-gateway/src/versions/published.rs
+++ b/crates/heronbend-gateway/src/versions/published.rs
@@ -22,6 +22,8 @@
     newest: RefCell<HashMap<String, (u64, Moment)>>,
     /// When the last known command was accepted.
     last_command: Cell<Option<Moment>>,
+    /// When the current watch of published versions was first complete.
+    listed_at: Cell<Option<Moment>>,
     /// Durations of the newest steps by model, from submission to the publication of the version.
     step_times: RefCell<HashMap<String, VecDeque<Duration>>>,
     /// The lease for commands.
@@ -74,4 +76,23 @@
     pub fn last_command(&self) -> Option<Moment> {
         self.last_command.get()
     }
+
+    /// Records that the watch of published versions is complete. Later lists of the same watch
+    /// change nothing.
+    pub fn note_listed(&self, now: Moment) {
+        if self.listed_at.get().is_none() {
+            self.listed_at.set(Some(now));
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Records that published versions are no longer watched.
+    pub fn note_unwatched(&self) {
+        self.listed_at.set(None);
+    }
+
+    /// When the current watch of published versions was first complete, if there is one.
+    pub fn listed_at(&self) -> Option<Moment> {
+        self.listed_at.get()
+    }
 }
--- a/crates/heronbend-gateway/src/versions/watch.rs
+++ b/crates/heronbend-gateway/src/versions/watch.rs
@@ -19,8 +19,8 @@
 use crate::reflector::ObjectHandler;
 use crate::reflector::Source;
 
-/// Number of daemons that are ready to take over the lease.
-const CANDIDATES: usize = 3;
+use super::takeover::CANDIDATES;
+
 /// Maximum interval between checks whether this daemon is a candidate.
 const CHECK_PERIOD: Duration = Duration::from_millis(500);
 /// How long to collect changes before reading them.
@@ -58,6 +58,10 @@
     fn remove(&self, _name: &str) {
         // See `retain`.
     }
+
+    fn on_list(&self) {
+        self.0.versions.note_listed(self.0.now());
+    }
 }
 
 /// The most recently submitted job for a model.
@@ -86,6 +90,7 @@
             }
         };
         follow.or(demoted).await;
+        gateway.versions.note_unwatched();
     }
 }
 
