--- a/crates/heronbend/src/admission/overload_tests.rs
+++ b/crates/heronbend/src/admission/overload_tests.rs
@@ -59,18 +59,27 @@
 
 #[derive(Default)]
 struct Daemon {
+    /// Mean latency of each server, in milliseconds.
+    mean_millis: [f64; SERVERS],
     rate: AdaptiveRate,
     queue: CallQueue,
     waiting: HashMap<CallKey, (usize, Call)>,
 }
 
-#[derive(Default)]
 struct Server {
+    /// Factor of the work's duration.
+    slowness: f64,
     is_down: bool,
     running: usize,
     queue: VecDeque<(usize, usize, Moment)>,
 }
 
+impl Server {
+    fn new(slowness: f64) -> Self {
+        Self { slowness, is_down: false, running: 0, queue: VecDeque::new() }
+    }
+}
+
 #[derive(Debug, Default, Clone, Copy)]
 struct Counts {
     asked: u32,
@@ -103,7 +112,7 @@
             next_event: 0,
             random: SmallRng::seed_from_u64(seed),
             daemons: (0..DAEMONS).map(|_| Daemon::default()).collect(),
-            servers: (0..SERVERS).map(|_| Server::default()).collect(),
+            servers: (0..SERVERS).map(|_| Server::new(1.0)).collect(),
             callers: Vec::new(),
             by_tenant: BTreeMap::new(),
             arrivals_at_servers: 0,
@@ -223,11 +232,15 @@
         self.schedule_poll(index);
     }
 
-    /// Sends a call to the servers in random order until one takes it.
+    /// Sends a call to the servers, those that answer faster first, until one takes it.
     fn send(&mut self, daemon: usize, caller: usize, call: Call) {
         let up = (0..SERVERS).filter(|server| !self.servers[*server].is_down);
         let mut up: Vec<usize> = up.collect();
         up.shuffle(&mut self.random);
+        let means = self.daemons[daemon].mean_millis;
+        let best = up.iter().map(|server| means[*server]).fold(f64::INFINITY, f64::min);
+        // Means within this ratio count as equal.
+        up.sort_by_key(|server| means[*server] > best * 1.5);
         for server in up {
             self.arrivals_at_servers += 1;
             if self.servers[server].running < SLOTS {
@@ -251,7 +264,7 @@
         self.servers[server].running += 1;
         // A wide distribution, with a few calls that take several times as long.
         let spread = -self.random.random::<f64>().ln();
-        let work = MEAN_WORK_MILLIS * (0.5 + 0.5 * spread);
+        let work = MEAN_WORK_MILLIS * self.servers[server].slowness * (0.5 + 0.5 * spread);
         let end = self.now + Duration::from_secs_f64(work / 1e3);
         self.schedule(end, Event::Done { server, caller, daemon, sent });
     }
@@ -259,6 +272,8 @@
     fn done(&mut self, server: usize, caller: usize, daemon: usize, sent: Moment) {
         self.servers[server].running -= 1;
         let latency = self.now + ROUND_TRIP - sent;
+        let mean = &mut self.daemons[daemon].mean_millis[server];
+        *mean += (latency.as_secs_f64() * 1e3 - *mean) * 0.3;
         self.daemons[daemon].rate.record_answer(self.now, latency);
         self.adjust(daemon);
         let Caller { asked, tenant, retries, .. } = self.callers[caller];
@@ -405,6 +420,20 @@
     assert_served(&fleet, 1.2 / (1.0 - 8.0 / 20.0 / 3.0));
 }
 
+#[test]
+fn uneven_servers_are_used_by_what_each_can_run() {
+    let slowness = [0.7, 0.7, 1.7];
+    let capacity: f64 = slowness.iter().map(|s| SLOTS as f64 * 1e3 / MEAN_WORK_MILLIS / s).sum();
+    for (seed, factor) in cases(&[1.2, 2.0]) {
+        let mut fleet = Fleet::new(seed);
+        fleet.servers = slowness.into_iter().map(Server::new).collect();
+        let start = fleet.now;
+        fleet.add_load(start, Duration::from_secs(20), capacity * factor, any_tenant);
+        fleet.run();
+        assert_served(&fleet, factor);
+    }
+}
+
 #[test]
 fn the_limit_ends_with_the_overload() {
     for seed in seeds() {
