--- a/crates/heronbend-gateway/src/call_admission.rs
+++ b/crates/heronbend-gateway/src/call_admission.rs
@@ -137,7 +137,8 @@
     /// Records an answer of a server after `latency`.
     pub fn record_answer(&self, latency: Duration) {
         if let Some(limited) = &self.limited {
-            limited.service.rate.borrow_mut().record_answer(limited.gateway.now(), latency);
+            let (now, objective) = (limited.gateway.now(), limited.call.objective);
+            limited.service.rate.borrow_mut().record_answer(now, latency, objective);
             limited.adjust();
         }
     }
@@ -170,7 +171,7 @@
 impl LimitedCall {
     fn adjust(&self) {
         let now = self.gateway.now();
-        let adjustment = self.service.rate.borrow_mut().adjust(now, self.call.objective);
+        let adjustment = self.service.rate.borrow_mut().adjust(now);
         if let Some(adjustment) = adjustment {
             self.service.apply(&self.gateway, &adjustment);
         }
@@ -179,16 +180,16 @@
 
 impl ServiceQueue {
     fn apply(&self, gateway: &Gateway, adjustment: &Adjustment) {
-        let millis = |value: Option<f64>| value.map_or("none".to_owned(), |v| format!("{v:.0}"));
+        let share = |value: Option<f64>| value.map_or("none".to_owned(), |v| format!("{v:.2}"));
         let rate = rate_text(adjustment.rate);
         log::info!(
-            "event=rate_changed service={} rate_per_s={rate} reason={} answered={} rejected={} usual_ms={} mean_ms={}",
+            "event=rate_changed service={} rate_per_s={rate} reason={} answered={} rejected={} usual_share={} mean_share={}",
             self.name,
             adjustment.reason.name(),
             adjustment.answered,
             adjustment.rejected,
-            millis(adjustment.usual_millis),
-            millis(adjustment.mean_millis)
+            share(adjustment.usual_share),
+            share(adjustment.mean_share)
         );
         gateway.metrics.set_admission_rate(&self.name, adjustment.rate);
         self.queue.borrow_mut().set_rate(gateway.now(), adjustment.rate);
--- a/crates/heronbend-gateway/src/call_explanation.rs
+++ b/crates/heronbend-gateway/src/call_explanation.rs
@@ -159,13 +159,13 @@
         let value = |key| key_value(change, key).unwrap_or("unknown");
         writeln!(
             f,
-            "  rate before it: {} calls/s ({}: {} answered, {} rejected, mean {} ms, usual {} ms)",
+            "  rate before it: {} calls/s ({}: {} answered, {} rejected, mean {} of the objective, usual {})",
             value("rate_per_s"),
             value("reason"),
             value("answered"),
             value("rejected"),
-            value("mean_ms"),
-            value("usual_ms")
+            value("mean_share"),
+            value("usual_share")
         )
     }
 }
--- a/crates/heronbend/src/admission/adaptive_rate.rs
+++ b/crates/heronbend/src/admission/adaptive_rate.rs
@@ -21,6 +21,8 @@
 const MIN_WINDOW: Duration = Duration::from_millis(250);
 /// Duration after which a window is closed with any number of samples.
 const MAX_WINDOW: Duration = Duration::from_secs(1);
+/// Lowest objective that latencies are compared with, in seconds.
+const MIN_OBJECTIVE_SECONDS: f64 = 0.001;
 /// Number of samples that close a window after its minimum duration. The mean of five calls tells
 /// a full queue from an empty one although calls vary in the work they require.
 const WINDOW_SAMPLES: u32 = 5;
@@ -29,6 +31,8 @@
 const MAX_LATENCY_SHARE: f64 = 0.4;
 /// Share of the objective below which the mean latency raises the rate.
 const ROOM_LATENCY_SHARE: f64 = 0.3;
+/// Lowest difference of two shares that counts.
+const MIN_SHARE_RANGE: f64 = 0.01;
 /// Multiple of the usual latency that never counts as waiting. Services that need a large share of
 /// the objective for the work itself are not throttled for it.
 const USUAL_TOLERANCE: f64 = 1.5;
@@ -42,6 +46,11 @@
 /// Limits of the factor by which one window lowers the rate.
 const MIN_FACTOR: f64 = 0.8;
 const MAX_FACTOR: f64 = 0.97;
+/// How long the servers' queues take to drain after the rate was lowered. Until then they still show
+/// the load from before, and the rate is lowered again only if many calls are rejected.
+const SETTLE_TIME: Duration = Duration::from_millis(600);
+/// Share of rejected attempts from which on the rate is lowered again at once.
+const SEVERE_REJECTION_SHARE: f64 = 0.2;
 /// Increase of the rate by one window, as a share of it: while calls wait, and in addition if none
 /// waits at all.
 const RAISE_SHARE: f64 = 0.03;
@@ -98,10 +107,10 @@
     pub answered: u32,
     /// Number of attempts in the window that servers rejected.
     pub rejected: u32,
-    /// Mean latency of the answers, in milliseconds.
-    pub mean_millis: Option<f64>,
-    /// Latency outside of overload, in milliseconds, if it is known.
-    pub usual_millis: Option<f64>,
+    /// Mean latency of the answers, as a share of their calls' objectives.
+    pub mean_share: Option<f64>,
+    /// That share outside of overload, if it is known.
+    pub usual_share: Option<f64>,
 }
 
 /// Observations since the last change.
@@ -114,7 +123,8 @@
     /// Number and total latency of the answers to calls that were sent within the window. Earlier
     /// calls do not show the effect of the last change.
     timed: u32,
-    latency_sum_millis: f64,
+    /// Sum of the latencies, each as a share of the objective of its call.
+    latency_share_sum: f64,
     rejected: u32,
     found_full: u32,
 }
@@ -126,8 +136,9 @@
         elapsed >= MAX_WINDOW || (elapsed >= MIN_WINDOW && has_samples)
     }
 
-    fn mean_millis(&self) -> Option<f64> {
-        (self.timed > 0).then(|| self.latency_sum_millis / f64::from(self.timed))
+    /// Mean latency as a share of the calls' objectives.
+    fn mean_share(&self) -> Option<f64> {
+        (self.timed > 0).then(|| self.latency_share_sum / f64::from(self.timed))
     }
 
     fn per_second(&self, now: Moment, count: u32) -> f64 {
@@ -143,8 +154,10 @@
     rate: Option<f64>,
     /// Lowest rate of the current overload, in calls per second.
     floor: f64,
-    usual_millis: Option<f64>,
+    usual_share: Option<f64>,
     window: Window,
+    /// When the rate was last lowered.
+    lowered_at: Option<Moment>,
     /// Since when callers ask for less than the servers can run.
     calm_since: Option<Moment>,
 }
@@ -160,9 +173,9 @@
         self.window.per_second(now, self.window.offered)
     }
 
-    /// Latency outside of overload, in milliseconds, if it is known.
-    pub fn usual_millis(&self) -> Option<f64> {
-        self.usual_millis
+    /// Mean latency outside of overload, as a share of the calls' objectives, if it is known.
+    pub fn usual_share(&self) -> Option<f64> {
+        self.usual_share
     }
 
     /// Records that a caller asked for the service.
@@ -175,12 +188,14 @@
         self.window.refused += 1;
     }
 
-    /// Records an answer and the time from sending the call until it arrived.
-    pub fn record_answer(&mut self, now: Moment, latency: Duration) {
+    /// Records an answer, the time from sending the call until it arrived, and the latency objective
+    /// of the call.
+    pub fn record_answer(&mut self, now: Moment, latency: Duration, objective: Duration) {
         self.window.answered += 1;
         if now.saturating_sub(latency) >= self.window.started {
             self.window.timed += 1;
-            self.window.latency_sum_millis += latency.as_secs_f64() * 1e3;
+            self.window.latency_share_sum +=
+                latency.as_secs_f64() / objective.as_secs_f64().max(MIN_OBJECTIVE_SECONDS);
         }
     }
 
@@ -194,9 +209,8 @@
         self.window.found_full += 1;
     }
 
-    /// Adjusts the rate if there are enough observations. `objective` is the latency objective of
-    /// the calls.
-    pub fn adjust(&mut self, now: Moment, objective: Duration) -> Option<Adjustment> {
+    /// Adjusts the rate if there are enough observations.
+    pub fn adjust(&mut self, now: Moment) -> Option<Adjustment> {
         if !self.window.is_complete(now) {
             return None;
         }
@@ -204,8 +218,8 @@
         self.window = Window { started: now, ..Window::default() };
         let before = self.rate;
         let reason = match before {
-            None => self.start_limit(now, &window, objective),
-            Some(rate) => self.update_limit(now, rate, &window, objective),
+            None => self.start_limit(now, &window),
+            Some(rate) => self.update_limit(now, rate, &window),
         };
         let reason = reason.filter(|_| before != self.rate)?;
         Some(Adjustment {
@@ -213,14 +227,14 @@
             reason,
             answered: window.answered,
             rejected: window.rejected,
-            mean_millis: window.mean_millis(),
-            usual_millis: self.usual_millis,
+            mean_share: window.mean_share(),
+            usual_share: self.usual_share,
         })
     }
 
     /// Starts the limit if the servers are overloaded.
-    fn start_limit(&mut self, now: Moment, window: &Window, objective: Duration) -> Option<Reason> {
-        let is_slow = window.mean_millis().is_some_and(|mean| mean > self.max_millis(objective));
+    fn start_limit(&mut self, now: Moment, window: &Window) -> Option<Reason> {
+        let is_slow = window.mean_share().is_some_and(|mean| mean > self.max_share());
         if window.found_full == 0 && !(window.rejected > 0 && is_slow) {
             self.learn_usual(window, USUAL_WEIGHT);
             return None;
@@ -233,13 +247,7 @@
         Some(Reason::Full)
     }
 
-    fn update_limit(
-        &mut self,
-        now: Moment,
-        rate: f64,
-        window: &Window,
-        objective: Duration,
-    ) -> Option<Reason> {
+    fn update_limit(&mut self, now: Moment, rate: f64, window: &Window) -> Option<Reason> {
         self.learn_usual(window, USUAL_DRIFT);
         let offered = window.per_second(now, window.offered);
         self.track_calm(now, rate, offered, window);
@@ -248,9 +256,14 @@
             self.calm_since = None;
             return Some(Reason::Calm);
         }
+        let is_settling = self.lowered_at.is_some_and(|since| now < since + SETTLE_TIME);
         if window.rejected > 0 {
             let attempts = f64::from(window.rejected + window.answered);
-            self.lower(rate, 1.0 - f64::from(window.rejected) / attempts);
+            let share = f64::from(window.rejected) / attempts;
+            if is_settling && share < SEVERE_REJECTION_SHARE {
+                return None;
+            }
+            self.lower(now, rate, 1.0 - share);
             return Some(Reason::Full);
         }
         let is_pressing = window.refused > 0 || offered >= rate * PRESSING_SHARE;
@@ -260,20 +273,23 @@
             return self.relax(rate, offered);
         }
         // Without an answer there is no sign of load either.
-        let Some(mean) = window.mean_millis() else {
+        let Some(mean) = window.mean_share() else {
             self.rate = Some(rate + min_raise);
             return Some(Reason::Room);
         };
-        if mean > self.max_millis(objective) {
-            self.lower(rate, self.max_millis(objective) / mean);
+        if mean > self.max_share() {
+            if is_settling {
+                return None;
+            }
+            self.lower(now, rate, self.max_share() / mean);
             return Some(Reason::Latency);
         }
-        let room = self.room_millis(objective);
+        let room = self.room_share();
         if mean > room {
             return None;
         }
-        let usual = self.usual_millis.unwrap_or(mean);
-        let headroom = ((room - mean) / (room - usual).max(1.0)).clamp(0.0, 1.0);
+        let usual = self.usual_share.unwrap_or(mean);
+        let headroom = ((room - mean) / (room - usual).max(MIN_SHARE_RANGE)).clamp(0.0, 1.0);
         let raise = rate * (RAISE_SHARE + HEADROOM_RAISE_SHARE * headroom);
         self.rate = Some(rate + raise.max(min_raise));
         Some(Reason::Room)
@@ -286,41 +302,41 @@
         Some(Reason::Room)
     }
 
-    /// Mean latency above which calls wait too long at the servers, in milliseconds.
-    fn max_millis(&self, objective: Duration) -> f64 {
-        self.tolerated_millis().max(objective.as_secs_f64() * 1e3 * MAX_LATENCY_SHARE)
+    /// Mean latency above which calls wait too long at the servers, as a share of the objective.
+    fn max_share(&self) -> f64 {
+        self.tolerated_share().max(MAX_LATENCY_SHARE)
     }
 
-    /// Mean latency up to which the servers have room for more, in milliseconds.
-    fn room_millis(&self, objective: Duration) -> f64 {
-        self.tolerated_millis().max(objective.as_secs_f64() * 1e3 * ROOM_LATENCY_SHARE)
+    /// Mean latency up to which the servers have room for more, as a share of the objective.
+    fn room_share(&self) -> f64 {
+        self.tolerated_share().max(ROOM_LATENCY_SHARE)
     }
 
-    /// Mean latency up to which calls do not wait at the servers, in milliseconds.
-    fn tolerated_millis(&self) -> f64 {
-        self.usual_millis.unwrap_or(0.0) * USUAL_TOLERANCE
+    /// Mean latency up to which calls do not wait at the servers, as a share of the objective.
+    fn tolerated_share(&self) -> f64 {
+        self.usual_share.unwrap_or(0.0) * USUAL_TOLERANCE
     }
 
-    fn lower(&mut self, rate: f64, factor: f64) {
+    fn lower(&mut self, now: Moment, rate: f64, factor: f64) {
+        self.lowered_at = Some(now);
         let lowered = rate * factor.clamp(MIN_FACTOR, MAX_FACTOR);
         self.rate = Some(lowered.max(self.floor));
     }
 
     fn track_calm(&mut self, now: Moment, rate: f64, offered: f64, window: &Window) {
         let asks_for_less = offered < rate * CALM_SHARE && window.refused == 0;
-        let does_not_wait =
-            window.mean_millis().is_some_and(|mean| mean <= self.tolerated_millis());
+        let does_not_wait = window.mean_share().is_some_and(|mean| mean <= self.tolerated_share());
         let is_calm = window.rejected == 0 && (asks_for_less || does_not_wait);
         self.calm_since = if is_calm { self.calm_since.or(Some(now)) } else { None };
     }
 
     /// Learns the usual latency. A lower mean is taken at once, a higher one with `weight`.
     fn learn_usual(&mut self, window: &Window, weight: f64) {
-        let Some(mean) = window.mean_millis().filter(|_| window.rejected == 0) else {
+        let Some(mean) = window.mean_share().filter(|_| window.rejected == 0) else {
             return;
         };
-        let usual = self.usual_millis.unwrap_or(mean);
+        let usual = self.usual_share.unwrap_or(mean);
         let weight = if mean < usual { 1.0_f64.min(weight * 5.0) } else { weight };
-        self.usual_millis = Some(usual + (mean - usual) * weight);
+        self.usual_share = Some(usual + (mean - usual) * weight);
     }
 }
