Place batch items by slack, and offer freed fast slots to late texts

Cause: a freed slot on a fast server went to the next waiting text, however short, while long texts ran on slow servers and looked for another one only at their next sample. Texts moved up to nine times.

Change: behind Placer::set_slack_scheduling, off by default. - placement::slack: paces of servers (event to event, without prompts), the remaining work of an item, and the slowest servers on which it meets its target even if it is longer than expected by e^0.5. Slow slots that the shorter items behind it fill anyway are left to them. - placement::running, placement::moves: running texts are registered. One order for a free slot: late texts that run, waiting items, texts in time that gain twice as much. A text moves three times at most. - The slot queue hands the slot itself to the text, which ends its attempt with the reason it had before.

Weighed: a reservation of the freed slot against handing it over (no state that has to expire); targets brought forward to the critical path of the step against moving texts in time to idle slots (same step ends in simulation, less state); paces in the health of a server against a map of their own (the test of the memory of servers fails with the former).

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -10,8 +10,11 @@
 use heronbend::placement::AttemptHistory;
 use heronbend::placement::AttemptOutcome;
 use heronbend::placement::Requirements;
+use heronbend::placement::Run;
+use heronbend::placement::ServerKey;
 use heronbend::placement::Urgency;
 use heronbend::placement::VersionStatus;
+use heronbend::placement::Work;
 use heronbend::quarantine::Fingerprint;
 use heronbend::Moment;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
@@ -38,6 +41,7 @@
 use crate::region_policy;
 use crate::slot_queue;
 use crate::slot_queue::AssignedSlot;
+use crate::slot_queue::RunRegistration;
 
 /// Timeout for the first event, including time in the server's queue.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -89,6 +93,10 @@
     service: Option<String>,
     /// The last server, which the next attempt avoids, and all servers that failed the item.
     history: AttemptHistory,
+    /// Number of moves to faster servers.
+    moves: u32,
+    /// Slot on a faster server for the next attempt.
+    offered_slot: Option<AssignedSlot>,
     /// Computed on first use.
     fingerprint: OnceCell<Fingerprint>,
     /// Whether the current quarantine of the item has been logged.
@@ -115,12 +123,22 @@
         route_missing_since: None,
         service: None,
         history: AttemptHistory::default(),
+        moves: 0,
+        offered_slot: None,
         fingerprint: OnceCell::new(),
         hold_logged: false,
     };
     run.run_to_completion().await
 }
 
+/// Waits for a slot on a faster server; forever if the text is not registered for a move.
+async fn offered_slot(run: &Option<RunRegistration>) -> AssignedSlot {
+    match run {
+        Some(run) => run.offered_slot().await,
+        None => std::future::pending().await,
+    }
+}
+
 impl ItemRun<'_> {
     async fn run_to_completion(mut self) -> ItemResult {
         let started = self.gateway.now();
@@ -150,22 +168,17 @@
                 continue;
             };
             self.restrict_servers(mode, &route);
-            let history = self.history.clone();
-            let placed = slot_queue::acquire_slot(
-                self.gateway,
-                &self.item.id,
-                requirements,
-                urgency,
-                history,
-            )
-            .await;
+            let placed = match self.offered_slot.take() {
+                Some(offered) => offered,
+                None => self.acquire_slot(requirements, urgency, &route).await,
+            };
             // The item may have been quarantined while it waited for a slot.
             if mode != SendMode::Probe && self.is_quarantined(&route) {
                 continue;
             }
             let events_before = self.last_event();
             let key = placed.key;
-            match self.attempt(placed, requirements, &route).await {
+            match self.attempt(placed, requirements, urgency, &route).await {
                 AttemptResult::Complete => break,
                 AttemptResult::Retry => self.back_off(events_before).await,
                 AttemptResult::Failed => {
@@ -199,6 +212,52 @@
         self.text.borrow().result(&self.item.id, score)
     }
 
+    async fn acquire_slot(
+        &self,
+        requirements: Requirements,
+        urgency: Urgency,
+        route: &Route,
+    ) -> AssignedSlot {
+        let work = self.work(route).filter(|work| work.remaining > 0);
+        let history = self.history.clone();
+        let id = &self.item.id;
+        slot_queue::acquire_slot(self.gateway, id, requirements, urgency, history, work).await
+    }
+
+    /// Remaining work of the item; `None` unless items are scheduled by slack and have a deadline.
+    fn work(&self, route: &Route) -> Option<Work> {
+        if !self.gateway.directory.borrow().placer.schedules_by_slack() {
+            return None;
+        }
+        let target = self.job.first_seen + migration::target_age(route.result_deadline?);
+        Some(Work { target, remaining: self.expected_remaining() })
+    }
+
+    fn expected_remaining(&self) -> u32 {
+        let estimator = self.gateway.length_estimator.borrow();
+        estimator.expected_remaining(self.item, self.last_event())
+    }
+
+    /// Registers the text for a move to a faster server.
+    fn register_run(
+        &self,
+        server: ServerKey,
+        requirements: Requirements,
+        urgency: Urgency,
+        route: &Route,
+    ) -> Option<RunRegistration> {
+        let run = Run {
+            server,
+            requirements,
+            priority: urgency.priority,
+            work: self.work(route)?,
+            has_progressed: false,
+            moves: self.moves,
+            history: self.history.clone(),
+        };
+        Some(RunRegistration::new(self.gateway, run))
+    }
+
     /// Asks the quarantine whether the item may be sent. Returns `None` after a delay if it may
     /// not; a quarantined item is retried rather than terminated.
     async fn admit(&mut self, route: &Route) -> Option<SendMode> {
@@ -317,8 +376,7 @@
     /// Queueing priority of the item.
     fn urgency(&self, configuration: &Configuration, route: &Route) -> Urgency {
         let owner = access::job_caller(configuration, self.specification.tenant.as_deref());
-        let remaining =
-            self.gateway.length_estimator.borrow().expected_remaining(self.item, self.last_event());
+        let remaining = self.expected_remaining();
         Urgency {
             priority: access::priority(configuration, &owner, route),
             deadline: self.job.first_seen + route.result_deadline.unwrap_or_default(),
@@ -334,9 +392,10 @@
         &mut self,
         placed: AssignedSlot,
         requirements: Requirements,
+        urgency: Urgency,
         route: &Route,
     ) -> AttemptResult {
-        let AssignedSlot { server, version_status, guard, .. } = placed;
+        let AssignedSlot { server, key, version_status, guard } = placed;
         let server = &server;
         let Some(outgoing) = self.outgoing(version_status, route) else {
             return AttemptResult::Unsendable;
@@ -385,7 +444,8 @@
             self.gateway.metrics.items_resumed.inc();
         }
         let context = (requirements, route);
-        let outcome = self.read_events(server, exchange, context, sent_at, isolation).await;
+        let run = self.register_run(key, requirements, urgency, route);
+        let outcome = self.read_events(server, exchange, context, sent_at, isolation, run).await;
         let events = self.last_event().saturating_sub(first_event);
         match outcome {
             Ok(()) => {
@@ -467,9 +527,12 @@
         (requirements, route): (Requirements, &Route),
         sent_at: Moment,
         isolation: Option<Isolation>,
+        run: Option<RunRegistration>,
     ) -> Result<(), &'static str> {
         let (mut exchange, mut isolation) = (exchange, isolation);
         let mut throughput = ThroughputMeter::new(self.gateway.now());
+        // Starts at the first event, so that it does not include the prompt.
+        let mut pace: Option<ThroughputMeter> = None;
         let names = self.gateway.dialect.headers();
         // The version header is absent if the response has no further events.
         let version = exchange.header(&names.weight_version).and_then(|value| value.parse().ok());
@@ -483,7 +546,16 @@
                 Timer::after(timeout).await;
                 Err(ExchangeError::Timeout)
             });
-            match bytes.await {
+            let bytes = async { Ok(bytes.await) }.or(async { Err(offered_slot(&run).await) });
+            let bytes = match bytes.await {
+                Ok(bytes) => bytes,
+                Err(offered) => {
+                    self.offered_slot = Some(offered);
+                    self.moves += 1;
+                    break Err(OUTPACED);
+                }
+            };
+            match bytes {
                 Ok(Some(bytes)) => {
                     let read = reader.read(&bytes, &mut self.text.borrow_mut());
                     match read {
@@ -496,6 +568,9 @@
                                 let delay = self.gateway.now().saturating_sub(sent_at);
                                 self.gateway.migration_cost.borrow_mut().record(delay);
                             }
+                            if let Some(run) = &run {
+                                self.record_pace(server, &mut pace, events, run);
+                            }
                             if self.should_migrate(
                                 server,
                                 &mut throughput,
@@ -533,6 +608,25 @@
         outcome
     }
 
+    /// Records the pace of the server, and updates the remaining work of the text.
+    fn record_pace(
+        &self,
+        server: &Server,
+        pace: &mut Option<ThroughputMeter>,
+        events: usize,
+        run: &RunRegistration,
+    ) {
+        let now = self.gateway.now();
+        let Some(meter) = pace else {
+            *pace = Some(ThroughputMeter::new(now));
+            return;
+        };
+        if let Some(per_event) = meter.record(now, events as u64) {
+            self.gateway.directory.borrow_mut().placer.record_pace(&server.id, per_event);
+            run.update(self.expected_remaining());
+        }
+    }
+
     /// Whether the text is expected to complete sooner on another server.
     fn should_migrate(
         &self,
@@ -549,8 +643,10 @@
             let placer = &mut self.gateway.directory.borrow_mut().placer;
             placer.record_outcome(now, &server.id, AttemptOutcome::Succeeded(per_event));
         }
-        let estimator = self.gateway.length_estimator.borrow();
-        let remaining = estimator.expected_remaining(self.item, self.last_event());
+        if self.gateway.directory.borrow().placer.schedules_by_slack() {
+            return false;
+        }
+        let remaining = self.expected_remaining();
         let age = now.saturating_sub(self.job.first_seen);
         if migration::meets_deadline(age, per_event * remaining, route.result_deadline) {
             return false;
--- a/crates/heronbend-gateway/src/batch/migration.rs
+++ b/crates/heronbend-gateway/src/batch/migration.rs
@@ -31,8 +31,12 @@
 
     /// Whether saving `gain` justifies a migration.
     pub fn is_exceeded_by(&self, gain: Duration) -> bool {
-        let cost = self.mean.unwrap_or_default().mul_f64(GAIN_FACTOR);
-        gain > cost.max(MIN_GAIN)
+        gain > self.min_gain()
+    }
+
+    /// Time that a migration has to save.
+    pub fn min_gain(&self) -> Duration {
+        self.mean.unwrap_or_default().mul_f64(GAIN_FACTOR).max(MIN_GAIN)
     }
 }
 
@@ -40,5 +44,10 @@
 /// `age` is the time since the job was first seen and `deadline` is relative to the same instant.
 /// False without a deadline.
 pub fn meets_deadline(age: Duration, remaining: Duration, deadline: Option<Duration>) -> bool {
-    deadline.is_some_and(|deadline| age + remaining <= deadline.mul_f64(DEADLINE_SHARE))
+    deadline.is_some_and(|deadline| age + remaining <= target_age(deadline))
+}
+
+/// Age of a job by which its texts should be complete.
+pub fn target_age(deadline: Duration) -> Duration {
+    deadline.mul_f64(DEADLINE_SHARE)
 }
--- a/crates/heronbend-gateway/src/directory.rs
+++ b/crates/heronbend-gateway/src/directory.rs
@@ -8,14 +8,13 @@
 use std::time::Duration;
 
 use heronbend::identity::Incarnation;
+use heronbend::placement::Assignment;
 use heronbend::placement::AttemptHistory;
-use heronbend::placement::Choice;
 use heronbend::placement::Decision;
 use heronbend::placement::Placer;
 use heronbend::placement::Registration;
 use heronbend::placement::Requirements;
 use heronbend::placement::ServerKey;
-use heronbend::placement::TicketKey;
 use heronbend::placement::WaitState;
 use heronbend::Moment;
 use serde::Deserialize;
@@ -168,13 +167,15 @@
         self.by_key.get(&key).cloned()
     }
 
-    /// Assigns a free slot to the most urgent queued item that can use one.
-    pub fn place_next(
+    /// Assigns a free slot to the batch item that needs it most. A running item moves only if that
+    /// saves at least `min_gain`.
+    pub fn next_assignment(
         &mut self,
         now: Moment,
+        min_gain: Duration,
         pool: &ConnectionPool,
-    ) -> Option<(TicketKey, Choice)> {
-        self.placer.place_next(now, is_connected(&self.by_key, pool))
+    ) -> Option<Assignment> {
+        self.placer.next_assignment(now, min_gain, is_connected(&self.by_key, pool))
     }
 
     /// Decides how a call is placed.
--- a/crates/heronbend-gateway/src/slot_queue.rs
+++ b/crates/heronbend-gateway/src/slot_queue.rs
@@ -8,13 +8,18 @@
 use std::time::Duration;
 
 use event_listener::Event;
+use heronbend::placement::Assignment;
 use heronbend::placement::AttemptHistory;
+use heronbend::placement::Choice;
 use heronbend::placement::Exclusion;
 use heronbend::placement::Requirements;
+use heronbend::placement::Run;
+use heronbend::placement::RunKey;
 use heronbend::placement::ServerKey;
 use heronbend::placement::TicketKey;
 use heronbend::placement::Urgency;
 use heronbend::placement::VersionStatus;
+use heronbend::placement::Work;
 use smol::channel::bounded;
 use smol::channel::Receiver;
 use smol::channel::Sender;
@@ -48,6 +53,8 @@
 #[derive(Default)]
 pub struct SlotQueue {
     waiting: RefCell<HashMap<TicketKey, Sender<AssignedSlot>>>,
+    /// Running items that may move to a faster server; empty unless items are scheduled by slack.
+    running: RefCell<HashMap<RunKey, Sender<AssignedSlot>>>,
     is_assigning: Cell<bool>,
     /// Notified when a slot may have become free or a server has changed.
     pub changed: Event,
@@ -83,6 +90,48 @@
     }
 }
 
+/// A running item that may be offered a slot on a faster server; withdrawn on drop.
+pub struct RunRegistration {
+    gateway: Rc<Gateway>,
+    key: RunKey,
+    offer: Receiver<AssignedSlot>,
+}
+
+impl RunRegistration {
+    /// Registers a running item.
+    pub fn new(gateway: &Rc<Gateway>, run: Run) -> Self {
+        let (sender, offer) = bounded(1);
+        let key = gateway.directory.borrow_mut().placer.run_started(run);
+        gateway.slot_queue.running.borrow_mut().insert(key, sender);
+        Self { gateway: gateway.clone(), key, offer }
+    }
+
+    /// Updates the expected number of remaining events. The item may be offered a slot at once.
+    pub fn update(&self, remaining: u32) {
+        let now = self.gateway.now();
+        self.gateway.directory.borrow_mut().placer.run_progressed(self.key, remaining);
+        assign_free_slots(&self.gateway);
+        if self.gateway.directory.borrow().placer.has_late_run(now) {
+            start_assignment_loop(&self.gateway);
+        }
+    }
+
+    /// Waits for a slot on a faster server. The item must then end its current attempt.
+    pub async fn offered_slot(&self) -> AssignedSlot {
+        match self.offer.recv().await {
+            Ok(assigned) => assigned,
+            Err(_) => std::future::pending().await,
+        }
+    }
+}
+
+impl Drop for RunRegistration {
+    fn drop(&mut self) {
+        self.gateway.slot_queue.running.borrow_mut().remove(&self.key);
+        self.gateway.directory.borrow_mut().placer.run_ended(self.key);
+    }
+}
+
 /// Waits until a slot is assigned to the batch item `item`.
 pub async fn acquire_slot(
     gateway: &Rc<Gateway>,
@@ -90,10 +139,11 @@
     requirements: Requirements,
     urgency: Urgency,
     history: AttemptHistory,
+    work: Option<Work>,
 ) -> AssignedSlot {
     let started_at = gateway.now();
     loop {
-        let (ticket, assigned) = enqueue(gateway, requirements, urgency, history.clone());
+        let (ticket, assigned) = enqueue(gateway, requirements, urgency, history.clone(), work);
         if let Ok(assigned) = assigned.try_recv() {
             return assigned;
         }
@@ -113,19 +163,28 @@
     requirements: Requirements,
     urgency: Urgency,
     history: AttemptHistory,
+    work: Option<Work>,
 ) -> (Ticket<'_>, Receiver<AssignedSlot>) {
     let (sender, assigned) = bounded(1);
     let key = {
         let now = gateway.now();
         let placer = &mut gateway.directory.borrow_mut().placer;
-        placer.enqueue(now, requirements, urgency, history)
+        let key = placer.enqueue(now, requirements, urgency, history);
+        if let Some(work) = work {
+            placer.set_work(key, work);
+        }
+        key
     };
     gateway.slot_queue.waiting.borrow_mut().insert(key, sender);
     assign_free_slots(gateway);
+    start_assignment_loop(gateway);
+    (Ticket { gateway, key }, assigned)
+}
+
+fn start_assignment_loop(gateway: &Rc<Gateway>) {
     if !gateway.slot_queue.is_assigning.replace(true) {
         gateway.executor.spawn(run_assignment_loop(gateway.clone())).detach();
     }
-    (Ticket { gateway, key }, assigned)
 }
 
 /// Returns the main reason why servers are excluded for the item, and its position in the queue.
@@ -158,12 +217,13 @@
     }
 }
 
-/// Assigns free slots until the queue is empty.
+/// Assigns free slots until no item waits or is late on its server.
 async fn run_assignment_loop(gateway: Rc<Gateway>) {
     loop {
         let changed = gateway.slot_queue.changed.listen();
         assign_free_slots(&gateway);
-        if gateway.slot_queue.waiting.borrow().is_empty() {
+        let has_late_run = gateway.directory.borrow().placer.has_late_run(gateway.now());
+        if gateway.slot_queue.waiting.borrow().is_empty() && !has_late_run {
             gateway.slot_queue.is_assigning.set(false);
             return;
         }
@@ -173,27 +233,38 @@
 
 /// Assigns all free slots, to the most urgent items first.
 fn assign_free_slots(gateway: &Rc<Gateway>) {
+    let min_gain = gateway.migration_cost.borrow().min_gain();
     loop {
         let now = gateway.now();
-        let next = gateway.directory.borrow_mut().place_next(now, &gateway.server_connections);
-        let Some((ticket, choice)) = next else {
+        let pool = &gateway.server_connections;
+        let next = gateway.directory.borrow_mut().next_assignment(now, min_gain, pool);
+        let Some(assignment) = next else {
             break;
         };
-        let server = gateway.directory.borrow().by_key(choice.server);
-        let sender = gateway.slot_queue.waiting.borrow_mut().remove(&ticket);
-        let Some((server, sender)) = server.zip(sender) else {
-            log::error!("event=place_without_taker server={:?}", choice.server);
-            continue;
-        };
-        let guard = AttemptGuard::start(gateway, &server);
-        let assigned = AssignedSlot {
-            server,
-            key: choice.server,
-            version_status: choice.version_status,
-            guard,
-        };
-        // If the item was cancelled, dropping the slot frees it.
-        let _ = sender.try_send(assigned);
+        match assignment {
+            Assignment::Place(ticket, choice) => {
+                let sender = gateway.slot_queue.waiting.borrow_mut().remove(&ticket);
+                assign(gateway, sender, choice);
+            }
+            Assignment::Move(run, choice) => {
+                gateway.directory.borrow_mut().placer.run_ended(run);
+                let sender = gateway.slot_queue.running.borrow_mut().remove(&run);
+                assign(gateway, sender, choice);
+            }
+        }
     }
     permits::request_permits(gateway);
 }
+
+fn assign(gateway: &Rc<Gateway>, sender: Option<Sender<AssignedSlot>>, choice: Choice) {
+    let server = gateway.directory.borrow().by_key(choice.server);
+    let Some((server, sender)) = server.zip(sender) else {
+        log::error!("event=place_without_taker server={:?}", choice.server);
+        return;
+    };
+    let guard = AttemptGuard::start(gateway, &server);
+    let assigned =
+        AssignedSlot { server, key: choice.server, version_status: choice.version_status, guard };
+    // If the item was cancelled, dropping the slot frees it.
+    let _ = sender.try_send(assigned);
+}
--- a/crates/heronbend/src/placement/decisions.rs
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -26,6 +26,11 @@
 use super::rank::CostParameters;
 use super::rank::Profile;
 use super::server::Server;
+use super::slack;
+use super::slack::Candidate;
+use super::slack::PaceRange;
+use super::slack::Work;
+use super::slack::MIN_SPEEDUP;
 use super::wait_policy;
 use super::wait_policy::Decision;
 use super::wait_policy::WaitState;
@@ -45,8 +50,6 @@
 /// Maximum number of tickets of a lane that are tried if servers are available but not suitable for
 /// the first ticket.
 const LOOK_AHEAD: usize = 16;
-/// Ratio of latencies above which another server counts as faster; smaller differences are noise.
-const MIN_SPEEDUP: f64 = 1.15;
 
 impl Placer {
     fn eligibility_context(
@@ -86,7 +89,7 @@
     }
 
     /// Like [`Self::find_eligible`], but reuses a recent result for the same requirements.
-    fn cached_eligible(
+    pub(super) fn cached_eligible(
         &mut self,
         now: Moment,
         requirements: &Requirements,
@@ -236,6 +239,12 @@
         self.queue.add(now, requirements, urgency, history)
     }
 
+    /// Sets the remaining work of a queued batch item, which is used if items are scheduled by
+    /// slack.
+    pub fn set_work(&mut self, ticket: TicketKey, work: Work) {
+        self.queue.set_work(ticket, work);
+    }
+
     /// Removes a batch item from the queue.
     pub fn cancel(&mut self, ticket: TicketKey) {
         self.queue.remove(ticket);
@@ -292,10 +301,14 @@
             self.record_permit_demand(now, requirements, &eligible, waiting);
             return None;
         }
-        for ticket in self.queue.most_urgent(requirements, LOOK_AHEAD) {
+        let urgent = self.queue.most_urgent(requirements, LOOK_AHEAD);
+        for (ahead, ticket) in urgent.into_iter().enumerate() {
             let history = self.queue.history(ticket).cloned().unwrap_or_default();
+            let work = self.queue.work(ticket);
+            let behind = self.queue.lane_len(requirements) - ahead - 1;
+            let servers = (&*eligible, &*available);
             if let Some(key) =
-                self.select_for_batch_item(now, (&eligible, &available), &history, is_connected)
+                self.select_for_batch_item(now, servers, &history, (work, behind), is_connected)
             {
                 let choice = self.choice(now, requirements, key)?;
                 return Some((ticket, choice));
@@ -312,6 +325,7 @@
         now: Moment,
         (eligible, available): (&[ServerKey], &[ServerKey]),
         history: &AttemptHistory,
+        (work, behind): (Option<Work>, usize),
         is_connected: &dyn Fn(ServerKey) -> bool,
     ) -> Option<ServerKey> {
         let has_failed = |key: &ServerKey| history.failed.contains(key);
@@ -329,10 +343,45 @@
         }
         let other: Vec<ServerKey> =
             candidates.iter().copied().filter(|key| Some(*key) != history.last).collect();
+        let work = work.filter(|_| self.schedules_by_slack);
+        let other = self.select_by_slack(now, eligible, other, (work, behind));
         self.cheapest(now, &other, rank::BATCH_ITEM, is_connected)
             .or_else(|| self.cheapest(now, &candidates, rank::BATCH_ITEM, is_connected))
     }
 
+    /// Keeps the slowest of the `available` servers on which an item with `work` meets its target,
+    /// or the fastest ones if it is late on all. Keeps all if the `eligible` ones are equally fast.
+    fn select_by_slack(
+        &self,
+        now: Moment,
+        eligible: &[ServerKey],
+        available: Vec<ServerKey>,
+        (work, behind): (Option<Work>, usize),
+    ) -> Vec<ServerKey> {
+        let range = work.zip(self.pace_range(eligible));
+        let Some((work, range)) = range else {
+            return available;
+        };
+        let candidate = |key: &ServerKey| Candidate {
+            pace_millis: self.assumed_pace(*key, range),
+            free_slots: self.get(*key).map_or(0, Server::free_slots),
+        };
+        let candidates: Vec<Candidate> = available.iter().map(candidate).collect();
+        let selected = slack::select(now, &work, behind, &candidates);
+        selected.into_iter().map(|index| available[index]).collect()
+    }
+
+    /// Range of the known paces, or `None` if the servers do not differ measurably.
+    pub(super) fn pace_range(&self, servers: &[ServerKey]) -> Option<PaceRange> {
+        PaceRange::new(servers.iter().filter_map(|key| self.paces.get(*key)))
+    }
+
+    /// Pace of a server in milliseconds per event. A server whose pace is unknown is assumed to be
+    /// slow, so that it is explored by items with slack.
+    pub(super) fn assumed_pace(&self, key: ServerKey, range: PaceRange) -> f64 {
+        self.paces.get(key).unwrap_or(range.slowest)
+    }
+
     /// Keeps suspects, requests that may crash their server, away from other requests.
     ///
     /// Two suspects never share a server, since a crash could not be attributed to either of them.
@@ -384,7 +433,8 @@
         let (eligible, mut exclusions) = self.cached_eligible(now, requirements);
         let available =
             self.available_for_batch_item(now, requirements, &eligible, &mut exclusions);
-        let key = self.select_for_batch_item(now, (&eligible, &available), history, &|_| true)?;
+        let servers = (&*eligible, &*available);
+        let key = self.select_for_batch_item(now, servers, history, (None, 0), &|_| true)?;
         self.choice(now, requirements, key)
     }
 
@@ -431,7 +481,7 @@
 
     /// Returns the `eligible` servers that have a slot for a batch item. In a large fleet only a
     /// subset is examined, which is widened until it has enough candidates.
-    fn available_for_batch_item(
+    pub(super) fn available_for_batch_item(
         &self,
         now: Moment,
         requirements: &Requirements,
@@ -583,7 +633,12 @@
         best.map(|(_, _, key)| key)
     }
 
-    fn choice(&self, now: Moment, requirements: &Requirements, key: ServerKey) -> Option<Choice> {
+    pub(super) fn choice(
+        &self,
+        now: Moment,
+        requirements: &Requirements,
+        key: ServerKey,
+    ) -> Option<Choice> {
         let version_status = eligibility::version_status(self.get(key)?, requirements, now);
         Some(Choice { server: key, version_status })
     }
--- a/crates/heronbend/src/placement/mod.rs
+++ b/crates/heronbend/src/placement/mod.rs
@@ -9,6 +9,8 @@
 //! - [`eligibility`]: which servers may run a request.
 //! - [`rank`]: which of the eligible servers is the best.
 //! - [`queue`]: queue of batch items, in order of urgency.
+//! - [`slack`]: which batch items need fast servers.
+//! - [`running`], [`moves`]: batch items in progress, and which of them move to a faster server.
 //! - [`wait_policy`]: how long a call waits for a server, and when it is rejected.
 //! - [`placer`], [`decisions`]: the state of the placer, and its decisions.
 //! - [`share`]: how daemons divide the connections of a server.
@@ -19,11 +21,16 @@
 pub mod exclusion_counts;
 pub mod health;
 pub mod keys;
+pub mod moves;
 pub mod placer;
 pub mod queue;
 pub mod rank;
+pub mod running;
 pub mod server;
 pub mod share;
+pub mod slack;
+#[cfg(test)]
+mod slack_tests;
 #[cfg(test)]
 mod tests;
 pub mod wait_policy;
@@ -39,14 +46,18 @@
 pub use keys::ServerKey;
 pub use keys::ServiceKey;
 pub use keys::ZoneKey;
+pub use moves::Assignment;
 pub use placer::Choice;
 pub use placer::PermitDemand;
 pub use placer::Placer;
 pub use queue::TicketKey;
 pub use queue::Urgency;
+pub use running::Run;
+pub use running::RunKey;
 pub use server::ColdStartLimit;
 pub use server::PendingLoad;
 pub use server::Registration;
+pub use slack::Work;
 pub use wait_policy::Decision;
 pub use wait_policy::Rejection;
 pub use wait_policy::WaitState;
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -22,11 +22,13 @@
 use super::keys::ServiceKey;
 use super::keys::ZoneKey;
 use super::queue::Queue;
+use super::running::Runs;
 use super::server::ColdStartLimit;
 use super::server::PendingLoad;
 use super::server::Registration;
 use super::server::Server;
 use super::server::DEREGISTRATION_GRACE;
+use super::slack::Paces;
 use crate::Moment;
 
 /// Weight of a new sample in a service's baseline latency. It is low, so that a server that becomes
@@ -107,6 +109,10 @@
     pub(super) by_id: HashMap<String, ServerKey>,
     pub(super) by_service: BTreeMap<ServiceKey, BTreeSet<ServerKey>>,
     pub(super) queue: Queue,
+    /// Batch items in progress; empty unless they are scheduled by slack.
+    pub(super) runs: Runs,
+    pub(super) paces: Paces,
+    pub(super) schedules_by_slack: bool,
     /// Number of requests in flight that may crash their server.
     pub(super) suspects: u32,
     /// Cold servers for which permits have been requested. The value is `None` while a request is
@@ -144,6 +150,9 @@
             by_id: HashMap::new(),
             by_service: BTreeMap::new(),
             queue: Queue::default(),
+            runs: Runs::default(),
+            paces: Paces::default(),
+            schedules_by_slack: false,
             suspects: 0,
             permit_requests: HashMap::new(),
             permit_demand: BTreeMap::new(),
@@ -225,6 +234,17 @@
 
     // Limits.
 
+    /// Enables scheduling by slack: batch items with time to spare leave the fast servers to those
+    /// that need them.
+    pub fn set_slack_scheduling(&mut self, is_enabled: bool) {
+        self.schedules_by_slack = is_enabled;
+    }
+
+    /// Whether batch items are scheduled by slack.
+    pub fn schedules_by_slack(&self) -> bool {
+        self.schedules_by_slack
+    }
+
     /// Sets the limits of a service: the number of requests this daemon may have in flight per
     /// server, and the rate limit of cold servers, if there is one.
     pub fn set_service_limits(
@@ -385,6 +405,7 @@
         self.by_id.remove(&server.id);
         self.permit_requests.remove(&key);
         self.permit_demand.remove(&key);
+        self.paces.remove(key);
     }
 
     fn remove_from_service(&mut self, service: ServiceKey, key: ServerKey) {
@@ -482,6 +503,19 @@
         }
     }
 
+    /// Records the mean time between two events of a text on a server.
+    pub fn record_pace(&mut self, id: &str, per_event: Duration) {
+        if let Some(key) = self.key(id) {
+            self.paces.record(key, per_event);
+        }
+    }
+
+    /// Mean time between two events of a text on a server, if it is known.
+    pub fn pace(&self, id: &str) -> Option<Duration> {
+        let millis = self.paces.get(self.key(id)?)?;
+        Some(Duration::from_secs_f64(millis / 1e3))
+    }
+
     /// Records that a request that may crash its server is running on a server.
     pub fn add_suspect(&mut self, id: &str) {
         self.suspects += 1;
--- a/crates/heronbend/src/placement/queue.rs
+++ b/crates/heronbend/src/placement/queue.rs
@@ -9,6 +9,7 @@
 
 use super::eligibility::AttemptHistory;
 use super::eligibility::Requirements;
+use super::slack::Work;
 use crate::Moment;
 
 /// Key of a queued batch item.
@@ -35,6 +36,7 @@
     requirements: Requirements,
     urgency: Urgency,
     history: AttemptHistory,
+    work: Option<Work>,
     since: Moment,
 }
 
@@ -60,10 +62,27 @@
         let key = TicketKey(self.next_ticket);
         self.next_ticket += 1;
         self.lanes.entry(requirements).or_default().insert((urgency, key), ());
-        self.tickets.insert(key, Ticket { requirements, urgency, history, since: now });
+        self.tickets.insert(key, Ticket { requirements, urgency, history, work: None, since: now });
         key
     }
 
+    /// Sets the remaining work of a ticket's item.
+    pub fn set_work(&mut self, key: TicketKey, work: Work) {
+        if let Some(ticket) = self.tickets.get_mut(&key) {
+            ticket.work = Some(work);
+        }
+    }
+
+    /// Remaining work of a ticket's item, if it is known.
+    pub fn work(&self, key: TicketKey) -> Option<Work> {
+        self.tickets.get(&key)?.work
+    }
+
+    /// Urgency of a ticket.
+    pub fn urgency(&self, key: TicketKey) -> Option<Urgency> {
+        self.tickets.get(&key).map(|ticket| ticket.urgency)
+    }
+
     /// Removes a ticket. Returns when it was added, or `None` if it is not queued.
     pub fn remove(&mut self, key: TicketKey) -> Option<Moment> {
         let ticket = self.tickets.remove(&key)?;
