--- a/crates/heronbend/src/placement/moves.rs
+++ b/crates/heronbend/src/placement/moves.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::eligibility::Requirements;
+use super::eligibility::VersionStatus;
 use super::exclusion_counts::ExclusionCounts;
 use super::keys::ServerKey;
 use super::placer::Choice;
@@ -137,7 +138,13 @@
         let available = self.available_for_batch_item(now, requirements, eligible, exclusions);
         let has_suspect =
             |key: &ServerKey| self.get(*key).is_some_and(|server| server.health.suspects > 0);
-        let usable = available.into_iter().filter(|key| !has_suspect(key));
+        // A server that is only expected to have the version may reject the text, which has given
+        // up its slot by then.
+        let has_version = |key: &ServerKey| {
+            let choice = self.choice(now, requirements, *key);
+            choice.is_some_and(|choice| choice.version_status == VersionStatus::Registered)
+        };
+        let usable = available.into_iter().filter(|key| !has_suspect(key) && has_version(key));
         let mut targets: Vec<(ServerKey, f64)> =
             usable.map(|key| (key, self.assumed_pace(key, range))).collect();
         targets.sort_by(|a, b| a.1.total_cmp(&b.1));
--- a/crates/heronbend/src/placement/slack_tests.rs
+++ b/crates/heronbend/src/placement/slack_tests.rs
@@ -458,6 +458,32 @@
     assert!(simulation.texts.iter().all(|text| text.moves == 0));
 }
 
+#[test]
+fn running_text_does_not_move_to_a_server_that_may_still_load_its_version() {
+    let mut simulation = Simulation::new(true, &[SLOW]);
+    let model = simulation.placer.model("m");
+    simulation.requirements.model = Some((model, 2));
+    let register = |simulation: &mut Simulation, server, versions| {
+        let id = simulation.placer.id(server).unwrap().to_owned();
+        let registration = simulation.placer.get(server).unwrap().registration.clone();
+        let registration = Registration { versions, ..registration };
+        simulation.placer.register(simulation.now, &id, registration);
+        id
+    };
+    let slow = *simulation.paces.keys().next().unwrap();
+    register(&mut simulation, slow, vec![(model, 2)]);
+    simulation.submit(0, 150, 150);
+    simulation.assign();
+    let fast = simulation.add_server(FAST);
+    let id = register(&mut simulation, fast, vec![(model, 1)]);
+    simulation.placer.record_load_command(simulation.now, &id, "m", 2);
+    simulation.run_until(simulation.now + super::server::EXPECTED_LOAD_TIME + 500 * MILLI);
+    assert_eq!(simulation.texts[0].server, Some(slow));
+    register(&mut simulation, fast, vec![(model, 2)]);
+    simulation.run_until(simulation.now + SECOND);
+    assert_eq!(simulation.texts[0].server, Some(fast));
+}
+
 #[test]
 fn moves_of_one_text_are_bounded() {
     for seed in 0..8 {
