Servers that leave a service unserved have their successors read at once

Cause, from the daemons' logs: the first crashing call and its retry end both servers within 0.1 s; they listen again after 0.7 s. The removal of the old registration and the addition of the new one reach the daemons in two batches a second apart (the directory batches changes for half of the drain notice), so that the service had no server for up to 1.7 s; each caller was rejected with `ended` every 400 ms.

A batch that removes a server and leaves its service without a ready one that is not known to have exited is followed by the next after 60 ms. Batches that leave a usable server wait as before, so that fleets with servers left read no oftener.

--- a/crates/heronbend-gateway/src/directory.rs
+++ b/crates/heronbend-gateway/src/directory.rs
@@ -189,6 +189,15 @@
         self.placer.place_call(now, requirements, history, wait, is_connected(&self.by_key, pool))
     }
 
+    /// Whether a service has a ready server whose process is not known to have exited.
+    pub fn has_usable_server(&self, now: Moment, service: &str) -> bool {
+        self.all().any(|server| {
+            server.service == service
+                && server.state == ServerState::Ready
+                && !self.placer.has_exited(now, &server.id)
+        })
+    }
+
     /// All registered servers.
     pub fn all(&self) -> impl Iterator<Item = &Rc<Server>> {
         self.servers.values()
--- a/crates/heronbend-gateway/src/reflector.rs
+++ b/crates/heronbend-gateway/src/reflector.rs
@@ -32,6 +32,8 @@
 const UNAVAILABLE_RETRY: Duration = Duration::from_millis(400);
 /// Upper bound on the batching delay of a daemon that follows peers.
 const MAX_PEER_BATCHING: Duration = Duration::from_millis(60);
+/// Batching delay of a handler that needs the next changes soon.
+const MIN_BATCHING: Duration = Duration::from_millis(60);
 /// Longest wait for a successful probe before the next call is attempted anyway.
 const MAX_PROBE_WAIT: Duration = Duration::from_secs(2);
 /// Consecutive failures after which a success restarts the watches of all kinds.
@@ -58,6 +60,10 @@
     fn on_list(&self) {}
     /// Called after each batch of changes.
     fn on_batch(&self) {}
+    /// Whether the next changes should be read soon rather than with a full batch.
+    fn needs_changes_soon(&self) -> bool {
+        false
+    }
 }
 
 /// Where a reflector reads its kind from.
@@ -242,7 +248,9 @@
                 }
                 handle_changes(kind, changes.changes, handler).await;
                 handler.on_batch();
-                Timer::after(batching_delay(gateway, source, batch_delay)).await;
+                let delay = batching_delay(gateway, source, batch_delay);
+                let is_urgent = handler.needs_changes_soon();
+                Timer::after(if is_urgent { delay.min(MIN_BATCHING) } else { delay }).await;
             }
             Some(Err(SourceError::Store(StoreError::HistoryGone))) => {
                 log::info!("event=history_gone kind={kind} at={at}");
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -371,11 +371,21 @@
     gateway: Rc<Gateway>,
     /// Names of malformed registrations, each of which is logged once.
     malformed: RefCell<BTreeSet<String>>,
+    /// Services whose last usable server was removed.
+    unserved: RefCell<BTreeSet<String>>,
 }
 
 impl DirectorySink {
     fn new(gateway: Rc<Gateway>) -> Self {
-        Self { gateway, malformed: RefCell::default() }
+        Self { gateway, malformed: RefCell::default(), unserved: RefCell::default() }
+    }
+
+    /// Remembers the service of a removed server that leaves no usable one.
+    fn note_unserved(&self, service: &str) {
+        let directory = self.gateway.directory.borrow();
+        if !directory.has_usable_server(self.gateway.now(), service) {
+            self.unserved.borrow_mut().insert(service.to_owned());
+        }
     }
 
     /// Removes the server of a malformed registration.
@@ -457,7 +467,20 @@
         log::info!("event=server_gone server={name}");
         self.record_exit(name);
         self.malformed.borrow_mut().remove(name);
+        let removed = self.gateway.directory.borrow().get(name).cloned();
         self.gateway.directory.borrow_mut().remove(self.gateway.now(), name);
+        if let Some(server) = removed {
+            self.note_unserved(&server.service);
+        }
+    }
+
+    /// A crashed server's successor is registered just after the removal, so that a full batch
+    /// would delay it while calls are rejected.
+    fn needs_changes_soon(&self) -> bool {
+        let directory = self.gateway.directory.borrow();
+        let now = self.gateway.now();
+        let unserved = std::mem::take(&mut *self.unserved.borrow_mut());
+        unserved.iter().any(|service| !directory.has_usable_server(now, service))
     }
 
     fn on_batch(&self) {
--- a/crates/heronbend-gateway/tests/directory.rs
+++ b/crates/heronbend-gateway/tests/directory.rs
@@ -93,3 +93,18 @@
     directory.retain(30 * SECOND, &BTreeSet::from(["e1999".to_owned()]));
     assert_eq!(directory.placer.eligible_servers(30 * SECOND, &requirements).len(), 1);
 }
+
+/// Decides whether the next changes are read without waiting for a full batch.
+#[test]
+fn a_service_is_unserved_once_all_its_servers_are_removed_or_have_exited() {
+    let mut directory = Directory::new(SEED);
+    directory.insert(SECOND, server("a", "stations"));
+    directory.insert(SECOND, server("b", "stations"));
+    directory.insert(SECOND, server("e", "engines"));
+    directory.placer.record_outcome(SECOND, "a", AttemptOutcome::ServerExited);
+    assert!(directory.has_usable_server(SECOND, "stations"));
+    directory.remove(SECOND, "b");
+    assert!(!directory.has_usable_server(SECOND, "stations"));
+    directory.insert(SECOND, server("c", "stations"));
+    assert!(directory.has_usable_server(SECOND, "stations"));
+}
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -458,6 +458,12 @@
         self.record_outcome_at(now, key, outcome);
     }
 
+    /// Whether the process of a server is believed to have exited.
+    pub fn has_exited(&self, now: Moment, id: &str) -> bool {
+        let server = self.key(id).and_then(|key| self.get(key));
+        server.is_some_and(|server| server.health.has_exited(now))
+    }
+
     /// Records an outcome without finishing a request.
     pub fn record_outcome(&mut self, now: Moment, id: &str, outcome: AttemptOutcome) {
         if outcome == AttemptOutcome::ServerExited {
