A waiting call is not admitted after its deadline

poll() admitted each call for which there was a token, also one whose caller had given up. The call was then rejected by the forwarder, and its token was lost. It is refused now, and the token goes to the next call. The property test checked the bound of the wait only for refused calls; it checks admitted ones too, and their deadlines.

Test: a_call_is_not_admitted_after_its_deadline, failed before.

--- a/crates/heronbend/src/admission/call_queue.rs
+++ b/crates/heronbend/src/admission/call_queue.rs
@@ -241,6 +241,11 @@
         let mut outcomes = Vec::new();
         while let Some((order, entry)) = self.first_due() {
             self.remove(&order);
+            if now >= entry.call.deadline {
+                let refusal = self.refuse(now, &order, &entry, 0);
+                outcomes.push(outcome(now, &order, &entry, Err(refusal)));
+                continue;
+            }
             self.take_token(now, entry.call.tenant);
             outcomes.push(outcome(now, &order, &entry, Ok(())));
         }
--- a/crates/heronbend/src/admission/overload_tests.rs
+++ b/crates/heronbend/src/admission/overload_tests.rs
@@ -17,6 +17,7 @@
 use super::call_queue::CallKey;
 use super::call_queue::CallQueue;
 use super::call_queue::Decision;
+use super::call_queue::Outcome;
 use super::call_queue::MAX_WAIT_SHARE;
 use super::caller_age::CallerAge;
 use super::fair_share::TenantKey;
@@ -489,6 +490,21 @@
     assert!(queue.cancel(now + due, second).is_some() && queue.is_empty());
 }
 
+#[test]
+fn a_call_is_not_admitted_after_its_deadline() {
+    let mut queue = CallQueue::default();
+    queue.set_rate(Moment::from_secs(1), Some(100.0));
+    let now = Moment::from_secs(1);
+    let deadline = now + Duration::from_millis(30);
+    let decision = queue.offer(now, Call { deadline, ..call(0, 1, 2) });
+    assert!(matches!(decision, Decision::Wait { .. }), "{decision:?}");
+    let outcomes = queue.poll(now + Duration::from_millis(40));
+    assert!(matches!(outcomes[..], [Outcome { result: Err(_), .. }]), "{outcomes:?}");
+    // Its token is left for the next call.
+    let later = now + Duration::from_millis(40);
+    assert_eq!(queue.offer(later, call(0, 1, 2)), Decision::Admit);
+}
+
 /// Random histories: nobody waits longer than allowed or past its deadline, each waiting call gets
 /// one outcome, and no more calls are admitted than the rate allows.
 #[test]
@@ -508,13 +524,11 @@
             for outcome in queue.poll(now) {
                 let (since, call) = waiting.remove(&outcome.key).expect("one outcome a call");
                 assert_eq!(outcome.waited, now - since);
+                let longest = call.objective.mul_f64(MAX_WAIT_SHARE) + Duration::from_millis(4);
+                assert!(outcome.waited <= longest, "{outcome:?}");
                 if outcome.result.is_ok() {
+                    assert!(now < call.deadline, "{outcome:?} after {:?}", call.deadline);
                     admitted += 1;
-                } else {
-                    assert!(
-                        outcome.waited
-                            <= call.objective.mul_f64(MAX_WAIT_SHARE) + Duration::from_millis(4)
-                    );
                 }
             }
             let mut offered = call(
