A limit ends with the first call after a time without calls

The rate is adjusted only when calls come. After an hour without calls the limit of the last overload was still in force for the first three seconds of calls. A window that lasted as long as the calm period counts from its start; shorter ones count as before.

--- a/crates/heronbend/src/admission/adaptive_rate.rs
+++ b/crates/heronbend/src/admission/adaptive_rate.rs
@@ -311,7 +311,10 @@
         let does_not_wait =
             window.mean_millis().is_some_and(|mean| mean <= self.tolerated_millis());
         let is_calm = window.rejected == 0 && (asks_for_less || does_not_wait);
-        self.calm_since = if is_calm { self.calm_since.or(Some(now)) } else { None };
+        // A window lasts this long only if nobody asked in the meantime.
+        let was_idle = now.saturating_sub(window.started) >= CALM_PERIOD;
+        let since = if was_idle { window.started } else { now };
+        self.calm_since = is_calm.then(|| self.calm_since.unwrap_or(since));
     }
 
     /// Learns the usual latency. A lower mean is taken at once, a higher one with `weight`.
--- a/crates/heronbend/src/admission/overload_tests.rs
+++ b/crates/heronbend/src/admission/overload_tests.rs
@@ -505,6 +505,21 @@
     assert_eq!(queue.offer(later, call(0, 1, 2)), Decision::Admit);
 }
 
+#[test]
+fn a_limit_does_not_outlast_a_time_without_calls() {
+    let mut rate = AdaptiveRate::default();
+    let start = Moment::from_secs(1);
+    rate.record_offered();
+    rate.adjust(start, OBJECTIVE);
+    rate.record_offered();
+    rate.record_found_full();
+    let full_at = start + Duration::from_secs(1);
+    assert!(rate.adjust(full_at, OBJECTIVE).is_some_and(|adjustment| adjustment.rate.is_some()));
+    rate.record_offered();
+    rate.adjust(full_at + Duration::from_secs(60), OBJECTIVE);
+    assert_eq!(rate.rate(), None);
+}
+
 /// Random histories: nobody waits longer than allowed or past its deadline, each waiting call gets
 /// one outcome, and no more calls are admitted than the rate allows.
 #[test]
