Gauge of waiting calls counts each priority by itself

The gauge of a priority was set to the number of all waiting calls of one service. When the last call of a priority left before those of another, its gauge stayed above zero until the next call of that priority; two services overwrote each other. Calls are now counted by priority.

Test: the_gauge_of_waiting_calls_counts_each_priority_by_itself, failed before.

--- a/crates/heronbend-gateway/src/call_admission.rs
+++ b/crates/heronbend-gateway/src/call_admission.rs
@@ -7,6 +7,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,6 +61,8 @@
     services: RefCell<HashMap<String, Rc<ServiceQueue>>>,
     ages: RefCell<HashMap<String, CallerAge>>,
     tenants: RefCell<HashMap<String, TenantKey>>,
+    /// Number of waiting calls of each priority.
+    waiting: RefCell<BTreeMap<u8, i64>>,
 }
 
 /// The calls to one service.
@@ -101,6 +104,14 @@
         *tenants.entry(name).or_insert(next)
     }
 
+    /// Changes the number of waiting calls of a priority by `difference`, and returns it.
+    fn count_waiting(&self, priority: u8, difference: i64) -> i64 {
+        let mut waiting = self.waiting.borrow_mut();
+        let count = waiting.entry(priority).or_default();
+        *count += difference;
+        *count
+    }
+
     fn age(&self, now: Moment, request: &CallRequest) -> Duration {
         let mut ages = self.ages.borrow_mut();
         ages.entry(request.route.clone()).or_default().record(now, request.remaining)
@@ -175,6 +186,12 @@
             self.service.apply(&self.gateway, &adjustment);
         }
     }
+
+    fn change_waiting(&self, difference: i64) {
+        let priority = self.call.priority;
+        let count = self.gateway.call_admission.count_waiting(priority, difference);
+        self.gateway.metrics.set_calls_waiting(priority, count);
+    }
 }
 
 impl ServiceQueue {
@@ -271,7 +288,7 @@
         let (sender, outcome) = bounded(1);
         let service = &limited.service;
         service.waiting.borrow_mut().insert(key, sender);
-        limited.gateway.metrics.set_calls_waiting(limited.call.priority, service.waiting_count());
+        limited.change_waiting(1);
         if !service.is_polling.replace(true) {
             let polling = poll_until_empty(limited.gateway.clone(), service.clone());
             limited.gateway.executor.spawn(polling).detach();
@@ -308,14 +325,7 @@
                 waited.as_millis()
             );
         }
-        let priority = self.limited.call.priority;
-        gateway.metrics.set_calls_waiting(priority, service.waiting_count());
-    }
-}
-
-impl ServiceQueue {
-    fn waiting_count(&self) -> i64 {
-        i64::try_from(self.waiting.borrow().len()).unwrap_or(i64::MAX)
+        self.limited.change_waiting(-1);
     }
 }
 
