Waiting calls are woken when one is due earlier

The task that polls a queue slept until the call was due that had been first when it went to sleep. A more urgent call that came meanwhile, or one with a shorter objective, was held for as long: up to a quarter of the objective of the other call, past its own quarter. The task is now woken by each new call. The replay in virtual time polls at each new call and so did not show it.

Test: a_call_ahead_of_all_others_is_not_held_until_the_next_of_them_is_due, failed before.

--- a/crates/heronbend-gateway/src/call_admission.rs
+++ b/crates/heronbend-gateway/src/call_admission.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use event_listener::Event;
 use heronbend::admission::adaptive_rate::Adjustment;
 use heronbend::admission::call_queue::Call;
 use heronbend::admission::call_queue::CallKey;
@@ -26,10 +27,10 @@
 use smol::channel::bounded;
 use smol::channel::Receiver;
 use smol::channel::Sender;
-use smol::Timer;
 
 use crate::gateway::Gateway;
 use crate::slot_queue;
+use crate::wait;
 
 /// How long the comparison of a service's slots with the number of daemons is reused.
 const ENABLED_TTL: Duration = Duration::from_millis(500);
@@ -72,6 +73,8 @@
     rate: RefCell<AdaptiveRate>,
     waiting: RefCell<HashMap<CallKey, Sender<Outcome>>>,
     is_polling: Cell<bool>,
+    /// Notified when the next call may be due earlier than before.
+    changed: Event,
     /// Whether calls to the service are limited, and until when that holds.
     enabled: Cell<(bool, Moment)>,
 }
@@ -87,6 +90,7 @@
             rate: RefCell::default(),
             waiting: RefCell::default(),
             is_polling: Cell::new(false),
+            changed: Event::new(),
             enabled: Cell::new((false, Moment::ZERO)),
         });
         self.services.borrow_mut().insert(name.to_owned(), service.clone());
@@ -289,7 +293,9 @@
         let service = &limited.service;
         service.waiting.borrow_mut().insert(key, sender);
         limited.change_waiting(1);
-        if !service.is_polling.replace(true) {
+        if service.is_polling.replace(true) {
+            service.changed.notify(usize::MAX);
+        } else {
             let polling = poll_until_empty(limited.gateway.clone(), service.clone());
             limited.gateway.executor.spawn(polling).detach();
         }
@@ -332,12 +338,13 @@
 /// Decides about waiting calls until none is left.
 async fn poll_until_empty(gateway: Rc<Gateway>, service: Rc<ServiceQueue>) {
     loop {
+        let changed = service.changed.listen();
         let due = service.queue.borrow().next_due();
         let Some(delay) = due else {
             service.is_polling.set(false);
             return;
         };
-        Timer::after(delay.max(MIN_POLL_DELAY)).await;
+        wait::at_most(delay.max(MIN_POLL_DELAY), changed).await;
         let outcomes = service.queue.borrow_mut().poll(gateway.now());
         for outcome in outcomes {
             let waiting = service.waiting.borrow_mut().remove(&outcome.key);
--- a/crates/heronbend-gateway/tests/call_admission.rs
+++ b/crates/heronbend-gateway/tests/call_admission.rs
@@ -25,6 +25,8 @@
 use support::run;
 use support::wait_until;
 
+const STEP: Duration = Duration::from_millis(10);
+
 /// A gateway whose service `app` has fewer slots than there are daemons.
 struct Fixture {
     executor: Rc<LocalExecutor<'static>>,
@@ -128,3 +130,33 @@
         .boxed_local()
     });
 }
+
+#[test]
+fn a_call_ahead_of_all_others_is_not_held_until_the_next_of_them_is_due() {
+    run(|executor| {
+        async move {
+            let fixture = Fixture::new(executor);
+            fixture.start_limit().await;
+            let long = Duration::from_secs(1000);
+            let refused = fixture.request_of("first", 2, Duration::from_millis(1), long);
+            assert!(fixture.admit(&refused).await.is_err());
+            // A late call needs all tokens of the bucket, which takes ten seconds.
+            let first_attempt = fixture.request_of("old", 2, Duration::from_millis(1), 2 * long);
+            assert!(fixture.admit(&first_attempt).await.is_err());
+            let late = fixture.spawn(fixture.request_of("old", 2, long, long));
+            wait_until("it waits", || fixture.exports("heronbend_calls_waiting")).await;
+            fixture.advance(Duration::from_millis(1900));
+            let request = fixture.request("new", 2);
+            let objective = request.objective;
+            let call = fixture.spawn(request);
+            while !call.is_finished() {
+                smol::Timer::after(STEP).await;
+                fixture.advance(STEP);
+            }
+            let admitted = call.await.expect("admitted");
+            assert!(admitted.waited <= objective / 4, "{:?}", admitted.waited);
+            drop(late);
+        }
+        .boxed_local()
+    });
+}
