A limit ends when the calls of a service are no longer limited

When the setting was removed or a service got as many slots as there are daemons, its rate was kept without being adjusted, with its metric, and waiting calls were held at it. It was in force again, however old, when the setting came back. It now ends with the first call that is not limited; the usual latency is kept. Each change of the rate wakes the waiting calls.

Test: no_limit_is_left_when_calls_are_no_longer_limited, failed before.

--- a/crates/heronbend-gateway/src/call_admission.rs
+++ b/crates/heronbend-gateway/src/call_admission.rs
@@ -211,8 +211,24 @@
             millis(adjustment.usual_millis),
             millis(adjustment.mean_millis)
         );
-        gateway.metrics.set_admission_rate(&self.name, adjustment.rate);
-        self.queue.borrow_mut().set_rate(gateway.now(), adjustment.rate);
+        self.set_rate(gateway, adjustment.rate);
+    }
+
+    fn set_rate(&self, gateway: &Gateway, rate: Option<f64>) {
+        gateway.metrics.set_admission_rate(&self.name, rate);
+        self.queue.borrow_mut().set_rate(gateway.now(), rate);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Ends the limit of a service whose calls are no longer limited. What was learned must not
+    /// apply when they are again.
+    fn end_limit(&self, gateway: &Gateway) {
+        if self.rate.borrow().rate().is_none() {
+            return;
+        }
+        log::info!("event=rate_changed service={} rate_per_s=none reason=disabled", self.name);
+        self.rate.borrow_mut().end_limit();
+        self.set_rate(gateway, None);
     }
 
     /// Whether calls are limited: the servers have fewer slots than there are daemons.
@@ -241,6 +257,7 @@
 ) -> Result<AdmittedCall, Refusal> {
     let service = gateway.call_admission.service(service);
     if !service.is_enabled(gateway) {
+        service.end_limit(gateway);
         return Ok(AdmittedCall::unlimited());
     }
     let now = gateway.now();
--- a/crates/heronbend-gateway/tests/call_admission.rs
+++ b/crates/heronbend-gateway/tests/call_admission.rs
@@ -160,3 +160,23 @@
         .boxed_local()
     });
 }
+
+#[test]
+fn no_limit_is_left_when_calls_are_no_longer_limited() {
+    run(|executor| {
+        async move {
+            let fixture = Fixture::new(executor);
+            fixture.start_limit().await;
+            assert!(fixture.exports("heronbend_admission_rate_calls_per_second{"));
+            fixture.gateway.set_admission_settings(None);
+            assert!(fixture.admit(&fixture.request("unlimited", 2)).await.is_ok());
+            assert!(!fixture.exports("heronbend_admission_rate_calls_per_second{"));
+            fixture.gateway.set_admission_settings(Some(settings()));
+            for _ in 0..20 {
+                let call = fixture.request_of("again", 2, STEP, Duration::from_secs(8));
+                assert!(fixture.admit(&call).await.is_ok());
+            }
+        }
+        .boxed_local()
+    });
+}
--- a/crates/heronbend/src/admission/adaptive_rate.rs
+++ b/crates/heronbend/src/admission/adaptive_rate.rs
@@ -165,6 +165,12 @@
         self.usual_millis
     }
 
+    /// Ends the limit, if there is one. The usual latency is kept.
+    pub fn end_limit(&mut self) {
+        self.rate = None;
+        self.calm_since = None;
+    }
+
     /// Records that a caller asked for the service.
     pub fn record_offered(&mut self) {
         self.window.offered += 1;
@@ -244,8 +250,7 @@
         let offered = window.per_second(now, window.offered);
         self.track_calm(now, rate, offered, window);
         if self.calm_since.is_some_and(|since| now >= since + CALM_PERIOD) {
-            self.rate = None;
-            self.calm_since = None;
+            self.end_limit();
             return Some(Reason::Calm);
         }
         if window.rejected > 0 {
