Retry-After has a resolution of a millisecond

It was rounded to a tenth of a second: a refused call with an objective of 150 ms was told "0.0", and the times that the schedule spreads by 10 ms came out equal. Whole tenths are written as before.

Test: callers_are_told_delays_of_less_than_a_tenth_of_a_second_apart.

--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -491,8 +491,10 @@
     }
 }
 
-/// Formats a duration as the value of a `Retry-After` header, in seconds.
+/// Formats a duration as the value of a `Retry-After` header, in seconds with at least one decimal.
+/// Coarser values would bring callers back together that were told different times.
 pub fn retry_after(duration: Duration) -> HeaderValue {
-    HeaderValue::from_str(&format!("{:.1}", duration.as_secs_f64()))
+    let millis = duration.as_secs_f64() * 1e3;
+    HeaderValue::from_str(&format!("{:?}", millis.ceil() / 1e3))
         .unwrap_or(HeaderValue::from_static("1"))
 }
--- a/crates/heronbend-gateway/tests/call_admission.rs
+++ b/crates/heronbend-gateway/tests/call_admission.rs
@@ -17,6 +17,7 @@
 use heronbend_gateway::call_admission::AdmittedCall;
 use heronbend_gateway::call_admission::CallRequest;
 use heronbend_gateway::clock::Clock;
+use heronbend_gateway::forward::retry_after;
 use heronbend_gateway::gateway::Gateway;
 use smol::LocalExecutor;
 use smol::Task;
@@ -161,6 +162,15 @@
     });
 }
 
+#[test]
+fn callers_are_told_delays_of_less_than_a_tenth_of_a_second_apart() {
+    let told = |millis| retry_after(Duration::from_millis(millis));
+    assert_eq!(told(37), "0.037");
+    assert_eq!(told(47), "0.047");
+    assert_eq!(told(400), "0.4");
+    assert_eq!(told(1000), "1.0");
+}
+
 #[test]
 fn no_limit_is_left_when_calls_are_no_longer_limited() {
     run(|executor| {
