--- a/crates/heronbend-gateway/src/call_admission.rs
+++ b/crates/heronbend-gateway/src/call_admission.rs
@@ -164,8 +164,8 @@
         }
     }
 
-    /// Records that all servers rejected the call. Returns the refusal for its caller; `None` if the
-    /// service is not limited.
+    /// Records that the servers the call was sent to rejected it. Returns its refusal; `None` if
+    /// the service is not limited.
     pub fn refuse_found_full(&self) -> Option<Refusal> {
         let limited = self.limited.as_ref()?;
         limited.service.rate.borrow_mut().record_found_full();
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -46,7 +46,7 @@
 pub enum ForwardError {
     /// The request was not run.
     NotRun(Rejection),
-    /// The request was not run: all servers it was sent to are full.
+    /// The request was not run: it was not admitted, or all servers it was sent to are full.
     Overloaded(Refusal),
     /// The request may have run, but no response arrived.
     Unknown,
--- a/crates/heronbend/src/admission/adaptive_rate.rs
+++ b/crates/heronbend/src/admission/adaptive_rate.rs
@@ -195,7 +195,7 @@
         self.window.rejected += 1;
     }
 
-    /// Records that all servers that a call could be sent to rejected it.
+    /// Records that a call was refused because the servers it was sent to rejected it.
     pub fn record_found_full(&mut self) {
         self.window.found_full += 1;
     }
--- a/crates/heronbend/src/admission/call_queue.rs
+++ b/crates/heronbend/src/admission/call_queue.rs
@@ -2,10 +2,10 @@
 //!
 //! Load: calls at 1.2 to 5 times what the servers can run, from many tenants, with callers that
 //! come back after a refusal. Calls are admitted at a rate, through a token bucket. Who may use
-//! which token is decided by claims: a call loses one for each more urgent priority that is waiting
-//! for the same service, if it can no longer meet its latency objective, and if its tenant has used
-//! its share. Each lost claim raises the number of tokens that must be left in the bucket, so that
-//! calls with all claims find one.
+//! which token is decided by claims: a call loses one for each more urgent priority that asked for
+//! the same service recently, if it can no longer meet its latency objective, and if its tenant has
+//! used its share. Each lost claim raises the number of tokens that must be left in the bucket, so
+//! that calls with all claims find one.
 //!
 //! A call that cannot be admitted within a quarter of its objective is refused at once: its caller
 //! can use the rest of its time better elsewhere or later. Nothing is polled: the caller of
@@ -32,11 +32,12 @@
 const CLAIM_PERIOD: Duration = Duration::from_millis(20);
 /// Maximum number of claims that count.
 const MAX_LOST_CLAIMS: u32 = 4;
-/// How long a priority counts as waiting after its last call.
+/// How long a priority takes a claim from less urgent ones after its last call.
 const PRIORITY_PERIOD: Duration = Duration::from_secs(1);
 /// Maximum number of more urgent priorities that take a claim each.
 const MAX_PRIORITY_CLAIMS: usize = 2;
-/// How long calls that missed their objective come after all others once one in time was refused.
+/// How long calls that can no longer meet their objective come after all others once one that could
+/// was refused.
 const SHORTAGE_PERIOD: Duration = Duration::from_secs(1);
 /// Lost claims of a second attempt of a call that is still unanswered.
 const HEDGE_LOST_CLAIMS: u32 = 2;
@@ -61,7 +62,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallKey(u64);
 
-/// A call that is refused without having been sent.
+/// A call that is refused and has not run on any server.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Refusal {
     /// Delay after which the caller should come back.
@@ -75,7 +76,7 @@
     /// Tokens in the bucket, and the number that the call needed.
     pub tokens: f64,
     pub needed: f64,
-    /// Whether its objective had passed.
+    /// Whether it could no longer meet its objective.
     pub is_late: bool,
     /// Whether its tenant had used its share.
     pub is_over_share: bool,
