--- a/crates/heronbend-gateway/src/call_admission.rs
+++ b/crates/heronbend-gateway/src/call_admission.rs
@@ -7,10 +7,12 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use event_listener::Event;
 use heronbend::admission::adaptive_rate::Adjustment;
 use heronbend::admission::call_queue::Call;
 use heronbend::admission::call_queue::CallKey;
@@ -25,10 +27,10 @@
 use smol::channel::bounded;
 use smol::channel::Receiver;
 use smol::channel::Sender;
-use smol::Timer;
 
 use crate::gateway::Gateway;
 use crate::slot_queue;
+use crate::wait;
 
 /// How long the comparison of a service's slots with the number of daemons is reused.
 const ENABLED_TTL: Duration = Duration::from_millis(500);
@@ -60,6 +62,8 @@
     services: RefCell<HashMap<String, Rc<ServiceQueue>>>,
     ages: RefCell<HashMap<String, CallerAge>>,
     tenants: RefCell<HashMap<String, TenantKey>>,
+    /// Number of waiting calls of each priority.
+    waiting: RefCell<BTreeMap<u8, i64>>,
 }
 
 /// The calls to one service.
@@ -69,6 +73,8 @@
     rate: RefCell<AdaptiveRate>,
     waiting: RefCell<HashMap<CallKey, Sender<Outcome>>>,
     is_polling: Cell<bool>,
+    /// Notified when the next call may be due earlier than before.
+    changed: Event,
     /// Whether calls to the service are limited, and until when that holds.
     enabled: Cell<(bool, Moment)>,
 }
@@ -84,6 +90,7 @@
             rate: RefCell::default(),
             waiting: RefCell::default(),
             is_polling: Cell::new(false),
+            changed: Event::new(),
             enabled: Cell::new((false, Moment::ZERO)),
         });
         self.services.borrow_mut().insert(name.to_owned(), service.clone());
@@ -101,6 +108,14 @@
         *tenants.entry(name).or_insert(next)
     }
 
+    /// Changes the number of waiting calls of a priority by `difference`, and returns it.
+    fn count_waiting(&self, priority: u8, difference: i64) -> i64 {
+        let mut waiting = self.waiting.borrow_mut();
+        let count = waiting.entry(priority).or_default();
+        *count += difference;
+        *count
+    }
+
     fn age(&self, now: Moment, request: &CallRequest) -> Duration {
         let mut ages = self.ages.borrow_mut();
         ages.entry(request.route.clone()).or_default().record(now, request.remaining)
@@ -150,8 +165,8 @@
         }
     }
 
-    /// Records that all servers rejected the call. Returns the refusal for its caller; `None` if the
-    /// service is not limited.
+    /// Records that the servers the call was sent to rejected it. Returns its refusal; `None` if
+    /// the service is not limited.
     pub fn refuse_found_full(&self) -> Option<Refusal> {
         let limited = self.limited.as_ref()?;
         limited.service.rate.borrow_mut().record_found_full();
@@ -176,6 +191,12 @@
             self.service.apply(&self.gateway, &adjustment);
         }
     }
+
+    fn change_waiting(&self, difference: i64) {
+        let priority = self.call.priority;
+        let count = self.gateway.call_admission.count_waiting(priority, difference);
+        self.gateway.metrics.set_calls_waiting(priority, count);
+    }
 }
 
 impl ServiceQueue {
@@ -191,8 +212,24 @@
             share(adjustment.usual_share),
             share(adjustment.mean_share)
         );
-        gateway.metrics.set_admission_rate(&self.name, adjustment.rate);
-        self.queue.borrow_mut().set_rate(gateway.now(), adjustment.rate);
+        self.set_rate(gateway, adjustment.rate);
+    }
+
+    fn set_rate(&self, gateway: &Gateway, rate: Option<f64>) {
+        gateway.metrics.set_admission_rate(&self.name, rate);
+        self.queue.borrow_mut().set_rate(gateway.now(), rate);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Ends the limit of a service whose calls are no longer limited. What was learned must not
+    /// apply when they are again.
+    fn end_limit(&self, gateway: &Gateway) {
+        if self.rate.borrow().rate().is_none() {
+            return;
+        }
+        log::info!("event=rate_changed service={} rate_per_s=none reason=disabled", self.name);
+        self.rate.borrow_mut().end_limit();
+        self.set_rate(gateway, None);
     }
 
     /// Whether calls are limited: the servers have fewer slots than there are daemons.
@@ -221,6 +258,7 @@
 ) -> Result<AdmittedCall, Refusal> {
     let service = gateway.call_admission.service(service);
     if !service.is_enabled(gateway) {
+        service.end_limit(gateway);
         return Ok(AdmittedCall::unlimited());
     }
     let now = gateway.now();
@@ -272,8 +310,10 @@
         let (sender, outcome) = bounded(1);
         let service = &limited.service;
         service.waiting.borrow_mut().insert(key, sender);
-        limited.gateway.metrics.set_calls_waiting(limited.call.priority, service.waiting_count());
-        if !service.is_polling.replace(true) {
+        limited.change_waiting(1);
+        if service.is_polling.replace(true) {
+            service.changed.notify(usize::MAX);
+        } else {
             let polling = poll_until_empty(limited.gateway.clone(), service.clone());
             limited.gateway.executor.spawn(polling).detach();
         }
@@ -309,26 +349,20 @@
                 waited.as_millis()
             );
         }
-        let priority = self.limited.call.priority;
-        gateway.metrics.set_calls_waiting(priority, service.waiting_count());
-    }
-}
-
-impl ServiceQueue {
-    fn waiting_count(&self) -> i64 {
-        i64::try_from(self.waiting.borrow().len()).unwrap_or(i64::MAX)
+        self.limited.change_waiting(-1);
     }
 }
 
 /// Decides about waiting calls until none is left.
 async fn poll_until_empty(gateway: Rc<Gateway>, service: Rc<ServiceQueue>) {
     loop {
+        let changed = service.changed.listen();
         let due = service.queue.borrow().next_due();
         let Some(delay) = due else {
             service.is_polling.set(false);
             return;
         };
-        Timer::after(delay.max(MIN_POLL_DELAY)).await;
+        wait::at_most(delay.max(MIN_POLL_DELAY), changed).await;
         let outcomes = service.queue.borrow_mut().poll(gateway.now());
         for outcome in outcomes {
             let waiting = service.waiting.borrow_mut().remove(&outcome.key);
--- a/crates/heronbend/src/admission/adaptive_rate.rs
+++ b/crates/heronbend/src/admission/adaptive_rate.rs
@@ -178,6 +178,12 @@
         self.usual_share
     }
 
+    /// Ends the limit, if there is one. The usual latency is kept.
+    pub fn end_limit(&mut self) {
+        self.rate = None;
+        self.calm_since = None;
+    }
+
     /// Records that a caller asked for the service.
     pub fn record_offered(&mut self) {
         self.window.offered += 1;
@@ -204,7 +210,7 @@
         self.window.rejected += 1;
     }
 
-    /// Records that all servers that a call could be sent to rejected it.
+    /// Records that a call was refused because the servers it was sent to rejected it.
     pub fn record_found_full(&mut self) {
         self.window.found_full += 1;
     }
@@ -252,8 +258,7 @@
         let offered = window.per_second(now, window.offered);
         self.track_calm(now, rate, offered, window);
         if self.calm_since.is_some_and(|since| now >= since + CALM_PERIOD) {
-            self.rate = None;
-            self.calm_since = None;
+            self.end_limit();
             return Some(Reason::Calm);
         }
         let is_settling = self.lowered_at.is_some_and(|since| now < since + SETTLE_TIME);
@@ -327,7 +332,10 @@
         let asks_for_less = offered < rate * CALM_SHARE && window.refused == 0;
         let does_not_wait = window.mean_share().is_some_and(|mean| mean <= self.tolerated_share());
         let is_calm = window.rejected == 0 && (asks_for_less || does_not_wait);
-        self.calm_since = if is_calm { self.calm_since.or(Some(now)) } else { None };
+        // A window lasts this long only if nobody asked in the meantime.
+        let was_idle = now.saturating_sub(window.started) >= CALM_PERIOD;
+        let since = if was_idle { window.started } else { now };
+        self.calm_since = is_calm.then(|| self.calm_since.unwrap_or(since));
     }
 
     /// Learns the usual latency. A lower mean is taken at once, a higher one with `weight`.
