Bound what is held for slow readers by bytes and by time without progress

Cause: answers read from servers were not counted, and answers that clients did not read were held without limit of time. hyper flattens a body that comes in one frame into the connection's write buffer (FuturesIo has no vectored writes), so an unread answer was held twice, and a client's body once more for each attempt.

Change: a second MemoryBudget, a quarter of memory_limit_mb, for answers, pages of results and item bodies; a reservation is kept until the write buffer is empty. Large answers leave an eighth to small ones. An answer without room: 502, not repeated; a call without room for even a small answer: 503 before it is sent. Bodies go to connections in frames of 32 KiB. With [limits] unread_timeout_ms a connection is closed once its socket has accepted nothing for that long; absent, as before.

Weighed: total time for an answer (cuts clients that read steadily), waiting for room (holds servers' slots), vectored writes (two packets for small answers).

Note: the largest single answer is now seven eighths of the budget (56 MB at 256 MB) where it was 64 MiB, and one that is too large is no longer sent to a second server.

--- a/crates/heronbend-gateway/src/attempt.rs
+++ b/crates/heronbend-gateway/src/attempt.rs
@@ -81,6 +81,8 @@
     Held,
     /// The connection ended before the complete response; the request may have run.
     BrokenOff,
+    /// The server ran the request, but its response is too large or there is no memory for it.
+    ResponseRefused,
     /// The outcome is unknown for another reason.
     Unknown(&'static str),
 }
@@ -204,7 +206,7 @@
                 AttemptOutcome::Rejected
             }
             AttemptFailure::NotSent => AttemptOutcome::Unreachable,
-            AttemptFailure::Held => AttemptOutcome::Abandoned,
+            AttemptFailure::Held | AttemptFailure::ResponseRefused => AttemptOutcome::Abandoned,
             AttemptFailure::BrokenOff | AttemptFailure::Unknown(_) => {
                 metrics.failed_attempts.inc();
                 AttemptOutcome::Failed
@@ -233,10 +235,30 @@
     }
 }
 
-/// Reads the complete response.
-pub async fn read_response(exchange: Exchange) -> Result<FullResponse, AttemptFailure> {
-    exchange.read_full(MAX_RESPONSE_BYTES).await.map_err(|error| match error {
-        ExchangeError::TooLarge(_) => AttemptFailure::Unknown("too large"),
+/// Reads the complete response to the request `id`, within the memory budget for responses.
+pub async fn read_response(
+    gateway: &Gateway,
+    id: &str,
+    exchange: Exchange,
+) -> Result<FullResponse, AttemptFailure> {
+    let budget = &gateway.response_memory;
+    let max_bytes = budget.max_reservation().min(MAX_RESPONSE_BYTES);
+    let read = exchange.read_reserved(max_bytes, budget.reserve()).await;
+    read.map_err(|error| match error {
+        ExchangeError::TooLarge(_) | ExchangeError::OutOfMemory => {
+            log_refused_response(gateway, id, &error);
+            AttemptFailure::ResponseRefused
+        }
         _ => AttemptFailure::BrokenOff,
     })
 }
+
+/// Logs and counts a response that is not kept in memory.
+pub fn log_refused_response(gateway: &Gateway, id: &str, reason: &dyn std::fmt::Display) {
+    gateway.metrics.responses_refused.inc();
+    log::warn!(
+        "event=answer_refused id={id} reason=\"{reason}\" held_bytes={} limit_bytes={}",
+        gateway.response_memory.reserved(),
+        gateway.response_memory.limit()
+    );
+}
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -15,6 +15,7 @@
 
 use crate::access;
 use crate::access::AuthError;
+use crate::attempt;
 use crate::attempt::OutgoingRequest;
 use crate::batch::results_reader::{self, ReadError};
 use crate::batch::submission::{self, EndError, SubmitError};
@@ -25,8 +26,9 @@
 use crate::headers;
 use crate::http::client::FullResponse;
 use crate::http::server::{read_body, BodyError, BodyLimits};
-use crate::http::{bytes_response, text_response, HttpResponse, ResponseBody};
+use crate::http::{bytes_response, text_response, HttpResponse, RequestId, ResponseBody};
 use crate::memory::Reservation;
+use crate::memory::SMALL_RESERVATION_BYTES;
 use crate::ports::Call;
 use crate::quarantine::Refused;
 use crate::region_policy;
@@ -34,6 +36,7 @@
 
 /// Timeout for store operations of the batch job API.
 const STORE_TIMEOUT: Duration = Duration::from_millis(2500);
+const NO_RESPONSE_MEMORY: &str = "no memory for the answer";
 /// Maximum duration of a long poll for results.
 const MAX_LONG_POLL: Duration = Duration::from_secs(1);
 
@@ -57,6 +60,7 @@
             response.headers_mut().insert(names.request_id.clone(), value);
         }
     }
+    response.extensions_mut().insert(RequestId(id));
     let latency = gateway.now().saturating_sub(arrived);
     gateway.metrics.record_response(&name, response.status().as_u16(), latency);
     response
@@ -90,7 +94,7 @@
         }
         Call::ReadItem { job, item } => {
             let body = results_reader::item(gateway, &job, &caller, &item).await;
-            ("read_item".to_owned(), item_response(&job, &item, body))
+            ("read_item".to_owned(), item_response(gateway, &job, &item, body))
         }
         Call::EndJob { job } => {
             let ended = submission::end(gateway, &job, &caller, arrived + STORE_TIMEOUT).await;
@@ -261,6 +265,10 @@
     let Some(service) = service else {
         return not_run("the route has no service");
     };
+    if gateway.response_memory.available() < SMALL_RESERVATION_BYTES {
+        attempt::log_refused_response(gateway, id, &NO_RESPONSE_MEMORY);
+        return not_run(NO_RESPONSE_MEMORY);
+    }
     let names = gateway.dialect.headers();
     let client_timeout = headers::millis(&head.headers, &names.deadline_millis);
     let allowed_regions = region_policy::allowed_regions(configuration, route, &caller);
@@ -353,7 +361,8 @@
     if !route.is_idempotent() && not_run_statuses.contains(&upstream.status) {
         return text_response(StatusCode::BAD_GATEWAY, "the outcome is unknown");
     }
-    let mut response = HttpResponse::new(ResponseBody::full(upstream.body));
+    let body = ResponseBody::reserved(upstream.body, upstream.reservation);
+    let mut response = HttpResponse::new(body);
     *response.status_mut() = upstream.status;
     *response.headers_mut() = headers::end_to_end(&upstream.headers);
     response
@@ -452,7 +461,8 @@
 ) -> HttpResponse {
     match page {
         Ok(page) => {
-            bytes_response(StatusCode::OK, "application/json", gateway.dialect.results(&page))
+            let page = gateway.dialect.results(&page);
+            reserved_response(gateway, job, "application/json", page)
         }
         Err(error) => {
             log::info!("event=results_refused job={job} from={from} reason={error:?}");
@@ -461,9 +471,31 @@
     }
 }
 
-fn item_response(job: &str, item: &str, body: Result<Bytes, ReadError>) -> HttpResponse {
+/// Response whose body counts against the memory budget for responses. Reading may be repeated.
+fn reserved_response(
+    gateway: &Gateway,
+    id: &str,
+    content_type: &'static str,
+    bytes: Bytes,
+) -> HttpResponse {
+    let mut reservation = gateway.response_memory.reserve();
+    if !reservation.grow(bytes.len()) {
+        attempt::log_refused_response(gateway, id, &NO_RESPONSE_MEMORY);
+        return not_run(NO_RESPONSE_MEMORY);
+    }
+    let mut response = bytes_response(StatusCode::OK, content_type, Bytes::new());
+    *response.body_mut() = ResponseBody::reserved(bytes, Some(Rc::new(reservation)));
+    response
+}
+
+fn item_response(
+    gateway: &Gateway,
+    job: &str,
+    item: &str,
+    body: Result<Bytes, ReadError>,
+) -> HttpResponse {
     match body {
-        Ok(body) => bytes_response(StatusCode::OK, "application/octet-stream", body),
+        Ok(body) => reserved_response(gateway, job, "application/octet-stream", body),
         Err(error) => {
             log::info!("event=item_refused job={job} item={item} reason={error:?}");
             read_error_response(error)
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -123,6 +123,8 @@
     /// Attempts that may have run the request.
     attempts_used: u32,
     attempt_tasks: Vec<Task<()>>,
+    /// Whether a response was refused. Another attempt would need as much memory.
+    is_response_refused: bool,
     /// Whether a server has responded. Attempts dropped after that were not cancelled by the
     /// client.
     is_answered: Rc<Cell<bool>>,
@@ -166,6 +168,7 @@
         admitted_request,
         attempts_used: 0,
         attempt_tasks: Vec::new(),
+        is_response_refused: false,
         is_answered: Rc::default(),
         last_failure: None,
     };
@@ -243,6 +246,7 @@
         let may_repeat = self.attempts_used == 0 || self.limits.is_idempotent;
         within_budget
             && may_repeat
+            && !self.is_response_refused
             && self.admitted_request.may_send(&self.gateway, &self.outgoing)
             && self.gateway.now() < self.limits.deadline
     }
@@ -328,6 +332,10 @@
                 self.attempts_used -= 1;
                 None
             }
+            Err(AttemptFailure::ResponseRefused) => {
+                self.is_response_refused = true;
+                None
+            }
             Err(AttemptFailure::BrokenOff | AttemptFailure::Unknown(_)) => None,
         }
     }
@@ -403,7 +411,7 @@
     async fn send_and_read(&self) -> Result<FullResponse, AttemptFailure> {
         let time_left = self.deadline.saturating_sub(self.gateway.now());
         let exchange = attempt::send(&self.gateway, &self.server, &self.outgoing, time_left);
-        attempt::read_response(exchange.await?).await
+        attempt::read_response(&self.gateway, &self.outgoing.id, exchange.await?).await
     }
 
     /// Returns the callback for an attempt that is dropped before it has finished.
@@ -444,7 +452,11 @@
                 billing.mark_not_run(started_at);
             }
             // Another attempt may succeed, which bills the request once.
-            Err(AttemptFailure::BrokenOff | AttemptFailure::Unknown(_)) => {}
+            Err(
+                AttemptFailure::BrokenOff
+                | AttemptFailure::ResponseRefused
+                | AttemptFailure::Unknown(_),
+            ) => {}
         }
     }
 }
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -58,6 +58,9 @@
 /// Timeout for connecting to a peer.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Fraction of the memory for responses, as a divisor, that large responses leave to small ones.
+const SMALL_RESPONSE_DIVISOR: usize = 8;
+
 /// Identity of a daemon.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -78,6 +81,11 @@
     pub result_retention: Duration,
     /// Maximum total size of buffered client request bodies, in bytes.
     pub max_buffered_bytes: usize,
+    /// Maximum total size of buffered responses to clients, in bytes.
+    pub max_response_bytes: usize,
+    /// Longest time without progress for which a client may leave a response unread; `None` if
+    /// unlimited.
+    pub unread_timeout: Option<Duration>,
     /// Maximum size of an object in the store, in bytes.
     pub max_object_bytes: usize,
     /// Maximum time from the stop signal to the exit of the process.
@@ -185,6 +193,8 @@
     pub restart_watches: Event,
     /// Memory budget for client request bodies.
     pub memory: Rc<MemoryBudget>,
+    /// Memory budget for responses that are read from servers or wait for their clients.
+    pub response_memory: Rc<MemoryBudget>,
     /// Retry budget shared by all requests.
     pub retries: RefCell<RetryBudget>,
     /// Metrics.
@@ -274,6 +284,10 @@
             newest_peer_configuration: Cell::new(0),
             restart_watches: Event::new(),
             memory: MemoryBudget::new(tuning.max_buffered_bytes),
+            response_memory: MemoryBudget::with_small_share(
+                tuning.max_response_bytes,
+                tuning.max_response_bytes / SMALL_RESPONSE_DIVISOR,
+            ),
             retries: RefCell::default(),
             metrics,
             resumed: Event::new(),
--- a/crates/heronbend-gateway/src/http/client.rs
+++ b/crates/heronbend-gateway/src/http/client.rs
@@ -16,6 +16,7 @@
 use heronbend_net::boot_clock::since_boot;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use smol::net::TcpStream;
@@ -23,6 +24,9 @@
 use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
 
+use super::body::BufferedBody;
+use crate::memory::Reservation;
+
 /// Idle time after which a connection is not reused, unless its server advertises another one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Margin before the server's idle timeout at which a connection is no longer reused.
@@ -51,6 +55,9 @@
     /// The response exceeds the limit, in bytes.
     #[error("the answer is larger than {0} bytes")]
     TooLarge(usize),
+    /// The memory budget has no room for the response.
+    #[error("there is no memory for the answer now")]
+    OutOfMemory,
 }
 
 impl ExchangeError {
@@ -61,7 +68,7 @@
 }
 
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<BufferedBody>,
     _driver: Task<()>,
 }
 
@@ -195,7 +202,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, ExchangeError> {
-        let mut request = request;
+        let mut request = buffered(request).await;
         let mut reason = self.open_reason(address);
         while let Some(mut connection) = self.take_idle(address) {
             reason = OpenReason::Expired;
@@ -300,6 +307,14 @@
     }
 }
 
+/// Converts the body of a request to one that is sent in parts.
+async fn buffered(request: Request<Full<Bytes>>) -> Request<BufferedBody> {
+    let (head, body) = request.into_parts();
+    // Reading from memory neither waits nor fails.
+    let bytes = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+    Request::from_parts(head, BufferedBody::new(bytes))
+}
+
 /// Disables Nagle's algorithm, and makes the kernel detect a dead peer while data is unacknowledged
 /// and while the connection is idle.
 fn configure_socket(socket: &TcpStream) {
@@ -368,6 +383,8 @@
     pub headers: HeaderMap,
     /// Body of the response.
     pub body: Bytes,
+    /// Reservation of the memory budget for the body, if it is accounted for.
+    pub reservation: Option<Rc<Reservation>>,
 }
 
 impl Exchange {
@@ -409,9 +426,49 @@
             }
             body.extend_from_slice(&bytes);
         }
+        Ok(self.finish(body, None))
+    }
+
+    /// Like [`Exchange::read_full`], and accounts for the memory of the body in `reservation`.
+    ///
+    /// # Errors
+    ///
+    /// Fails also if the memory budget has no room for the body.
+    pub async fn read_reserved(
+        mut self,
+        max_bytes: usize,
+        mut reservation: Reservation,
+    ) -> Result<FullResponse, ExchangeError> {
+        let announced = usize::try_from(self.body.size_hint().lower()).unwrap_or(usize::MAX);
+        if announced > max_bytes {
+            return Err(ExchangeError::TooLarge(max_bytes));
+        }
+        if !reservation.grow(announced) {
+            return Err(ExchangeError::OutOfMemory);
+        }
+        let mut body = BytesMut::with_capacity(announced);
+        while let Some(bytes) = self.next_bytes().await? {
+            let length = body.len() + bytes.len();
+            if length > max_bytes {
+                return Err(ExchangeError::TooLarge(max_bytes));
+            }
+            if length > body.capacity() {
+                let capacity = length.max(2 * body.capacity()).min(max_bytes);
+                if !reservation.resize(capacity) {
+                    return Err(ExchangeError::OutOfMemory);
+                }
+                body.reserve(capacity - body.len());
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok(self.finish(body, Some(Rc::new(reservation))))
+    }
+
+    /// Returns the connection to the pool, and the complete response.
+    fn finish(mut self, body: BytesMut, reservation: Option<Rc<Reservation>>) -> FullResponse {
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
         self.return_to_pool();
-        Ok(FullResponse { status, headers, body: body.freeze() })
+        FullResponse { status, headers, body: body.freeze(), reservation }
     }
 
     /// Returns the connection to the pool. The body must have been read to its end.
--- a/crates/heronbend-gateway/src/http/mod.rs
+++ b/crates/heronbend-gateway/src/http/mod.rs
@@ -7,10 +7,12 @@
 //! - [`body`]: response bodies.
 //! - [`client`]: a client with pooled connections to servers and peers.
 //! - [`server`]: a server for callers and peers.
+//! - [`socket`]: the socket of a connection to a client.
 
 pub mod body;
 pub mod client;
 pub mod server;
+pub mod socket;
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
@@ -20,6 +22,10 @@
 /// An HTTP response of the gateway.
 pub type HttpResponse = Response<ResponseBody>;
 
+/// Id of the request that a response belongs to, for the log; an extension of the response.
+#[derive(Debug, Clone)]
+pub struct RequestId(pub String);
+
 /// Creates a plain-text response.
 pub fn text_response(status: StatusCode, text: &'static str) -> HttpResponse {
     bytes_response(status, "text/plain", Bytes::from_static(text.as_bytes()))
--- a/crates/heronbend-gateway/src/http/server.rs
+++ b/crates/heronbend-gateway/src/http/server.rs
@@ -18,10 +18,14 @@
 use hyper::service::service_fn;
 use smol::net::TcpListener;
 use smol::{LocalExecutor, Timer};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::SmolTimer;
 use thiserror::Error;
 
+use super::socket::ClientSocket;
+use super::socket::ResponseProgress;
+use super::socket::SlowReader;
 use super::HttpResponse;
+use super::RequestId;
 use crate::memory::Reservation;
 
 /// Delay after a failed accept, such as when file descriptors run out.
@@ -37,6 +41,14 @@
     pub head_timeout: Duration,
 }
 
+/// Limit on the time for which clients may leave a response unread.
+struct UnreadLimit {
+    /// Longest time without progress.
+    timeout: Duration,
+    /// Called for each client whose connection was closed.
+    on_cut: Box<dyn Fn(SlowReader)>,
+}
+
 /// Accepts connections and tracks their requests.
 #[derive(Default)]
 pub struct Listener {
@@ -45,6 +57,7 @@
     draining: Cell<bool>,
     closing: Event,
     limits: RefCell<Option<ListenerLimits>>,
+    unread: RefCell<Option<UnreadLimit>>,
 }
 
 impl Listener {
@@ -58,6 +71,12 @@
         *self.limits.borrow_mut() = Some(limits);
     }
 
+    /// Closes new connections whose client accepts no byte of a response for `timeout`, and calls
+    /// `on_cut` for each.
+    pub fn set_unread_timeout(&self, timeout: Duration, on_cut: impl Fn(SlowReader) + 'static) {
+        *self.unread.borrow_mut() = Some(UnreadLimit { timeout, on_cut: Box::new(on_cut) });
+    }
+
     /// Number of requests whose handler has not returned a response yet.
     pub fn exchanges(&self) -> usize {
         self.exchanges.get()
@@ -127,8 +146,10 @@
         }
         let closing = self.closing.listen();
         let listener = self.clone();
+        let progress = Rc::new(ResponseProgress::default());
+        let current = progress.clone();
         let service = service_fn(move |request| {
-            let listener = listener.clone();
+            let (listener, progress) = (listener.clone(), current.clone());
             let response = handler(request);
             async move {
                 let _guard = ExchangeGuard::new(&listener);
@@ -136,10 +157,15 @@
                 if listener.draining.get() {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
+                let id = response.extensions_mut().remove::<RequestId>();
+                let id = id.map(|RequestId(id)| id).unwrap_or_default();
+                progress.start(id, response.body().reservation());
                 Ok::<_, Infallible>(response)
             }
         });
-        let connection = builder.serve_connection(FuturesIo::new(socket), service);
+        let unread_timeout = self.unread.borrow().as_ref().map(|limit| limit.timeout);
+        let socket = ClientSocket::new(socket, progress.clone(), unread_timeout);
+        let connection = builder.serve_connection(socket, service);
         futures_lite::pin!(connection);
         let has_ended = async {
             let _ = connection.as_mut().await;
@@ -154,6 +180,14 @@
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         }
+        self.report_slow_reader(&progress);
+    }
+
+    fn report_slow_reader(&self, progress: &ResponseProgress) {
+        let unread = self.unread.borrow();
+        if let Some((limit, reader)) = unread.as_ref().zip(progress.take_slow_reader()) {
+            (limit.on_cut)(reader);
+        }
     }
 }
 
@@ -230,7 +264,7 @@
     if !reservation.grow(announced) {
         return Err(BodyError::OutOfMemory);
     }
-    let mut bytes = BytesMut::new();
+    let mut bytes = BytesMut::with_capacity(announced);
     while let Some(frame) = next_frame(&mut body, limits.idle_timeout).await? {
         let Ok(data) = frame.into_data() else { continue };
         let length = bytes.len() + data.len();
--- a/crates/heronbend-gateway/src/memory.rs
+++ b/crates/heronbend-gateway/src/memory.rs
@@ -1,15 +1,20 @@
-//! Memory budget for client request bodies.
+//! Memory budgets for what the daemon holds on behalf of clients and servers.
 //!
-//! A body that does not fit into the budget is rejected at once with a retry delay, without being
-//! run.
+//! Client request bodies and buffered answers have a budget each. What does not fit is refused at
+//! once.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// Largest reservation that may use the share for small reservations.
+pub const SMALL_RESERVATION_BYTES: usize = 64 * 1024;
+
 /// Limit and current use of the budget.
 #[derive(Debug)]
 pub struct MemoryBudget {
     limit: usize,
+    /// Part of the limit that only small reservations may use.
+    small_share: usize,
     reserved: Cell<usize>,
 }
 
@@ -23,7 +28,13 @@
 impl MemoryBudget {
     /// Creates a budget of `limit` bytes.
     pub fn new(limit: usize) -> Rc<Self> {
-        Rc::new(Self { limit, reserved: Cell::new(0) })
+        Self::with_small_share(limit, 0)
+    }
+
+    /// Creates a budget of `limit` bytes, `small_share` of which are only available to reservations
+    /// of at most [`SMALL_RESERVATION_BYTES`].
+    pub fn with_small_share(limit: usize, small_share: usize) -> Rc<Self> {
+        Rc::new(Self { limit, small_share, reserved: Cell::new(0) })
     }
 
     /// Number of bytes reserved.
@@ -31,6 +42,28 @@
         self.reserved.get()
     }
 
+    /// Maximum number of bytes that can be reserved.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Size of the largest possible reservation.
+    pub fn max_reservation(&self) -> usize {
+        self.limit.saturating_sub(self.small_share).max(self.limit.min(SMALL_RESERVATION_BYTES))
+    }
+
+    /// Number of bytes that can still be reserved by small reservations.
+    pub fn available(&self) -> usize {
+        self.limit - self.reserved.get()
+    }
+
+    /// Number of bytes by which a reservation can grow to `bytes`.
+    pub fn available_to(&self, bytes: usize) -> usize {
+        let is_small = bytes <= SMALL_RESERVATION_BYTES;
+        let kept = if is_small { 0 } else { self.small_share };
+        self.available().saturating_sub(kept)
+    }
+
     /// Creates an empty reservation.
     pub fn reserve(self: &Rc<Self>) -> Reservation {
         Reservation { budget: self.clone(), bytes: 0 }
@@ -40,14 +73,24 @@
 impl Reservation {
     /// Reserves more bytes; returns `false` and reserves nothing if they don't fit.
     pub fn grow(&mut self, bytes: usize) -> bool {
-        let reserved = self.budget.reserved.get();
-        if bytes > self.budget.limit.saturating_sub(reserved) {
+        if bytes > self.budget.available_to(self.bytes.saturating_add(bytes)) {
             return false;
         }
-        self.budget.reserved.set(reserved + bytes);
+        self.budget.reserved.set(self.budget.reserved.get() + bytes);
         self.bytes += bytes;
         true
     }
+
+    /// Changes the reservation to `bytes`; returns `false` and changes nothing if they don't fit.
+    pub fn resize(&mut self, bytes: usize) -> bool {
+        if bytes > self.bytes {
+            return self.grow(bytes - self.bytes);
+        }
+        let released = self.bytes - bytes;
+        self.budget.reserved.set(self.budget.reserved.get() - released);
+        self.bytes = bytes;
+        true
+    }
 }
 
 impl Drop for Reservation {
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::logging;
+use crate::memory::MemoryBudget;
 
 type Count = Counter<u64, AtomicU64>;
 
@@ -140,6 +141,14 @@
     pub zones_evacuated: Family<ZoneLabels, Gauge>,
     /// Number of cold servers, by zone.
     pub cold_servers: Family<ZoneLabels, Gauge>,
+    /// Bytes of responses held for clients.
+    pub response_bytes_held: Gauge,
+    /// Maximum of `response_bytes_held`.
+    pub response_bytes_limit: Gauge,
+    /// Connections closed because the client did not read its response.
+    pub slow_readers_cut: Count,
+    /// Responses dropped, and requests rejected, because there was no memory for the response.
+    pub responses_refused: Count,
     /// Log lines dropped because the log buffer was full.
     pub log_lines_dropped: Count,
 }
@@ -178,6 +187,10 @@
             permits_issued: Count::default(),
             zones_evacuated: Family::default(),
             cold_servers: Family::default(),
+            response_bytes_held: Gauge::default(),
+            response_bytes_limit: Gauge::default(),
+            slow_readers_cut: Count::default(),
+            responses_refused: Count::default(),
             log_lines_dropped: Count::default(),
         }
     }
@@ -247,6 +260,13 @@
         self.cold_servers.get_or_create(&labels).set(servers);
     }
 
+    /// Sets the bytes of responses held for clients.
+    pub fn set_response_memory(&self, budget: &MemoryBudget) {
+        let bytes = |bytes| i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.response_bytes_held.set(bytes(budget.reserved()));
+        self.response_bytes_limit.set(bytes(budget.limit()));
+    }
+
     /// Records a call to the provider.
     pub fn record_provider_call(&self, duty: &'static str, succeeded: bool) {
         let outcome = if succeeded { "done" } else { "failed" };
@@ -304,6 +324,14 @@
         let cold = self.cold_servers.clone();
         registry.register("cold_servers", "Servers that are cold", cold);
         registry.register("zone_evacuated", "Whether a zone is evacuated", evacuated);
+        let held = self.response_bytes_held.clone();
+        registry.register("answers_held_bytes", "Bytes of answers held for clients", held);
+        let limit = self.response_bytes_limit.clone();
+        registry.register("answers_held_limit_bytes", "Limit of these bytes", limit);
+        let cut = self.slow_readers_cut.clone();
+        registry.register("slow_readers_cut", "Clients cut that did not read", cut);
+        let refused = self.responses_refused.clone();
+        registry.register("answers_refused_memory", "Answers without memory", refused);
         registry.register("log_lines_dropped", "Lines dropped", self.log_lines_dropped.clone());
         let mut page = String::new();
         // Writing into a string cannot fail.
--- a/crates/heronbend-gateway/src/reload.rs
+++ b/crates/heronbend-gateway/src/reload.rs
@@ -124,6 +124,7 @@
         ("provider.duties", old.duties != new.duties, false),
         ("provider.usage", old.usage != new.usage, false),
         ("processor_share", old.processor_share != new.processor_share, false),
+        ("limits.unread_timeout_ms", old.unread_timeout != new.unread_timeout, false),
         ("memory_limit_mb", old.memory_limit_mb != new.memory_limit_mb, false),
         ("lease_pause_ms", old.lease_pause != new.lease_pause, false),
         ("result_retention_s", old.result_retention != new.result_retention, true),
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -145,6 +145,7 @@
     if let Some(address) = addresses.metrics {
         let served = gateway.clone();
         let page = move |_| {
+            served.metrics.set_response_memory(&served.response_memory);
             let page = served.metrics.encode();
             async move { bytes_response(http::StatusCode::OK, "text/plain", page.into()) }
         };
@@ -178,6 +179,18 @@
     let socket = TcpListener::bind(address).map_err(failed)?;
     let socket = smol::Async::new(socket).map_err(failed)?;
     let listener = Listener::new();
+    if let Some(timeout) = gateway.tuning().unread_timeout {
+        let metrics = gateway.metrics.clone();
+        listener.set_unread_timeout(timeout, move |reader| {
+            metrics.slow_readers_cut.inc();
+            log::warn!(
+                "event=slow_reader_cut id={} purpose=\"{purpose}\" bytes={} idle_ms={}",
+                reader.id,
+                reader.sent_bytes,
+                reader.idle.as_millis()
+            );
+        });
+    }
     let serving = listener.clone().serve(gateway.executor.clone(), socket.into(), handler);
     gateway.executor.spawn(serving).detach();
     Ok(listener)
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -23,6 +23,8 @@
 /// Fraction of the memory limit, as a divisor, available for buffered request bodies. Parsing a job
 /// takes several times the size of its body.
 const BODY_MEMORY_DIVISOR: usize = 4;
+/// Fraction of the memory limit, as a divisor, available for buffered responses.
+const RESPONSE_MEMORY_DIVISOR: usize = 4;
 
 /// A problem in a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -82,6 +84,9 @@
     pub processor_share: f64,
     /// Memory limit of the process, in megabytes.
     pub memory_limit_mb: usize,
+    /// Longest time without progress for which a client may leave a response unread; `None` if
+    /// unlimited.
+    pub unread_timeout: Option<Duration>,
     /// Maximum object size of the store, in bytes.
     pub max_object_bytes: usize,
     /// Minimum pause between the last command of one lease holder and the first of the next.
@@ -245,6 +250,17 @@
         Some(self.millis(field))
     }
 
+    /// Reads the optional limit on unread responses, which must not be zero.
+    fn unread_timeout(&mut self) -> Option<Duration> {
+        let field = "limits.unread_timeout_ms";
+        let findings = self.findings.len();
+        let timeout = self.optional_millis(field)?;
+        if timeout.is_zero() && self.findings.len() == findings {
+            self.report(field, "is zero");
+        }
+        Some(timeout)
+    }
+
     fn seconds(&mut self, field: &str) -> Duration {
         Duration::try_from_secs_f64(self.number(field)).unwrap_or_default()
     }
@@ -411,6 +427,7 @@
             store: reader.required_address("store.address"),
             processor_share: reader.number_or("processor_share", 0.0),
             memory_limit_mb: reader.number_or("memory_limit_mb", DEFAULT_MEMORY_MB) as usize,
+            unread_timeout: reader.unread_timeout(),
             max_object_bytes: reader.number("store.max_object_bytes") as usize,
             lease_pause: reader.millis("lease_pause_ms"),
             result_retention: reader.seconds("result_retention_s"),
@@ -461,6 +478,8 @@
     pub fn tuning(&self) -> Tuning {
         Tuning {
             max_buffered_bytes: self.memory_limit_mb * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR,
+            max_response_bytes: self.memory_limit_mb * BYTES_PER_MEGABYTE / RESPONSE_MEMORY_DIVISOR,
+            unread_timeout: self.unread_timeout,
             lease_pause: self.lease_pause,
             result_retention: self.result_retention,
             max_object_bytes: self.max_object_bytes,
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -468,10 +468,11 @@
         guard: AttemptGuard,
     ) -> Result<(), StreamError> {
         let is_retried = exchange.status.is_server_error();
-        let response = match attempt::read_response(exchange).await {
-            Ok(response) => response,
-            Err(failure) => return self.handle_failed_attempt(failure, guard),
-        };
+        let response =
+            match attempt::read_response(&self.gateway, &self.outgoing.id, exchange).await {
+                Ok(response) => response,
+                Err(failure) => return self.handle_failed_attempt(failure, guard),
+            };
         quarantine::note_response(&self.gateway, &self.outgoing, response.status);
         guard.end(AttemptOutcome::Abandoned);
         if is_retried && self.may_attempt() {
@@ -492,8 +493,10 @@
                 self.attempts_used -= 1;
                 Ok(())
             }
-            _ if self.may_attempt() => Ok(()),
-            AttemptFailure::BrokenOff | AttemptFailure::Unknown(_) => {
+            AttemptFailure::BrokenOff | AttemptFailure::Unknown(_) if self.may_attempt() => Ok(()),
+            AttemptFailure::BrokenOff
+            | AttemptFailure::ResponseRefused
+            | AttemptFailure::Unknown(_) => {
                 let deadline_passed = self.gateway.now() >= self.limits.deadline;
                 Err(StreamError::Failed(self.final_error(deadline_passed, ATTEMPTS_EXHAUSTED)))
             }
--- /dev/null
+++ b/crates/heronbend-gateway/tests/memory_budget.rs
@@ -0,0 +1,77 @@
+//! Random histories of reservations of a memory budget.
+
+use heronbend_gateway::memory::MemoryBudget;
+use heronbend_gateway::memory::Reservation;
+use heronbend_gateway::memory::SMALL_RESERVATION_BYTES;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
+
+const SEEDS: std::ops::Range<u64> = 0..200;
+const STEPS: usize = 2_000;
+const LIMIT_BYTES: usize = 1_000_000;
+const SMALL_SHARE_BYTES: usize = 150_000;
+
+/// A reservation, and the bytes that it should hold.
+struct Held {
+    reservation: Reservation,
+    bytes: usize,
+}
+
+/// Whether a reservation of `before` bytes may grow to `after` bytes.
+fn fits(reserved: usize, before: usize, after: usize) -> bool {
+    let is_small = after <= SMALL_RESERVATION_BYTES;
+    let limit = if is_small { LIMIT_BYTES } else { LIMIT_BYTES - SMALL_SHARE_BYTES };
+    after <= before || reserved - before + after <= limit
+}
+
+#[test]
+fn reserved_bytes_stay_within_the_limit_and_are_all_released() {
+    for seed in SEEDS {
+        println!("seed={seed}");
+        let mut random = SmallRng::seed_from_u64(seed);
+        let budget = MemoryBudget::with_small_share(LIMIT_BYTES, SMALL_SHARE_BYTES);
+        let mut held: Vec<Held> = Vec::new();
+        for _ in 0..STEPS {
+            let largest = [LIMIT_BYTES / 4, SMALL_RESERVATION_BYTES][random.random_range(0..2)];
+            let bytes = random.random_range(0..largest);
+            let index = random.random_range(0..=held.len());
+            let Some(entry) = held.get_mut(index) else {
+                held.push(Held { reservation: budget.reserve(), bytes: 0 });
+                continue;
+            };
+            match random.random_range(0..3) {
+                0 => {
+                    held.swap_remove(index);
+                }
+                1 => {
+                    let grown = entry.bytes + bytes;
+                    let fits = fits(budget.reserved(), entry.bytes, grown);
+                    assert_eq!(entry.reservation.grow(bytes), fits || bytes == 0, "seed {seed}");
+                    entry.bytes = if fits { grown } else { entry.bytes };
+                }
+                _ => {
+                    let fits = fits(budget.reserved(), entry.bytes, bytes);
+                    assert_eq!(entry.reservation.resize(bytes), fits, "seed {seed}");
+                    entry.bytes = if fits { bytes } else { entry.bytes };
+                }
+            }
+            let expected: usize = held.iter().map(|held| held.bytes).sum();
+            assert_eq!(budget.reserved(), expected, "seed {seed}");
+            assert!(expected <= LIMIT_BYTES, "seed {seed}");
+        }
+        held.clear();
+        assert_eq!(budget.reserved(), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn large_reservations_leave_room_for_small_ones() {
+    let budget = MemoryBudget::with_small_share(LIMIT_BYTES, SMALL_SHARE_BYTES);
+    let mut large = budget.reserve();
+    assert!(!large.grow(budget.max_reservation() + 1));
+    assert!(large.grow(budget.max_reservation()));
+    let (mut other, mut small) = (budget.reserve(), budget.reserve());
+    assert!(!other.grow(SMALL_RESERVATION_BYTES + 1));
+    assert!(small.grow(SMALL_RESERVATION_BYTES));
+}
--- a/crates/heronbend-gateway/tests/settings.rs
+++ b/crates/heronbend-gateway/tests/settings.rs
@@ -91,3 +91,22 @@
     }
     assert_eq!(findings.lines().count(), 2, "{findings}");
 }
+
+#[test]
+fn the_limit_on_unread_responses_is_optional_and_not_zero() {
+    let parse = |millis: &str| {
+        let text = format!("{VALID}\n[limits]\nunread_timeout_ms = {millis}\n");
+        Settings::parse("node.toml", &text)
+    };
+    assert_eq!(Settings::parse("node.toml", VALID).unwrap().tuning().unread_timeout, None);
+    let timeout = parse("4000").unwrap().tuning().unread_timeout;
+    assert_eq!(timeout, Some(Duration::from_secs(4)));
+    for (millis, problem) in
+        [("0", "is zero"), ("-1", "-1 is negative or not finite"), ("true", "is not a number")]
+    {
+        let findings = parse(millis).unwrap_err().findings;
+        assert_eq!(findings.len(), 1, "{findings:?}");
+        assert_eq!(findings[0].field, "limits.unread_timeout_ms");
+        assert_eq!(findings[0].problem, problem);
+    }
+}
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -121,6 +121,8 @@
 
 pub const TUNING: Tuning = Tuning {
     max_buffered_bytes: 64_000_000,
+    max_response_bytes: 64_000_000,
+    unread_timeout: None,
     lease_pause: Duration::from_secs(3),
     result_retention: Duration::from_secs(120),
     max_object_bytes: 1 << 20,
