Count the events that streams hold against the memory for answers

Cause: each stream's buffers were bounded (64 KiB read, 1 MiB of an incomplete event), those of all streams together were not.

Change: a stream reserves the events that it read last and the incomplete one after them. Without room it ends with event=answer_refused: 502 before the first event, else it is broken off; it is not sent to another server, which would need as much.

Weighed: counting the read buffer of the server's connection too; it is bounded for each connection and belongs to it, not to the stream.

--- a/crates/heronbend-gateway/src/events.rs
+++ b/crates/heronbend-gateway/src/events.rs
@@ -54,6 +54,11 @@
         Ok(events)
     }
 
+    /// Size of the buffered partial event, in bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether no partial event is buffered.
     pub fn is_between_events(&self) -> bool {
         self.buffer.is_empty()
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -43,6 +43,7 @@
 use crate::http::client::Exchange;
 use crate::http::client::FullResponse;
 use crate::http::ResponseBody;
+use crate::memory::Reservation;
 use crate::permits;
 use crate::quarantine;
 use crate::quarantine::admitted_request;
@@ -58,6 +59,9 @@
 /// Maximum time between events before a resumable stream moves to another server.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// Reason for the end of a stream whose events don't fit into the memory budget.
+const NO_MEMORY: &str = "no memory for the stream";
+
 /// Response to a stream request.
 pub enum StreamResponse {
     /// A stream of which the first events have arrived.
@@ -128,6 +132,8 @@
     response_head: Option<(StatusCode, HeaderMap)>,
     /// Since when the stream has been waiting for a server.
     waiting_since: Option<Moment>,
+    /// Accounts for the events that were read last and the partial event after them.
+    reservation: Reservation,
 }
 
 /// Opens a stream and returns once the first events have arrived.
@@ -165,6 +171,7 @@
         current: None,
         response_head: None,
         waiting_since: None,
+        reservation: gateway.response_memory.reserve(),
     };
     let first = match relay.next().await {
         Ok(first) => first,
@@ -205,6 +212,12 @@
                 None => self.start().await?,
             };
             match self.read(&mut current).await {
+                ReadOutcome::Events(events) if !self.reserve(&current, &events) => {
+                    current.guard.fail(&AttemptFailure::ResponseRefused);
+                    attempt::log_refused_response(&self.gateway, &self.outgoing.id, &NO_MEMORY);
+                    self.log_stream_end(NO_MEMORY);
+                    return Err(StreamError::Failed(ForwardError::Unknown));
+                }
                 ReadOutcome::Events(events) => match self.accept_events(&mut current, events) {
                     Ok(bytes) if bytes.is_empty() => self.current = Some(current),
                     Ok(bytes) => {
@@ -254,6 +267,12 @@
         }
     }
 
+    /// Accounts for the memory of events that were read; returns `false` if there is none.
+    fn reserve(&mut self, current: &ServerStream, events: &[Event]) -> bool {
+        let bytes: usize = events.iter().map(|event| event.raw.len()).sum();
+        self.reservation.resize(bytes + current.parser.buffered_bytes())
+    }
+
     /// Checks the event numbers and returns the bytes to send to the client. If any event is out of
     /// sequence, the whole batch is discarded and requested again from the next server.
     fn accept_events(
