Gateway: daemons report their demand for services under pressure

Cause: the shares of a capacity need the demand of the other daemons.

Earlier builds drop the variant.

Weighed: a task of its own with a timer (the queue notes demand every 200 ms anyway); rates as floating point on the wire (no Eq; rounding up integers never reports less than is used); sums by zone above 128 daemons (not built).

Not run: real sockets, processes, the platform's tests. Nothing calls the new functions yet.

--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::clock::Clock;
 use crate::compressed_update::UpdateCache;
 use crate::configuration::Configuration;
+use crate::demand_exchange::DemandExchange;
 use crate::directory::Directory;
 use crate::dissemination::UpdateAge;
 use crate::duties::usage::ReportingSchedule;
@@ -142,6 +143,8 @@
     pub slot_queue: SlotQueue,
     /// Permits for sending requests to cold servers.
     pub permits: Permits,
+    /// Exchange of the demand for services with other daemons.
+    pub demand_exchange: DemandExchange,
     /// Quarantine of requests that crash servers.
     pub quarantine: Quarantine,
     /// Evacuated zones.
@@ -249,6 +252,7 @@
             splitter: RefCell::new(TrafficSplitter::new(rand::rng().random())),
             slot_queue: SlotQueue::default(),
             permits,
+            demand_exchange: DemandExchange::default(),
             quarantine: Quarantine::new(tuning.quarantine),
             evacuated: RefCell::default(),
             draining: Cell::new(false),
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //!   requests on servers.
 //! - [`access`]: authentication of callers.
 //! - [`events`]: parser for event streams.
+//! - [`demand_exchange`]: shares of services' capacities among daemons.
 //! - [`quarantine`]: quarantine of requests that crash servers.
 //! - [`batch`]: batch jobs.
 //! - [`versions`]: rollout of model versions.
@@ -32,6 +33,7 @@
 pub mod clock;
 pub mod compressed_update;
 pub mod configuration;
+pub mod demand_exchange;
 pub mod directory;
 pub mod dissemination;
 pub mod duties;
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -85,6 +85,37 @@
         /// The usage window.
         window: Window,
     },
+    /// A daemon's demand for a service under pressure.
+    DemandReported(DemandReport),
+}
+
+/// Demand of a daemon for a service.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct DemandReport {
+    /// The daemon.
+    pub daemon: NodeName,
+    /// The service.
+    pub service: String,
+    /// When it was sent, in milliseconds on the daemon's clock.
+    pub sent_millis: u64,
+    /// Demand in thousandths of a request per second by priority class, most urgent first.
+    pub millirequests_per_second: Vec<u64>,
+    /// The tenants with the largest demand.
+    #[musli(default)]
+    pub tenants: Vec<ReportedTenant>,
+}
+
+/// Demand of a tenant at one daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct ReportedTenant {
+    /// Hash of the tenant's name.
+    pub tenant_hash: u64,
+    /// Demand in thousandths of a request per second.
+    #[musli(default)]
+    pub millirequests_per_second: u64,
+    /// Configured weight in thousandths.
+    #[musli(default)]
+    pub milliweight: u64,
 }
 
 /// A batch job and its owner, as known to a daemon.
--- a/crates/heronbend-gateway/tests/builds_side_by_side.rs
+++ b/crates/heronbend-gateway/tests/builds_side_by_side.rs
@@ -21,9 +21,11 @@
 use heronbend_gateway::encoded_object::EncodedObject;
 use heronbend_gateway::lease_state::LeaseName;
 use heronbend_gateway::peers::messages::Datagram;
+use heronbend_gateway::peers::messages::DemandReport;
 use heronbend_gateway::peers::messages::JobEntry;
 use heronbend_gateway::peers::messages::KindSnapshot;
 use heronbend_gateway::peers::messages::LeaseRenewal;
+use heronbend_gateway::peers::messages::ReportedTenant;
 use heronbend_gateway::peers::store_messages::StoreCall;
 use heronbend_gateway::peers::store_messages::StoreReply;
 use heronbend_gateway::peers::Hint;
@@ -92,6 +94,17 @@
         window: Window(7),
         counts: vec![("t".to_owned(), 3)],
     };
+    let demand = DemandReport {
+        daemon: NodeName("front-1".to_owned()),
+        service: "app".to_owned(),
+        sent_millis: 1_796_000_000_000,
+        millirequests_per_second: vec![0, 12_500, 0, 300],
+        tenants: vec![ReportedTenant {
+            tenant_hash: 17,
+            millirequests_per_second: 12_000,
+            milliweight: 2_000,
+        }],
+    };
     vec![
         ("gossip", Datagram::Gossip(gossip)),
         ("order_taken", Datagram::Hint(command)),
@@ -99,6 +112,7 @@
         ("job_owned", Datagram::Hint(owned)),
         ("usage_counted", Datagram::Hint(counted)),
         ("requests_suspected", Datagram::Hint(Hint::RequestsSuspected { reports: Vec::new() })),
+        ("demand_reported", Datagram::Hint(Hint::DemandReported(demand))),
         ("usage_reported", Datagram::Hint(Hint::UsageReported { window: Window(7) })),
     ]
 }
