--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -33,6 +33,7 @@
 use crate::clock::Clock;
 use crate::compressed_update::UpdateCache;
 use crate::configuration::Configuration;
+use crate::demand_exchange::DemandExchange;
 use crate::directory::Directory;
 use crate::dissemination::UpdateAge;
 use crate::duties::usage::ReportingSchedule;
@@ -156,6 +157,8 @@
     pub call_admission: CallAdmission,
     /// Permits for sending requests to cold servers.
     pub permits: Permits,
+    /// Exchange of the demand for services with other daemons.
+    pub demand_exchange: DemandExchange,
     /// Quarantine of requests that crash servers.
     pub quarantine: Quarantine,
     /// Evacuated zones.
@@ -269,6 +272,7 @@
             slot_queue: SlotQueue::default(),
             call_admission: CallAdmission::default(),
             permits,
+            demand_exchange: DemandExchange::default(),
             quarantine: Quarantine::new(tuning.quarantine),
             evacuated: RefCell::default(),
             draining: Cell::new(false),
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`access`]: authentication of callers.
 //! - [`admission_settings`]: which calls have precedence under load.
 //! - [`events`]: parser for event streams.
+//! - [`demand_exchange`]: shares of services' capacities among daemons.
 //! - [`quarantine`]: quarantine of requests that crash servers.
 //! - [`batch`]: batch jobs.
 //! - [`versions`]: rollout of model versions.
@@ -37,6 +38,7 @@
 pub mod clock;
 pub mod compressed_update;
 pub mod configuration;
+pub mod demand_exchange;
 pub mod directory;
 pub mod dissemination;
 pub mod duties;
--- a/crates/heronbend/src/admission/mod.rs
+++ b/crates/heronbend/src/admission/mod.rs
@@ -5,17 +5,22 @@
 //! - [`fair_share`]: weighted shares of the tenants.
 //! - [`caller_age`]: how long callers have been trying.
 //! - [`return_schedule`]: when refused callers should come back.
+//! - [`shares`]: shares of a service's capacity among daemons, from what they tell each other.
 //! - `caller_limits`, `retry_budget`: limits on in-flight requests per caller, and on retries.
 
 pub mod adaptive_rate;
 pub mod call_queue;
 pub mod caller_age;
 mod caller_limits;
+mod fair_division;
 pub mod fair_share;
 #[cfg(test)]
 mod overload_tests;
 mod retry_budget;
 pub mod return_schedule;
+pub mod shares;
+#[cfg(test)]
+mod shares_tests;
 #[cfg(test)]
 mod tests;
 
