Calls are limited by shares where the settings ask for them; a server that another one replaced is not full

The joint of the queue with the exchange of demands: a daemon that is short, or hears of one that is, reports its demand five times a second and applies its share; the learned rate says when that begins and ends, and stands in without a share. Reports carry no tenants.

Found in review: 421, of a server whose address another one has, counted as full and could start a limit without load. A variant of its own; logs of item attempts say Misdirected where they said NotRun.

--- a/crates/heronbend-gateway/src/attempt.rs
+++ b/crates/heronbend-gateway/src/attempt.rs
@@ -75,6 +75,9 @@
 pub enum AttemptFailure {
     /// The server rejected the request without running it.
     NotRun,
+    /// Another server uses the address, or the server lacks the expected version; the request was
+    /// not run.
+    Misdirected,
     /// The connection failed and nothing was sent.
     NotSent,
     /// Nothing was sent, because the server is reserved for an isolated request.
@@ -142,11 +145,12 @@
         gateway.metrics.invalid_responses.inc();
         return Err(AttemptFailure::Unknown("foreign answer"));
     }
-    let is_rejected = exchange.status == StatusCode::MISDIRECTED_REQUEST
-        || exchange.headers.contains_key(&names.not_run);
-    if is_rejected {
+    let is_misdirected = exchange.status == StatusCode::MISDIRECTED_REQUEST;
+    if is_misdirected || exchange.headers.contains_key(&names.not_run) {
         gateway.server_connections.drain(exchange);
-        return Err(AttemptFailure::NotRun);
+        let failure =
+            if is_misdirected { AttemptFailure::Misdirected } else { AttemptFailure::NotRun };
+        return Err(failure);
     }
     let is_unsigned = !exchange.headers.contains_key(&names.signature);
     let is_encoded = exchange.headers.contains_key(http::header::CONTENT_ENCODING);
@@ -201,7 +205,7 @@
     pub fn fail(self, failure: &AttemptFailure) {
         let metrics = &self.gateway.metrics;
         let outcome = match failure {
-            AttemptFailure::NotRun => {
+            AttemptFailure::NotRun | AttemptFailure::Misdirected => {
                 metrics.rejected_attempts.inc();
                 AttemptOutcome::Rejected
             }
--- a/crates/heronbend-gateway/src/call_admission.rs
+++ b/crates/heronbend-gateway/src/call_admission/mod.rs
@@ -5,6 +5,8 @@
 //! [`AdmissionSettings`](crate::admission_settings::AdmissionSettings), and for services that have a
 //! slot for each daemon: there each daemon can have a call in flight.
 
+mod sharing;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -28,6 +30,7 @@
 use smol::channel::Receiver;
 use smol::channel::Sender;
 
+use self::sharing::DemandMeter;
 use crate::gateway::Gateway;
 use crate::slot_queue;
 use crate::wait;
@@ -77,6 +80,11 @@
     changed: Event,
     /// Whether calls to the service are limited, and until when that holds.
     enabled: Cell<(bool, Moment)>,
+    demand: RefCell<DemandMeter>,
+    /// Latency objective of the latest call.
+    objective: Cell<Duration>,
+    /// Whether the daemon takes part in sharing the capacity of the service.
+    is_sharing: Cell<bool>,
 }
 
 impl CallAdmission {
@@ -92,6 +100,9 @@
             is_polling: Cell::new(false),
             changed: Event::new(),
             enabled: Cell::new((false, Moment::ZERO)),
+            demand: RefCell::default(),
+            objective: Cell::default(),
+            is_sharing: Cell::new(false),
         });
         self.services.borrow_mut().insert(name.to_owned(), service.clone());
         service
@@ -212,7 +223,9 @@
             share(adjustment.usual_share),
             share(adjustment.mean_share)
         );
-        self.set_rate(gateway, adjustment.rate);
+        if !self.is_sharing.get() {
+            self.set_rate(gateway, adjustment.rate);
+        }
     }
 
     fn set_rate(&self, gateway: &Gateway, rate: Option<f64>) {
@@ -264,6 +277,9 @@
     let now = gateway.now();
     let call = describe(gateway, now, request);
     service.rate.borrow_mut().record_offered();
+    service.demand.borrow_mut().record(now, call.priority);
+    service.objective.set(call.objective);
+    sharing::start(gateway, &service);
     let decision = service.queue.borrow_mut().offer(now, call);
     let limited = LimitedCall { gateway: gateway.clone(), service, call };
     let admitted = match decision {
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -352,7 +352,10 @@
             }
             Ok(response) => Some(response),
             Err(
-                failure @ (AttemptFailure::NotRun | AttemptFailure::NotSent | AttemptFailure::Held),
+                failure @ (AttemptFailure::NotRun
+                | AttemptFailure::Misdirected
+                | AttemptFailure::NotSent
+                | AttemptFailure::Held),
             ) => {
                 self.attempts_used -= 1;
                 if matches!(failure, AttemptFailure::NotRun) {
@@ -490,7 +493,12 @@
         };
         match result {
             Ok(_) => billing.mark_started(started_at),
-            Err(AttemptFailure::NotRun | AttemptFailure::NotSent | AttemptFailure::Held) => {
+            Err(
+                AttemptFailure::NotRun
+                | AttemptFailure::Misdirected
+                | AttemptFailure::NotSent
+                | AttemptFailure::Held,
+            ) => {
                 billing.mark_not_run(started_at);
             }
             // Another attempt may succeed, which bills the request once.
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -508,7 +508,10 @@
     ) -> Result<(), StreamError> {
         guard.fail(&failure);
         match failure {
-            AttemptFailure::NotRun | AttemptFailure::NotSent | AttemptFailure::Held => {
+            AttemptFailure::NotRun
+            | AttemptFailure::Misdirected
+            | AttemptFailure::NotSent
+            | AttemptFailure::Held => {
                 self.attempts_used -= 1;
                 Ok(())
             }
