--- a/crates/heronbend-gateway/src/batch/reward.rs
+++ b/crates/heronbend-gateway/src/batch/reward.rs
@@ -16,6 +16,7 @@
 use crate::forward::{forward, ForwardError, RequestLimits};
 use crate::gateway::Gateway;
 use crate::http::client::FullResponse;
+use crate::memory::SMALL_RESERVATION_BYTES;
 use crate::region_policy;
 
 /// Maximum number of servers tried in one round.
@@ -46,6 +47,11 @@
             Timer::after(RETRY_DELAY).await;
             continue;
         };
+        // Without room for the answer the call would run in vain.
+        if gateway.response_memory.available() < SMALL_RESERVATION_BYTES {
+            Timer::after(RETRY_DELAY).await;
+            continue;
+        }
         let _permit = reward_limit::acquire(gateway, &service).await;
         let round_timeout = (limits.target_latency * ROUND_TARGET_MULTIPLE).max(MIN_ROUND_TIMEOUT);
         limits.deadline = gateway.now() + round_timeout;
--- a/crates/heronbend-gateway/src/call_admission/mod.rs
+++ b/crates/heronbend-gateway/src/call_admission/mod.rs
@@ -73,13 +73,17 @@
 struct ServiceQueue {
     name: String,
     queue: RefCell<CallQueue>,
+    /// Learned rate, which limits the queue.
     rate: RefCell<AdaptiveRate>,
+    /// Where the outcome of each waiting call is sent.
     waiting: RefCell<HashMap<CallKey, Sender<Outcome>>>,
+    /// Whether a task decides about the waiting calls.
     is_polling: Cell<bool>,
     /// Notified when the next call may be due earlier than before.
     changed: Event,
     /// Whether calls to the service are limited, and until when that holds.
     enabled: Cell<(bool, Moment)>,
+    /// Rate at which callers ask, told to other daemons if the capacity is shared.
     demand: RefCell<DemandMeter>,
     /// Latency objective of the latest call.
     objective: Cell<Duration>,
--- a/crates/heronbend-gateway/src/call_admission/sharing.rs
+++ b/crates/heronbend-gateway/src/call_admission/sharing.rs
@@ -76,7 +76,8 @@
             gateway.metrics.shares_used.inc();
         }
         let learned = service.rate.borrow().rate();
-        // A share of nothing, as just after the start, admits nobody.
+        // A share of nothing, as just after the start, would admit nobody; the learned rate stands
+        // in.
         service.set_rate(&gateway, share.filter(|rate| *rate > 0.0).or(learned));
         Timer::after(INTERVAL).await;
     }
--- a/crates/heronbend-gateway/src/http/client.rs
+++ b/crates/heronbend-gateway/src/http/client.rs
@@ -453,10 +453,10 @@
                 return Err(ExchangeError::TooLarge(max_bytes));
             }
             if length > body.capacity() {
-                let capacity = length.max(2 * body.capacity()).min(max_bytes);
-                if !reservation.resize(capacity) {
+                let wanted = (2 * body.capacity()).min(max_bytes);
+                let Some(capacity) = reservation.resize_buffer(length, wanted) else {
                     return Err(ExchangeError::OutOfMemory);
-                }
+                };
                 body.reserve(capacity - body.len());
             }
             body.extend_from_slice(&bytes);
--- a/crates/heronbend-gateway/src/memory.rs
+++ b/crates/heronbend-gateway/src/memory.rs
@@ -91,6 +91,14 @@
         self.bytes = bytes;
         true
     }
+
+    /// Changes the reservation to the capacity of a buffer that must hold `length` bytes and would
+    /// better have `wanted`. Returns the capacity; `None` if not even `length` bytes fit.
+    pub fn resize_buffer(&mut self, length: usize, wanted: usize) -> Option<usize> {
+        let is_small = length <= SMALL_RESERVATION_BYTES;
+        let wanted = if is_small { wanted.min(SMALL_RESERVATION_BYTES) } else { wanted };
+        [wanted.max(length), length].into_iter().find(|capacity| self.resize(*capacity))
+    }
 }
 
 impl Drop for Reservation {
--- a/crates/heronbend-gateway/src/slot_queue.rs
+++ b/crates/heronbend-gateway/src/slot_queue.rs
@@ -231,7 +231,7 @@
     }
 }
 
-/// Assigns all free slots, to the most urgent items first.
+/// Assigns all free slots, in the order of [`Placer::next_assignment`](heronbend::placement::Placer::next_assignment).
 fn assign_free_slots(gateway: &Rc<Gateway>) {
     let min_gain = gateway.migration_cost.borrow().min_gain();
     loop {
--- a/crates/heronbend-gateway/tests/memory_budget.rs
+++ b/crates/heronbend-gateway/tests/memory_budget.rs
@@ -75,3 +75,15 @@
     assert!(!other.grow(SMALL_RESERVATION_BYTES + 1));
     assert!(small.grow(SMALL_RESERVATION_BYTES));
 }
+
+#[test]
+fn a_buffer_that_cannot_double_gets_what_it_needs() {
+    let budget = MemoryBudget::with_small_share(LIMIT_BYTES, SMALL_SHARE_BYTES);
+    let mut reservation = budget.reserve();
+    // Doubling would leave the share that is kept for small answers.
+    assert_eq!(reservation.resize_buffer(40_000, 66_000), Some(SMALL_RESERVATION_BYTES));
+    let large = LIMIT_BYTES - SMALL_SHARE_BYTES - 1_000;
+    assert_eq!(reservation.resize_buffer(large, 2 * large), Some(large));
+    assert_eq!(reservation.resize_buffer(LIMIT_BYTES, LIMIT_BYTES), None);
+    assert_eq!(budget.reserved(), large);
+}
--- a/crates/heronbend/src/placement/decisions.rs
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -359,8 +359,10 @@
         available: Vec<ServerKey>,
         (work, behind): (Option<Work>, usize),
     ) -> Vec<ServerKey> {
-        let range = work.zip(self.pace_range(eligible));
-        let Some((work, range)) = range else {
+        let Some(work) = work else {
+            return available;
+        };
+        let Some(range) = self.pace_range(eligible) else {
             return available;
         };
         let candidate = |key: &ServerKey| Candidate {
@@ -375,8 +377,11 @@
     /// Whether items with these requirements are placed by slack: it is enabled, and there are fast
     /// and slow servers for them.
     pub fn uses_slack(&mut self, now: Moment, requirements: &Requirements) -> bool {
+        if !self.schedules_by_slack {
+            return false;
+        }
         let (eligible, _) = self.cached_eligible(now, requirements);
-        self.schedules_by_slack && self.pace_range(&eligible).is_some()
+        self.pace_range(&eligible).is_some()
     }
 
     /// Range of the known paces, or `None` if there are no classes of fast and slow servers.
