Streams wait for memory; a default for unread answers; a checked memory limit

Cause: a stream was broken off when answers of others filled the budget for a moment. Without [limits] unread_timeout_ms a client that read nothing held its answer for ever. A memory_limit_mb without room for a page of results was accepted. The reservation of an answer was released by a flush in the middle of its body, or by the start of the next one.

Change: events without room wait for it until the deadline of the call, while the server is not read; 504 before the first event, else the stream ends (event=stream_waits_for_memory, once a stream). The default time for unread answers is the longest timeout of any route in force, at least 30 s; a client that reads slowly but reads is not cut. memory_limit_mb under 9 is a finding. Reservations stay until a flush after the whole body was passed on.

Weighed: a reserved share of 64 KiB for each stream (62 streams at 16 MB); a warning at the start in place of a default (holds without an end).

--- a/crates/heronbend-gateway/src/batch/result_log.rs
+++ b/crates/heronbend-gateway/src/batch/result_log.rs
@@ -61,7 +61,7 @@
 /// Maximum size of a chunk in bytes, below the object size limit.
 const MAX_CHUNK_BYTES: usize = 480 * 1024;
 /// Maximum size of a page in bytes.
-const MAX_PAGE_BYTES: usize = 900 * 1024;
+pub const MAX_PAGE_BYTES: usize = 900 * 1024;
 /// Estimated size of a result without its text, in bytes.
 const RESULT_OVERHEAD: usize = 256;
 
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -64,6 +64,14 @@
 /// Fraction of the memory for responses, as a divisor, that large responses leave to small ones.
 const SMALL_RESPONSE_DIVISOR: usize = 8;
 
+/// Creates the memory budget for responses of at most `max_bytes` together.
+pub fn response_budget(max_bytes: usize) -> Rc<MemoryBudget> {
+    MemoryBudget::with_small_share(max_bytes, max_bytes / SMALL_RESPONSE_DIVISOR)
+}
+
+/// Shortest default for the time for which a client may leave a response unread.
+const MIN_DEFAULT_UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Identity of a daemon.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -86,8 +94,8 @@
     pub max_buffered_bytes: usize,
     /// Maximum total size of buffered responses to clients, in bytes.
     pub max_response_bytes: usize,
-    /// Longest time without progress for which a client may leave a response unread; `None` if
-    /// unlimited.
+    /// Longest time without progress for which a client may leave a response unread; `None` for
+    /// the default, see [`Gateway::unread_timeout`].
     pub unread_timeout: Option<Duration>,
     /// Maximum size of an object in the store, in bytes.
     pub max_object_bytes: usize,
@@ -299,10 +307,7 @@
             newest_peer_configuration: Cell::new(0),
             restart_watches: Event::new(),
             memory: MemoryBudget::new(tuning.max_buffered_bytes),
-            response_memory: MemoryBudget::with_small_share(
-                tuning.max_response_bytes,
-                tuning.max_response_bytes / SMALL_RESPONSE_DIVISOR,
-            ),
+            response_memory: response_budget(tuning.max_response_bytes),
             retries: RefCell::default(),
             metrics,
             resumed: Event::new(),
@@ -372,6 +377,19 @@
         limit.is_some_and(|limit| self.configuration_age() > limit)
     }
 
+    /// Longest time without progress for which a client may leave a response unread.
+    ///
+    /// The default is no shorter than any deadline: a client that has read nothing for as long is
+    /// past the deadline of its request.
+    pub fn unread_timeout(&self) -> Duration {
+        self.tuning().unread_timeout.unwrap_or_else(|| {
+            let longest = self.configuration().and_then(|configuration| {
+                configuration.routes.iter().map(|route| route.timeout).max()
+            });
+            longest.unwrap_or_default().max(MIN_DEFAULT_UNREAD_TIMEOUT)
+        })
+    }
+
     /// Whether this daemon can serve requests.
     pub fn is_ready(&self) -> bool {
         !self.draining.get()
--- a/crates/heronbend-gateway/src/http/server.rs
+++ b/crates/heronbend-gateway/src/http/server.rs
@@ -24,6 +24,7 @@
 use super::socket::ClientSocket;
 use super::socket::ResponseProgress;
 use super::socket::SlowReader;
+use super::socket::UnreadTimeout;
 use super::HttpResponse;
 use super::RequestId;
 use crate::memory::Reservation;
@@ -44,7 +45,7 @@
 /// Limit on the time for which clients may leave a response unread.
 struct UnreadLimit {
     /// Longest time without progress.
-    timeout: Duration,
+    timeout: UnreadTimeout,
     /// Called for each client whose connection was closed.
     on_cut: Box<dyn Fn(SlowReader)>,
 }
@@ -71,9 +72,13 @@
         *self.limits.borrow_mut() = Some(limits);
     }
 
-    /// Closes new connections whose client accepts no byte of a response for `timeout`, and calls
-    /// `on_cut` for each.
-    pub fn set_unread_timeout(&self, timeout: Duration, on_cut: impl Fn(SlowReader) + 'static) {
+    /// Closes new connections whose client accepts no byte of a response for the time that
+    /// `timeout` returns when the client stops reading, and calls `on_cut` for each.
+    pub fn set_unread_timeout(
+        &self,
+        timeout: UnreadTimeout,
+        on_cut: impl Fn(SlowReader) + 'static,
+    ) {
         *self.unread.borrow_mut() = Some(UnreadLimit { timeout, on_cut: Box::new(on_cut) });
     }
 
@@ -163,7 +168,7 @@
                 Ok::<_, Infallible>(response)
             }
         });
-        let unread_timeout = self.unread.borrow().as_ref().map(|limit| limit.timeout);
+        let unread_timeout = self.unread.borrow().as_ref().map(|limit| limit.timeout.clone());
         let socket = ClientSocket::new(socket, progress.clone(), unread_timeout);
         let connection = builder.serve_connection(socket, service);
         futures_lite::pin!(connection);
--- a/crates/heronbend-gateway/src/http/socket.rs
+++ b/crates/heronbend-gateway/src/http/socket.rs
@@ -37,7 +37,8 @@
 pub struct ResponseProgress {
     id: RefCell<String>,
     sent_bytes: Cell<u64>,
-    reservation: RefCell<Option<Rc<Reservation>>>,
+    /// Reservations of responses that may be in the write buffer.
+    reservations: RefCell<Vec<Rc<Reservation>>>,
     slow_reader: RefCell<Option<SlowReader>>,
 }
 
@@ -46,7 +47,13 @@
     pub fn start(&self, id: String, reservation: Option<Rc<Reservation>>) {
         self.id.replace(id);
         self.sent_bytes.set(0);
-        self.reservation.replace(reservation);
+        self.reservations.borrow_mut().extend(reservation);
+    }
+
+    /// Records that the write buffer is empty. A response whose body still holds its reservation
+    /// has not been passed to the write buffer as a whole.
+    pub fn note_flushed(&self) {
+        self.reservations.borrow_mut().retain(|reservation| Rc::strong_count(reservation) > 1);
     }
 
     /// The slow reader because of which the connection was closed, if any.
@@ -55,6 +62,9 @@
     }
 }
 
+/// Returns the longest time without progress of a write that stalls now.
+pub type UnreadTimeout = Rc<dyn Fn() -> Duration>;
+
 /// A write that waits for the client to read.
 struct Stall {
     since: Moment,
@@ -66,7 +76,7 @@
 pub struct ClientSocket {
     io: FuturesIo<TcpStream>,
     progress: Rc<ResponseProgress>,
-    unread_timeout: Option<Duration>,
+    unread_timeout: Option<UnreadTimeout>,
     stall: Option<Stall>,
 }
 
@@ -75,19 +85,19 @@
     pub fn new(
         socket: TcpStream,
         progress: Rc<ResponseProgress>,
-        unread_timeout: Option<Duration>,
+        unread_timeout: Option<UnreadTimeout>,
     ) -> Self {
         Self { io: FuturesIo::new(socket), progress, unread_timeout, stall: None }
     }
 
     /// Waits until the stalled write has made no progress for the longest time allowed.
     fn poll_stall(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
-        let Some(unread_timeout) = self.unread_timeout else {
+        let Some(unread_timeout) = &self.unread_timeout else {
             return Poll::Pending;
         };
         let stall = self.stall.get_or_insert_with(|| Stall {
             since: since_boot(),
-            timeout: Timer::after(unread_timeout),
+            timeout: Timer::after(unread_timeout()),
         });
         if Pin::new(&mut stall.timeout).poll(context).is_pending() {
             return Poll::Pending;
@@ -129,7 +139,7 @@
 
     /// Called once the write buffer of the connection is empty.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.progress.reservation.take();
+        self.progress.note_flushed();
         Pin::new(&mut self.io).poll_flush(context)
     }
 
--- a/crates/heronbend-gateway/src/memory.rs
+++ b/crates/heronbend-gateway/src/memory.rs
@@ -1,11 +1,13 @@
 //! Memory budgets for what the daemon holds on behalf of clients and servers.
 //!
 //! Client request bodies and buffered answers have a budget each. What does not fit is refused at
-//! once.
+//! once, except for parts of a stream that has started, which wait for room.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
+use event_listener::Event;
+
 /// Largest reservation that may use the share for small reservations.
 pub const SMALL_RESERVATION_BYTES: usize = 64 * 1024;
 
@@ -16,6 +18,8 @@
     /// Part of the limit that only small reservations may use.
     small_share: usize,
     reserved: Cell<usize>,
+    /// Notified when reserved bytes are released.
+    released: Event,
 }
 
 /// Reserved bytes, which are released on drop.
@@ -34,7 +38,7 @@
     /// Creates a budget of `limit` bytes, `small_share` of which are only available to reservations
     /// of at most [`SMALL_RESERVATION_BYTES`].
     pub fn with_small_share(limit: usize, small_share: usize) -> Rc<Self> {
-        Rc::new(Self { limit, small_share, reserved: Cell::new(0) })
+        Rc::new(Self { limit, small_share, reserved: Cell::new(0), released: Event::new() })
     }
 
     /// Number of bytes reserved.
@@ -64,6 +68,13 @@
         self.available().saturating_sub(kept)
     }
 
+    fn release(&self, bytes: usize) {
+        if bytes > 0 {
+            self.reserved.set(self.reserved.get() - bytes);
+            self.released.notify(usize::MAX);
+        }
+    }
+
     /// Creates an empty reservation.
     pub fn reserve(self: &Rc<Self>) -> Reservation {
         Reservation { budget: self.clone(), bytes: 0 }
@@ -86,12 +97,23 @@
         if bytes > self.bytes {
             return self.grow(bytes - self.bytes);
         }
-        let released = self.bytes - bytes;
-        self.budget.reserved.set(self.budget.reserved.get() - released);
+        self.budget.release(self.bytes - bytes);
         self.bytes = bytes;
         true
     }
 
+    /// Changes the reservation to `bytes` once they fit. Waits forever if they exceed
+    /// [`MemoryBudget::max_reservation`].
+    pub async fn resize_when_released(&mut self, bytes: usize) {
+        loop {
+            let released = self.budget.released.listen();
+            if self.resize(bytes) {
+                return;
+            }
+            released.await;
+        }
+    }
+
     /// Changes the reservation to the capacity of a buffer that must hold `length` bytes and would
     /// better have `wanted`. Returns the capacity; `None` if not even `length` bytes fit.
     pub fn resize_buffer(&mut self, length: usize, wanted: usize) -> Option<usize> {
@@ -103,6 +125,6 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.budget.reserved.set(self.budget.reserved.get() - self.bytes);
+        self.budget.release(self.bytes);
     }
 }
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -180,18 +180,17 @@
     let socket = TcpListener::bind(address).map_err(failed)?;
     let socket = smol::Async::new(socket).map_err(failed)?;
     let listener = Listener::new();
-    if let Some(timeout) = gateway.tuning().unread_timeout {
-        let metrics = gateway.metrics.clone();
-        listener.set_unread_timeout(timeout, move |reader| {
-            metrics.slow_readers_cut.inc();
-            log::warn!(
-                "event=slow_reader_cut id={} purpose=\"{purpose}\" bytes={} idle_ms={}",
-                reader.id,
-                reader.sent_bytes,
-                reader.idle.as_millis()
-            );
-        });
-    }
+    let (metrics, limited) = (gateway.metrics.clone(), gateway.clone());
+    let timeout = Rc::new(move || limited.unread_timeout());
+    listener.set_unread_timeout(timeout, move |reader| {
+        metrics.slow_readers_cut.inc();
+        log::warn!(
+            "event=slow_reader_cut id={} purpose=\"{purpose}\" bytes={} idle_ms={}",
+            reader.id,
+            reader.sent_bytes,
+            reader.idle.as_millis()
+        );
+    });
     let serving = listener.clone().serve(gateway.executor.clone(), socket.into(), handler);
     gateway.executor.spawn(serving).detach();
     Ok(listener)
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -12,7 +12,9 @@
 
 use crate::admission_settings::AdmissionSettings;
 use crate::admission_settings::LimitSource;
+use crate::batch::result_log::MAX_PAGE_BYTES;
 use crate::duties::usage::ReportingSchedule;
+use crate::gateway::response_budget;
 use crate::gateway::{Identity, Tuning};
 use crate::permits::ColdStartMargin;
 use crate::service::Addresses;
@@ -28,6 +30,10 @@
 /// Fraction of the memory limit, as a divisor, available for buffered responses.
 const RESPONSE_MEMORY_DIVISOR: usize = 4;
 
+/// Memory that a response needs which the daemon must always be able to hold, in bytes: a page of
+/// results, which takes up to twice its size once encoded. Exceeds the largest event of a stream.
+const MIN_RESPONSE_BYTES: usize = 2 * MAX_PAGE_BYTES;
+
 /// A problem in a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finding {
@@ -86,8 +92,8 @@
     pub processor_share: f64,
     /// Memory limit of the process, in megabytes.
     pub memory_limit_mb: usize,
-    /// Longest time without progress for which a client may leave a response unread; `None` if
-    /// unlimited.
+    /// Longest time without progress for which a client may leave a response unread; `None` for
+    /// the default.
     pub unread_timeout: Option<Duration>,
     /// Maximum object size of the store, in bytes.
     pub max_object_bytes: usize,
@@ -504,6 +510,7 @@
         if settings.fail_closed && settings.revocation_notice.is_none() {
             reader.report("access.revocation_notice_ms", "is missing: access.fail_closed is set");
         }
+        settings.check_response_memory(&mut reader);
         reader.report_unknown(&table, "");
         if reader.findings.is_empty() {
             return Ok(settings);
@@ -512,6 +519,24 @@
         Err(Findings { file: file.to_owned(), node, findings: reader.findings })
     }
 
+    /// Reports a memory limit that leaves too little for responses.
+    fn check_response_memory(&self, reader: &mut TableReader<'_>) {
+        let field = "memory_limit_mb";
+        let is_reported = reader.findings.iter().any(|finding| finding.field == field);
+        let largest = response_budget(self.max_response_bytes()).max_reservation();
+        if largest < MIN_RESPONSE_BYTES && !is_reported {
+            let problem = format!(
+                "leaves {largest} bytes for an answer; a page of results needs {MIN_RESPONSE_BYTES}"
+            );
+            reader.report(field, problem);
+        }
+    }
+
+    /// Maximum total size of buffered responses, in bytes.
+    fn max_response_bytes(&self) -> usize {
+        self.memory_limit_mb * BYTES_PER_MEGABYTE / RESPONSE_MEMORY_DIVISOR
+    }
+
     /// Identity of the daemon, with a new incarnation.
     pub fn identity(&self) -> Identity {
         Identity {
@@ -541,7 +566,7 @@
     pub fn tuning(&self) -> Tuning {
         Tuning {
             max_buffered_bytes: self.memory_limit_mb * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR,
-            max_response_bytes: self.memory_limit_mb * BYTES_PER_MEGABYTE / RESPONSE_MEMORY_DIVISOR,
+            max_response_bytes: self.max_response_bytes(),
             unread_timeout: self.unread_timeout,
             lease_pause: self.lease_pause,
             result_retention: self.result_retention,
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -134,6 +134,8 @@
     waiting_since: Option<Moment>,
     /// Accounts for the events that were read last and the partial event after them.
     reservation: Reservation,
+    /// Whether events have had to wait for memory.
+    has_waited_for_memory: bool,
 }
 
 /// Opens a stream and returns once the first events have arrived.
@@ -172,6 +174,7 @@
         response_head: None,
         waiting_since: None,
         reservation: gateway.response_memory.reserve(),
+        has_waited_for_memory: false,
     };
     let first = match relay.next().await {
         Ok(first) => first,
@@ -212,11 +215,13 @@
                 None => self.start().await?,
             };
             match self.read(&mut current).await {
-                ReadOutcome::Events(events) if !self.reserve(&current, &events) => {
+                ReadOutcome::Events(events) if !self.reserve(&current, &events).await => {
                     current.guard.fail(&AttemptFailure::ResponseRefused);
                     attempt::log_refused_response(&self.gateway, &self.outgoing.id, &NO_MEMORY);
                     self.log_stream_end(NO_MEMORY);
-                    return Err(StreamError::Failed(ForwardError::Unknown));
+                    let deadline_passed = self.gateway.now() >= self.limits.deadline;
+                    let error = self.final_error(deadline_passed, ATTEMPTS_EXHAUSTED);
+                    return Err(StreamError::Failed(error));
                 }
                 ReadOutcome::Events(events) => match self.accept_events(&mut current, events) {
                     Ok(bytes) if bytes.is_empty() => self.current = Some(current),
@@ -267,10 +272,42 @@
         }
     }
 
-    /// Accounts for the memory of events that were read; returns `false` if there is none.
-    fn reserve(&mut self, current: &ServerStream, events: &[Event]) -> bool {
+    /// Accounts for the memory of events that were read. Waits for it until the deadline, without
+    /// reading on; returns `false` if there is none by then, or there can't be.
+    async fn reserve(&mut self, current: &ServerStream, events: &[Event]) -> bool {
         let bytes: usize = events.iter().map(|event| event.raw.len()).sum();
-        self.reservation.resize(bytes + current.parser.buffered_bytes())
+        let bytes = bytes + current.parser.buffered_bytes();
+        if self.reservation.resize(bytes) {
+            return true;
+        }
+        let gateway = self.gateway.clone();
+        if bytes > gateway.response_memory.max_reservation() {
+            return false;
+        }
+        self.log_memory_wait(bytes);
+        let deadline = self.limits.deadline;
+        let reserved = async {
+            self.reservation.resize_when_released(bytes).await;
+            true
+        };
+        let late = async {
+            wait::until(&gateway, deadline).await;
+            false
+        };
+        reserved.or(late).await
+    }
+
+    /// Logs the first wait for memory of the stream.
+    fn log_memory_wait(&mut self, bytes: usize) {
+        if std::mem::replace(&mut self.has_waited_for_memory, true) {
+            return;
+        }
+        log::info!(
+            "event=stream_waits_for_memory id={} bytes={bytes} held_bytes={} limit_bytes={}",
+            self.outgoing.id,
+            self.gateway.response_memory.reserved(),
+            self.gateway.response_memory.limit()
+        );
     }
 
     /// Checks the event numbers and returns the bytes to send to the client. If any event is out of
--- a/crates/heronbend-gateway/tests/memory_budget.rs
+++ b/crates/heronbend-gateway/tests/memory_budget.rs
@@ -1,5 +1,12 @@
 //! Random histories of reservations of a memory budget.
 
+use std::future::Future;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Waker;
+
+use heronbend_gateway::http::socket::ResponseProgress;
+use heronbend_gateway::http::ResponseBody;
 use heronbend_gateway::memory::MemoryBudget;
 use heronbend_gateway::memory::Reservation;
 use heronbend_gateway::memory::SMALL_RESERVATION_BYTES;
@@ -87,3 +94,47 @@
     assert_eq!(reservation.resize_buffer(LIMIT_BYTES, LIMIT_BYTES), None);
     assert_eq!(budget.reserved(), large);
 }
+
+#[test]
+fn a_waiting_reservation_grows_once_memory_is_released() {
+    let budget = MemoryBudget::with_small_share(LIMIT_BYTES, SMALL_SHARE_BYTES);
+    let (mut held, mut waiting) = (budget.reserve(), budget.reserve());
+    assert!(held.grow(budget.max_reservation()));
+    let mut resized = Box::pin(waiting.resize_when_released(2 * SMALL_RESERVATION_BYTES));
+    let mut context = Context::from_waker(Waker::noop());
+    assert!(resized.as_mut().poll(&mut context).is_pending());
+    assert!(held.resize(budget.max_reservation() - SMALL_RESERVATION_BYTES));
+    assert!(resized.as_mut().poll(&mut context).is_pending(), "half of the bytes are free");
+    drop(held);
+    assert!(resized.as_mut().poll(&mut context).is_ready());
+    drop(resized);
+    assert_eq!(budget.reserved(), 2 * SMALL_RESERVATION_BYTES);
+    drop(waiting);
+    assert_eq!(budget.reserved(), 0);
+}
+
+/// The connection flushes whenever its write buffer is empty, also in the middle of a response.
+#[test]
+fn a_response_stays_reserved_until_a_flush_after_its_end() {
+    let budget = MemoryBudget::new(LIMIT_BYTES);
+    let progress = ResponseProgress::default();
+    let respond = |bytes: usize| {
+        let mut reservation = budget.reserve();
+        assert!(reservation.grow(bytes));
+        let body = ResponseBody::reserved(vec![0; bytes].into(), Some(Rc::new(reservation)));
+        progress.start(String::new(), body.reservation());
+        body
+    };
+    let body = respond(3_000);
+    progress.note_flushed();
+    drop(body);
+    assert_eq!(budget.reserved(), 3_000, "its end is in the write buffer");
+    // The next response may start before the former one is flushed.
+    let next = respond(500);
+    assert_eq!(budget.reserved(), 3_500);
+    progress.note_flushed();
+    assert_eq!(budget.reserved(), 500);
+    drop(next);
+    progress.note_flushed();
+    assert_eq!(budget.reserved(), 0);
+}
--- a/crates/heronbend-gateway/tests/routing.rs
+++ b/crates/heronbend-gateway/tests/routing.rs
@@ -4,11 +4,14 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use heronbend_gateway::configuration::{ClientLimits, Configuration, Destination, Route};
 use heronbend_gateway::headers;
 use heronbend_gateway::traffic_split::TrafficSplitter;
 use http::HeaderMap;
+use smol::LocalExecutor;
+use support::memory_store::MemoryStore;
 use support::route;
 
 fn configuration(routes: Vec<Route>) -> Configuration {
@@ -77,3 +80,15 @@
     assert_eq!(forwarded.len(), 2);
     assert_eq!(forwarded.get_all("accept").iter().count(), 2);
 }
+
+#[test]
+fn clients_may_leave_a_response_unread_for_as_long_as_any_deadline() {
+    let executor = Rc::new(LocalExecutor::new());
+    let gateway = support::gateway("a", &Rc::new(MemoryStore::default()), &executor);
+    let default = gateway.unread_timeout();
+    assert!(default >= Duration::from_secs(10), "{default:?} without a configuration");
+    let (mut long, short) = (route("long", "a.example", "/"), route("short", "a.example", "/x/"));
+    long.timeout = Duration::from_secs(90);
+    *gateway.configuration.borrow_mut() = Some(Rc::new(configuration(vec![long, short])));
+    assert_eq!(gateway.unread_timeout(), Duration::from_secs(90));
+}
--- a/crates/heronbend-gateway/tests/settings.rs
+++ b/crates/heronbend-gateway/tests/settings.rs
@@ -185,3 +185,18 @@
         assert_eq!(findings[0].problem, problem);
     }
 }
+
+#[test]
+fn a_memory_limit_without_room_for_a_page_of_results_is_a_finding() {
+    let parse =
+        |limit: &str| Settings::parse("node.toml", &format!("memory_limit_mb = {limit}\n{VALID}"));
+    let findings = parse("8").unwrap_err();
+    assert_eq!(
+        findings.to_string(),
+        "node.toml: front-1: memory_limit_mb: leaves 1750000 bytes for an answer; \
+         a page of results needs 1843200"
+    );
+    assert!(parse("9").is_ok());
+    // A limit that is invalid by itself is reported once.
+    assert_eq!(parse("-1").unwrap_err().findings.len(), 1);
+}
