Draining daemons announce it and leave the takeover order of the lease

Cause: draining daemons kept their places among the three candidates for the lease of orders, and a draining daemon follows no holder. If the holder was lost while all three drained, nobody gave orders until one left (up to stop_limit_s). A draining daemon could follow an unknown holder.

Change: a member's gossip carries is_draining, which stays set for a run of a daemon, also against a suspicion from a daemon that doesn't know of it. TakeoverOrder (no I/O) leaves draining daemons out; the next in line become candidates, and count idle time from their own list as after a loss. A draining daemon follows nobody, an unknown holder neither; the holder continues until it leaves.

Weighed: letting any daemon become a candidate after some time without a renewal: in an idle fleet nobody renews, so that in the end each daemon would watch versions. A hint in place of gossip: lost datagrams, and newcomers don't hear it. Builds before this one ignore the field: beside them a holder may not tell a new candidate of commands, which then takes the lease after 5 to 7.5 s of draining at the earliest, as in any other change of candidates that is not known yet.

--- a/crates/heronbend-daemon/src/shared.rs
+++ b/crates/heronbend-daemon/src/shared.rs
@@ -58,6 +58,7 @@
             processor_millis: 0,
             refutation: 0,
             liveness: Liveness::Alive,
+            is_draining: false,
         }
     }
 }
--- a/crates/heronbend-daemon/src/tasks/backends.rs
+++ b/crates/heronbend-daemon/src/tasks/backends.rs
@@ -278,6 +278,7 @@
         processor_millis: 0,
         refutation: 0,
         liveness: Liveness::Alive,
+        is_draining: false,
     };
     let _ = shared.membership.sender.try_send(MembershipInput::Merge(member));
 }
--- a/crates/heronbend-emulator/src/hollow.rs
+++ b/crates/heronbend-emulator/src/hollow.rs
@@ -243,6 +243,7 @@
         processor_millis: 0,
         refutation: 0,
         liveness: Liveness::Alive,
+        is_draining: false,
     }
 }
 
--- a/crates/heronbend-gateway/src/peers/membership.rs
+++ b/crates/heronbend-gateway/src/peers/membership.rs
@@ -121,6 +121,7 @@
             Event::Command(Command::Merge(members)) => {
                 members.into_iter().flat_map(|member| detector.merge_member(now, member)).collect()
             }
+            Event::Command(Command::StartDraining) => detector.start_draining(),
             Event::Command(Command::Leave(done)) => {
                 let effects = detector.leave();
                 apply(&gateway, &socket, effects, &mut membership_log, &mut pending).await;
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -25,6 +25,7 @@
 use smol::channel::{bounded, Receiver, Sender};
 
 use crate::region_policy;
+use crate::versions::takeover::Successor;
 
 pub use messages::{Hint, PeerReply, PeerRequest};
 
@@ -43,6 +44,8 @@
     SendTo(Vec<NodeId>, Hint),
     /// Merge members that another daemon knows.
     Merge(Vec<Member>),
+    /// Announce that this daemon drains.
+    StartDraining,
     /// Announce that this daemon stops; the sender is dropped once that is sent.
     Leave(Sender<()>),
 }
@@ -132,6 +135,11 @@
         let _ = self.commands.send(Command::Merge(members)).await;
     }
 
+    /// Announces that this daemon drains.
+    pub fn start_draining(&self) {
+        self.enqueue(Command::StartDraining);
+    }
+
     /// Announces that this daemon stops; returns once that is sent.
     pub async fn leave(&self) {
         let (done, acknowledged) = bounded(1);
@@ -155,6 +163,17 @@
             .collect()
     }
 
+    /// The other daemons that are alive, as possible successors of a lease holder.
+    pub fn successors(&self) -> Vec<Successor> {
+        let members = self.members.borrow();
+        let alive = members.iter().filter(|member| member.liveness == Liveness::Alive);
+        let successor = |member: &Member| Successor {
+            node: member.id.clone(),
+            is_draining: member.is_draining,
+        };
+        alive.map(successor).collect()
+    }
+
     /// The zones of the other live daemons.
     pub fn zones(&self) -> BTreeSet<String> {
         let members = self.members.borrow();
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -210,6 +210,7 @@
         processor_millis: gateway.tuning().processor_millis,
         refutation: 0,
         liveness: Liveness::Alive,
+        is_draining: false,
     };
     let others = addresses.seeds.iter().copied().filter(|seed| *seed != address);
     *gateway.seeds.borrow_mut() = others.collect();
@@ -532,6 +533,7 @@
 async fn drain(gateway: &Rc<Gateway>, callers: &Rc<Listener>) {
     let started_at = gateway.now();
     gateway.draining.set(true);
+    gateway.members.start_draining();
     callers.start_draining();
     log::info!("event=draining exchanges={}", callers.exchanges());
     Timer::after(READINESS_DELAY).await;
--- a/crates/heronbend-gateway/src/versions/dispatcher.rs
+++ b/crates/heronbend-gateway/src/versions/dispatcher.rs
@@ -20,7 +20,7 @@
 use super::plan::{self, EngineState, Load, ModelState, Urgency};
 use super::takeover::Holder;
 use super::takeover::TakeoverView;
-use super::watch::{candidates, is_candidate, newest_job, takeover_position};
+use super::watch::{is_candidate, newest_job, takeover_order};
 use super::{EngineReport, SwapMode, VersionCommand};
 use crate::configuration::{Destination, RouteKind};
 use crate::directory::{Server, ServerState};
@@ -107,7 +107,7 @@
     let jobs = gateway.jobs.all();
     let active = jobs.iter().filter(|job| !job.ended.get());
     let mut recipients: BTreeSet<NodeId> = active.map(|job| job.owner()).collect();
-    recipients.extend(candidates(gateway));
+    recipients.extend(takeover_order(gateway).candidates().iter().cloned());
     recipients.remove(&gateway.identity.node);
     gateway.members.send_to(recipients.into_iter().collect(), hint);
 }
@@ -262,7 +262,7 @@
             is_draining: gateway.draining.get(),
             is_candidate: is_candidate(gateway),
             listed_at: gateway.versions.listed_at(),
-            ahead: takeover_position(gateway, holder.as_ref()),
+            ahead: takeover_order(gateway).position(&gateway.identity.node, holder.as_ref()),
             last_activity: self.last_activity(),
         };
         view.is_my_turn(gateway.now())
--- a/crates/heronbend-gateway/src/versions/takeover.rs
+++ b/crates/heronbend-gateway/src/versions/takeover.rs
@@ -4,16 +4,61 @@
 //! of accepted commands. What any other daemon knows of them may be out of date, so it cannot tell
 //! whether the holder is idle.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
+use heronbend::identity::NodeId;
+use heronbend::identity::NodeName;
 use heronbend::Moment;
 
+use crate::batch::ownership;
+use crate::lease_state::LeaseName;
+
 /// Number of daemons that are ready to take over the lease.
 pub const CANDIDATES: usize = 3;
 /// How long each daemon waits for the one ahead of it in the takeover order, if no command is
 /// accepted.
 pub const TAKEOVER_DELAY: Duration = Duration::from_millis(2500);
 
+/// A live daemon that may follow the lease's holder.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Successor {
+    /// The daemon.
+    pub node: NodeId,
+    /// Whether it is shutting down.
+    pub is_draining: bool,
+}
+
+/// The daemons that may take over, first in line first.
+///
+/// Draining daemons are left out. Each takes part for up to the limit of a shutdown, for which
+/// nobody would follow a lost holder if all candidates drained.
+#[derive(Debug, Clone)]
+pub struct TakeoverOrder(Vec<NodeId>);
+
+impl TakeoverOrder {
+    /// Creates the order of all live daemons.
+    pub fn new(live: impl IntoIterator<Item = Successor>) -> Self {
+        let eligible = live.into_iter().filter(|successor| !successor.is_draining);
+        let mut nodes: Vec<NodeId> = eligible.map(|successor| successor.node).collect();
+        nodes.sort_by_cached_key(|node| {
+            Reverse(ownership::rendezvous_weight(LeaseName::Orders.object_name(), node))
+        });
+        Self(nodes)
+    }
+
+    /// The daemons that are ready to take over.
+    pub fn candidates(&self) -> &[NodeId] {
+        &self.0[..self.0.len().min(CANDIDATES)]
+    }
+
+    /// Number of daemons ahead of `node`, not counting `holder`.
+    pub fn position(&self, node: &NodeId, holder: Option<&NodeName>) -> usize {
+        let ahead = self.0.iter().take_while(|other| *other != node);
+        ahead.filter(|other| Some(&other.name) != holder).count()
+    }
+}
+
 /// The lease's holder, as known to this daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Holder {
@@ -53,7 +98,7 @@
     pub fn is_my_turn(&self, now: Moment) -> bool {
         match self.holder {
             Holder::Local => return true,
-            Holder::Reachable | Holder::Lost if self.is_draining => return false,
+            _ if self.is_draining => return false,
             Holder::Unknown | Holder::Reachable | Holder::Lost => {}
         }
         let ahead = self.ahead + usize::from(self.holder == Holder::Reachable);
--- a/crates/heronbend-gateway/src/versions/watch.rs
+++ b/crates/heronbend-gateway/src/versions/watch.rs
@@ -1,25 +1,21 @@
 //! Watches published versions at the daemons that may take over the lease.
 
-use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use heronbend::identity::NodeId;
-use heronbend::identity::NodeName;
 use smol::Timer;
 
-use crate::batch::ownership;
 use crate::batch::registry::Job;
 use crate::gateway::Gateway;
-use crate::lease_state::LeaseName;
 use crate::ports::Object;
 use crate::reflector;
 use crate::reflector::ObjectHandler;
 use crate::reflector::Source;
 
-use super::takeover::CANDIDATES;
+use super::takeover::Successor;
+use super::takeover::TakeoverOrder;
 
 /// Maximum interval between checks whether this daemon is a candidate.
 const CHECK_PERIOD: Duration = Duration::from_millis(500);
@@ -103,25 +99,13 @@
     let local = &gateway.identity.node;
     let is_holder =
         gateway.versions.lease.last_holder().is_some_and(|(holder, _)| holder == local.name);
-    is_holder || takeover_position(gateway, None) < CANDIDATES
+    is_holder || takeover_order(gateway).candidates().contains(local)
 }
 
-/// The first daemons in the takeover order of the lease.
-pub(super) fn candidates(gateway: &Gateway) -> Vec<NodeId> {
-    let mut nodes = gateway.members.alive();
-    nodes.push(gateway.identity.node.clone());
-    nodes.sort_by_cached_key(|node| {
-        Reverse(ownership::rendezvous_weight(LeaseName::Orders.object_name(), node))
-    });
-    nodes.truncate(CANDIDATES);
-    nodes
-}
-
-/// Number of live daemons ahead of this one in the takeover order, not counting `holder`.
-pub(super) fn takeover_position(gateway: &Gateway, holder: Option<&NodeName>) -> usize {
-    let local = &gateway.identity.node;
-    let mut nodes: Vec<NodeId> = gateway.members.alive();
-    nodes.push(local.clone());
-    nodes.retain(|node| Some(&node.name) != holder);
-    ownership::takeover_position(LeaseName::Orders.object_name(), local, &nodes)
+/// The takeover order of the lease, as known to this daemon.
+pub(super) fn takeover_order(gateway: &Gateway) -> TakeoverOrder {
+    let mut live = gateway.members.successors();
+    let (node, is_draining) = (gateway.identity.node.clone(), gateway.draining.get());
+    live.push(Successor { node, is_draining });
+    TakeoverOrder::new(live)
 }
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -75,6 +75,7 @@
         processor_millis: 0,
         refutation: 0,
         liveness,
+        is_draining: false,
     }
 }
 
--- a/crates/heronbend/src/membership/detector.rs
+++ b/crates/heronbend/src/membership/detector.rs
@@ -199,6 +199,13 @@
         effects
     }
 
+    /// Announces that this daemon is about to shut down, and serves until it leaves.
+    pub fn start_draining(&mut self) -> Vec<Effect> {
+        self.local.is_draining = true;
+        self.gossip_queue.push(GossipUpdate::Member(self.local.clone()));
+        self.announce()
+    }
+
     /// Announces the shutdown of this daemon.
     pub fn leave(&mut self) -> Vec<Effect> {
         self.local.liveness = Liveness::Left;
@@ -324,7 +331,7 @@
     }
 
     /// Merges the state of a member. A wrong state of this daemon is refuted.
-    fn merge(&mut self, now: Moment, member: Member, effects: &mut Vec<Effect>) {
+    fn merge(&mut self, now: Moment, mut member: Member, effects: &mut Vec<Effect>) {
         if member.id.name == self.local.id.name {
             if self.refute(&member) {
                 effects.push(Effect::Refuted);
@@ -333,6 +340,8 @@
             return;
         }
         if let Some(known) = self.members.get(&member.id.name) {
+            // A suspicion may come from a daemon that does not know of the announcement.
+            member.is_draining |= known.member.is_draining && known.member.id == member.id;
             if !member.supersedes(&known.member) {
                 return;
             }
--- a/crates/heronbend/src/membership/messages.rs
+++ b/crates/heronbend/src/membership/messages.rs
@@ -46,12 +46,18 @@
     pub refutation: u32,
     /// Liveness.
     pub liveness: Liveness,
+    /// Whether the daemon has announced that it is about to shut down. It never takes this back.
+    #[serde(default)]
+    #[musli(default)]
+    pub is_draining: bool,
 }
 
 impl Member {
     /// Returns whether this state replaces `other`, a state of the daemon with the same name.
     pub fn supersedes(&self, other: &Self) -> bool {
-        let rank = |member: &Self| (member.id.incarnation, member.refutation, member.liveness);
+        let rank = |member: &Self| {
+            (member.id.incarnation, member.refutation, member.liveness, member.is_draining)
+        };
         rank(self) > rank(other)
     }
 }
--- a/crates/heronbend/src/membership/tests.rs
+++ b/crates/heronbend/src/membership/tests.rs
@@ -23,6 +23,7 @@
         processor_millis: 0,
         refutation: 0,
         liveness: Liveness::Alive,
+        is_draining: false,
     }
 }
 
@@ -186,6 +187,37 @@
     assert_eq!(network.dead_declarations, 0);
 }
 
+#[test]
+fn a_draining_daemon_is_known_to_drain_despite_an_uninformed_suspicion() {
+    let mut network = Network::new(8);
+    network.run(Duration::from_secs(15));
+    let effects = network.detectors[3].start_draining();
+    network.deliver(effects.into_iter().map(|effect| (3, effect)));
+    network.run(Duration::from_secs(10));
+    let is_draining = |network: &Network, observer: usize| {
+        let name = member(3, 1).id.name;
+        network.detectors[observer]
+            .members()
+            .any(|known| known.id.name == name && known.is_draining)
+    };
+    let others = || (0..8).filter(|observer| *observer != 3);
+    assert!(others().all(|observer| is_draining(&network, observer)));
+    let mut suspicion = network.detectors[3].local_member().clone();
+    suspicion.is_draining = false;
+    suspicion.liveness = Liveness::Suspect;
+    let effects = network.detectors[0].merge_member(network.now, suspicion);
+    assert!(is_draining(&network, 0));
+    network.deliver(effects.into_iter().map(|effect| (0, effect)));
+    network.run(Duration::from_secs(10));
+    for observer in others() {
+        assert_eq!(network.liveness(observer, 3), Some(Liveness::Alive), "at {observer}");
+        assert!(is_draining(&network, observer), "at {observer}");
+    }
+    // Its next run does not drain.
+    network.detectors[0].merge_member(network.now, member(3, 2));
+    assert!(!is_draining(&network, 0));
+}
+
 #[test]
 fn both_sides_of_a_healed_partition_rejoin() {
     let mut network = Network::new(12);
