--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -157,7 +157,8 @@
         }
     };
     let response = if route.kind == RouteKind::Rollout {
-        submit_job(gateway, id, &caller, &head, &bytes, arrived).await
+        let call = JobCall { id, route: &name, caller: &caller, arrived };
+        submit_job(gateway, call, &head, &bytes).await
     } else {
         let request = AcceptedRequest { head, body: bytes, reservation, caller, arrived };
         forward_request(gateway, id, request, &route, &configuration).await
@@ -314,11 +315,12 @@
         Err(error) => format!("{error:?}"),
     };
     log::info!(
-        "event=forwarded id={id} route={} tenant={} priority={priority} service={service} configuration={} outcome={outcome} waited_ms={} ms={millis}",
+        "event=forwarded id={id} route={} tenant={} priority={priority} service={service} configuration={} outcome={outcome} waited_ms={} ms={millis} objective_ms={}",
         route.name,
         tenant.as_deref().unwrap_or("none"),
         configuration.version,
-        waited.as_millis()
+        waited.as_millis(),
+        route.target_latency.as_millis()
     );
     match result {
         Ok(response) => server_response(response, route),
@@ -436,14 +438,21 @@
     )
 }
 
+/// A call that submits a batch job.
+struct JobCall<'a> {
+    id: &'a str,
+    route: &'a str,
+    caller: &'a Caller,
+    arrived: Moment,
+}
+
 async fn submit_job(
     gateway: &Rc<Gateway>,
-    id: &str,
-    caller: &Caller,
+    call: JobCall<'_>,
     head: &Parts,
     body: &[u8],
-    arrived: Moment,
 ) -> HttpResponse {
+    let JobCall { id, route, caller, arrived } = call;
     let mut specification = match gateway.dialect.job(id, body) {
         Ok(specification) => specification,
         Err(error) => {
@@ -458,7 +467,7 @@
     let (items, step) = (specification.items.len(), specification.step.clone());
     let submitted = submission::submit(gateway, specification, arrived + STORE_TIMEOUT).await;
     log::info!(
-        "event=job_handed_in job={id} tenant={} items={items} step={} outcome={submitted:?} ms={}",
+        "event=job_handed_in job={id} route={route} tenant={} items={items} step={} outcome={submitted:?} ms={}",
         caller.tenant().unwrap_or("none"),
         step.map_or_else(
             || "none".to_owned(),
--- a/crates/heronbend-gateway/src/load_summary.rs
+++ b/crates/heronbend-gateway/src/load_summary.rs
@@ -1,4 +1,5 @@
-//! Sums up from log lines whose calls and steps suffered from load, by route, tenant and model.
+//! Sums up from log lines whose calls and steps suffered from load, by route, tenant, trainer and
+//! model.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -30,7 +31,7 @@
     pub refused: u64,
     /// Calls that waited longer than 250 ms in a call queue.
     pub waited: u64,
-    /// Calls that timed out, or that came too late to be answered within their objective.
+    /// Calls that timed out, were answered after their objective, or came too late for it.
     pub late: u64,
 }
 
@@ -48,7 +49,7 @@
     }
 }
 
-/// Counts of the steps of one model's trainer.
+/// Counts of steps.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct StepCounts {
     /// Steps that were submitted.
@@ -63,6 +64,8 @@
 
 #[derive(Debug, PartialEq)]
 struct Submission {
+    /// Route of the submission, which tells the trainers of one model apart.
+    trainer: String,
     model: String,
     groups: u64,
 }
@@ -95,11 +98,13 @@
         if let Some(tenant) = key_value(line, "tenant") {
             tenant.clone_into(&mut call.tenant);
         }
-        let waited_ms = key_value(line, "waited_ms").and_then(|waited| waited.parse().ok());
-        call.has_waited |= waited_ms.is_some_and(|waited: f64| waited > LONG_WAIT_MS);
+        let millis = |key| key_value(line, key).and_then(|value| value.parse::<f64>().ok());
+        call.has_waited |= millis("waited_ms").is_some_and(|waited| waited > LONG_WAIT_MS);
         call.is_refused |= event == "call_refused";
         call.is_late |= key_value(line, "late") == Some("true");
         call.is_late |= key_value(line, "outcome") == Some("TimedOut");
+        let objective = millis("objective_ms");
+        call.is_late |= millis("ms").zip(objective).is_some_and(|(ms, objective)| ms > objective);
     }
 
     fn record_submission(&mut self, line: &str) {
@@ -107,7 +112,10 @@
             return;
         };
         let groups = key_value(line, "desired").and_then(|groups| groups.parse().ok());
-        let submission = Submission { model: model.to_owned(), groups: groups.unwrap_or(0) };
+        // Earlier builds don't log the route.
+        let trainer = key_value(line, "route").unwrap_or("unknown").to_owned();
+        let submission =
+            Submission { trainer, model: model.to_owned(), groups: groups.unwrap_or(0) };
         self.submissions.insert(job.to_owned(), submission);
     }
 
@@ -135,10 +143,25 @@
 
     /// Returns the counts of each model's steps; steps over `limit` seconds are late.
     pub fn by_model(&self, ended: &[Step], limit: f64) -> BTreeMap<&str, StepCounts> {
+        self.count_steps(ended, limit, |submission| &submission.model)
+    }
+
+    /// Returns the counts of each trainer's steps, by the route of their submission; steps over
+    /// `limit` seconds are late.
+    pub fn by_trainer(&self, ended: &[Step], limit: f64) -> BTreeMap<&str, StepCounts> {
+        self.count_steps(ended, limit, |submission| &submission.trainer)
+    }
+
+    fn count_steps<'a>(
+        &'a self,
+        ended: &[Step],
+        limit: f64,
+        label: fn(&'a Submission) -> &'a str,
+    ) -> BTreeMap<&'a str, StepCounts> {
         let totals: BTreeMap<_, _> = ended.iter().map(|step| (&step.job, step.total())).collect();
-        let mut models: BTreeMap<&str, StepCounts> = BTreeMap::new();
+        let mut labels: BTreeMap<&str, StepCounts> = BTreeMap::new();
         for (job, submission) in &self.submissions {
-            let counts = models.entry(&submission.model).or_default();
+            let counts = labels.entry(label(submission)).or_default();
             counts.steps += 1;
             counts.groups += submission.groups;
             match totals.get(job) {
@@ -146,10 +169,10 @@
                 None => counts.unfinished += 1,
             }
         }
-        models
+        labels
     }
 
-    /// Writes the counts of calls by route and tenant, and of steps by model.
+    /// Writes the counts of calls by route and tenant, and of steps by trainer and model.
     pub(crate) fn write(
         &self,
         f: &mut fmt::Formatter<'_>,
@@ -158,15 +181,24 @@
     ) -> fmt::Result {
         write_calls(f, "calls by route", &self.by_route())?;
         write_calls(f, "calls by tenant", &self.by_tenant())?;
-        writeln!(f, "steps by model:  steps     late unfinished   groups")?;
-        for (model, counts) in self.by_model(ended, limit) {
-            let StepCounts { steps, late, unfinished, groups } = counts;
-            writeln!(f, "  {steps:>20} {late:>8} {unfinished:>10} {groups:>8}  {model}")?;
-        }
-        Ok(())
+        write_steps(f, "steps by trainer", &self.by_trainer(ended, limit))?;
+        write_steps(f, "steps by model", &self.by_model(ended, limit))
     }
 }
 
+fn write_steps(
+    f: &mut fmt::Formatter<'_>,
+    title: &str,
+    rows: &BTreeMap<&str, StepCounts>,
+) -> fmt::Result {
+    writeln!(f, "{:17} steps     late unfinished   groups", format!("{title}:"))?;
+    for (label, counts) in rows {
+        let StepCounts { steps, late, unfinished, groups } = counts;
+        writeln!(f, "  {steps:>21} {late:>8} {unfinished:>10} {groups:>8}  {label}")?;
+    }
+    Ok(())
+}
+
 fn write_calls(
     f: &mut fmt::Formatter<'_>,
     title: &str,
--- a/crates/heronbend-gateway/tests/day.rs
+++ b/crates/heronbend-gateway/tests/day.rs
@@ -82,14 +82,15 @@
  2.0 a level=INFO event=call_queued id=c2 route=r tenant=small service=s position=3 waited_ms=251 outcome=admitted
  2.1 a level=INFO event=forwarded id=c2 route=r tenant=small service=s configuration=1 outcome=200 ms=271 priority=0 waited_ms=251
  2.2 a level=INFO event=forwarded id=c3 route=q tenant=none service=s configuration=1 outcome=TimedOut ms=900 priority=0 waited_ms=250
- 2.3 a level=INFO event=forwarded id=c4 route=q tenant=none service=s configuration=1 outcome=200 ms=9 priority=0 waited_ms=0";
+ 2.3 a level=INFO event=forwarded id=c4 route=q tenant=none service=s configuration=1 outcome=200 ms=9 priority=0 waited_ms=0 objective_ms=9
+ 2.4 a level=INFO event=forwarded id=c5 route=q tenant=none service=s configuration=1 outcome=200 ms=10 priority=0 waited_ms=0 objective_ms=9";
 
 #[test]
 fn calls_are_counted_by_route_and_tenant() {
     let load = FleetSummary::from_log(CALLS).load;
     let (r, q) = (
         CallCounts { asked: 2, refused: 1, waited: 1, late: 1 },
-        CallCounts { asked: 2, refused: 0, waited: 0, late: 1 },
+        CallCounts { asked: 3, refused: 0, waited: 0, late: 2 },
     );
     assert_eq!(load.by_route(), [("r", r), ("q", q)]);
     let big = CallCounts { asked: 1, refused: 1, waited: 0, late: 1 };
@@ -122,3 +123,20 @@
     let report = SummaryReport { summary: &summary, limit: 9.5 }.to_string();
     assert!(report.contains("steps by model"), "{report}");
 }
+
+#[test]
+fn steps_are_counted_by_trainer() {
+    let submit = |job: &str, route: &str| {
+        format!(" 40.0 a level=INFO event=job_handed_in job={job} {route}tenant=t items=2 step=6 model=n min_version=1 desired=8 outcome=Ok(()) ms=9\n")
+    };
+    let log = submit("j1", "route=long ")
+        + &submit("j2", "route=long ")
+        + &submit("j3", "route=short ")
+        + &submit("j4", "");
+    let summary = FleetSummary::from_log(&log);
+    let trainers = summary.load.by_trainer(&summary.steps, 9.5);
+    let steps: Vec<_> = trainers.iter().map(|(trainer, counts)| (*trainer, counts.steps)).collect();
+    assert_eq!(steps, [("long", 2), ("short", 1), ("unknown", 1)]);
+    let report = SummaryReport { summary: &summary, limit: 9.5 }.to_string();
+    assert!(report.contains("steps by trainer"), "{report}");
+}
