--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -180,18 +180,17 @@
     let socket = TcpListener::bind(address).map_err(failed)?;
     let socket = smol::Async::new(socket).map_err(failed)?;
     let listener = Listener::new();
-    if let Some(timeout) = gateway.tuning().unread_timeout {
-        let metrics = gateway.metrics.clone();
-        listener.set_unread_timeout(timeout, move |reader| {
-            metrics.slow_readers_cut.inc();
-            log::warn!(
-                "event=slow_reader_cut id={} purpose=\"{purpose}\" bytes={} idle_ms={}",
-                reader.id,
-                reader.sent_bytes,
-                reader.idle.as_millis()
-            );
-        });
-    }
+    let (metrics, limited) = (gateway.metrics.clone(), gateway.clone());
+    let timeout = Rc::new(move || limited.unread_timeout());
+    listener.set_unread_timeout(timeout, move |reader| {
+        metrics.slow_readers_cut.inc();
+        log::warn!(
+            "event=slow_reader_cut id={} purpose=\"{purpose}\" bytes={} idle_ms={}",
+            reader.id,
+            reader.sent_bytes,
+            reader.idle.as_millis()
+        );
+    });
     let serving = listener.clone().serve(gateway.executor.clone(), socket.into(), handler);
     gateway.executor.spawn(serving).detach();
     Ok(listener)
@@ -211,6 +210,7 @@
         processor_millis: gateway.tuning().processor_millis,
         refutation: 0,
         liveness: Liveness::Alive,
+        is_draining: false,
     };
     let others = addresses.seeds.iter().copied().filter(|seed| *seed != address);
     *gateway.seeds.borrow_mut() = others.collect();
@@ -533,6 +533,7 @@
 async fn drain(gateway: &Rc<Gateway>, callers: &Rc<Listener>) {
     let started_at = gateway.now();
     gateway.draining.set(true);
+    gateway.members.start_draining();
     callers.start_draining();
     log::info!("event=draining exchanges={}", callers.exchanges());
     Timer::after(READINESS_DELAY).await;
