Quarantine: other suspects are compared only when a culprit changes

- The table keeps its culprits (requests with endings enough).
An update of a request that is none compares this request alone, and nothing where there is no culprit; before, each update compared all suspects.
- `Refused` and `SendMode` are the library's; a daemon decides who grants a probe.
- The two handlers of dropped attempts are one, the two tests of orders of news share their history.
Assertions as before: the same seeds, numbers and properties.

--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -8,6 +8,7 @@
 use heronbend::access::Caller;
 use heronbend::placement::wait_policy::DEFAULT_RETRY_AFTER;
 use heronbend::placement::Rejection as Unplaced;
+use heronbend::quarantine::Refused;
 use heronbend::Moment;
 use http::request::Parts;
 use http::{Request, StatusCode};
@@ -32,7 +33,6 @@
 use crate::memory::Reservation;
 use crate::memory::SMALL_RESERVATION_BYTES;
 use crate::ports::Call;
-use crate::quarantine::Refused;
 use crate::region_policy;
 use crate::stream::{self, StreamResponse};
 
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -14,6 +14,7 @@
 use heronbend::placement::Rejection;
 use heronbend::placement::Requirements;
 use heronbend::placement::WaitState;
+use heronbend::quarantine::Refused;
 use heronbend::Moment;
 use http::{HeaderValue, StatusCode};
 use smol::channel::{bounded, Sender};
@@ -30,7 +31,6 @@
 use crate::quarantine::admitted_request;
 use crate::quarantine::crash_detection;
 use crate::quarantine::AdmittedRequest;
-use crate::quarantine::Refused;
 use crate::slot_queue;
 use crate::wait;
 
@@ -430,7 +430,13 @@
             guard.fail(&AttemptFailure::Held);
             return Err(AttemptFailure::Held);
         };
-        guard.on_drop(self.disconnect_handler());
+        let is_answered = self.is_answered.clone();
+        guard.on_drop(crash_detection::disconnect_handler(
+            gateway,
+            server,
+            self.outgoing.clone(),
+            move || is_answered.get(),
+        ));
         let started_at = gateway.now();
         if let Some(billing) = self.outgoing.billing.as_deref() {
             billing.mark_sent(started_at);
@@ -459,17 +465,6 @@
         attempt::read_response(&self.gateway, &self.outgoing.id, exchange.await?).await
     }
 
-    /// Returns the callback for an attempt that is dropped before it has finished.
-    fn disconnect_handler(&self) -> impl FnOnce() + 'static {
-        let (gateway, server) = (self.gateway.clone(), self.server.clone());
-        let (outgoing, is_answered) = (self.outgoing.clone(), self.is_answered.clone());
-        move || {
-            if !is_answered.get() {
-                crash_detection::note_caller_disconnect(&gateway, &server, &outgoing);
-            }
-        }
-    }
-
     fn record_outcome(&self, result: &Result<FullResponse, AttemptFailure>) {
         match result {
             Ok(response) => {
--- a/crates/heronbend-gateway/src/quarantine/admitted_request.rs
+++ b/crates/heronbend-gateway/src/quarantine/admitted_request.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 
 use heronbend::placement::AttemptHistory;
+use heronbend::quarantine::Refused;
+use heronbend::quarantine::SendMode;
 
 use super::isolation::Busy;
 use super::Isolation;
-use super::Refused;
-use super::SendMode;
 use crate::attempt::AttemptFailure;
 use crate::attempt::OutgoingRequest;
 use crate::directory::Server;
--- a/crates/heronbend-gateway/src/quarantine/crash_detection.rs
+++ b/crates/heronbend-gateway/src/quarantine/crash_detection.rs
@@ -6,6 +6,7 @@
 //! probes miss are detected later, by the removal of the server's registration or by a report from
 //! another daemon.
 
+use std::borrow::Borrow;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,15 +54,24 @@
     probe_server(gateway, server);
 }
 
-/// Records that the caller of a request disconnected while a server ran it. The connection to the
+/// Returns the handler for an attempt that is dropped before it ends. Unless the request
+/// `is_answered` by then, its caller disconnected while the server ran it. The connection to the
 /// server is closed, so a crash can only be detected in other ways.
-pub fn note_caller_disconnect(gateway: &Rc<Gateway>, server: &Server, outgoing: &OutgoingRequest) {
-    let request = outgoing.fingerprint(gateway.dialect.headers());
-    gateway.quarantine.table.borrow_mut().note_caller_disconnect(
-        gateway.now(),
-        request,
-        &server.id,
-    );
+pub fn disconnect_handler(
+    gateway: &Rc<Gateway>,
+    server: &Rc<Server>,
+    outgoing: impl Borrow<OutgoingRequest> + 'static,
+    is_answered: impl Fn() -> bool + 'static,
+) -> impl FnOnce() + 'static {
+    let (gateway, server) = (gateway.clone(), server.clone());
+    move || {
+        if is_answered() {
+            return;
+        }
+        let request = outgoing.borrow().fingerprint(gateway.dialect.headers());
+        let mut table = gateway.quarantine.table.borrow_mut();
+        table.note_caller_disconnect(gateway.now(), request, &server.id);
+    }
 }
 
 /// Probes a server to find out whether it is gone, unless probes are already in progress.
--- a/crates/heronbend-gateway/src/quarantine/mod.rs
+++ b/crates/heronbend-gateway/src/quarantine/mod.rs
@@ -26,6 +26,8 @@
 use heronbend::quarantine::Admission;
 use heronbend::quarantine::Fingerprint;
 use heronbend::quarantine::Limits;
+use heronbend::quarantine::Refused;
+use heronbend::quarantine::SendMode;
 use heronbend::quarantine::Table;
 use http::StatusCode;
 use smol::Timer;
@@ -75,41 +77,20 @@
     }
 }
 
-/// How a request may be sent to servers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SendMode {
-    /// Without restrictions.
-    Normal,
-    /// To one server at a time, isolated from other requests if possible.
-    Isolated,
-    /// Isolated, in a single attempt.
-    Probe,
-}
-
-/// A request that may not be sent to servers now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Refused {
-    /// Time after which the caller may retry.
-    pub retry_after: Duration,
-}
-
 /// Decides whether and how a request may be sent to servers. For a probe, waits until the store
 /// grants it.
 pub async fn admit(
     gateway: &Rc<Gateway>,
     request: impl Fn() -> Fingerprint,
 ) -> Result<SendMode, Refused> {
-    let refused = match admission(gateway, &request) {
-        Admission::Allowed => return Ok(SendMode::Normal),
-        Admission::Isolated => return Ok(SendMode::Isolated),
-        Admission::Probe => match record::grant_probe(gateway, request()).await {
-            Ok(()) => return Ok(SendMode::Probe),
-            Err(refused) => refused,
-        },
-        Admission::Refused { retry_after } => Refused { retry_after },
+    let admitted = match admission(gateway, &request).send_mode() {
+        Ok(SendMode::Probe) => record::grant_probe(gateway, request()).await,
+        admitted => admitted,
     };
-    gateway.metrics.quarantine_refusals.inc();
-    Err(refused)
+    if admitted.is_err() {
+        gateway.metrics.quarantine_refusals.inc();
+    }
+    admitted
 }
 
 /// Whether an admitted request may be sent to another server.
--- a/crates/heronbend-gateway/src/quarantine/record.rs
+++ b/crates/heronbend-gateway/src/quarantine/record.rs
@@ -13,6 +13,8 @@
 use heronbend::quarantine::Crash;
 use heronbend::quarantine::Fingerprint;
 use heronbend::quarantine::Record;
+use heronbend::quarantine::Refused;
+use heronbend::quarantine::SendMode;
 use rand::Rng;
 use serde::Deserialize;
 use serde::Serialize;
@@ -21,7 +23,6 @@
 
 use super::on_change;
 use super::Origin;
-use super::Refused;
 use crate::gateway::Gateway;
 use crate::ports::Condition;
 use crate::ports::Object;
@@ -165,7 +166,7 @@
 pub(super) async fn grant_probe(
     gateway: &Rc<Gateway>,
     request: Fingerprint,
-) -> Result<(), Refused> {
+) -> Result<SendMode, Refused> {
     let refused = Refused { retry_after: DENIED_RETRY_AFTER };
     let record = gateway.quarantine.table.borrow().record(request).ok_or(refused)?;
     let content = json!(RecordContent::new(gateway, request, record.probes + 1));
@@ -188,7 +189,7 @@
     match granted {
         Ok(object) => {
             apply_record(gateway, &object);
-            Ok(())
+            Ok(SendMode::Probe)
         }
         Err(StoreError::Conflict(Some(object))) => {
             apply_record(gateway, &object);
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -416,11 +416,12 @@
                 self.handle_failed_attempt(AttemptFailure::Held, guard)?;
                 continue;
             };
-            guard.on_drop({
-                let (gateway, server) = (self.gateway.clone(), server.clone());
-                let outgoing = self.outgoing.clone();
-                move || crash_detection::note_caller_disconnect(&gateway, &server, &outgoing)
-            });
+            guard.on_drop(crash_detection::disconnect_handler(
+                &self.gateway,
+                &server,
+                self.outgoing.clone(),
+                || false,
+            ));
             let sent = self.send(&server, version_status).await;
             self.admitted_request.note_attempt(sent.as_ref().err());
             match sent {
--- a/crates/heronbend-gateway/tests/quarantine.rs
+++ b/crates/heronbend-gateway/tests/quarantine.rs
@@ -9,7 +9,9 @@
 
 use heronbend::identity::Incarnation;
 use heronbend::quarantine::Crash;
+use heronbend::quarantine::Refused;
 use heronbend::quarantine::Report;
+use heronbend::quarantine::SendMode;
 use heronbend_gateway::attempt::OutgoingRequest;
 use heronbend_gateway::directory::Server;
 use heronbend_gateway::directory::ServerState;
@@ -18,8 +20,6 @@
 use heronbend_gateway::quarantine::crash_detection;
 use heronbend_gateway::quarantine::gossip;
 use heronbend_gateway::quarantine::record;
-use heronbend_gateway::quarantine::Refused;
-use heronbend_gateway::quarantine::SendMode;
 use http::Method;
 use http::StatusCode;
 use smol::Timer;
--- a/crates/heronbend/src/quarantine/mod.rs
+++ b/crates/heronbend/src/quarantine/mod.rs
@@ -114,6 +114,37 @@
     },
 }
 
+impl Admission {
+    /// Returns how the request may be sent. Who grants a [`SendMode::Probe`] is up to the caller:
+    /// the store for all daemons, or a daemon for itself.
+    pub fn send_mode(self) -> Result<SendMode, Refused> {
+        match self {
+            Self::Allowed => Ok(SendMode::Normal),
+            Self::Isolated => Ok(SendMode::Isolated),
+            Self::Probe => Ok(SendMode::Probe),
+            Self::Refused { retry_after } => Err(Refused { retry_after }),
+        }
+    }
+}
+
+/// How a request may be sent to servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendMode {
+    /// Without restrictions.
+    Normal,
+    /// To one server at a time, isolated from other requests if possible.
+    Isolated,
+    /// Isolated, in a single attempt.
+    Probe,
+}
+
+/// A request that may not be sent to servers now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refused {
+    /// Time after which the caller may retry.
+    pub retry_after: Duration,
+}
+
 /// The stored record of a quarantined request, which counts the probes of all daemons.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Record {
--- a/crates/heronbend/src/quarantine/suspect.rs
+++ b/crates/heronbend/src/quarantine/suspect.rs
@@ -69,9 +69,9 @@
     }
 
     /// Determines which of its crashes are explained by `culprits` with more crashes.
-    pub fn attribute_crashes(&mut self, culprits: &[Culprit]) {
+    pub fn attribute_crashes<'a>(&mut self, culprits: impl Iterator<Item = &'a Culprit> + Clone) {
         let count = self.crash_count();
-        let likelier = || culprits.iter().filter(|culprit| culprit.crashes.len() > count);
+        let likelier = || culprits.clone().filter(|culprit| culprit.crashes.len() > count);
         let is_explained =
             |server: &&String| likelier().any(|culprit| culprit.crashes.contains(*server));
         self.explained = self.counted_crashes().filter(is_explained).count();
@@ -80,7 +80,7 @@
                 && self.counted_crashes().all(|server| culprit.crashes.contains(server))
         };
         // `culprits` includes this request itself.
-        self.is_tied = count > 0 && culprits.iter().filter(has_same).count() > 1;
+        self.is_tied = count > 0 && culprits.clone().filter(has_same).count() > 1;
     }
 
     /// Returns the request as a culprit if its crashes reach the threshold.
--- a/crates/heronbend/src/quarantine/table.rs
+++ b/crates/heronbend/src/quarantine/table.rs
@@ -1,5 +1,6 @@
 //! One daemon's state of all suspect requests, and the decisions based on it.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use super::suspect::Culprit;
@@ -34,18 +35,23 @@
 pub struct Table {
     limits: Limits,
     suspects: HashMap<Fingerprint, Suspect>,
+    /// Requests whose crashes reach the threshold.
+    culprits: BTreeMap<Fingerprint, Culprit>,
+    /// Number of suspects compared with the culprits so far.
+    comparisons: u64,
 }
 
 impl Table {
     /// Creates an empty table.
     pub fn new(limits: Limits) -> Self {
-        Self { limits, suspects: HashMap::new() }
+        Self { limits, ..Self::default() }
     }
 
     /// Changes the limits and keeps all requests.
     pub fn set_limits(&mut self, limits: Limits) {
         self.limits = limits;
-        self.attribute_crashes();
+        let requests: Vec<Fingerprint> = self.suspects.keys().copied().collect();
+        self.attribute_crashes(&requests);
     }
 
     /// Whether the table has no requests, so that lookups may be skipped.
@@ -102,7 +108,8 @@
                 suspect.note_server_gone(now, server).then_some((*request, before))
             })
             .collect();
-        self.attribute_crashes();
+        let requests: Vec<Fingerprint> = affected.iter().map(|(request, _)| *request).collect();
+        self.attribute_crashes(&requests);
         affected
             .into_iter()
             .map(|(request, before)| (request, self.change(request, before)))
@@ -120,7 +127,7 @@
             self.evict();
             return Change::None;
         }
-        self.attribute_crashes();
+        self.attribute_crashes(&[request]);
         let change = self.change(request, before);
         self.evict();
         change
@@ -142,7 +149,7 @@
             self.suspects.remove(&request);
         }
         if had_crashes {
-            self.attribute_crashes();
+            self.attribute_crashes(&[request]);
         }
         had_crashes
     }
@@ -201,18 +208,47 @@
         let is_expired = |suspect: &Suspect| suspect.time_to_expiry(now, &limits).is_zero();
         self.suspects.retain(|_, suspect| !suspect.is_idle(now));
         self.suspects.retain(|_, suspect| !is_expired(suspect) || suspect.record().is_some());
-        self.attribute_crashes();
+        let removed = self.culprits.keys().filter(|request| !self.suspects.contains_key(*request));
+        let removed: Vec<Fingerprint> = removed.copied().collect();
+        self.attribute_crashes(&removed);
         let expired = self.suspects.iter().filter(|(_, suspect)| is_expired(suspect));
         expired.map(|(request, _)| *request).collect()
     }
 
-    /// Recomputes which crashes are explained. Depends only on the current state, not on the order
-    /// of updates.
-    fn attribute_crashes(&mut self) {
-        let limits = self.limits;
-        let culprits: Vec<Culprit> =
-            self.suspects.values().filter_map(|suspect| suspect.as_culprit(&limits)).collect();
-        self.suspects.values_mut().for_each(|suspect| suspect.attribute_crashes(&culprits));
+    /// Recomputes which crashes are explained after the crashes of some requests changed. Depends
+    /// only on the current state, not on the order of updates.
+    ///
+    /// The others are compared again only if a culprit is among the changed requests.
+    fn attribute_crashes(&mut self, changed: &[Fingerprint]) {
+        let mut has_changed_culprit = false;
+        for request in changed {
+            has_changed_culprit |= self.update_culprit(*request);
+        }
+        if has_changed_culprit {
+            let suspects = self.suspects.values_mut();
+            self.comparisons += compare(suspects, &self.culprits);
+        } else if !self.culprits.is_empty() {
+            for request in changed {
+                let suspect = self.suspects.get_mut(request);
+                self.comparisons += compare(suspect.into_iter(), &self.culprits);
+            }
+        }
+    }
+
+    /// Updates whether a request is a culprit. Returns whether that changed, or its crashes did.
+    fn update_culprit(&mut self, request: Fingerprint) -> bool {
+        let suspect = self.suspects.get(&request);
+        let culprit = suspect.and_then(|suspect| suspect.as_culprit(&self.limits));
+        let previous = match &culprit {
+            Some(culprit) => self.culprits.insert(request, culprit.clone()),
+            None => self.culprits.remove(&request),
+        };
+        previous != culprit
+    }
+
+    /// Number of suspects compared with the culprits so far, a measure of the work of updates.
+    pub fn comparisons(&self) -> u64 {
+        self.comparisons
     }
 
     /// The change of a request's status since `before`.
@@ -244,10 +280,20 @@
             unrecorded.min_by_key(|(_, suspect)| (suspect.crash_count(), suspect.updated_at()));
         if let Some(request) = evicted.map(|(request, _)| *request) {
             self.suspects.remove(&request);
+            self.attribute_crashes(&[request]);
         }
     }
 }
 
+/// Determines which crashes of each suspect the culprits explain. Returns the number of suspects.
+fn compare<'a>(
+    suspects: impl Iterator<Item = &'a mut Suspect>,
+    culprits: &BTreeMap<Fingerprint, Culprit>,
+) -> u64 {
+    let attribute = |suspect: &mut Suspect| suspect.attribute_crashes(culprits.values());
+    suspects.map(attribute).count() as u64
+}
+
 /// Status of a request, for comparison across an update.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Status {
--- a/crates/heronbend/src/quarantine/tests.rs
+++ b/crates/heronbend/src/quarantine/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of request fingerprints and of the quarantine table.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use assert_matches::assert_matches;
 use rand::rngs::SmallRng;
@@ -220,34 +221,98 @@
     assert_eq!(table.admission(60 * SECOND, request(1)), Admission::Isolated);
 }
 
+/// Numbers of requests, servers and reports in a random history, and the probability that a reported
+/// crash is excused.
+struct History {
+    requests: u8,
+    servers: u32,
+    reports: usize,
+    excused: f64,
+}
+
+impl History {
+    fn reports(&self, random: &mut SmallRng) -> Vec<Report> {
+        let report = |_| Report {
+            request: request(random.random_range(0..self.requests)),
+            endings: vec![Crash {
+                server: format!("s{}", random.random_range(0..self.servers)),
+                is_excused: random.random_bool(self.excused),
+            }],
+        };
+        (0..self.reports).map(report).collect()
+    }
+
+    /// Asserts that what `observe` returns for each request does not depend on the order in which
+    /// the reports are merged.
+    fn assert_order_is_irrelevant<T: PartialEq + std::fmt::Debug>(
+        &self,
+        seeds: u64,
+        observe: impl Fn(&Table, Fingerprint) -> T,
+    ) {
+        for seed in 0..seeds {
+            let mut random = SmallRng::seed_from_u64(seed);
+            let mut reports = self.reports(&mut random);
+            let merged = |reports: &[Report]| {
+                let mut table = Table::default();
+                for report in reports {
+                    table.merge(SECOND, report.request, &report.endings);
+                }
+                let observed = (0..self.requests).map(|number| observe(&table, request(number)));
+                observed.collect::<Vec<_>>()
+            };
+            let before = merged(&reports);
+            reports.shuffle(&mut random);
+            assert_eq!(merged(&reports), before, "seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn admission_does_not_depend_on_the_order_of_reports() {
-    for seed in 0..300 {
-        let mut random = SmallRng::seed_from_u64(seed);
-        let mut reports: Vec<Report> = (0..24)
-            .map(|_| Report {
-                request: request(random.random_range(0..4)),
-                endings: vec![Crash {
-                    server: format!("s{}", random.random_range(0..7)),
-                    is_excused: random.random_bool(0.1),
-                }],
-            })
-            .collect();
-        let statuses = |reports: &[Report]| {
-            let mut table = Table::default();
-            for report in reports {
-                table.merge(SECOND, report.request, &report.endings);
-            }
-            let status = |number| {
-                let request = request(number);
-                (table.admission(SECOND, request), table.is_one_crash_from_quarantine(request))
-            };
-            (0..4).map(status).collect::<Vec<_>>()
-        };
-        let before = statuses(&reports);
-        reports.shuffle(&mut random);
-        assert_eq!(statuses(&reports), before, "seed {seed}");
+    let history = History { requests: 4, servers: 7, reports: 24, excused: 0.1 };
+    history.assert_order_is_irrelevant(300, |table, request| {
+        (table.admission(SECOND, request), table.is_one_crash_from_quarantine(request))
+    });
+}
+
+#[test]
+fn merged_crashes_do_not_depend_on_the_order_of_reports() {
+    let history = History { requests: 3, servers: 4, reports: 12, excused: 0.3 };
+    history.assert_order_is_irrelevant(200, |table, request| table.report(request).endings);
+}
+
+/// Guards against each report of one request comparing all suspects of a lost zone.
+#[test]
+fn a_report_compares_other_suspects_only_if_a_culprit_changes() {
+    const SUSPECTS: u64 = 4096;
+    let suspect = |number: u64| {
+        let body = number.to_le_bytes();
+        Fingerprint::of(&FingerprintInput { body: &body, ..REQUEST })
+    };
+    let mut table = Table::default();
+    let mut merge_all = |what: &str, servers: &[&str]| {
+        let (before, started) = (table.comparisons(), Instant::now());
+        for number in 0..SUSPECTS {
+            table.merge(SECOND, suspect(number), &crashes(servers));
+        }
+        println!("{SUSPECTS} suspects, {what}: {:?} in all", started.elapsed());
+        table.comparisons() - before
+    };
+    assert_eq!(merge_all("one crash each", &["a"]), 0);
+    assert_eq!(merge_all("a second crash", &["b"]), 0);
+    let mut table = Table::default();
+    for number in 1..SUSPECTS {
+        table.merge(SECOND, suspect(number), &crashes(&["a"]));
+    }
+    table.merge(SECOND, suspect(0), &crashes(&["a", "b", "c"]));
+    assert_eq!(table.comparisons(), SUSPECTS);
+    let started = Instant::now();
+    for number in 1..SUSPECTS {
+        table.merge(SECOND, suspect(number), &crashes(&["b"]));
     }
+    println!("{SUSPECTS} suspects, a second crash beside a culprit: {:?}", started.elapsed());
+    assert_eq!(table.comparisons(), 2 * SUSPECTS - 1);
+    assert!((1..SUSPECTS).all(|n| table.admission(SECOND, suspect(n)) == Admission::Allowed));
 }
 
 #[test]
@@ -384,30 +449,3 @@
         assert_eq!(refused_others, 0, "seed {seed}");
     }
 }
-
-#[test]
-fn merged_crashes_do_not_depend_on_the_order_of_reports() {
-    for seed in 0..200 {
-        let mut random = SmallRng::seed_from_u64(seed);
-        let mut reports: Vec<Report> = (0..12)
-            .map(|_| Report {
-                request: request(random.random_range(0..3)),
-                endings: vec![Crash {
-                    server: format!("s{}", random.random_range(0..4)),
-                    is_excused: random.random_bool(0.3),
-                }],
-            })
-            .collect();
-        let merged = |reports: &[Report]| {
-            let mut table = Table::default();
-            for report in reports {
-                table.merge(SECOND, report.request, &report.endings);
-            }
-            let crashes = (0..3).map(|number| table.report(request(number)).endings);
-            crashes.collect::<Vec<_>>()
-        };
-        let before = merged(&reports);
-        reports.shuffle(&mut random);
-        assert_eq!(merged(&reports), before, "seed {seed}");
-    }
-}
