A retry that waits for a server takes one token of the retry budget

Cause, from the daemons' logs of failing runs (`requests_beside_a_crashing_one_are_served`, three beside each other on a full machine): a call whose server ended and that waits for another one took a token each 15 ms, so that three of them used up the daemon's 20 tokens within 0.1 s.

A request holds its token until the attempt begins.

--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -7,6 +7,7 @@
 
 use futures_lite::FutureExt;
 use heronbend::admission::call_queue::Refusal;
+use heronbend::admission::RetryToken;
 use heronbend::placement::wait_policy::DEFAULT_RETRY_AFTER;
 use heronbend::placement::AttemptHistory;
 use heronbend::placement::AttemptOutcome;
@@ -134,6 +135,8 @@
     rejections: u32,
     /// Attempts that may have run the request.
     attempts_used: u32,
+    /// Token of the next retry.
+    retry_token: RetryToken,
     attempt_tasks: Vec<Task<()>>,
     /// Whether a response was refused. Another attempt would need as much memory.
     is_response_refused: bool,
@@ -182,6 +185,7 @@
         admitted_call,
         rejections: 0,
         attempts_used: 0,
+        retry_token: RetryToken::default(),
         attempt_tasks: Vec::new(),
         is_response_refused: false,
         is_answered: Rc::default(),
@@ -204,7 +208,10 @@
                     return self.give_up(ATTEMPTS_EXHAUSTED);
                 }
                 match self.start_attempt(&sender) {
-                    StartOutcome::Started => in_flight += 1,
+                    StartOutcome::Started => {
+                        self.retry_token.spend();
+                        in_flight += 1;
+                    }
                     StartOutcome::Rejected(rejection) => return self.give_up(rejection),
                     StartOutcome::Wait(delay) => {
                         if let Some(refusal) = self.refuse_if_full(self.rejections > 0) {
@@ -273,9 +280,10 @@
             && self.gateway.now() < self.limits.deadline
     }
 
-    /// Takes a token from the retry budget; the first attempt needs none.
-    fn take_retry_token(&self) -> bool {
-        let within_budget = self.attempts_used == 0 || self.gateway.retries.borrow_mut().withdraw();
+    /// Takes a token from the retry budget unless one is held; the first attempt needs none.
+    fn take_retry_token(&mut self) -> bool {
+        let within_budget = self.attempts_used == 0
+            || self.retry_token.take(&mut self.gateway.retries.borrow_mut());
         if !within_budget {
             self.gateway.metrics.retries_suppressed.inc();
         }
--- a/crates/heronbend/src/admission/mod.rs
+++ b/crates/heronbend/src/admission/mod.rs
@@ -29,4 +29,4 @@
 pub use caller_age::CallerAge;
 pub use caller_limits::{CallerLimits, CallerPermit};
 pub use fair_share::TenantKey;
-pub use retry_budget::{backoff, RetryBudget};
+pub use retry_budget::{backoff, RetryBudget, RetryToken};
--- a/crates/heronbend/src/admission/retry_budget.rs
+++ b/crates/heronbend/src/admission/retry_budget.rs
@@ -40,6 +40,26 @@
     }
 }
 
+/// The budget's token of a request's next retry, which the request holds while the retry waits for
+/// a server.
+#[derive(Debug, Clone, Default)]
+pub struct RetryToken {
+    is_held: bool,
+}
+
+impl RetryToken {
+    /// Takes a token from the budget unless one is held. Returns whether one is held now.
+    pub fn take(&mut self, budget: &mut RetryBudget) -> bool {
+        self.is_held = self.is_held || budget.withdraw();
+        self.is_held
+    }
+
+    /// Uses the token for an attempt.
+    pub fn spend(&mut self) {
+        self.is_held = false;
+    }
+}
+
 /// Delay before retry number `retry`, counted from 1: capped exponential backoff with full jitter.
 pub fn backoff(retry: u32, random: &mut impl Rng) -> Duration {
     let uncapped = BACKOFF_BASE.saturating_mul(1 << retry.saturating_sub(1).min(16));
--- a/crates/heronbend/src/admission/tests.rs
+++ b/crates/heronbend/src/admission/tests.rs
@@ -28,6 +28,21 @@
     assert!((99..=100).contains(&retries), "{retries}");
 }
 
+/// Guards against a retry that waits for a server using up the budget of other requests.
+#[test]
+fn a_waiting_retry_takes_one_token() {
+    let mut budget = RetryBudget::default();
+    let mut waiting = RetryToken::default();
+    assert!((0..1000).all(|_| waiting.take(&mut budget)));
+    let mut other = RetryToken::default();
+    assert!(other.take(&mut budget));
+    // Each attempt needs a token of its own.
+    while budget.withdraw() {}
+    assert!(waiting.take(&mut budget));
+    waiting.spend();
+    assert!(!waiting.take(&mut budget));
+}
+
 #[test]
 fn backoff_is_capped() {
     let mut random = SmallRng::seed_from_u64(1);
