Calls wait longer for the successors of exited servers

When the old registration was removed before the new one was read, the reason became `gone`, and calls that had waited 80 ms were rejected at once.

A call waits 1.5 s for a successor, at most four tenths of its time and at least its target as before, so that a caller with little time is told early. A server that exited counts as exited also for the grace period of its registration. Test in the library, failed first.

--- a/crates/heronbend/src/placement/eligibility.rs
+++ b/crates/heronbend/src/placement/eligibility.rs
@@ -54,7 +54,8 @@
 /// Why a server cannot run a request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Exclusion {
-    /// Its process has exited, but it is still registered. A replacement may register at any time.
+    /// Its process has exited, and it is still registered or was a moment ago. A replacement may
+    /// register at any time.
     ServerExited,
     /// It is not registered, or is draining.
     NotReady,
@@ -131,7 +132,7 @@
         return Some(Exclusion::RegionNotAllowed);
     }
     if server.health.has_exited(context.now) {
-        return Some(if server.is_ready() { Exclusion::ServerExited } else { Exclusion::NotReady });
+        return Some(Exclusion::ServerExited);
     }
     (version_status(server, requirements, context.now) == VersionStatus::Unavailable)
         .then_some(Exclusion::VersionMismatch)
--- a/crates/heronbend/src/placement/tests.rs
+++ b/crates/heronbend/src/placement/tests.rs
@@ -910,6 +910,32 @@
     assert_eq!(fleet.id(chosen), "a");
 }
 
+/// Guards against rejecting calls shortly before the successors of all exited servers are known.
+#[test]
+fn a_call_waits_for_the_successor_of_an_exited_server_for_a_part_of_its_time() {
+    let mut fleet = Fleet::new();
+    fleet.add("a", "app", "a");
+    let requirements = fleet.requirements("app");
+    fleet.placer.record_outcome(SECOND, "a", AttemptOutcome::ServerExited);
+    let none = AttemptHistory::default();
+    let decide = |fleet: &mut Fleet, now, time: Duration| {
+        let wait = WaitState { deadline: SECOND + time, ..wait(SECOND) };
+        fleet.placer.place_call(now, &requirements, &none, &wait, |_| true)
+    };
+    // Most processes have restarted by then.
+    let after_restart = SECOND + 900 * MILLI;
+    assert_matches!(decide(&mut fleet, after_restart, 3 * SECOND), Decision::Wait(_));
+    // The removal of its registration does not end the wait, nor start it anew.
+    fleet.placer.deregister(after_restart, "a");
+    assert_matches!(decide(&mut fleet, after_restart, 3 * SECOND), Decision::Wait(_));
+    let late = SECOND + 1201 * MILLI;
+    assert_matches!(decide(&mut fleet, late, 3 * SECOND), Decision::Reject(_));
+    // A caller with little time is told early.
+    assert_matches!(decide(&mut fleet, after_restart, SECOND), Decision::Reject(_));
+    fleet.add("a2", "app", "a");
+    assert_matches!(decide(&mut fleet, after_restart, 3 * SECOND), Decision::Place(_));
+}
+
 /// Guards against an exited server that is still registered hiding healthy servers in their grace
 /// period.
 #[test]
--- a/crates/heronbend/src/placement/wait_policy.rs
+++ b/crates/heronbend/src/placement/wait_policy.rs
@@ -18,6 +18,12 @@
 /// Fraction of the target latency that a call waits if servers rejected it or have just exited,
 /// since these are expected to recover soon.
 const SENT_WAIT_FRACTION: f64 = 1.0;
+/// How long a call waits for the successor of an exited server. A process restarts within a second,
+/// and its registration takes some hundred milliseconds to arrive.
+const SUCCESSOR_WAIT: Duration = Duration::from_millis(1500);
+/// Maximum fraction of its time that a call waits for a successor, so that its caller has time for
+/// another attempt.
+const MAX_SUCCESSOR_WAIT_FRACTION: f64 = 0.4;
 /// Retry-after of a rejected call if it is unknown when a server will be available.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Retry-after of a call whose servers are evacuated, outside its allowed regions, or reduced to
@@ -67,11 +73,20 @@
     if !is_transient {
         return Decision::Reject(Rejection { reason, retry_after: LONG_RETRY_AFTER });
     }
-    let may_recover_soon = wait.was_sent || reason == Some(Exclusion::ServerExited);
-    let fraction = if may_recover_soon { SENT_WAIT_FRACTION } else { UNSENT_WAIT_FRACTION };
-    let give_up_at = (wait.since + wait.target.mul_f64(fraction)).min(wait.deadline);
+    let give_up_at = (wait.since + max_wait(wait, reason)).min(wait.deadline);
     if now >= give_up_at {
         return Decision::Reject(Rejection { reason, retry_after: DEFAULT_RETRY_AFTER });
     }
     Decision::Wait(RETRY_INTERVAL)
 }
+
+/// How long a call waits at most if servers are excluded for `reason`.
+fn max_wait(wait: &WaitState, reason: Option<Exclusion>) -> Duration {
+    if reason == Some(Exclusion::ServerExited) {
+        let time = wait.deadline.saturating_sub(wait.since);
+        let for_successor = SUCCESSOR_WAIT.min(time.mul_f64(MAX_SUCCESSOR_WAIT_FRACTION));
+        return for_successor.max(wait.target.mul_f64(SENT_WAIT_FRACTION));
+    }
+    let fraction = if wait.was_sent { SENT_WAIT_FRACTION } else { UNSENT_WAIT_FRACTION };
+    wait.target.mul_f64(fraction)
+}
