Successors are read at once until a service has two servers again

`has_usable_server` became `has_usable_servers` with a count; its test asks the same with count 1, and more.

--- a/crates/heronbend-gateway/src/directory.rs
+++ b/crates/heronbend-gateway/src/directory.rs
@@ -190,13 +190,15 @@
         self.placer.place_call(now, requirements, history, wait, is_connected(&self.by_key, pool))
     }
 
-    /// Whether a service has a ready server whose process is not known to have exited.
-    pub fn has_usable_server(&self, now: Moment, service: &str) -> bool {
-        self.all().any(|server| {
+    /// Whether a service has at least `count` ready servers whose processes are not known to have
+    /// exited.
+    pub fn has_usable_servers(&self, now: Moment, service: &str, count: usize) -> bool {
+        let is_usable = |server: &&Rc<Server>| {
             server.service == service
                 && server.state == ServerState::Ready
                 && !self.placer.has_exited(now, &server.id)
-        })
+        };
+        self.all().filter(is_usable).take(count).count() == count
     }
 
     /// All registered servers.
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod reflector;
 pub mod region_policy;
 pub mod reload;
+pub mod replacements;
 pub mod replica;
 pub mod retirement;
 pub mod service;
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -32,6 +32,7 @@
 use crate::quarantine::crash_detection;
 use crate::reflector::{self, ObjectHandler, Source};
 use crate::reload;
+use crate::replacements::Replacements;
 use crate::versions;
 use crate::wait;
 
@@ -385,21 +386,13 @@
     gateway: Rc<Gateway>,
     /// Names of malformed registrations, each of which is logged once.
     malformed: RefCell<BTreeSet<String>>,
-    /// Services whose last usable server was removed.
-    unserved: RefCell<BTreeSet<String>>,
+    /// Services that wait for successors of removed servers.
+    replacements: RefCell<Replacements>,
 }
 
 impl DirectorySink {
     fn new(gateway: Rc<Gateway>) -> Self {
-        Self { gateway, malformed: RefCell::default(), unserved: RefCell::default() }
-    }
-
-    /// Remembers the service of a removed server that leaves no usable one.
-    fn note_unserved(&self, service: &str) {
-        let directory = self.gateway.directory.borrow();
-        if !directory.has_usable_server(self.gateway.now(), service) {
-            self.unserved.borrow_mut().insert(service.to_owned());
-        }
+        Self { gateway, malformed: RefCell::default(), replacements: RefCell::default() }
     }
 
     /// Removes the server of a malformed registration.
@@ -484,17 +477,16 @@
         let removed = self.gateway.directory.borrow().get(name).cloned();
         self.gateway.directory.borrow_mut().remove(self.gateway.now(), name);
         if let Some(server) = removed {
-            self.note_unserved(&server.service);
+            self.replacements.borrow_mut().note_gone(self.gateway.now(), &server.service);
         }
     }
 
     /// A crashed server's successor is registered just after the removal, so that a full batch
     /// would delay it while calls are rejected.
     fn needs_changes_soon(&self) -> bool {
-        let directory = self.gateway.directory.borrow();
-        let now = self.gateway.now();
-        let unserved = std::mem::take(&mut *self.unserved.borrow_mut());
-        unserved.iter().any(|service| !directory.has_usable_server(now, service))
+        let (now, directory) = (self.gateway.now(), self.gateway.directory.borrow());
+        let has_servers = |service: &str, count| directory.has_usable_servers(now, service, count);
+        self.replacements.borrow_mut().are_urgent(now, has_servers)
     }
 
     fn on_batch(&self) {
--- a/crates/heronbend-gateway/tests/directory.rs
+++ b/crates/heronbend-gateway/tests/directory.rs
@@ -12,6 +12,7 @@
 use heronbend_gateway::directory::Directory;
 use heronbend_gateway::directory::RunOrder;
 use heronbend_gateway::directory::Server;
+use heronbend_gateway::replacements::Replacements;
 use support::server;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -94,17 +95,51 @@
     assert_eq!(directory.placer.eligible_servers(30 * SECOND, &requirements).len(), 1);
 }
 
-/// Decides whether the next changes are read without waiting for a full batch.
 #[test]
 fn a_service_is_unserved_once_all_its_servers_are_removed_or_have_exited() {
     let mut directory = Directory::new(SEED);
     directory.insert(SECOND, server("a", "stations"));
     directory.insert(SECOND, server("b", "stations"));
     directory.insert(SECOND, server("e", "engines"));
+    assert!(directory.has_usable_servers(SECOND, "stations", 2));
     directory.placer.record_outcome(SECOND, "a", AttemptOutcome::ServerExited);
-    assert!(directory.has_usable_server(SECOND, "stations"));
+    assert!(directory.has_usable_servers(SECOND, "stations", 1));
+    assert!(!directory.has_usable_servers(SECOND, "stations", 2));
     directory.remove(SECOND, "b");
-    assert!(!directory.has_usable_server(SECOND, "stations"));
+    assert!(!directory.has_usable_servers(SECOND, "stations", 1));
     directory.insert(SECOND, server("c", "stations"));
-    assert!(directory.has_usable_server(SECOND, "stations"));
+    assert!(directory.has_usable_servers(SECOND, "stations", 1));
+}
+
+/// Guards against a service that is left with one server, or none, learning of successors only with
+/// a full batch: the successor of the first of two crashed servers must not delay that of the
+/// second.
+#[test]
+fn successors_are_urgent_until_a_service_has_two_servers_again() {
+    let mut directory = Directory::new(SEED);
+    let mut replacements = Replacements::default();
+    let are_urgent = |directory: &Directory, replacements: &mut Replacements, now| {
+        replacements
+            .are_urgent(now, |service, count| directory.has_usable_servers(now, service, count))
+    };
+    for id in ["a", "b", "c"] {
+        directory.insert(SECOND, server(id, "stations"));
+    }
+    directory.remove(SECOND, "a");
+    replacements.note_gone(SECOND, "stations");
+    assert!(!are_urgent(&directory, &mut replacements, SECOND));
+    for id in ["b", "c"] {
+        directory.remove(SECOND, id);
+        replacements.note_gone(SECOND, "stations");
+        assert!(are_urgent(&directory, &mut replacements, SECOND));
+    }
+    directory.insert(SECOND, server("b2", "stations"));
+    assert!(are_urgent(&directory, &mut replacements, 2 * SECOND));
+    directory.insert(SECOND, server("c2", "stations"));
+    assert!(!are_urgent(&directory, &mut replacements, 2 * SECOND));
+    // A server that is removed for good is not awaited forever.
+    directory.remove(2 * SECOND, "c2");
+    replacements.note_gone(2 * SECOND, "stations");
+    assert!(are_urgent(&directory, &mut replacements, 4 * SECOND));
+    assert!(!are_urgent(&directory, &mut replacements, 5 * SECOND));
 }
