A server that is only missing from a list is looked at before a request is blamed

A ready server missing from a whole list is looked at if its end would count against a request: not if it accepts a connection and no other server is registered at its address. Without such a request nothing changes, and no connection is opened. Removals that the store tells one by one are evidence as before.

Test failed first (suspect in place of allowed).

--- a/crates/heronbend-gateway/src/directory.rs
+++ b/crates/heronbend-gateway/src/directory.rs
@@ -201,6 +201,11 @@
         self.all().filter(is_usable).take(count).count() == count
     }
 
+    /// Whether any server is registered at an address.
+    pub fn is_address_registered(&self, address: SocketAddr) -> bool {
+        self.all().any(|server| server.address == address)
+    }
+
     /// All registered servers.
     pub fn all(&self) -> impl Iterator<Item = &Rc<Server>> {
         self.servers.values()
--- a/crates/heronbend-gateway/src/quarantine/crash_detection.rs
+++ b/crates/heronbend-gateway/src/quarantine/crash_detection.rs
@@ -95,6 +95,38 @@
     gateway.quarantine.probing.borrow_mut().remove(&server);
 }
 
+/// Handles the absence of a server from a complete list of registrations.
+///
+/// The store loses registrations in an outage, while the servers run on. Before that blames a
+/// request, the server is probed.
+pub fn note_server_unlisted(gateway: &Rc<Gateway>, server: &Rc<Server>) {
+    if gateway.quarantine.table.borrow().awaits_exit(gateway.now(), &server.id) {
+        let confirming = confirm_exit(gateway.clone(), server.clone());
+        gateway.executor.spawn(confirming).detach();
+    } else {
+        note_server_gone(gateway, &server.id);
+    }
+}
+
+async fn confirm_exit(gateway: Rc<Gateway>, server: Rc<Server>) {
+    for delay in PROBE_DELAYS {
+        Timer::after(delay).await;
+        let reach = gateway.server_connections.probe(server.address).await;
+        let has_successor = gateway.directory.borrow().is_address_registered(server.address);
+        log::info!(
+            "event=unlisted_server_looked_at server={} new_connection={} successor={has_successor}",
+            server.id,
+            reach.name()
+        );
+        match reach {
+            ProbeResult::Accepted if !has_successor => return,
+            ProbeResult::Accepted | ProbeResult::Refused => break,
+            ProbeResult::NoResponse => {}
+        }
+    }
+    note_server_gone(&gateway, &server.id);
+}
+
 /// Records that a server is gone without having drained. Its registration may take seconds to
 /// expire.
 pub fn note_server_gone(gateway: &Rc<Gateway>, server: &str) {
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -431,6 +431,14 @@
         self.gateway.server_connections.close_idle(known.address);
     }
 
+    /// Reports that a server which had not announced that it was draining is missing from a list.
+    fn record_unlisted(&self, id: &str) {
+        let server = self.gateway.directory.borrow().get(id).cloned();
+        if let Some(server) = server.filter(|server| server.state == ServerState::Ready) {
+            crash_detection::note_server_unlisted(&self.gateway, &server);
+        }
+    }
+
     /// Reports the exit of a server that had not announced that it was draining. Recently broken
     /// connections to it are then counted as crashes.
     fn record_exit(&self, id: &str) {
@@ -446,7 +454,7 @@
         let gateway = &self.gateway;
         let known: Vec<String> =
             gateway.directory.borrow().all().map(|server| server.id.clone()).collect();
-        known.iter().filter(|id| !names.contains(*id)).for_each(|id| self.record_exit(id));
+        known.iter().filter(|id| !names.contains(*id)).for_each(|id| self.record_unlisted(id));
         gateway.directory.borrow_mut().retain(gateway.now(), names);
         self.malformed.borrow_mut().retain(|name| names.contains(name));
     }
--- a/crates/heronbend-gateway/tests/quarantine.rs
+++ b/crates/heronbend-gateway/tests/quarantine.rs
@@ -161,6 +161,41 @@
     });
 }
 
+/// Guards against blaming requests for servers that run on while the store has lost their
+/// registrations in an outage.
+#[test]
+fn an_unlisted_server_counts_as_crashed_only_if_it_accepts_no_connections() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+            let address = listener.local_addr().unwrap();
+            let alive = Rc::new(Server { address, ..Rc::unwrap_or_clone(server("alive")) });
+            let disconnect = |server| {
+                crash_detection::disconnect_handler(&gateway, server, outgoing(), || false)();
+                crash_detection::note_server_unlisted(&gateway, server);
+            };
+            disconnect(&alive);
+            Timer::after(Duration::from_millis(900)).await;
+            assert_eq!(admit(&gateway).await, Ok(SendMode::Normal));
+            let gone = server("gone");
+            disconnect(&gone);
+            wait_until("the crash is detected", || gateway.metrics.servers_crashed.get() == 1)
+                .await;
+            assert_eq!(admit(&gateway).await, Ok(SendMode::Isolated));
+            // A successor at the same address shows that the server is gone.
+            gateway.directory.borrow_mut().insert(
+                gateway.now(),
+                Server { address, ..Rc::unwrap_or_clone(server("successor")) },
+            );
+            disconnect(&alive);
+            wait_until("the crash is detected", || gateway.metrics.servers_crashed.get() == 2)
+                .await;
+        })
+    });
+}
+
 /// Guards against a quarantine that is neither recorded nor announced because its crashes were
 /// observed by different daemons.
 #[test]
--- a/crates/heronbend/src/quarantine/suspect.rs
+++ b/crates/heronbend/src/quarantine/suspect.rs
@@ -125,6 +125,12 @@
         }
     }
 
+    /// Whether the exit of a server would count as a crash.
+    pub fn awaits_exit(&self, now: Moment, server: &str) -> bool {
+        let since = self.unconfirmed.get(server).max(self.disconnects.get(server));
+        since.is_some_and(|since| now < *since + UNCONFIRMED_RETENTION)
+    }
+
     /// Turns an unconfirmed crash of a server that is gone, or a disconnect from it, into a crash.
     /// Returns whether there was one.
     pub fn note_server_gone(&mut self, now: Moment, server: &str) -> bool {
--- a/crates/heronbend/src/quarantine/table.rs
+++ b/crates/heronbend/src/quarantine/table.rs
@@ -96,6 +96,11 @@
         self.evict();
     }
 
+    /// Whether the exit of a server would count as a crash for any request.
+    pub fn awaits_exit(&self, now: Moment, server: &str) -> bool {
+        self.suspects.values().any(|suspect| suspect.awaits_exit(now, server))
+    }
+
     /// Records that a server is gone: a crash for each request whose connection to it broke, or
     /// whose caller disconnected while it ran there. Returns these requests with their changes.
     pub fn note_server_gone(&mut self, now: Moment, server: &str) -> Vec<(Fingerprint, Change)> {
