The standalone daemon probes a backend beside the request, not in its path

A request whose connection broke waited up to 60 ms, and 200 ms an attempt at a silent address, for the look at the address before it was answered or sent again. The look runs in the background; until it ends the break counts as an unconfirmed crash, which limits retries as before. A look after 5 ms comes between those at once and after 60 ms, since the answer no longer waits and a backend may be restarted at once. Several looks count one exit of a run once.

No test of its own: what changes is time in the path.

--- a/crates/heronbend-daemon/src/dispatch.rs
+++ b/crates/heronbend-daemon/src/dispatch.rs
@@ -16,6 +16,7 @@
 use heronbend::quarantine::Fingerprint;
 use heronbend::routing::{Query, RequestOutcome, RouteError, Router};
 use heronbend::settings::policy::PoolPolicy;
+use heronbend::Moment;
 use heronbend_http::http_types::{Method, Request, StatusCode, Url};
 use heronbend_http::{
     Client, ClientError, ClientResponse, ErrorBody, HeadError, Outcome, OUTCOME_HEADER,
@@ -27,6 +28,7 @@
 
 use crate::quarantine::Quarantine;
 use crate::shared::{BackendsInput, Shared};
+use crate::tasks::Executor;
 
 /// Maximum size of an application server's response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
@@ -126,6 +128,7 @@
 
 struct Inner {
     shared: Arc<Shared>,
+    executor: Executor,
     client: Client,
     router: RefCell<Router>,
     generation: Cell<u64>,
@@ -161,11 +164,12 @@
 
 impl Dispatcher {
     /// Creates a dispatcher without backends; the first selection loads them.
-    pub fn new(shared: Arc<Shared>) -> Self {
+    pub fn new(shared: Arc<Shared>, executor: Executor) -> Self {
         let seed = shared.unique_number();
         let zone = shared.identity.zone.clone();
         Self {
             inner: Rc::new(Inner {
+                executor,
                 client: Client::new(),
                 router: RefCell::new(Router::new(&zone, seed)),
                 generation: Cell::new(0),
@@ -274,8 +278,9 @@
         self.inner.quarantine.note_response(request);
     }
 
-    /// Records a failed attempt in the quarantine and returns the failure's message.
-    pub async fn record_failure(
+    /// Records a failed attempt in the quarantine and returns the failure's message. The backend is
+    /// probed in the background, so that the request does not wait.
+    pub fn record_failure(
         &self,
         failure: AttemptFailure,
         request: Fingerprint,
@@ -285,12 +290,19 @@
             AttemptFailure::NotRun(message) | AttemptFailure::Unknown(message) => message,
             AttemptFailure::ConnectionBroken(message) => {
                 let now = self.inner.shared.now();
-                self.inner.quarantine.note_broken_connection(now, request, backend).await;
+                let run = self.inner.quarantine.note_broken_connection(now, request, backend);
+                self.probe_in_background(now, backend.clone(), run);
                 message
             }
         }
     }
 
+    fn probe_in_background(&self, now: Moment, backend: Backend, run: String) {
+        let dispatcher = self.clone();
+        let probing = async move { dispatcher.inner.quarantine.probe(now, &backend, &run).await };
+        self.inner.executor.spawn(probing).detach();
+    }
+
     /// Sends one attempt and waits for the response head; returns the reply and the attempt id.
     pub async fn attempt(
         &self,
@@ -362,8 +374,7 @@
                 ) => {
                     let backend = selected.backend.clone();
                     selected.finish(RequestOutcome::Failed);
-                    let message =
-                        self.record_failure(failure, request.fingerprint(), &backend).await;
+                    let message = self.record_failure(failure, request.fingerprint(), &backend);
                     last_error = Some(DispatchError::Unknown(message));
                     if !request.idempotent {
                         break;
--- a/crates/heronbend-daemon/src/front/mod.rs
+++ b/crates/heronbend-daemon/src/front/mod.rs
@@ -60,7 +60,7 @@
 /// Runs one front thread until the process ends.
 pub async fn run(shared: Arc<Shared>, executor: Executor, listener: TcpListener) {
     let front = Rc::new(Front {
-        dispatcher: Dispatcher::new(shared.clone()),
+        dispatcher: Dispatcher::new(shared.clone(), executor.clone()),
         executor: executor.clone(),
         limits: CallerLimits::default(),
         shared: shared.clone(),
--- a/crates/heronbend-daemon/src/generation.rs
+++ b/crates/heronbend-daemon/src/generation.rs
@@ -184,7 +184,7 @@
                 let backend = selected.backend.clone();
                 selected.finish(RequestOutcome::Failed);
                 let request = request.fingerprint();
-                let message = dispatcher.record_failure(broken, request, &backend).await;
+                let message = dispatcher.record_failure(broken, request, &backend);
                 failure = Some(DispatchError::Unknown(message));
                 continue;
             }
@@ -208,7 +208,7 @@
                 selected.finish(RequestOutcome::Failed);
                 if output.segments.is_empty() {
                     let broken = AttemptFailure::ConnectionBroken(message.clone());
-                    dispatcher.record_failure(broken, request.fingerprint(), &backend).await;
+                    dispatcher.record_failure(broken, request.fingerprint(), &backend);
                 }
                 failure = Some(DispatchError::Unknown(message));
             }
--- a/crates/heronbend-daemon/src/quarantine.rs
+++ b/crates/heronbend-daemon/src/quarantine.rs
@@ -13,26 +13,22 @@
 use heronbend::lifecycle::Backend;
 use heronbend::lifecycle::BackendName;
 use heronbend::quarantine::table::Change;
-use heronbend::quarantine::Admission;
 use heronbend::quarantine::Fingerprint;
 use heronbend::quarantine::Record;
+use heronbend::quarantine::Refused;
+use heronbend::quarantine::SendMode;
 use heronbend::quarantine::Table;
 use heronbend::Moment;
 use smol::net::TcpStream;
 use smol::Timer;
 
-/// Delays before each connection probe; an exiting process may accept connections for a short time.
-const CONNECT_PROBE_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(60)];
+/// Delays before each connection probe. An exiting process may accept connections for a short time,
+/// and the next one may start soon.
+const CONNECT_PROBE_DELAYS: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(5), Duration::from_millis(55)];
 /// Timeout of a connection probe.
 const CONNECT_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Rejection of a quarantined request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Refused {
-    /// Time after which the request may be retried.
-    pub retry_after: Duration,
-}
-
 /// Quarantine state of one thread.
 #[derive(Default)]
 pub struct Quarantine {
@@ -50,33 +46,31 @@
             return Ok(());
         }
         let request = request();
-        match table.admission(now, request) {
-            Admission::Allowed | Admission::Isolated => Ok(()),
-            Admission::Refused { retry_after } => Err(Refused { retry_after }),
-            Admission::Probe => {
-                let known = table.record(request).unwrap_or(Record { revision: 0, probes: 0 });
-                let record = Record { revision: known.revision + 1, probes: known.probes + 1 };
-                table.set_record(now, request, record);
-                log::info!("event=quarantine_probe request={request} probe={}", record.probes);
-                Ok(())
-            }
+        if table.admission(now, request).send_mode()? == SendMode::Probe {
+            grant_probe(&mut table, now, request);
         }
+        Ok(())
     }
 
-    /// Records that a backend's connection broke before the response was complete, and probes
-    /// whether the backend still accepts connections.
-    pub async fn note_broken_connection(
+    /// Records that a backend's connection broke before the response was complete. Returns the
+    /// identifier of its run, whose address [`Self::probe`] has to check.
+    pub fn note_broken_connection(
         &self,
         now: Moment,
         request: Fingerprint,
         backend: &Backend,
-    ) {
+    ) -> String {
         let run = self.run_id(backend);
         self.table.borrow_mut().note_broken_connection(now, request, &run);
+        run
+    }
+
+    /// Probes whether a run of a backend still accepts connections.
+    pub async fn probe(&self, now: Moment, backend: &Backend, run: &str) {
         for delay in CONNECT_PROBE_DELAYS {
             Timer::after(delay).await;
             if refuses_connections(backend.address).await {
-                self.note_backend_gone(now, &backend.name, &run);
+                self.note_backend_gone(now, backend, run);
                 return;
             }
         }
@@ -88,8 +82,11 @@
         format!("{}#{}/{exits}", backend.name, backend.incarnation)
     }
 
-    fn note_backend_gone(&self, now: Moment, name: &BackendName, run: &str) {
-        *self.exit_counts.borrow_mut().entry(name.clone()).or_default() += 1;
+    /// Records the end of a run, which several probes may find.
+    fn note_backend_gone(&self, now: Moment, backend: &Backend, run: &str) {
+        if self.run_id(backend) == run {
+            *self.exit_counts.borrow_mut().entry(backend.name.clone()).or_default() += 1;
+        }
         let mut table = self.table.borrow_mut();
         for (request, change) in table.note_server_gone(now, run) {
             log::info!("event=backend_ended backend={run} request={request} change={change:?}");
@@ -109,6 +106,14 @@
     }
 }
 
+/// Records a probe as sent. Each thread grants its own.
+fn grant_probe(table: &mut Table, now: Moment, request: Fingerprint) {
+    let known = table.record(request).unwrap_or(Record { revision: 0, probes: 0 });
+    let record = Record { revision: known.revision + 1, probes: known.probes + 1 };
+    table.set_record(now, request, record);
+    log::info!("event=quarantine_probe request={request} probe={}", record.probes);
+}
+
 /// Returns whether an address refuses connections; a timeout counts as `false`.
 async fn refuses_connections(address: SocketAddr) -> bool {
     let connecting = async { TcpStream::connect(address).await.is_err() };
--- a/crates/heronbend-daemon/src/tasks/rollout/mod.rs
+++ b/crates/heronbend-daemon/src/tasks/rollout/mod.rs
@@ -48,7 +48,7 @@
 /// Runs the task until the process exits.
 pub async fn run(shared: Arc<Shared>, executor: Executor) {
     let manager = RolloutManager {
-        dispatcher: Dispatcher::new(shared.clone()),
+        dispatcher: Dispatcher::new(shared.clone(), executor.clone()),
         shared: shared.clone(),
         executor: executor.clone(),
         steps: Rc::default(),
