--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -7,6 +7,7 @@
 
 use futures_lite::FutureExt;
 use heronbend::admission::call_queue::Refusal;
+use heronbend::admission::RetryToken;
 use heronbend::placement::wait_policy::DEFAULT_RETRY_AFTER;
 use heronbend::placement::AttemptHistory;
 use heronbend::placement::AttemptOutcome;
@@ -14,6 +15,7 @@
 use heronbend::placement::Rejection;
 use heronbend::placement::Requirements;
 use heronbend::placement::WaitState;
+use heronbend::quarantine::Refused;
 use heronbend::Moment;
 use http::{HeaderValue, StatusCode};
 use smol::channel::{bounded, Sender};
@@ -30,7 +32,6 @@
 use crate::quarantine::admitted_request;
 use crate::quarantine::crash_detection;
 use crate::quarantine::AdmittedRequest;
-use crate::quarantine::Refused;
 use crate::slot_queue;
 use crate::wait;
 
@@ -134,6 +135,8 @@
     rejections: u32,
     /// Attempts that may have run the request.
     attempts_used: u32,
+    /// Token of the next retry.
+    retry_token: RetryToken,
     attempt_tasks: Vec<Task<()>>,
     /// Whether a response was refused. Another attempt would need as much memory.
     is_response_refused: bool,
@@ -182,6 +185,7 @@
         admitted_call,
         rejections: 0,
         attempts_used: 0,
+        retry_token: RetryToken::default(),
         attempt_tasks: Vec::new(),
         is_response_refused: false,
         is_answered: Rc::default(),
@@ -204,7 +208,10 @@
                     return self.give_up(ATTEMPTS_EXHAUSTED);
                 }
                 match self.start_attempt(&sender) {
-                    StartOutcome::Started => in_flight += 1,
+                    StartOutcome::Started => {
+                        self.retry_token.spend();
+                        in_flight += 1;
+                    }
                     StartOutcome::Rejected(rejection) => return self.give_up(rejection),
                     StartOutcome::Wait(delay) => {
                         if let Some(refusal) = self.refuse_if_full(self.rejections > 0) {
@@ -273,9 +280,10 @@
             && self.gateway.now() < self.limits.deadline
     }
 
-    /// Takes a token from the retry budget; the first attempt needs none.
-    fn take_retry_token(&self) -> bool {
-        let within_budget = self.attempts_used == 0 || self.gateway.retries.borrow_mut().withdraw();
+    /// Takes a token from the retry budget unless one is held; the first attempt needs none.
+    fn take_retry_token(&mut self) -> bool {
+        let within_budget = self.attempts_used == 0
+            || self.retry_token.take(&mut self.gateway.retries.borrow_mut());
         if !within_budget {
             self.gateway.metrics.retries_suppressed.inc();
         }
@@ -430,7 +438,13 @@
             guard.fail(&AttemptFailure::Held);
             return Err(AttemptFailure::Held);
         };
-        guard.on_drop(self.disconnect_handler());
+        let is_answered = self.is_answered.clone();
+        guard.on_drop(crash_detection::disconnect_handler(
+            gateway,
+            server,
+            self.outgoing.clone(),
+            move || is_answered.get(),
+        ));
         let started_at = gateway.now();
         if let Some(billing) = self.outgoing.billing.as_deref() {
             billing.mark_sent(started_at);
@@ -459,17 +473,6 @@
         attempt::read_response(&self.gateway, &self.outgoing.id, exchange.await?).await
     }
 
-    /// Returns the callback for an attempt that is dropped before it has finished.
-    fn disconnect_handler(&self) -> impl FnOnce() + 'static {
-        let (gateway, server) = (self.gateway.clone(), self.server.clone());
-        let (outgoing, is_answered) = (self.outgoing.clone(), self.is_answered.clone());
-        move || {
-            if !is_answered.get() {
-                crash_detection::note_caller_disconnect(&gateway, &server, &outgoing);
-            }
-        }
-    }
-
     fn record_outcome(&self, result: &Result<FullResponse, AttemptFailure>) {
         match result {
             Ok(response) => {
--- a/crates/heronbend-gateway/src/quarantine/crash_detection.rs
+++ b/crates/heronbend-gateway/src/quarantine/crash_detection.rs
@@ -6,6 +6,7 @@
 //! probes miss are detected later, by the removal of the server's registration or by a report from
 //! another daemon.
 
+use std::borrow::Borrow;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,15 +54,24 @@
     probe_server(gateway, server);
 }
 
-/// Records that the caller of a request disconnected while a server ran it. The connection to the
+/// Returns the handler for an attempt that is dropped before it ends. Unless the request
+/// `is_answered` by then, its caller disconnected while the server ran it. The connection to the
 /// server is closed, so a crash can only be detected in other ways.
-pub fn note_caller_disconnect(gateway: &Rc<Gateway>, server: &Server, outgoing: &OutgoingRequest) {
-    let request = outgoing.fingerprint(gateway.dialect.headers());
-    gateway.quarantine.table.borrow_mut().note_caller_disconnect(
-        gateway.now(),
-        request,
-        &server.id,
-    );
+pub fn disconnect_handler(
+    gateway: &Rc<Gateway>,
+    server: &Rc<Server>,
+    outgoing: impl Borrow<OutgoingRequest> + 'static,
+    is_answered: impl Fn() -> bool + 'static,
+) -> impl FnOnce() + 'static {
+    let (gateway, server) = (gateway.clone(), server.clone());
+    move || {
+        if is_answered() {
+            return;
+        }
+        let request = outgoing.borrow().fingerprint(gateway.dialect.headers());
+        let mut table = gateway.quarantine.table.borrow_mut();
+        table.note_caller_disconnect(gateway.now(), request, &server.id);
+    }
 }
 
 /// Probes a server to find out whether it is gone, unless probes are already in progress.
@@ -85,6 +95,38 @@
     gateway.quarantine.probing.borrow_mut().remove(&server);
 }
 
+/// Handles the absence of a server from a complete list of registrations.
+///
+/// The store loses registrations in an outage, while the servers run on. Before that blames a
+/// request, the server is probed.
+pub fn note_server_unlisted(gateway: &Rc<Gateway>, server: &Rc<Server>) {
+    if gateway.quarantine.table.borrow().awaits_exit(gateway.now(), &server.id) {
+        let confirming = confirm_exit(gateway.clone(), server.clone());
+        gateway.executor.spawn(confirming).detach();
+    } else {
+        note_server_gone(gateway, &server.id);
+    }
+}
+
+async fn confirm_exit(gateway: Rc<Gateway>, server: Rc<Server>) {
+    for delay in PROBE_DELAYS {
+        Timer::after(delay).await;
+        let reach = gateway.server_connections.probe(server.address).await;
+        let has_successor = gateway.directory.borrow().is_address_registered(server.address);
+        log::info!(
+            "event=unlisted_server_looked_at server={} new_connection={} successor={has_successor}",
+            server.id,
+            reach.name()
+        );
+        match reach {
+            ProbeResult::Accepted if !has_successor => return,
+            ProbeResult::Accepted | ProbeResult::Refused => break,
+            ProbeResult::NoResponse => {}
+        }
+    }
+    note_server_gone(&gateway, &server.id);
+}
+
 /// Records that a server is gone without having drained. Its registration may take seconds to
 /// expire.
 pub fn note_server_gone(gateway: &Rc<Gateway>, server: &str) {
