Loads of versions may be ordered by the need of steps

Change: `[scheduling] versions_by_need`, off unless set.

Tests: support/mod.rs names the new field; nothing else changed in existing tests.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -218,6 +218,9 @@
         urgency: Urgency,
         route: &Route,
     ) -> AssignedSlot {
+        let target = |deadline| self.job.first_seen + migration::target_age(deadline);
+        self.job.target.set(route.result_deadline.map(target));
+        let _waiting = self.job.waiting.add(&self.item.id);
         let work = self.work(route).filter(|work| work.remaining > 0);
         let history = self.history.clone();
         let id = &self.item.id;
@@ -568,9 +571,7 @@
                                 let delay = self.gateway.now().saturating_sub(sent_at);
                                 self.gateway.migration_cost.borrow_mut().record(delay);
                             }
-                            if let Some(run) = &run {
-                                self.record_pace(server, &mut pace, events, run);
-                            }
+                            self.record_pace(server, &mut pace, events, run.as_ref());
                             if self.should_migrate(
                                 server,
                                 &mut throughput,
@@ -608,14 +609,18 @@
         outcome
     }
 
-    /// Records the pace of the server, and updates the remaining work of the text.
+    /// Records the pace of the server if decisions use it, and updates the remaining work of the
+    /// text.
     fn record_pace(
         &self,
         server: &Server,
         pace: &mut Option<ThroughputMeter>,
         events: usize,
-        run: &RunRegistration,
+        run: Option<&RunRegistration>,
     ) {
+        if run.is_none() && !self.gateway.tuning().versions_by_need {
+            return;
+        }
         let now = self.gateway.now();
         let Some(meter) = pace else {
             *pace = Some(ThroughputMeter::new(now));
@@ -623,7 +628,9 @@
         };
         if let Some(per_event) = meter.record(now, events as u64) {
             self.gateway.directory.borrow_mut().placer.record_pace(&server.id, per_event);
-            run.update(self.expected_remaining());
+            if let Some(run) = run {
+                run.update(self.expected_remaining());
+            }
         }
     }
 
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -115,6 +115,8 @@
     pub quarantine: Limits,
     /// Whether batch items are placed by the slack of their step.
     pub by_slack: bool,
+    /// Whether loads of versions are ordered by the need of steps.
+    pub versions_by_need: bool,
 }
 
 /// Shared state of one daemon.
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -87,6 +87,45 @@
     },
     /// A daemon's demand for a service under pressure.
     DemandReported(DemandReport),
+    /// What a pending step needs, from the owner of its job. Sent only if loads are planned by
+    /// need.
+    StepReported(StepReport),
+}
+
+/// What a pending step needs.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct StepReport {
+    /// The job.
+    pub job: String,
+    /// The model.
+    pub model: String,
+    /// Oldest version that the step may use.
+    pub min_version: u64,
+    /// Time until its texts should be complete, in milliseconds; 0 once it has passed.
+    pub due_millis: u64,
+    /// The same, as of its submission.
+    pub target_millis: u64,
+    /// Number of items without a result.
+    pub unfinished: u32,
+    /// Expected remaining events of the longest of them.
+    pub longest: u32,
+    /// Expected remaining events of some items that wait for a slot, longest first: one entry for
+    /// every eight items.
+    pub waiting: Vec<u32>,
+    /// Expected events of some items of the step, in the same way.
+    pub lengths: Vec<u32>,
+    /// Paces of servers.
+    #[musli(default)]
+    pub paces: Vec<ServerPace>,
+}
+
+/// Pace of a server.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct ServerPace {
+    /// The server.
+    pub server: String,
+    /// Mean time between two events of a text, in microseconds.
+    pub micros: u64,
 }
 
 /// Demand of a daemon for a service.
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -123,6 +123,8 @@
     pub admission: Option<AdmissionSettings>,
     /// Whether batch items are placed by the slack of their step.
     pub by_slack: bool,
+    /// Whether loads of versions are ordered by the need of steps.
+    pub versions_by_need: bool,
 }
 
 /// A duty of the daemons towards the machine provider.
@@ -473,6 +475,7 @@
             quarantine: reader.quarantine(),
             admission: reader.admission(),
             by_slack: reader.boolean("scheduling.by_slack"),
+            versions_by_need: reader.boolean("scheduling.versions_by_need"),
             usage: reader.usage(&duties),
             fail_closed: reader.boolean("access.fail_closed"),
             revocation_notice: reader.optional_millis("access.revocation_notice_ms"),
@@ -557,6 +560,7 @@
             cold_margin: self.cold_margin,
             quarantine: self.quarantine,
             by_slack: self.by_slack,
+            versions_by_need: self.versions_by_need,
         }
     }
 }
--- a/crates/heronbend-gateway/src/versions/watch.rs
+++ b/crates/heronbend-gateway/src/versions/watch.rs
@@ -107,7 +107,7 @@
 }
 
 /// The first daemons in the takeover order of the lease.
-pub(super) fn candidates(gateway: &Gateway) -> Vec<NodeId> {
+pub(crate) fn candidates(gateway: &Gateway) -> Vec<NodeId> {
     let mut nodes = gateway.members.alive();
     nodes.push(gateway.identity.node.clone());
     nodes.sort_by_cached_key(|node| {
--- a/crates/heronbend-gateway/tests/settings.rs
+++ b/crates/heronbend-gateway/tests/settings.rs
@@ -185,3 +185,33 @@
         assert_eq!(findings[0].problem, problem);
     }
 }
+
+#[test]
+fn versions_by_need_is_off_unless_set_and_takes_effect_on_reload() {
+    let off = Settings::parse("node.toml", VALID).unwrap();
+    assert!(!off.tuning().versions_by_need);
+    let set = format!("{VALID}\n[scheduling]\nversions_by_need = true\n");
+    let on = Settings::parse("node.toml", &set).unwrap();
+    assert!(on.tuning().versions_by_need);
+    assert!(!on.tuning().by_slack);
+    let changes = reload::changes(&off, &on);
+    let fields: Vec<_> = changes.iter().map(|change| change.field).collect();
+    assert_eq!(fields, ["scheduling.versions_by_need"]);
+    assert!(changes.iter().all(|change| change.applies_live));
+}
+
+#[test]
+fn all_findings_on_scheduling_are_reported_at_once() {
+    let invalid = format!(
+        "{VALID}\n[scheduling]\nby_slack = 1\nversions_by_need = \"yes\"\nby_nead = true\n"
+    );
+    let findings = Settings::parse("node.toml", &invalid).unwrap_err().to_string();
+    for expected in [
+        "node.toml: front-1: scheduling.by_slack: is neither true nor false",
+        "node.toml: front-1: scheduling.versions_by_need: is neither true nor false",
+        "node.toml: front-1: scheduling.by_nead: is not a setting",
+    ] {
+        assert!(findings.contains(expected), "{expected} in\n{findings}");
+    }
+    assert_eq!(findings.lines().count(), 3, "{findings}");
+}
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -141,6 +141,7 @@
         retention: Duration::from_secs(900),
     },
     by_slack: false,
+    versions_by_need: false,
 };
 
 /// Creates a gateway on `store`, which several gateways may share.
