Loads are planned as before while a pending step is not reported

Cause: for a step whose reports are missing, the need was estimated from the lengths of the last one for as long as the step was pending.

Change: the estimate holds for the first 500 ms of a step; after that a model with an unreported step is treated as late, as in the plan.

--- a/crates/heronbend-gateway/src/versions/step_reports.rs
+++ b/crates/heronbend-gateway/src/versions/step_reports.rs
@@ -15,6 +15,9 @@
 /// Age from which on a report says nothing about the waiting items any more: several reports are
 /// missing.
 const MAX_AGE: Duration = Duration::from_millis(1500);
+/// Time until the first report of a step arrives. Until then the step is expected to be like the
+/// last one.
+const FIRST_REPORT_DELAY: Duration = Duration::from_millis(500);
 /// Largest number of jobs with a report.
 const MAX_JOBS: usize = 256;
 /// Number of steps whose times of submission tell when the next one is due.
@@ -37,6 +40,9 @@
     pub ended: bool,
 }
 
+/// A pending step about which nothing recent is known.
+struct Unreported;
+
 #[derive(Debug)]
 struct Received {
     report: StepReport,
@@ -61,7 +67,7 @@
         }
     }
 
-    /// Returns the needs of the models that have been reported on. `newest` are the published
+    /// Returns the needs of the models whose pending steps are all reported. `newest` are the published
     /// versions.
     pub fn needs(
         &self,
@@ -90,7 +96,8 @@
         let next_min_version = (recent.min_version + 1).min(newest);
         let pending = known.iter().filter(|step| !step.ended);
         let step_need = |step: &&KnownStep| self.step_need(now, step, next_min_version, target);
-        let steps: Vec<StepNeed> = pending.filter_map(step_need).collect();
+        let steps: Result<Vec<Option<StepNeed>>, Unreported> = pending.map(step_need).collect();
+        let steps: Vec<StepNeed> = steps.ok()?.into_iter().flatten().collect();
         let newest_step = steps.iter().map(|step| step.min_version).max().unwrap_or(0);
         let newest_step = newest_step.max(recent.min_version);
         let next_min_version = newest_step + 1;
@@ -114,18 +121,19 @@
         newest.max_by_key(|report| report.min_version).cloned()
     }
 
-    /// What a pending step needs; `None` if all its texts are complete.
+    /// What a pending step needs; `None` if all its texts are complete, or if it is late and not
+    /// reported.
     fn step_need(
         &self,
         now: Moment,
         step: &KnownStep,
         next_min_version: u64,
         target: Duration,
-    ) -> Option<StepNeed> {
+    ) -> Result<Option<StepNeed>, Unreported> {
         let reports = self.reports.borrow();
         let received = reports.get(&step.job);
         if received.is_some_and(|received| received.report.unfinished == 0) {
-            return None;
+            return Ok(None);
         }
         let min_version = received.map(|received| received.report.min_version);
         let fresh = received.filter(|received| now < received.at + MAX_AGE);
@@ -136,15 +144,20 @@
             }
             None => (step.first_seen + target).saturating_sub(now),
         };
-        // Without a report the step is late, so that a lost owner does not delay the others.
-        (received.is_some() || !due_in.is_zero()).then(|| StepNeed {
+        if fresh.is_none() && due_in.is_zero() {
+            return Ok(None);
+        }
+        if fresh.is_none() && now >= step.first_seen + FIRST_REPORT_DELAY {
+            return Err(Unreported);
+        }
+        Ok(Some(StepNeed {
             min_version: min_version.unwrap_or(next_min_version),
             due_in,
             items: step.items,
             unfinished: fresh.map(|received| received.report.unfinished as usize),
             longest: fresh.map_or(0, |received| received.report.longest),
             waiting: fresh.map(|received| received.report.waiting.clone()),
-        })
+        }))
     }
 }
 
