--- a/crates/heronbend-gateway/tests/version_need.rs
+++ b/crates/heronbend-gateway/tests/version_need.rs
@@ -18,6 +18,7 @@
 use heronbend_gateway::batch::step_report::MAX_ENTRIES;
 use heronbend_gateway::batch::step_report::MAX_PACES;
 use heronbend_gateway::directory::Server;
+use heronbend_gateway::gateway::Tuning;
 use heronbend_gateway::peers::messages::Datagram;
 use heronbend_gateway::peers::messages::ServerPace;
 use heronbend_gateway::peers::messages::StepReport;
@@ -37,8 +38,11 @@
 use rand::rngs::SmallRng;
 use rand::Rng;
 use rand::SeedableRng;
+use smol::LocalExecutor;
+use support::gateway;
 use support::item;
 use support::job;
+use support::memory_store::MemoryStore;
 use support::node;
 use support::result;
 use support::server;
@@ -721,6 +725,20 @@
     assert_eq!(steps(now + millis(100), vec![pending("j", now)]), []);
 }
 
+#[test]
+fn reports_count_only_while_the_setting_is_on() {
+    let store = Rc::new(MemoryStore::default());
+    let executor = Rc::new(LocalExecutor::new());
+    let gateway = gateway("a", &store, &executor);
+    let newest = BTreeMap::from([("m".to_owned(), 5)]);
+    let needs = || gateway.versions.step_reports.needs(gateway.now(), &newest, Vec::new());
+    step_report::receive(&gateway, report("j"));
+    assert!(needs().is_empty());
+    gateway.set_tuning(Tuning { versions_by_need: true, ..gateway.tuning() });
+    step_report::receive(&gateway, report("j"));
+    assert_eq!(needs()["m"].lengths, report("j").lengths);
+}
+
 #[test]
 fn the_next_step_is_foreseen() {
     let now = Duration::from_secs(10);
