A server without a model is not kept for items that wait for it

Cause: a server without a model counts as having version 0, so waiting items of a step that accepts any version (min_version 0, the default) seemed able to use it, and no model with slack got loads on it. Change: only a server that has the model is reserved. Weighed: min_version of at least 1 in the needs of steps; a registered version 0 can serve such a step, so no.

--- a/crates/heronbend-gateway/src/versions/need.rs
+++ b/crates/heronbend-gateway/src/versions/need.rs
@@ -120,8 +120,8 @@
 /// after the pause.
 fn is_reserved(queues: &[Queue], candidate: &Candidate, slack: Slack) -> bool {
     let is_critical = |queue: &Queue| {
-        let loaded = candidate.engine.loaded(queue.model);
-        queue.waiting_slack(loaded) == Some(0)
+        let loaded = candidate.engine.server.models.get(queue.model);
+        loaded.is_some_and(|loaded| queue.waiting_slack(*loaded) == Some(0))
     };
     slack > 0 && queues.iter().any(is_critical)
 }
--- a/crates/heronbend-gateway/tests/version_need.rs
+++ b/crates/heronbend-gateway/tests/version_need.rs
@@ -196,6 +196,18 @@
     assert!(!need::loads_due(&models, &waiting, &engines, &pace).is_empty());
 }
 
+#[test]
+fn a_server_without_the_model_is_not_kept_for_its_waiting_items() {
+    // The step of `a` accepts any version. Half of the servers do not have the model.
+    let models = states(&[("a", 1), ("b", 3)]);
+    let held = |number| if number % 2 == 0 { ("a", 1) } else { ("b", 1) };
+    let engines: Vec<_> = (0..SERVERS).map(|number| engine(number, &[held(number)])).collect();
+    let waiting = need(vec![waiting_step(0, 144, millis(5000))]);
+    let later = need(vec![waiting_step(2, 144, Duration::from_secs(60))]);
+    let due = need::loads_due(&models, &needs(vec![("a", waiting), ("b", later)]), &engines, &pace);
+    assert_eq!(count(&due, "b"), 9, "{due:?}");
+}
+
 #[test]
 fn servers_load_for_a_step_that_is_about_to_be_submitted() {
     // All servers can run the pending step of `a`, but not the next one, whose version is already
