Load reports of servers, two time scales of speed, spill by need: behind [placement], off

Cause: placement knew only the daemon's own part of a server's load, forgot what speed a server has, and sent calls to other zones as soon as one of its own was in flight. Change: placement::server_load (reports fade with the run time; compared with measured latencies), speed, spill; the platform's header is decoded once in the adapter. Off unless set: the cost of a request is then the same expression as before.

--- a/crates/heronbend-gateway/src/attempt.rs
+++ b/crates/heronbend-gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::http::client::{Exchange, ExchangeError, FullResponse};
+use crate::load_reports;
 use crate::memory::Reservation;
 use crate::ports::HeaderNames;
 use crate::quarantine::crash_detection;
@@ -118,6 +119,7 @@
         }
         Err(_) => return Err(AttemptFailure::BrokenOff),
     };
+    record_load(gateway, server, outgoing, &exchange);
     if is_replaced_server(gateway, outgoing, &exchange) {
         log::info!("event=server_replaced server={} id={}", server.id, outgoing.id);
         crash_detection::note_server_gone(gateway, &server.id);
@@ -125,6 +127,20 @@
     validate_head(gateway, outgoing, exchange)
 }
 
+/// Records the load that a response reports, if it is a response of this server to this request.
+fn record_load(
+    gateway: &Gateway,
+    server: &Server,
+    outgoing: &OutgoingRequest,
+    exchange: &Exchange,
+) {
+    let names = gateway.dialect.headers();
+    let is_foreign = exchange.header(&names.request_id) != Some(outgoing.id.as_str());
+    if !is_foreign && exchange.status != StatusCode::MISDIRECTED_REQUEST {
+        load_reports::record(gateway, server, &exchange.headers);
+    }
+}
+
 /// Whether a response shows that another server now uses the address: a server only misdirects a
 /// request without an expected version if the server id does not match. The old registration may
 /// stay in the store for some seconds.
--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -395,7 +395,7 @@
         urgency: Urgency,
         route: &Route,
     ) -> AttemptResult {
-        let AssignedSlot { server, key, version_status, guard } = placed;
+        let AssignedSlot { server, key, version_status, guard, .. } = placed;
         let server = &server;
         let Some(outgoing) = self.outgoing(version_status, route) else {
             return AttemptResult::Unsendable;
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -25,6 +25,7 @@
 use crate::directory::Server;
 use crate::gateway::Gateway;
 use crate::http::client::FullResponse;
+use crate::load_reports;
 use crate::permits;
 use crate::quarantine;
 use crate::quarantine::admitted_request;
@@ -328,12 +329,15 @@
             deadline: self.limits.deadline,
             target: self.limits.target_latency,
             was_sent: !self.history.tried.is_empty(),
+            bytes: self.outgoing.body.len(),
         };
         let decision = {
             let mut directory = gateway.directory.borrow_mut();
             let pool = &gateway.server_connections;
             directory.place_call(gateway.now(), pool, &self.requirements, &self.history, &wait)
         };
+        let used = gateway.directory.borrow_mut().placer.take_report_use();
+        load_reports::log_use(gateway, ("id", &self.outgoing.id), used);
         permits::request_permits(gateway);
         decision
     }
--- a/crates/heronbend/src/placement/health.rs
+++ b/crates/heronbend/src/placement/health.rs
@@ -5,6 +5,9 @@
 
 use std::time::Duration;
 
+use super::server_load::LoadReport;
+use super::server_load::ReportHistory;
+use super::speed::Speed;
 use crate::Moment;
 
 /// Weight of a new sample in a server's mean latency.
@@ -48,6 +51,10 @@
     pub suspects: u32,
     /// Mean time of a response, or of an event of a batch item, in milliseconds.
     pub mean_millis: Option<f64>,
+    /// The same latency by two time scales.
+    pub speed: Speed,
+    /// What the server reports about its load.
+    pub reports: ReportHistory,
     last_sample_at: Moment,
     consecutive_failures: u32,
     backoff_until: Moment,
@@ -76,6 +83,25 @@
         best + (known - best) * remaining
     }
 
+    /// Records a report of the server's load.
+    pub fn record_report(&mut self, now: Moment, report: LoadReport) {
+        self.reports.record(now, report, self.in_flight);
+    }
+
+    /// Counts a request that is sent to the server, which has `slots`.
+    pub fn request_started(&mut self, now: Moment, slots: u32) {
+        self.reports.in_flight_changes(now, self.in_flight);
+        self.reports.request_sent(now, slots);
+        self.in_flight += 1;
+    }
+
+    /// Counts a request that is not in flight any more.
+    pub fn request_finished(&mut self, now: Moment) {
+        self.reports.in_flight_changes(now, self.in_flight);
+        self.reports.request_finished();
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
     /// Records the outcome of an attempt.
     pub fn record_outcome(&mut self, now: Moment, outcome: AttemptOutcome) {
         self.exited = self.has_exited(now);
@@ -84,6 +110,7 @@
                 let millis = latency.as_secs_f64() * 1e3;
                 let old = self.mean_millis.unwrap_or(millis);
                 self.mean_millis = Some(old + (millis - old) * SAMPLE_WEIGHT);
+                self.speed.record(now, millis);
                 self.last_sample_at = now;
                 self.consecutive_failures = 0;
                 self.backoff_until = Moment::ZERO;
--- a/crates/heronbend/src/placement/rank.rs
+++ b/crates/heronbend/src/placement/rank.rs
@@ -1,6 +1,8 @@
 //! Ranks eligible servers by the expected time of a request.
 
+use super::options::RankOptions;
 use super::server::Server;
+use super::server_load::ReportedLoad;
 use crate::Moment;
 
 /// Latency assumed if none is known, in milliseconds.
@@ -43,9 +45,9 @@
 impl CostParameters {
     /// Creates the parameters for requests at `now`, where the fastest server has a mean latency of
     /// `best_millis`.
-    pub fn new(now: Moment, best_millis: f64, profile: Profile) -> Self {
+    pub fn new(now: Moment, best_millis: f64, profile: Profile, options: RankOptions) -> Self {
         let Profile { load_penalty, tolerance, latency_weight } = profile;
-        Self { now, best_millis, load_penalty, tolerance, latency_weight }
+        Self { now, best_millis, load_penalty, tolerance, latency_weight, options }
     }
 }
 
@@ -68,6 +70,8 @@
     pub tolerance: f64,
     /// Weight of the network latency.
     pub latency_weight: f64,
+    /// Which optional parts are enabled.
+    pub options: RankOptions,
 }
 
 /// Mean latency of the fastest server, in milliseconds. For calls it is at most the service's
@@ -86,6 +90,19 @@
     }
 }
 
+/// Expected time of one more request on a server, in milliseconds, without the network.
+pub fn server_millis(server: &Server, parameters: &CostParameters) -> f64 {
+    let mean = mean_millis(server, parameters).max(MIN_MILLIS);
+    let is_as_fast = mean <= parameters.best_millis * parameters.tolerance;
+    let mean = if is_as_fast { parameters.best_millis.max(MIN_MILLIS) } else { mean };
+    let slots = server.registration.slots;
+    let own = server.health.in_flight;
+    let load = reported_load(server, parameters).unwrap_or(ReportedLoad::NONE);
+    let utilization = load.utilization(own, slots);
+    let wait = load.expected_wait(own, slots);
+    mean * load.slowdown * (1.0 + parameters.load_penalty * utilization + wait)
+}
+
 /// Expected time of one more request on a server, in milliseconds. `network_millis` is the network
 /// latency of its zone.
 pub fn cost(
@@ -94,13 +111,27 @@
     network_millis: f64,
     is_connected: bool,
 ) -> f64 {
-    let mean =
-        server.health.decayed_mean_millis(parameters.now, parameters.best_millis).max(MIN_MILLIS);
-    let is_as_fast = mean <= parameters.best_millis * parameters.tolerance;
-    let mean = if is_as_fast { parameters.best_millis.max(MIN_MILLIS) } else { mean };
-    let utilization =
-        f64::from(server.health.in_flight) / f64::from(server.registration.slots.max(1));
     let connecting = if is_connected { 0.0 } else { CONNECT_MILLIS };
     let network_cost = network_millis * parameters.latency_weight;
-    mean * (1.0 + parameters.load_penalty * utilization) + network_cost + connecting
+    server_millis(server, parameters) + network_cost + connecting
+}
+
+/// The load that the server's last report implies, if reports are taken into account.
+fn reported_load(server: &Server, parameters: &CostParameters) -> Option<ReportedLoad> {
+    if !parameters.options.server_load {
+        return None;
+    }
+    server.health.reports.current(parameters.now, server.registration.slots)
+}
+
+/// Mean latency of a server as known by this daemon, in milliseconds.
+pub fn mean_millis(server: &Server, parameters: &CostParameters) -> f64 {
+    let CostParameters { now, best_millis, options, .. } = *parameters;
+    let health = &server.health;
+    if !options.two_speeds {
+        return health.decayed_mean_millis(now, best_millis);
+    }
+    let is_probe = health.in_flight == 0 && health.speed.is_probe_due(now);
+    let known = health.speed.current_millis(now).filter(|_| !is_probe);
+    known.unwrap_or(best_millis)
 }
