--- a/crates/heronbend/src/placement/decisions.rs
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -670,7 +670,11 @@
         let baseline =
             service.and_then(|service| self.service_states.get(&service)?.baseline_millis);
         let best_millis = rank::best_millis(servers(), baseline, profile);
-        CostParameters::new(now, best_millis, profile, self.rank_options)
+        let parameters = CostParameters::new(now, best_millis, profile, self.rank_options);
+        if !self.rank_options.server_load {
+            return parameters;
+        }
+        CostParameters { others_per_slot: rank::mean_others_per_slot(servers()), ..parameters }
     }
 
     pub(super) fn choice(
--- a/crates/heronbend/src/placement/health.rs
+++ b/crates/heronbend/src/placement/health.rs
@@ -83,9 +83,9 @@
         best + (known - best) * remaining
     }
 
-    /// Records a report of the server's load.
-    pub fn record_report(&mut self, now: Moment, report: LoadReport) {
-        self.reports.record(now, report, self.in_flight);
+    /// Records a report of the load of the server, which has `slots`.
+    pub fn record_report(&mut self, now: Moment, report: LoadReport, slots: u32) {
+        self.reports.record(now, report, self.in_flight, slots);
     }
 
     /// Counts a request that is sent to the server, which has `slots`.
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -282,7 +282,8 @@
     /// Records the load that a server reports.
     pub fn record_report(&mut self, now: Moment, id: &str, report: LoadReport) {
         if let Some(server) = self.key(id).and_then(|key| self.get_mut(key)) {
-            server.health.record_report(now, report);
+            let slots = server.registration.slots;
+            server.health.record_report(now, report, slots);
         }
     }
 
--- a/crates/heronbend/src/placement/rank.rs
+++ b/crates/heronbend/src/placement/rank.rs
@@ -47,7 +47,8 @@
     /// `best_millis`.
     pub fn new(now: Moment, best_millis: f64, profile: Profile, options: RankOptions) -> Self {
         let Profile { load_penalty, tolerance, latency_weight } = profile;
-        Self { now, best_millis, load_penalty, tolerance, latency_weight, options }
+        let others_per_slot = 0.0;
+        Self { now, best_millis, load_penalty, tolerance, latency_weight, others_per_slot, options }
     }
 }
 
@@ -70,6 +71,8 @@
     pub tolerance: f64,
     /// Weight of the network latency.
     pub latency_weight: f64,
+    /// Load of a server by other callers that is assumed without a report, by slot.
+    pub others_per_slot: f64,
     /// Which optional parts are enabled.
     pub options: RankOptions,
 }
@@ -97,7 +100,7 @@
     let mean = if is_as_fast { parameters.best_millis.max(MIN_MILLIS) } else { mean };
     let slots = server.registration.slots;
     let own = server.health.in_flight;
-    let load = reported_load(server, parameters).unwrap_or(ReportedLoad::NONE);
+    let load = reported_load(server, parameters);
     let utilization = load.utilization(own, slots);
     let wait = load.expected_wait(own, slots);
     mean * load.slowdown * (1.0 + parameters.load_penalty * utilization + wait)
@@ -116,12 +119,22 @@
     server_millis(server, parameters) + network_cost + connecting
 }
 
-/// The load that the server's last report implies, if reports are taken into account.
-fn reported_load(server: &Server, parameters: &CostParameters) -> Option<ReportedLoad> {
+/// The load of other callers, if reports are taken into account.
+fn reported_load(server: &Server, parameters: &CostParameters) -> ReportedLoad {
     if !parameters.options.server_load {
-        return None;
+        return ReportedLoad::NONE;
     }
-    server.health.reports.current(parameters.now, server.registration.slots)
+    let slots = server.registration.slots;
+    let others = parameters.others_per_slot * f64::from(slots);
+    let reported = server.health.reports.current(parameters.now, slots, others);
+    reported.unwrap_or(ReportedLoad { others, ..ReportedLoad::NONE })
+}
+
+/// Mean load of servers by other callers, by slot, as far as they report it.
+pub fn mean_others_per_slot<'a>(servers: impl Iterator<Item = &'a Server>) -> f64 {
+    let reported: Vec<f64> =
+        servers.filter_map(|server| server.health.reports.mean_others_per_slot()).collect();
+    reported.iter().sum::<f64>() / reported.len().max(1) as f64
 }
 
 /// Mean latency of a server as known by this daemon, in milliseconds.
--- a/crates/heronbend/src/placement/server_load.rs
+++ b/crates/heronbend/src/placement/server_load.rs
@@ -1,8 +1,9 @@
 //! What servers report about their load, and how much of a report still holds.
 //!
 //! A server reports the load of all callers, of which this daemon knows only its own part. A report
-//! loses its value with its age: requests that ran then have finished since. What the daemon
-//! measures itself takes precedence over what servers report.
+//! loses its value with its age: requests that ran then have finished since. The load of a server
+//! without a recent report is assumed to be the mean of its service, so that it attracts no more
+//! requests than others. What the daemon measures itself takes precedence over reports.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -25,6 +26,8 @@
 const SAMPLE_MEMORY: f64 = 0.95;
 /// Weight of the assumption that reports are true, in samples of a full wait.
 const PRIOR_WEIGHT: f64 = 0.5;
+/// Weight of a report in the mean load of a server.
+const MEAN_WEIGHT: f64 = 0.05;
 /// Number of requests in flight whose expected wait is compared with the measured one.
 const MAX_CLAIMS: usize = 32;
 /// Difference up to which two times belong to the same request.
@@ -86,14 +89,26 @@
 #[derive(Debug, Clone, Default)]
 pub struct ReportHistory {
     last: Option<ReceivedReport>,
+    /// Mean load that the server reports of other callers, by slot.
+    mean_others_per_slot: Option<f64>,
     run_time: RunTime,
     accuracy: ReportAccuracy,
 }
 
 impl ReportHistory {
-    /// Records a report. `own_in_flight` includes the request whose response brought it.
-    pub fn record(&mut self, now: Moment, report: LoadReport, own_in_flight: u32) {
-        self.last = Some(ReceivedReport { report, received_at: now, own_in_flight });
+    /// Records a report of a server that has `slots`. `own_in_flight` includes the request whose
+    /// response brought it.
+    pub fn record(&mut self, now: Moment, report: LoadReport, own_in_flight: u32, slots: u32) {
+        let received = ReceivedReport { report, received_at: now, own_in_flight };
+        let per_slot = received.unweighted(slots).others / f64::from(slots.max(1));
+        let mean = self.mean_others_per_slot.get_or_insert(per_slot);
+        *mean += (per_slot - *mean) * MEAN_WEIGHT;
+        self.last = Some(received);
+    }
+
+    /// Mean load that the server reports of other callers, by slot.
+    pub fn mean_others_per_slot(&self) -> Option<f64> {
+        self.mean_others_per_slot
     }
 
     /// The last report.
@@ -146,9 +161,9 @@
         at_start * (1.0 - (-run).exp()) / run
     }
 
-    /// The load that the last report implies now, as far as it can be relied on. `None` if it has
-    /// no effect any more.
-    pub fn current(&self, now: Moment, slots: u32) -> Option<ReportedLoad> {
+    /// The load that the last report implies now, as far as it can be relied on, and otherwise
+    /// `assumed` requests of other callers. `None` if the report has no effect any more.
+    pub fn current(&self, now: Moment, slots: u32, assumed: f64) -> Option<ReportedLoad> {
         let last = self.last?;
         let age = now.saturating_sub(last.received_at);
         let (load, slowdown) = (self.load_weight(age), self.slowdown_weight(age));
@@ -156,7 +171,7 @@
         let slowdown = if slowdown < MIN_WEIGHT { 0.0 } else { slowdown };
         let reported = last.unweighted(slots);
         let current = ReportedLoad {
-            others: reported.others * load * self.accuracy.ratio(),
+            others: assumed + (reported.others - assumed) * load * self.accuracy.ratio(),
             slowdown: 1.0 + (reported.slowdown - 1.0) * slowdown,
         };
         (load > 0.0 || slowdown > 0.0).then_some(current)
@@ -193,11 +208,11 @@
 
     fn request_finished(&mut self) {
         self.in_flight_millis *= SAMPLE_MEMORY;
-        self.finished = self.finished * SAMPLE_MEMORY + 1.0;
+        self.finished = (self.finished + 1.0) * SAMPLE_MEMORY;
     }
 
     fn millis(&self) -> f64 {
-        if self.finished < 1.0 {
+        if self.finished == 0.0 {
             return DEFAULT_RUN_MILLIS;
         }
         (self.in_flight_millis / self.finished).max(1.0)
--- a/crates/heronbend/src/placement/speed.rs
+++ b/crates/heronbend/src/placement/speed.rs
@@ -9,13 +9,14 @@
 /// Half-life of the difference between the two. A server that was slow for a moment is used again
 /// after about as long.
 const CURRENT_HALF_LIFE: Duration = Duration::from_millis(300);
-/// Weight of a sample in the latency just now, and largest weight in the usual one. A single sample
-/// may be an outlier.
-const MAX_SAMPLE_WEIGHT: f64 = 0.3;
+/// Weight of a sample in the latency just now.
+const CURRENT_SAMPLE_WEIGHT: f64 = 0.3;
 /// Smallest weight of a sample in the usual latency, for samples that come at once.
-const MIN_SAMPLE_WEIGHT: f64 = 0.02;
+const MIN_USUAL_WEIGHT: f64 = 0.005;
+/// Largest weight of a sample in the usual latency. A single sample may be an outlier.
+const MAX_USUAL_WEIGHT: f64 = 0.5;
 /// Time after which an idle server gets one request to learn whether its usual latency has changed.
-const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+const PROBE_INTERVAL: Duration = Duration::from_secs(3);
 
 /// Mean latencies of a server, in milliseconds.
 #[derive(Debug, Clone, Copy, Default)]
@@ -40,7 +41,7 @@
                 let current = self.current_millis(now).unwrap_or(usual);
                 Means {
                     usual: usual + (millis - usual) * usual_weight(passed),
-                    current: current + (millis - current) * MAX_SAMPLE_WEIGHT,
+                    current: current + (millis - current) * CURRENT_SAMPLE_WEIGHT,
                 }
             }
         };
@@ -70,5 +71,5 @@
 /// Weight in the usual latency of a sample that comes `passed` after the last one.
 fn usual_weight(passed: Duration) -> f64 {
     let weight = 1.0 - (-passed.as_secs_f64() / USUAL_MEMORY.as_secs_f64()).exp();
-    weight.clamp(MIN_SAMPLE_WEIGHT, MAX_SAMPLE_WEIGHT)
+    weight.clamp(MIN_USUAL_WEIGHT, MAX_USUAL_WEIGHT)
 }
