--- a/crates/heronbend-gateway/tests/settings.rs
+++ b/crates/heronbend-gateway/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use heronbend::placement::RankOptions;
 use heronbend::quarantine::Limits;
 use heronbend_gateway::admission_settings::LimitSource;
 use heronbend_gateway::reload;
@@ -185,3 +186,42 @@
         assert_eq!(findings[0].problem, problem);
     }
 }
+
+#[test]
+fn reported_load_speeds_and_zones_are_used_only_if_set() {
+    let options = |text: &str| {
+        let settings = Settings::parse("node.toml", &format!("{VALID}\n{text}")).unwrap();
+        settings.tuning().rank_options
+    };
+    let none = RankOptions::default();
+    assert_eq!(options(""), none);
+    assert_eq!(options("[placement]\n"), none);
+    assert_eq!(
+        options("[placement]\nserver_load = true\n"),
+        RankOptions { server_load: true, ..none }
+    );
+    assert_eq!(
+        options("[placement]\nserver_load = true\ntwo_speeds = true\nspill_by_need = true\n"),
+        RankOptions { server_load: true, two_speeds: true, spill_by_need: true }
+    );
+}
+
+#[test]
+fn placement_settings_are_validated_and_take_effect_on_reload() {
+    let invalid =
+        format!("{VALID}\n[placement]\nserver_load = 1\ntwo_speeds = \"yes\"\nspill = true\n");
+    let findings = Settings::parse("node.toml", &invalid).unwrap_err().to_string();
+    for expected in [
+        "node.toml: front-1: placement.server_load: is neither true nor false",
+        "node.toml: front-1: placement.two_speeds: is neither true nor false",
+        "node.toml: front-1: placement.spill: is not a setting",
+    ] {
+        assert!(findings.contains(expected), "{expected} in\n{findings}");
+    }
+    assert_eq!(findings.lines().count(), 3, "{findings}");
+    let old = Settings::parse("node.toml", VALID).unwrap();
+    let text = format!("{VALID}\n[placement]\nserver_load = true\n");
+    let changes = reload::changes(&old, &Settings::parse("node.toml", &text).unwrap());
+    let fields: Vec<_> = changes.iter().map(|change| (change.field, change.applies_live)).collect();
+    assert_eq!(fields, [("placement", true)]);
+}
--- a/crates/heronbend/src/placement/decisions.rs
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -625,10 +625,14 @@
         profile: Profile,
         is_connected: impl Fn(ServerKey) -> bool,
     ) -> Option<ServerKey> {
-        let parameters = self.cost_parameters(now, keys, profile);
+        let mut parameters = self.cost_parameters(now, keys, profile);
         let options = RankOptions { server_load: false, ..parameters.options };
         let without_reports = CostParameters { options, ..parameters };
         let ignores_connections = self.random.random_range(0..rank::EXPLORE_EVERY) == 0;
+        if ignores_connections {
+            // A server whose last report has no effect any more is asked again.
+            parameters.others_per_slot = 0.0;
+        }
         let (mut best, mut otherwise) = (Cheapest::default(), Cheapest::default());
         for key in keys {
             let jitter = self.random.random::<f64>();
--- a/crates/heronbend/src/placement/rank.rs
+++ b/crates/heronbend/src/placement/rank.rs
@@ -13,7 +13,7 @@
 /// daemon with few calls reuses its connections, and is less than [the latency of another
 /// zone](super::Placer::zone_latency), so that calls return to their own zone.
 const CONNECT_MILLIS: f64 = 1.5;
-/// Open connections are ignored in one of this many choices on average, so that unused servers get
+/// Open connections and the assumed load are ignored in one of this many choices on average, so that unused servers get
 /// traffic again.
 pub const EXPLORE_EVERY: u32 = 16;
 /// Weight of the network latency for an event of a batch item. It is low because the latency is
