Placement: what was observed of a server is allocated on first use

The bound on memory for each registered server (memory_of_servers) was exceeded by 3 to 16 bytes with speeds and reports beside the mean; mean, speeds and reports now stand in one allocation that only used servers have.

--- a/crates/heronbend/src/placement/decisions.rs
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -491,7 +491,7 @@
             let servers = self.servers_of(service).map(|(_, server)| server);
             servers.filter(|server| server.is_ready())
         };
-        let is_known = peers().any(|peer| peer.health.mean_millis.is_some());
+        let is_known = peers().any(|peer| peer.health.mean_millis().is_some());
         let best = rank::best_millis(peers(), None, rank::BATCH_ITEM);
         let parameters = CostParameters::new(now, best, rank::BATCH_ITEM, self.rank_options);
         let millis = rank::mean_millis(self.get(key)?, &parameters);
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -289,7 +289,7 @@
 
     /// The last report of a server, if it has sent any.
     pub fn last_report(&self, key: ServerKey) -> Option<ReceivedReport> {
-        self.get(key)?.health.reports.last()
+        self.get(key)?.health.reports()?.last()
     }
 
     /// Sets the limits of a service: the number of requests this daemon may have in flight per
@@ -535,12 +535,8 @@
         let service = self.get(key).map(|server| server.registration.service);
         let baseline =
             service.and_then(|service| self.service_states.get(&service)?.baseline_millis);
-        let Some(server) = self.get_mut(key) else {
-            return;
-        };
-        let usual = server.health.speed.usual_millis();
-        if let Some(usual) = usual.zip(baseline).map(|(usual, baseline)| usual.min(baseline)) {
-            server.health.reports.response_received(now, latency, usual);
+        if let Some((baseline, server)) = baseline.zip(self.get_mut(key)) {
+            server.health.compare_with_reports(now, latency, baseline);
         }
     }
 
--- a/crates/heronbend/src/placement/rank.rs
+++ b/crates/heronbend/src/placement/rank.rs
@@ -84,7 +84,7 @@
     baseline: Option<f64>,
     profile: Profile,
 ) -> f64 {
-    let known = servers.filter_map(|server| server.health.mean_millis);
+    let known = servers.filter_map(|server| server.health.mean_millis());
     let best = known.reduce(f64::min);
     let baseline = baseline.filter(|_| profile == CALL);
     match (best, baseline) {
@@ -126,14 +126,15 @@
     }
     let slots = server.registration.slots;
     let others = parameters.others_per_slot * f64::from(slots);
-    let reported = server.health.reports.current(parameters.now, slots, others);
+    let reported =
+        server.health.reports().and_then(|reports| reports.current(parameters.now, slots, others));
     reported.unwrap_or(ReportedLoad { others, ..ReportedLoad::NONE })
 }
 
 /// Mean load of servers by other callers, by slot, as far as they report it.
 pub fn mean_others_per_slot<'a>(servers: impl Iterator<Item = &'a Server>) -> f64 {
     let reported: Vec<f64> =
-        servers.filter_map(|server| server.health.reports.mean_others_per_slot()).collect();
+        servers.filter_map(|server| server.health.reports()?.mean_others_per_slot()).collect();
     reported.iter().sum::<f64>() / reported.len().max(1) as f64
 }
 
@@ -144,7 +145,10 @@
     if !options.two_speeds {
         return health.decayed_mean_millis(now, best_millis);
     }
-    let is_probe = health.in_flight == 0 && health.speed.is_probe_due(now);
-    let known = health.speed.current_millis(now).filter(|_| !is_probe);
+    let Some(speed) = health.speed() else {
+        return best_millis;
+    };
+    let is_probe = health.in_flight == 0 && speed.is_probe_due(now);
+    let known = speed.current_millis(now).filter(|_| !is_probe);
     known.unwrap_or(best_millis)
 }
--- a/crates/heronbend/src/placement/server_load.rs
+++ b/crates/heronbend/src/placement/server_load.rs
@@ -96,6 +96,12 @@
 }
 
 impl ReportHistory {
+    /// Creates the history of a server whose first report is received at `now`.
+    pub fn new(now: Moment) -> Self {
+        let run_time = RunTime { updated_at: now, ..RunTime::default() };
+        Self { run_time, ..Self::default() }
+    }
+
     /// Records a report of a server that has `slots`. `own_in_flight` includes the request whose
     /// response brought it.
     pub fn record(&mut self, now: Moment, report: LoadReport, own_in_flight: u32, slots: u32) {
