--- a/crates/heronbend/src/placement/server_load_tests.rs
+++ b/crates/heronbend/src/placement/server_load_tests.rs
@@ -713,3 +713,55 @@
         assert!(large < small, "seed {seed}: {large} {small}");
     }
 }
+
+fn registration(placer: &mut Placer, incarnation: Incarnation) -> Registration {
+    Registration {
+        service: placer.service("app"),
+        zone: placer.zone("a"),
+        slots: SLOTS,
+        is_draining: false,
+        versions: Vec::new(),
+        cold_for: Duration::ZERO,
+        incarnation,
+        revision: 1,
+    }
+}
+
+#[test]
+fn first_placement_of_a_text_avoids_a_server_that_others_fill() {
+    for seed in SEEDS {
+        let mut placer = Placer::new(seed);
+        placer.set_local_zone("a");
+        for id in ["busy", "idle"] {
+            let registration = registration(&mut placer, Incarnation::default());
+            placer.register(SECOND, id, registration);
+        }
+        let requirements =
+            Requirements { service: placer.service("app"), model: None, allowed_regions: None };
+        placer.record_report(SECOND, "busy", report(SLOTS, 3));
+        placer.record_report(SECOND, "idle", report(0, 0));
+        let none = AttemptHistory::default();
+        placer.set_rank_options(LOAD);
+        for _ in 0..20 {
+            let choice = placer.place_batch_item(SECOND, &requirements, &none).unwrap();
+            assert_eq!(placer.id(choice.server), Some("idle"), "seed {seed}");
+        }
+        placer.set_rank_options(RankOptions::default());
+        let choices = (0..40).filter_map(|_| placer.place_batch_item(SECOND, &requirements, &none));
+        let busy: Vec<ServerKey> = choices.map(|choice| choice.server).collect();
+        let busy = busy.into_iter().filter(|key| placer.id(*key) == Some("busy")).count();
+        assert!(busy > 5, "seed {seed}: {busy} of 40 without the option");
+    }
+}
+
+#[test]
+fn a_restarted_server_has_no_report() {
+    let mut placer = Placer::new(1);
+    let first = registration(&mut placer, Incarnation::default());
+    let key = placer.register(SECOND, "server", first);
+    placer.record_report(SECOND, "server", report(6, 24));
+    assert_eq!(placer.last_report(key).map(|last| last.report), Some(report(6, 24)));
+    let restarted = registration(&mut placer, Incarnation::starting_now());
+    let key = placer.register(SECOND, "server", restarted);
+    assert_eq!(placer.last_report(key), None);
+}
