Reported load: only calls are compared with the reports of their server

Cause: a text or stream that ends gives its time per event as latency. Where that time happened to lead back to the start of a call in flight, the call's claim was taken and judged by it, and the report counted for less (5.5 instead of 11 other requests in the test).

Change: the caller says that a call was answered (AttemptGuard::end_call, Placer::compare_with_report).

Weighed: a kind of request in each claim; needs it at request_started, which all kinds share.

--- a/crates/heronbend-gateway/src/attempt.rs
+++ b/crates/heronbend-gateway/src/attempt.rs
@@ -217,6 +217,15 @@
         self.close(outcome);
     }
 
+    /// Records that a call was answered after `latency`.
+    pub fn end_call(self, latency: Duration) {
+        if let Some(key) = self.server_key {
+            let now = self.gateway.now();
+            self.gateway.directory.borrow_mut().placer.compare_with_report(now, key, latency);
+        }
+        self.end(AttemptOutcome::Succeeded(latency));
+    }
+
     /// Records the failure of the attempt.
     pub fn fail(self, failure: &AttemptFailure) {
         let metrics = &self.gateway.metrics;
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -450,7 +450,7 @@
             Ok(_) => {
                 let latency = guard.elapsed();
                 self.admitted_call.record_answer(latency);
-                guard.end(AttemptOutcome::Succeeded(latency));
+                guard.end_call(latency);
             }
             Err(failure) => guard.fail(failure),
         }
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -524,14 +524,12 @@
         if let Some(server) = self.get_mut(key) {
             server.health.request_finished(now);
         }
-        if let AttemptOutcome::Succeeded(latency) = outcome {
-            self.compare_with_report(now, key, latency);
-        }
         self.record_outcome_at(now, key, outcome);
     }
 
-    /// Compares the latency of a response with the wait that the server's reports implied.
-    fn compare_with_report(&mut self, now: Moment, key: ServerKey, latency: Duration) {
+    /// Compares the latency of a call with the wait that the server's reports implied. The caller
+    /// then reports the call with [`Self::request_finished`].
+    pub fn compare_with_report(&mut self, now: Moment, key: ServerKey, latency: Duration) {
         let service = self.get(key).map(|server| server.registration.service);
         let baseline =
             service.and_then(|service| self.service_states.get(&service)?.baseline_millis);
--- a/crates/heronbend/src/placement/server_load_tests.rs
+++ b/crates/heronbend/src/placement/server_load_tests.rs
@@ -336,6 +336,7 @@
             placer.record_report(now, &index.to_string(), report);
         }
         if let Some(key) = key {
+            placer.compare_with_report(now, key, latency);
             placer.request_finished(now, key, AttemptOutcome::Succeeded(latency));
         }
         self.servers[index].running -= 1;
@@ -765,3 +766,38 @@
     let key = placer.register(SECOND, "server", restarted);
     assert_eq!(placer.last_report(key), None);
 }
+
+/// A placer with these servers of one service, and requirements that they meet.
+fn placer_with(ids: &[&str], options: RankOptions) -> (Placer, Requirements) {
+    let mut placer = Placer::new(1);
+    placer.set_local_zone("a");
+    placer.set_rank_options(options);
+    for id in ids {
+        let registration = registration(&mut placer, Incarnation::default());
+        placer.register(Moment::ZERO, id, registration);
+    }
+    let requirements =
+        Requirements { service: placer.service("app"), model: None, allowed_regions: None };
+    (placer, requirements)
+}
+
+#[test]
+fn a_text_is_not_compared_with_the_report_for_a_call() {
+    let (mut placer, _) = placer_with(&["server"], LOAD);
+    let others = |placer: &Placer, key: ServerKey, now: Moment| {
+        let reports = placer.get(key).unwrap().health.reports().unwrap();
+        reports.current(now, SLOTS, 0.0).unwrap().others
+    };
+    placer.record_outcome(SECOND, "server", AttemptOutcome::Succeeded(20 * MILLI));
+    placer.record_report(SECOND, "server", report(6, 6));
+    let text = placer.request_started(SECOND, "server").unwrap();
+    let call = placer.request_started(SECOND + 20 * MILLI, "server").unwrap();
+    // The last events of the text took as long as the call has been running.
+    let now = SECOND + 40 * MILLI;
+    placer.request_finished(now, text, AttemptOutcome::Succeeded(20 * MILLI));
+    placer.record_report(now, "server", report(6, 6));
+    assert_eq!(others(&placer, call, now), 11.0);
+    // The call did not wait, which disagrees with the report.
+    placer.compare_with_report(now, call, 20 * MILLI);
+    assert!(others(&placer, call, now) < 10.0);
+}
