Two speeds: texts in progress do not move to a server that is due for a probe

Cause: a server that has been idle for 3 s is ranked as the fastest one, to get a request. The gain of moving a running text was computed by the same figure, so that the text left a fast server for one that is known to be slow (gain of 1 s in the test, where there is none).

Change: only the ranking uses the assumption; the gain uses the known speed.

Nothing changes without two_speeds.

--- a/crates/heronbend/src/placement/rank.rs
+++ b/crates/heronbend/src/placement/rank.rs
@@ -13,8 +13,8 @@
 /// daemon with few calls reuses its connections, and is less than [the latency of another
 /// zone](super::Placer::zone_latency), so that calls return to their own zone.
 const CONNECT_MILLIS: f64 = 1.5;
-/// Open connections and the assumed load are ignored in one of this many choices on average, so that unused servers get
-/// traffic again.
+/// Open connections and the assumed load are ignored in one of this many choices on average, so that
+/// unused servers get traffic again.
 pub const EXPLORE_EVERY: u32 = 16;
 /// Weight of the network latency for an event of a batch item. It is low because the latency is
 /// paid once per item of some twenty events, and a higher weight would fill nearby servers before
@@ -95,7 +95,7 @@
 
 /// Expected time of one more request on a server, in milliseconds, without the network.
 pub fn server_millis(server: &Server, parameters: &CostParameters) -> f64 {
-    let mean = mean_millis(server, parameters).max(MIN_MILLIS);
+    let mean = ranked_millis(server, parameters).max(MIN_MILLIS);
     let is_as_fast = mean <= parameters.best_millis * parameters.tolerance;
     let mean = if is_as_fast { parameters.best_millis.max(MIN_MILLIS) } else { mean };
     let slots = server.registration.slots;
@@ -138,6 +138,16 @@
     reported.iter().sum::<f64>() / reported.len().max(1) as f64
 }
 
+/// Mean latency by which a server is ranked, in milliseconds. A server that is due for a probe is
+/// ranked as the fastest one.
+fn ranked_millis(server: &Server, parameters: &CostParameters) -> f64 {
+    let is_due = server.health.speed().is_some_and(|speed| speed.is_probe_due(parameters.now));
+    if parameters.options.two_speeds && server.health.in_flight == 0 && is_due {
+        return parameters.best_millis;
+    }
+    mean_millis(server, parameters)
+}
+
 /// Mean latency of a server as known by this daemon, in milliseconds.
 pub fn mean_millis(server: &Server, parameters: &CostParameters) -> f64 {
     let CostParameters { now, best_millis, options, .. } = *parameters;
@@ -145,10 +155,5 @@
     if !options.two_speeds {
         return health.decayed_mean_millis(now, best_millis);
     }
-    let Some(speed) = health.speed() else {
-        return best_millis;
-    };
-    let is_probe = health.in_flight == 0 && speed.is_probe_due(now);
-    let known = speed.current_millis(now).filter(|_| !is_probe);
-    known.unwrap_or(best_millis)
+    health.speed().and_then(|speed| speed.current_millis(now)).unwrap_or(best_millis)
 }
--- a/crates/heronbend/src/placement/server_load_tests.rs
+++ b/crates/heronbend/src/placement/server_load_tests.rs
@@ -801,3 +801,16 @@
     placer.compare_with_report(now, call, 20 * MILLI);
     assert!(others(&placer, call, now) < 10.0);
 }
+
+#[test]
+fn a_text_does_not_move_to_a_slow_server_whose_speed_is_due_for_a_probe() {
+    let (mut placer, requirements) = placer_with(&["fast", "slow"], SPEEDS);
+    for (id, millis) in [("fast", 20), ("slow", 60)] {
+        placer.record_outcome(SECOND, id, AttemptOutcome::Succeeded(millis * MILLI));
+    }
+    let now = 5 * SECOND;
+    assert!(placer
+        .key("slow")
+        .is_some_and(|key| { placer.get(key).unwrap().health.speed().unwrap().is_probe_due(now) }));
+    assert_eq!(placer.migration_gain(now, &requirements, "fast", 30 * MILLI, 100), None);
+}
