Reported load: a move of a text is not logged with the effect of another choice

Cause: the effect of reports on the last choice stayed until the next placement of a call or text. A late text that moves is chosen without one, so that its line placed_by_load named servers that an earlier stream or an estimate of a gain had compared.

--- a/crates/heronbend/src/placement/server_load_tests.rs
+++ b/crates/heronbend/src/placement/server_load_tests.rs
@@ -814,3 +814,37 @@
         .is_some_and(|key| { placer.get(key).unwrap().health.speed().unwrap().is_probe_due(now) }));
     assert_eq!(placer.migration_gain(now, &requirements, "fast", 30 * MILLI, 100), None);
 }
+
+#[test]
+fn the_effect_of_reports_on_a_comparison_is_not_that_of_the_next_assignment() {
+    let (mut placer, requirements) = placer_with(&["busy", "idle", "current"], LOAD);
+    placer.record_report(SECOND, "busy", report(SLOTS, 24));
+    placer.record_report(SECOND, "idle", report(0, 0));
+    let compare = |placer: &mut Placer| {
+        for _ in 0..100 {
+            placer.migration_gain(SECOND, &requirements, "current", 30 * MILLI, 100);
+            if placer.report_use.is_some() {
+                return;
+            }
+        }
+        panic!("reports had no effect");
+    };
+    compare(&mut placer);
+    placer.set_slack_scheduling(true);
+    let run = placer.request_started(SECOND, "current").unwrap();
+    for (id, millis) in [("current", 80), ("busy", 30), ("idle", 30)] {
+        placer.record_pace(id, millis * MILLI);
+    }
+    placer.run_started(Run {
+        server: run,
+        requirements,
+        priority: 1,
+        work: Work { target: SECOND, remaining: 100 },
+        has_progressed: true,
+        moves: 0,
+        history: AttemptHistory::default(),
+    });
+    let assignment = placer.next_assignment(SECOND, MILLI, |_| true);
+    assert!(matches!(assignment, Some(Assignment::Move(..))), "{assignment:?}");
+    assert_eq!(placer.take_report_use(), None);
+}
