Reported load: a server's mean load is unknown after 3 s without a report

Cause: the mean load of servers without a valid report never faded. After an hour without calls it was still that of the last overload, so that the first server to report drew 17 of 18 calls sent at once to three idle servers.

Change: means of servers that have not reported for 3 s are not used, and start again with the next report.

Result: the new test fails before (17, 0, 1) and passes now (6, 6, 6).

--- a/crates/heronbend/src/placement/decisions.rs
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -678,7 +678,7 @@
         if !self.rank_options.server_load {
             return parameters;
         }
-        CostParameters { others_per_slot: rank::mean_others_per_slot(servers()), ..parameters }
+        CostParameters { others_per_slot: rank::mean_others_per_slot(now, servers()), ..parameters }
     }
 
     pub(super) fn choice(
--- a/crates/heronbend/src/placement/rank.rs
+++ b/crates/heronbend/src/placement/rank.rs
@@ -132,9 +132,9 @@
 }
 
 /// Mean load of servers by other callers, by slot, as far as they report it.
-pub fn mean_others_per_slot<'a>(servers: impl Iterator<Item = &'a Server>) -> f64 {
+pub fn mean_others_per_slot<'a>(now: Moment, servers: impl Iterator<Item = &'a Server>) -> f64 {
     let reported: Vec<f64> =
-        servers.filter_map(|server| server.health.reports()?.mean_others_per_slot()).collect();
+        servers.filter_map(|server| server.health.reports()?.mean_others_per_slot(now)).collect();
     reported.iter().sum::<f64>() / reported.len().max(1) as f64
 }
 
--- a/crates/heronbend/src/placement/server_load.rs
+++ b/crates/heronbend/src/placement/server_load.rs
@@ -28,6 +28,9 @@
 const PRIOR_WEIGHT: f64 = 0.5;
 /// Weight of a report in the mean load of a server.
 const MEAN_WEIGHT: f64 = 0.05;
+/// Time without a report after which the mean load of a server is unknown. Other callers' demand
+/// may have changed since.
+const MEAN_MAX_AGE: Duration = Duration::from_secs(3);
 /// Number of requests in flight whose expected wait is compared with the measured one.
 const MAX_CLAIMS: usize = 32;
 /// Difference up to which two times belong to the same request.
@@ -107,14 +110,15 @@
     pub fn record(&mut self, now: Moment, report: LoadReport, own_in_flight: u32, slots: u32) {
         let received = ReceivedReport { report, received_at: now, own_in_flight };
         let per_slot = received.unweighted(slots).others / f64::from(slots.max(1));
-        let mean = self.mean_others_per_slot.get_or_insert(per_slot);
-        *mean += (per_slot - *mean) * MEAN_WEIGHT;
+        let mean = self.mean_others_per_slot(now).unwrap_or(per_slot);
+        self.mean_others_per_slot = Some(mean + (per_slot - mean) * MEAN_WEIGHT);
         self.last = Some(received);
     }
 
-    /// Mean load that the server reports of other callers, by slot.
-    pub fn mean_others_per_slot(&self) -> Option<f64> {
-        self.mean_others_per_slot
+    /// Mean load that the server reports of other callers, by slot, if it reports any.
+    pub fn mean_others_per_slot(&self, now: Moment) -> Option<f64> {
+        let age = now.saturating_sub(self.last?.received_at);
+        self.mean_others_per_slot.filter(|_| age < MEAN_MAX_AGE)
     }
 
     /// The last report.
--- a/crates/heronbend/src/placement/server_load_tests.rs
+++ b/crates/heronbend/src/placement/server_load_tests.rs
@@ -851,3 +851,30 @@
     assert!(matches!(assignment, Some(Assignment::Move(..))), "{assignment:?}");
     assert_eq!(placer.take_report_use(), None);
 }
+
+#[test]
+fn mean_load_from_before_an_idle_time_is_not_assumed() {
+    let ids = ["first", "second", "third"];
+    let (mut placer, requirements) = placer_with(&ids, LOAD);
+    for id in ids {
+        placer.record_outcome(SECOND, id, AttemptOutcome::Succeeded(20 * MILLI));
+        placer.record_report(SECOND, id, report(6, 24));
+    }
+    let now = 3600 * SECOND;
+    placer.record_report(now, "first", report(0, 0));
+    let wait =
+        WaitState { since: now, deadline: now + SECOND, target: TARGET, was_sent: false, bytes: 0 };
+    let none = AttemptHistory::default();
+    let mut calls: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..3 * SLOTS {
+        let decision = placer.place_call(now, &requirements, &none, &wait, |_| true);
+        let Decision::Place(choice) = decision else {
+            panic!("{decision:?}");
+        };
+        let id = placer.id(choice.server).unwrap().to_owned();
+        placer.request_started(now, &id);
+        *calls.entry(id).or_default() += 1;
+    }
+    println!("{calls:?}");
+    assert!(ids.iter().all(|id| calls.get(*id).is_some_and(|count| *count <= SLOTS + 2)));
+}
