--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use heronbend::identity::{Incarnation, NodeId, NodeName};
+use heronbend::placement::RankOptions;
 use heronbend::quarantine::Limits;
 use thiserror::Error;
 use toml::{Table, Value};
@@ -131,6 +132,8 @@
     pub by_slack: bool,
     /// Whether loads of versions are ordered by the need of steps.
     pub versions_by_need: bool,
+    /// Which optional parts of the ranking of servers are enabled.
+    pub rank_options: RankOptions,
 }
 
 /// A duty of the daemons towards the machine provider.
@@ -408,6 +411,15 @@
         weights
     }
 
+    /// Reads which optional parts of the ranking of servers are enabled.
+    fn rank_options(&mut self) -> RankOptions {
+        RankOptions {
+            server_load: self.boolean("placement.server_load"),
+            two_speeds: self.boolean("placement.two_speeds"),
+            spill_by_need: self.boolean("placement.spill_by_need"),
+        }
+    }
+
     /// Reads the duties towards the provider.
     fn duties(&mut self, field: &str) -> Vec<Duty> {
         let Some(value) = self.optional(field) else {
@@ -482,6 +494,7 @@
             admission: reader.admission(),
             by_slack: reader.boolean("scheduling.by_slack"),
             versions_by_need: reader.boolean("scheduling.versions_by_need"),
+            rank_options: reader.rank_options(),
             usage: reader.usage(&duties),
             fail_closed: reader.boolean("access.fail_closed"),
             revocation_notice: reader.optional_millis("access.revocation_notice_ms"),
@@ -586,6 +599,7 @@
             quarantine: self.quarantine,
             by_slack: self.by_slack,
             versions_by_need: self.versions_by_need,
+            rank_options: self.rank_options,
         }
     }
 }
