Shares of the fleet follow from one learned capacity; sharing ends

Cause: with limit = "shared" each daemon guessed the capacity by itself, so the shares added up to more than the servers run; sharing never ended, daemons without calls never reported, and tenants were not told.

Change: reports carry counters of what a daemon observed. FleetRate sums their differences over the fleet and runs AdaptiveRate on them with parameters of its own; daemons adopt the result of the first one by name that hears most of the others. SharedLimit joins it with Shares and falls back to the own learned rate or an equal part. Reports say whether the daemon is short; nobody short for 3 s ends the exchange. A report makes daemons without calls begin to report. A limit in use is not dropped from the exchange. shares_told counts reports. Demand is the peak of the last 2 s: shares that follow demand which varies by chance left a third of the capacity to nobody. A rate of 0 no longer overflows the schedule of returns. While a limit is shared, daemons don't take the latency for usual.

Weighed: the median of the told rates; it undoes steps that half of the daemons have taken, as their windows are not aligned.

--- a/crates/heronbend-gateway/src/call_admission/mod.rs
+++ b/crates/heronbend-gateway/src/call_admission/mod.rs
@@ -22,16 +22,19 @@
 use heronbend::admission::call_queue::Decision;
 use heronbend::admission::call_queue::Outcome;
 use heronbend::admission::call_queue::Refusal;
+use heronbend::admission::demand_meter::tenant_hash;
 use heronbend::admission::AdaptiveRate;
 use heronbend::admission::CallerAge;
+use heronbend::admission::DemandMeter;
 use heronbend::admission::TenantKey;
 use heronbend::Moment;
 use smol::channel::bounded;
 use smol::channel::Receiver;
 use smol::channel::Sender;
 
-use self::sharing::DemandMeter;
+use crate::demand_exchange;
 use crate::gateway::Gateway;
+use crate::peers::messages::DemandReport;
 use crate::slot_queue;
 use crate::wait;
 
@@ -85,8 +88,6 @@
     enabled: Cell<(bool, Moment)>,
     /// Rate at which callers ask, told to other daemons if the capacity is shared.
     demand: RefCell<DemandMeter>,
-    /// Latency objective of the latest call.
-    objective: Cell<Duration>,
     /// Whether the daemon takes part in sharing the capacity of the service.
     is_sharing: Cell<bool>,
 }
@@ -105,7 +106,6 @@
             changed: Event::new(),
             enabled: Cell::new((false, Moment::ZERO)),
             demand: RefCell::default(),
-            objective: Cell::default(),
             is_sharing: Cell::new(false),
         });
         self.services.borrow_mut().insert(name.to_owned(), service.clone());
@@ -114,10 +114,7 @@
 
     /// Key of a tenant, or of the callers of a route without a tenant.
     fn tenant_key(&self, request: &CallRequest) -> TenantKey {
-        let name = match &request.tenant {
-            Some(tenant) => format!("tenant {tenant}"),
-            None => format!("route {}", request.route),
-        };
+        let name = tenant_name(request);
         let mut tenants = self.tenants.borrow_mut();
         let next = TenantKey(u32::try_from(tenants.len()).unwrap_or(u32::MAX));
         *tenants.entry(name).or_insert(next)
@@ -137,6 +134,14 @@
     }
 }
 
+/// Name of a tenant, or of the callers of a route without a tenant, which is the same at all daemons.
+fn tenant_name(request: &CallRequest) -> String {
+    match &request.tenant {
+        Some(tenant) => format!("tenant {tenant}"),
+        None => format!("route {}", request.route),
+    }
+}
+
 /// A call that may be sent. Reports what becomes of its attempts.
 #[derive(Clone)]
 pub struct AdmittedCall {
@@ -185,6 +190,7 @@
     pub fn refuse_found_full(&self) -> Option<Refusal> {
         let limited = self.limited.as_ref()?;
         limited.service.rate.borrow_mut().record_found_full();
+        limited.record_short();
         limited.adjust();
         let now = limited.gateway.now();
         Some(limited.service.queue.borrow_mut().refuse_admitted(now, &limited.call))
@@ -207,6 +213,14 @@
         }
     }
 
+    /// Records that the call was refused, and starts to share the limit if that is enabled.
+    fn record_short(&self) {
+        if sharing::is_enabled(&self.gateway) {
+            demand_exchange::record_short(&self.gateway, &self.service.name);
+            sharing::start(&self.gateway, &self.service);
+        }
+    }
+
     fn change_waiting(&self, difference: i64) {
         let priority = self.call.priority;
         let count = self.gateway.call_admission.count_waiting(priority, difference);
@@ -216,6 +230,9 @@
 
 impl ServiceQueue {
     fn apply(&self, gateway: &Gateway, adjustment: &Adjustment) {
+        if self.is_sharing.get() {
+            return;
+        }
         let share = |value: Option<f64>| value.map_or("none".to_owned(), |v| format!("{v:.2}"));
         let rate = rate_text(adjustment.rate);
         log::info!(
@@ -227,9 +244,7 @@
             share(adjustment.usual_share),
             share(adjustment.mean_share)
         );
-        if !self.is_sharing.get() {
-            self.set_rate(gateway, adjustment.rate);
-        }
+        self.set_rate(gateway, adjustment.rate);
     }
 
     fn set_rate(&self, gateway: &Gateway, rate: Option<f64>) {
@@ -280,9 +295,9 @@
     }
     let now = gateway.now();
     let call = describe(gateway, now, request);
+    let tenant = tenant_hash(&tenant_name(request));
     service.rate.borrow_mut().record_offered();
-    service.demand.borrow_mut().record(now, call.priority);
-    service.objective.set(call.objective);
+    service.demand.borrow_mut().record(now, call.priority, tenant, call.weight);
     sharing::start(gateway, &service);
     let decision = service.queue.borrow_mut().offer(now, call);
     let limited = LimitedCall { gateway: gateway.clone(), service, call };
@@ -299,11 +314,22 @@
     };
     if admitted.is_err() {
         limited.service.rate.borrow_mut().record_refused();
+        limited.record_short();
     }
     limited.adjust();
     admitted.map(|waited| AdmittedCall { waited, limited: Some(limited) })
 }
 
+/// Handles the report of another daemon's load on a service. Daemons without calls report too, so that
+/// others may use what they leave.
+pub fn handle_report(gateway: &Rc<Gateway>, report: &DemandReport) {
+    demand_exchange::receive(gateway, report);
+    if sharing::is_enabled(gateway) && demand_exchange::is_under_pressure(gateway, &report.service)
+    {
+        sharing::start(gateway, &gateway.call_admission.service(&report.service));
+    }
+}
+
 fn describe(gateway: &Gateway, now: Moment, request: &CallRequest) -> Call {
     let settings = gateway.admission_settings();
     let weight =
--- a/crates/heronbend-gateway/src/peers/membership.rs
+++ b/crates/heronbend-gateway/src/peers/membership.rs
@@ -20,9 +20,9 @@
 use super::messages::{Datagram, Hint, PeerReply, PeerRequest};
 use super::{bootstrap, store_relay, Command};
 use crate::batch::{ownership_manager, results_reader, submission};
+use crate::call_admission;
 use crate::clock::monotonic_now;
 use crate::clock::SuspensionDetector;
-use crate::demand_exchange;
 use crate::dissemination;
 use crate::gateway::Gateway;
 use crate::http::server::{read_body, BodyLimits};
@@ -261,7 +261,7 @@
             }
         }
         Hint::RequestsSuspected { reports } => gossip::merge_reports(gateway, reports),
-        Hint::DemandReported(report) => demand_exchange::receive(gateway, &report),
+        Hint::DemandReported(report) => call_admission::handle_report(gateway, &report),
         Hint::UsageReported { window } => {
             if let Some(usage) = &gateway.usage {
                 usage.mark_reported(window);
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -103,6 +103,38 @@
     /// The tenants with the largest demand.
     #[musli(default)]
     pub tenants: Vec<ReportedTenant>,
+    /// What the daemon observed; absent in reports of earlier builds.
+    #[musli(default)]
+    pub load: Option<ReportedLoad>,
+}
+
+/// What a daemon observed of its calls to a service. Counters start with the daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct ReportedLoad {
+    /// Calls that callers asked for.
+    pub offered: u64,
+    /// Calls refused without being sent.
+    pub refused: u64,
+    /// Answers of servers.
+    pub answered: u64,
+    /// Attempts that servers rejected because they were full.
+    pub rejected: u64,
+    /// Calls that found all servers full.
+    pub found_full: u64,
+    /// Sum of the latencies of the answers, in thousandths of the objectives of their calls.
+    pub latency_millishares: u64,
+    /// Rate that the servers run in thousandths of a request per second; 0 if it is unknown.
+    #[musli(default)]
+    pub capacity_millirequests_per_second: u64,
+    /// Rate that is divided among the daemons in thousandths of a request per second.
+    #[musli(default)]
+    pub divided_millirequests_per_second: u64,
+    /// Mean latency outside of overload, in thousandths of the calls' objectives; 0 if it is unknown.
+    #[musli(default)]
+    pub usual_millishare: u64,
+    /// Whether the daemon refused calls recently.
+    #[musli(default)]
+    pub is_short: bool,
 }
 
 /// Demand of a tenant at one daemon.
