--- a/crates/heronbend-gateway/src/call_admission/mod.rs
+++ b/crates/heronbend-gateway/src/call_admission/mod.rs
@@ -134,7 +134,8 @@
     }
 }
 
-/// Name of a tenant, or of the callers of a route without a tenant, which is the same at all daemons.
+/// Name of a tenant, or of the callers of a route without a tenant, which is the same at all
+/// daemons.
 fn tenant_name(request: &CallRequest) -> String {
     match &request.tenant {
         Some(tenant) => format!("tenant {tenant}"),
@@ -320,8 +321,8 @@
     admitted.map(|waited| AdmittedCall { waited, limited: Some(limited) })
 }
 
-/// Handles the report of another daemon's load on a service. Daemons without calls report too, so that
-/// others may use what they leave.
+/// Handles the report of another daemon's load on a service. Daemons without calls report too, so
+/// that others may use what they leave.
 pub fn handle_report(gateway: &Rc<Gateway>, report: &DemandReport) {
     demand_exchange::receive(gateway, report);
     if sharing::is_enabled(gateway) && demand_exchange::is_under_pressure(gateway, &report.service)
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -129,7 +129,8 @@
     /// Rate that is divided among the daemons in thousandths of a request per second.
     #[musli(default)]
     pub divided_millirequests_per_second: u64,
-    /// Mean latency outside of overload, in thousandths of the calls' objectives; 0 if it is unknown.
+    /// Mean latency outside of overload, in thousandths of the calls' objectives; 0 if it is
+    /// unknown.
     #[musli(default)]
     pub usual_millishare: u64,
     /// Whether the daemon refused calls recently.
--- a/crates/heronbend-gateway/tests/call_admission.rs
+++ b/crates/heronbend-gateway/tests/call_admission.rs
@@ -229,8 +229,8 @@
             call_admission::handle_report(&fixture.gateway, &report_of_short_daemon());
             let has_told =
                 |count: usize| fixture.exports(&format!("heronbend_shares_told_total {count}"));
-            // A second report may follow at once; then none is due while the clock stands, though the
-            // share is computed again.
+            // A second report may follow at once; then none is due while the clock stands, though
+            // the share is computed again.
             wait_until("it reports", || has_told(2)).await;
             smol::Timer::after(Duration::from_millis(700)).await;
             assert!(has_told(2));
--- a/crates/heronbend-gateway/tests/demand_exchange.rs
+++ b/crates/heronbend-gateway/tests/demand_exchange.rs
@@ -96,8 +96,8 @@
         self.now.set(self.now.get() + time);
     }
 
-    /// Daemons refuse calls while their servers answer [`CAPACITY`], and report their load for a while.
-    /// Returns the number of reports.
+    /// Daemons refuse calls while their servers answer [`CAPACITY`], and report their load for a
+    /// while. Returns the number of reports.
     fn run(&self, demands: &[f64], duration: Duration) -> usize {
         let mut sent = 0;
         let end = self.now.get() + duration;
--- a/crates/heronbend/src/admission/adaptive_rate.rs
+++ b/crates/heronbend/src/admission/adaptive_rate.rs
@@ -58,8 +58,8 @@
     pub max_window: Duration,
     /// Number of samples that close a window after its minimum duration.
     pub window_samples: u64,
-    /// Share of the objective above which the mean latency lowers the rate. The rest covers the wait at
-    /// the daemon, the network and calls that take longer than the mean.
+    /// Share of the objective above which the mean latency lowers the rate. The rest covers the
+    /// wait at the daemon, the network and calls that take longer than the mean.
     pub max_latency_share: f64,
     /// Share of the objective below which the mean latency raises the rate.
     pub room_latency_share: f64,
@@ -78,14 +78,15 @@
     /// Minimum increase within a second, in calls per second. Equal steps make unequal rates
     /// converge.
     pub min_raise: f64,
-    /// Whether each rejected attempt lowers the rate, or only calls that found all servers full. One
-    /// daemon sees too few calls to wait for those.
+    /// Whether each rejected attempt lowers the rate, or only calls that found all servers full.
+    /// One daemon sees too few calls to wait for those.
     pub counts_attempts: bool,
     /// Share of the rate of answers below which the rate is not lowered. Servers can run at least
     /// what they have just answered; one daemon sees too few answers to tell.
     pub answered_share: f64,
-    /// Share of the rate that must be used until it is raised. Shares follow the demand with a delay;
-    /// until then a higher rate would not be used, but exceed what the servers run afterwards.
+    /// Share of the rate that must be used until it is raised. Shares follow the demand with a
+    /// delay; until then a higher rate would not be used, but exceed what the servers run
+    /// afterwards.
     pub min_used_share: f64,
     /// Whether low latencies end the limit although calls are refused.
     pub ends_while_refusing: bool,
@@ -533,8 +534,8 @@
         self.rate = Some(lowered.max(answered.min(rate)).max(self.floor));
     }
 
-    /// Factor by which the latency alone lowers the rate of a fleet. One daemon sees too few answers
-    /// beside a rejection.
+    /// Factor by which the latency alone lowers the rate of a fleet. One daemon sees too few
+    /// answers beside a rejection.
     fn latency_factor(&self, window: &Window) -> f64 {
         let mean = window.mean_share().filter(|_| !self.parameters.counts_attempts);
         mean.map_or(1.0, |mean| (self.max_share() / mean).min(1.0))
--- a/crates/heronbend/src/admission/fleet_rate.rs
+++ b/crates/heronbend/src/admission/fleet_rate.rs
@@ -1,15 +1,16 @@
 //! Learns the rate at which all daemons of a fleet together may send calls to a service.
 //!
-//! Load: as for [`super::adaptive_rate`], whose controller runs here on the sums of what all daemons
-//! report. It sees many times the samples of one daemon, so its windows are exact and its steps
-//! small, and one slow or full server does not lower the rate while calls find room elsewhere.
+//! Load: as for [`super::adaptive_rate`], whose controller runs here on the sums of what all
+//! daemons report. It sees many times the samples of one daemon, so its windows are exact and its
+//! steps small. Attempts that one full server rejects do not lower the rate while the calls find
+//! room elsewhere.
 //!
-//! Daemons leave a part of their shares unused: demand varies, and shares follow it with a delay. What
-//! is divided among them thus exceeds the learned rate by a factor that makes up for this.
+//! Daemons leave a part of their shares unused: demand varies, and shares follow it with a delay.
+//! What is divided among them thus exceeds the learned rate by a factor that makes up for this.
 //!
-//! All daemons run the controller, but their windows are not aligned and reports are lost. To agree,
-//! they adopt the rate of the first daemon by name that hears most of the others. When it fails, the
-//! next one goes on from the same rate.
+//! All daemons run the controller, but their windows are not aligned and reports are lost. To
+//! agree, they adopt the rate of the first daemon by name that hears most of the others. When it
+//! fails, the next one goes on from the same rate.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -27,8 +28,8 @@
 /// Longest time between two reports of a daemon whose difference counts. A longer one contains what
 /// was observed before the overload.
 const MAX_REPORT_GAP: Duration = Duration::from_secs(2);
-/// Share of the members that must be heard, as a fraction. With fewer, the sums say little about the
-/// fleet.
+/// Share of the members that must be heard, as a fraction. With fewer, the sums say little about
+/// the fleet.
 const HEARD_NUMERATOR: usize = 3;
 const HEARD_DENOMINATOR: usize = 4;
 
@@ -36,8 +37,8 @@
 const MAX_FACTOR: f64 = 1.5;
 /// Rounding of told rates.
 const FACTOR_TOLERANCE: f64 = 0.01;
-/// Part of the difference between the learned rate and what is used that a window makes up for, as an
-/// exponent.
+/// Part of the difference between the learned rate and what is used that a window makes up for, as
+/// an exponent.
 const FACTOR_GAIN: f64 = 0.8;
 /// The usual latency is that below which one in so many daemons is.
 const USUAL_QUANTILE: usize = 4;
@@ -118,8 +119,8 @@
 }
 
 impl FleetRate {
-    /// Handles a report, of another daemon or of the local one. Duplicate and reordered reports have
-    /// no effect.
+    /// Handles a report, of another daemon or of the local one. Duplicate and reordered reports
+    /// have no effect.
     pub fn observe(&mut self, now: Moment, report: &LoadReport) {
         let (daemon, sent_millis) = (&report.demand.daemon, report.demand.sent_millis);
         let known = self.heard.get(daemon);
--- a/crates/heronbend/src/admission/shared_limit.rs
+++ b/crates/heronbend/src/admission/shared_limit.rs
@@ -1,7 +1,7 @@
 //! Limits the calls of one daemon to its share of what the whole fleet may send to a service.
 //!
-//! Joins [`FleetRate`], which learns the capacity, with [`Shares`], which divides it. Without either
-//! of them the daemon uses the rate that it learned by itself.
+//! Joins [`FleetRate`], which learns the capacity, with [`Shares`], which divides it. Without
+//! either of them the daemon uses the rate that it learned by itself.
 
 use std::time::Duration;
 
--- a/crates/heronbend/src/admission/shared_overload_tests.rs
+++ b/crates/heronbend/src/admission/shared_overload_tests.rs
@@ -99,9 +99,9 @@
     }
 }
 
-/// A server that is slow by half is still filled while the others have room, which costs more than its
-/// share: some 77% of what the servers can run are answered in time, with a rate learned by each
-/// daemon alone as well.
+/// A server that is slow by half is still filled while the others have room, which costs more than
+/// its share: some 77% of what the servers can run are answered in time, with a rate learned by
+/// each daemon alone as well.
 #[test]
 fn a_slow_server_leaves_the_others_in_use() {
     const SERVED_SHARE: f64 = 0.72;
