Return schedule: spacing is not cut to the longest delay

Cause: to avoid an overflow the spacing was limited to MAX_DELAY, so that below 0.8 calls a second callers were told to return earlier than before, also where the limit is not shared.

--- a/crates/heronbend/src/admission/overload_tests.rs
+++ b/crates/heronbend/src/admission/overload_tests.rs
@@ -787,6 +787,18 @@
     assert!(delays.iter().all(|delay| *delay < OBJECTIVE), "{delays:?}");
 }
 
+#[test]
+fn returning_callers_are_spaced_by_the_rate_also_beyond_the_longest_delay() {
+    let mut schedule = ReturnSchedule::default();
+    let mut delay = |now, rate| schedule.next_delay(now, 2, Some(rate), Duration::ZERO);
+    assert_eq!(delay(Moment::from_secs(1), 0.5), Duration::ZERO);
+    // A quarter of the rate is one call in eight seconds.
+    assert_eq!(delay(Moment::from_secs(3), 0.5), MAX_DELAY);
+    // The spacing of these is as long as times can be.
+    assert_eq!(delay(Moment::from_secs(4), 2.2e-19), MAX_DELAY);
+    assert_eq!(schedule.next_delay(Moment::from_secs(5), 2, None, Duration::MAX), MAX_DELAY);
+}
+
 #[test]
 fn a_caller_that_comes_back_is_as_old_as_its_time_is_shorter() {
     let mut ages = CallerAge::default();
