Fleet rate: no start without answers, no overflow by reports

Cause: a window with refusals and without answers, as when all servers are gone, started the limit of the whole fleet at 0.5 calls a second. Counters or times near the largest value overflowed, which panics where overflow is checked. Change: the limit starts once there are answers; until then the learned rates stand in. Sums saturate. Weighed: a limit from what was offered, which counts repeated calls. Result: both new tests failed before (0.5 of none; attempt to add with overflow) and pass.

--- a/crates/heronbend/src/admission/adaptive_rate.rs
+++ b/crates/heronbend/src/admission/adaptive_rate.rs
@@ -229,7 +229,7 @@
 impl Window {
     fn is_complete(&self, now: Moment, parameters: &Parameters) -> bool {
         let elapsed = now.saturating_sub(self.started);
-        let has_samples = self.timed + self.rejected >= parameters.window_samples;
+        let has_samples = self.timed.saturating_add(self.rejected) >= parameters.window_samples;
         elapsed >= parameters.max_window || (elapsed >= parameters.min_window && has_samples)
     }
 
@@ -239,13 +239,13 @@
     }
 
     fn add(&mut self, counters: &LoadCounters) {
-        self.offered += counters.offered;
-        self.refused += counters.refused;
-        self.answered += counters.answered;
-        self.timed += counters.answered;
+        self.offered = self.offered.saturating_add(counters.offered);
+        self.refused = self.refused.saturating_add(counters.refused);
+        self.answered = self.answered.saturating_add(counters.answered);
+        self.timed = self.timed.saturating_add(counters.answered);
         self.latency_share_sum += counters.latency_millishares as f64 / 1000.0;
-        self.rejected += counters.rejected;
-        self.found_full += counters.found_full;
+        self.rejected = self.rejected.saturating_add(counters.rejected);
+        self.found_full = self.found_full.saturating_add(counters.found_full);
     }
 }
 
@@ -435,8 +435,10 @@
         let is_slow = window.mean_share().is_some_and(|mean| mean > self.max_share());
         let sees_fleet = !self.parameters.counts_attempts;
         let is_short = window.found_full > 0 || (sees_fleet && window.refused > 0);
+        // The rate of a fleet starts from its answers.
+        let is_known = !sees_fleet || window.answered > 0;
         let is_overloaded = is_short || (window.rejected > 0 && is_slow);
-        if !is_overloaded {
+        if !is_overloaded || !is_known {
             self.learn_usual(window, USUAL_WEIGHT);
             return None;
         }
@@ -545,7 +547,7 @@
     fn rejected_share(&self, window: &Window) -> f64 {
         let rejected =
             if self.parameters.counts_attempts { window.rejected } else { window.found_full };
-        rejected as f64 / (rejected + window.answered).max(1) as f64
+        rejected as f64 / rejected.saturating_add(window.answered).max(1) as f64
     }
 
     fn per_second(&self, now: Moment, window: &Window, count: u64) -> f64 {
--- a/crates/heronbend/src/admission/fleet_rate.rs
+++ b/crates/heronbend/src/admission/fleet_rate.rs
@@ -128,7 +128,7 @@
             return;
         }
         let longest = MAX_REPORT_GAP.as_millis() as u64;
-        let recent = known.filter(|known| sent_millis <= known.sent_millis + longest);
+        let recent = known.filter(|known| sent_millis <= known.sent_millis.saturating_add(longest));
         if let Some(counters) = recent.and_then(|known| report.counters.since(&known.counters)) {
             self.controller.record_counters(&counters);
         }
--- a/crates/heronbend/src/admission/mod.rs
+++ b/crates/heronbend/src/admission/mod.rs
@@ -20,6 +20,8 @@
 pub mod fair_share;
 pub mod fleet_rate;
 #[cfg(test)]
+mod fleet_rate_tests;
+#[cfg(test)]
 mod overload_tests;
 mod retry_budget;
 pub mod return_schedule;
