Demand reports: 6 tenants, within 400 bytes again; reserved share tested

Cause: the bound was raised to 480 bytes for the counters, and the check that a daemon without reports keeps an equal share was lost at the gateway. Change: the bound is 400 again, MAX_TENANTS 6; the test uses the constant. A fleet of four, one of which does not report, checks the reserved share.

--- a/crates/heronbend-gateway/tests/demand_exchange.rs
+++ b/crates/heronbend-gateway/tests/demand_exchange.rs
@@ -11,6 +11,7 @@
 use heronbend::admission::shares::CLASSES;
 use heronbend::admission::shares::HOLD;
 use heronbend::admission::shares::MAX_DAEMONS;
+use heronbend::admission::shares::MAX_TENANTS;
 use heronbend::admission::AdaptiveRate;
 use heronbend::identity::NodeName;
 use heronbend::membership::Liveness;
@@ -43,7 +44,7 @@
 /// Calls per second that the servers answer; a whole number for each daemon and step.
 const CAPACITY: f64 = 160.0;
 const TOLERANCE: f64 = 0.01;
-const MAX_REPORT_BYTES: usize = 480;
+const MAX_REPORT_BYTES: usize = 400;
 const OBJECTIVE: Duration = Duration::from_millis(100);
 /// Latency at which the rate of a fleet neither falls nor rises.
 const STEADY_LATENCY: Duration = Duration::from_millis(45);
@@ -223,6 +224,21 @@
     assert_eq!(limit.map(|limit| limit.source), Some(Source::Learned));
 }
 
+/// Three daemons of four are heard, so that the capacity is known.
+#[test]
+fn the_equal_share_of_a_daemon_without_reports_is_reserved() {
+    let fleet = Fleet::new(&["a", "b", "c", "d"]);
+    let demands = [200.0; 3];
+    fleet.run(&demands, HOLD + REPORT_INTERVAL);
+    assert!(is_under_pressure(&fleet.daemons[3], SERVICE));
+    let equal = fleet.divided(0, demands[0]) / 4.0;
+    for (daemon, demand) in demands.iter().enumerate() {
+        let (rate, source) = fleet.limit(daemon, *demand).unwrap();
+        assert_eq!(source, Source::Share);
+        assert!((rate - equal).abs() < TOLERANCE, "{rate} of {equal}");
+    }
+}
+
 #[test]
 fn a_daemon_that_has_left_is_not_counted() {
     let fleet = Fleet::new(&["a", "b"]);
@@ -280,7 +296,7 @@
         service: "s".repeat(64),
         sent_millis: 1_796_000_000_000,
         millirequests_per_second: vec![1_000_000_000; CLASSES],
-        tenants: vec![tenant; 8],
+        tenants: vec![tenant; MAX_TENANTS],
         load: Some(ReportedLoad {
             offered: 1_000_000_000,
             refused: 1_000_000_000,
