--- a/crates/heronbend/src/admission/overload_tests.rs
+++ b/crates/heronbend/src/admission/overload_tests.rs
@@ -43,7 +43,7 @@
 /// Calls per second that all servers can run.
 pub(super) const CAPACITY: f64 = (SERVERS * SLOTS) as f64 * 1e3 / MEAN_WORK_MILLIS;
 /// Share of what the servers can run that must be answered in time.
-const TARGET_SHARE: f64 = 0.8;
+pub(super) const TARGET_SHARE: f64 = 0.8;
 /// Interval between two reports and computations of the shares.
 const SHARE_INTERVAL: Duration = Duration::from_millis(200);
 /// How long shares are computed after the last call.
@@ -507,10 +507,7 @@
     let total = fleet.totals();
     let possible = (1.0 / factor).min(1.0);
     let in_time = f64::from(total.in_time) / f64::from(total.asked);
-    assert!(
-        std::env::var("NOASSERT").is_ok() || in_time >= possible * share,
-        "{in_time} in time of {possible}"
-    );
+    assert!(in_time >= possible * share, "{in_time} in time of {possible}");
     assert_eq!(total.asked, total.in_time + total.late + total.refused);
     let arrivals = f64::from(fleet.arrivals_at_servers) / f64::from(total.asked);
     assert!(arrivals < 2.0, "{arrivals} arrivals a call");
--- a/crates/heronbend/src/admission/shared_overload_tests.rs
+++ b/crates/heronbend/src/admission/shared_overload_tests.rs
@@ -99,12 +99,9 @@
     }
 }
 
-/// A server that is slow by half is still filled while the others have room, which costs more than
-/// its share: some 77% of what the servers can run are answered in time, with a rate learned by
-/// each daemon alone as well.
+/// The target is the smaller of [`TARGET_IN_TIME`] and [`TARGET_SHARE`] of what the servers can run.
 #[test]
 fn a_slow_server_leaves_the_others_in_use() {
-    const SERVED_SHARE: f64 = 0.72;
     let slowness = [1.0, 1.0, 1.5];
     let capacity = CAPACITY * (2.0 + 1.0 / 1.5) / 3.0;
     for (seed, factor) in cases(&[1.2, 1.3, 2.0]) {
@@ -112,7 +109,7 @@
         fleet.servers = slowness.into_iter().map(Server::new).collect();
         fleet.add_load(fleet.now, LENGTH, capacity * factor, any_tenant);
         fleet.run();
-        assert_share_served(&fleet, factor, SERVED_SHARE);
+        assert_share_served(&fleet, factor, TARGET_SHARE.min(TARGET_IN_TIME * factor));
     }
 }
 
