--- a/crates/heronbend-gateway/src/attempt.rs
+++ b/crates/heronbend-gateway/src/attempt.rs
@@ -17,7 +17,6 @@
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::http::client::{Exchange, ExchangeError, FullResponse};
-use crate::load_reports;
 use crate::memory::Reservation;
 use crate::ports::HeaderNames;
 use crate::quarantine::crash_detection;
@@ -119,7 +118,6 @@
         }
         Err(_) => return Err(AttemptFailure::BrokenOff),
     };
-    record_load(gateway, server, outgoing, &exchange);
     if is_replaced_server(gateway, outgoing, &exchange) {
         log::info!("event=server_replaced server={} id={}", server.id, outgoing.id);
         crash_detection::note_server_gone(gateway, &server.id);
@@ -127,20 +125,6 @@
     validate_head(gateway, outgoing, exchange)
 }
 
-/// Records the load that a response reports, if it is a response of this server to this request.
-fn record_load(
-    gateway: &Gateway,
-    server: &Server,
-    outgoing: &OutgoingRequest,
-    exchange: &Exchange,
-) {
-    let names = gateway.dialect.headers();
-    let is_foreign = exchange.header(&names.request_id) != Some(outgoing.id.as_str());
-    if !is_foreign && exchange.status != StatusCode::MISDIRECTED_REQUEST {
-        load_reports::record(gateway, server, &exchange.headers);
-    }
-}
-
 /// Whether a response shows that another server now uses the address: a server only misdirects a
 /// request without an expected version if the server id does not match. The old registration may
 /// stay in the store for some seconds.
@@ -217,15 +201,6 @@
         self.close(outcome);
     }
 
-    /// Records that a call was answered after `latency`.
-    pub fn end_call(self, latency: Duration) {
-        if let Some(key) = self.server_key {
-            let now = self.gateway.now();
-            self.gateway.directory.borrow_mut().placer.compare_with_report(now, key, latency);
-        }
-        self.end(AttemptOutcome::Succeeded(latency));
-    }
-
     /// Records the failure of the attempt.
     pub fn fail(self, failure: &AttemptFailure) {
         let metrics = &self.gateway.metrics;
--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -218,9 +218,6 @@
         urgency: Urgency,
         route: &Route,
     ) -> AssignedSlot {
-        let target = |deadline| self.job.first_seen + migration::target_age(deadline);
-        self.job.target.set(route.result_deadline.map(target));
-        let _waiting = self.job.waiting.add(&self.item.id);
         let work = self.work(route).filter(|work| work.remaining > 0);
         let history = self.history.clone();
         let id = &self.item.id;
@@ -398,7 +395,7 @@
         urgency: Urgency,
         route: &Route,
     ) -> AttemptResult {
-        let AssignedSlot { server, key, version_status, guard, .. } = placed;
+        let AssignedSlot { server, key, version_status, guard } = placed;
         let server = &server;
         let Some(outgoing) = self.outgoing(version_status, route) else {
             return AttemptResult::Unsendable;
@@ -571,7 +568,9 @@
                                 let delay = self.gateway.now().saturating_sub(sent_at);
                                 self.gateway.migration_cost.borrow_mut().record(delay);
                             }
-                            self.record_pace(server, &mut pace, events, run.as_ref());
+                            if let Some(run) = &run {
+                                self.record_pace(server, &mut pace, events, run);
+                            }
                             if self.should_migrate(
                                 server,
                                 &mut throughput,
@@ -609,18 +608,14 @@
         outcome
     }
 
-    /// Records the pace of the server if decisions use it, and updates the remaining work of the
-    /// text.
+    /// Records the pace of the server, and updates the remaining work of the text.
     fn record_pace(
         &self,
         server: &Server,
         pace: &mut Option<ThroughputMeter>,
         events: usize,
-        run: Option<&RunRegistration>,
+        run: &RunRegistration,
     ) {
-        if run.is_none() && !self.gateway.tuning().versions_by_need {
-            return;
-        }
         let now = self.gateway.now();
         let Some(meter) = pace else {
             *pace = Some(ThroughputMeter::new(now));
@@ -628,9 +623,7 @@
         };
         if let Some(per_event) = meter.record(now, events as u64) {
             self.gateway.directory.borrow_mut().placer.record_pace(&server.id, per_event);
-            if let Some(run) = run {
-                run.update(self.expected_remaining());
-            }
+            run.update(self.expected_remaining());
         }
     }
 
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -21,7 +21,6 @@
 //! - [`event_stream`]: assembles an item's text from a server's event stream.
 //! - [`segment`], [`digest`], [`job_texts`]: partial texts in checkpoints.
 //! - [`read_pacing`], [`in_flight`]: load limits.
-//! - [`waiting_items`]: which items wait for a slot.
 //!
 //! I/O:
 //!
@@ -29,7 +28,6 @@
 //! - [`submission`], [`results_reader`]: operations for callers.
 //! - [`runner`], [`item_run`], [`reward`], [`reward_limit`], [`appender`], [`checkpoint`]: run by
 //!   the owner of a job.
-//! - [`step_report`]: reports what steps need to the daemons that plan loads.
 //! - [`ownership_manager`]: tracks ownerships and takes over jobs of lost daemons.
 
 pub mod adoption;
@@ -56,10 +54,8 @@
 pub mod schedule;
 pub mod segment;
 pub mod specification;
-pub mod step_report;
 pub mod submission;
 pub mod throughput;
-pub mod waiting_items;
 
 pub use result_log::{ItemResult, ItemState, ResultLog, ResultsPage};
 pub use specification::{Item, JobSpecification, RewardCall, TrainerStep};
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -15,7 +15,6 @@
 use super::ownership::Ownership;
 use super::result_log::ResultLog;
 use super::specification::JobSpecification;
-use super::waiting_items::WaitingItems;
 use crate::ports::{Object, Revision};
 
 /// Object kind of job specifications.
@@ -55,11 +54,6 @@
     pub required_items: RefCell<BTreeSet<String>>,
     /// Local view of the result log.
     pub log: RefCell<ResultLog>,
-    /// Items that wait for a slot while the job runs here.
-    pub waiting: WaitingItems,
-    /// When the texts should be complete, once an item has needed a slot here; `None` without a
-    /// deadline.
-    pub target: Cell<Option<Moment>>,
     /// Texts of the items while the job runs here.
     pub texts: RefCell<JobTexts>,
     /// Number of the next checkpoint that this daemon writes.
@@ -105,8 +99,6 @@
             specification: RefCell::default(),
             required_items: RefCell::default(),
             log: RefCell::default(),
-            waiting: WaitingItems::default(),
-            target: Cell::new(None),
             texts: RefCell::default(),
             next_checkpoint: Cell::new(0),
             log_changed: Event::new(),
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -9,7 +9,7 @@
 use super::registry::{Job, SPECIFICATIONS};
 use super::schedule::start_order;
 use super::specification::JobSpecification;
-use super::{appender, checkpoint, item_run, ownership_manager, step_report};
+use super::{appender, checkpoint, item_run, ownership_manager};
 use crate::gateway::Gateway;
 use crate::ports::{ObjectStore, StoreError};
 use crate::reflector::backoff;
@@ -65,7 +65,6 @@
     job.ownership_confirmed_at.set(Some(gateway.now()));
     let _appender = gateway.executor.spawn(appender::run(gateway.clone(), job.clone()));
     let _checkpoints = gateway.executor.spawn(checkpoint::run(gateway.clone(), job.clone()));
-    let _reports = gateway.executor.spawn(step_report::run(gateway.clone(), job.clone()));
     let mut tasks: Vec<Task<()>> = Vec::new();
     for position in start_order(&specification.items) {
         if job.log.borrow().is_committed(&specification.items[position].id) {
--- a/crates/heronbend-gateway/src/call_admission/mod.rs
+++ b/crates/heronbend-gateway/src/call_admission/mod.rs
@@ -22,19 +22,16 @@
 use heronbend::admission::call_queue::Decision;
 use heronbend::admission::call_queue::Outcome;
 use heronbend::admission::call_queue::Refusal;
-use heronbend::admission::demand_meter::tenant_hash;
 use heronbend::admission::AdaptiveRate;
 use heronbend::admission::CallerAge;
-use heronbend::admission::DemandMeter;
 use heronbend::admission::TenantKey;
 use heronbend::Moment;
 use smol::channel::bounded;
 use smol::channel::Receiver;
 use smol::channel::Sender;
 
-use crate::demand_exchange;
+use self::sharing::DemandMeter;
 use crate::gateway::Gateway;
-use crate::peers::messages::DemandReport;
 use crate::slot_queue;
 use crate::wait;
 
@@ -88,6 +85,8 @@
     enabled: Cell<(bool, Moment)>,
     /// Rate at which callers ask, told to other daemons if the capacity is shared.
     demand: RefCell<DemandMeter>,
+    /// Latency objective of the latest call.
+    objective: Cell<Duration>,
     /// Whether the daemon takes part in sharing the capacity of the service.
     is_sharing: Cell<bool>,
 }
@@ -106,6 +105,7 @@
             changed: Event::new(),
             enabled: Cell::new((false, Moment::ZERO)),
             demand: RefCell::default(),
+            objective: Cell::default(),
             is_sharing: Cell::new(false),
         });
         self.services.borrow_mut().insert(name.to_owned(), service.clone());
@@ -114,7 +114,10 @@
 
     /// Key of a tenant, or of the callers of a route without a tenant.
     fn tenant_key(&self, request: &CallRequest) -> TenantKey {
-        let name = tenant_name(request);
+        let name = match &request.tenant {
+            Some(tenant) => format!("tenant {tenant}"),
+            None => format!("route {}", request.route),
+        };
         let mut tenants = self.tenants.borrow_mut();
         let next = TenantKey(u32::try_from(tenants.len()).unwrap_or(u32::MAX));
         *tenants.entry(name).or_insert(next)
@@ -134,15 +137,6 @@
     }
 }
 
-/// Name of a tenant, or of the callers of a route without a tenant, which is the same at all
-/// daemons.
-fn tenant_name(request: &CallRequest) -> String {
-    match &request.tenant {
-        Some(tenant) => format!("tenant {tenant}"),
-        None => format!("route {}", request.route),
-    }
-}
-
 /// A call that may be sent. Reports what becomes of its attempts.
 #[derive(Clone)]
 pub struct AdmittedCall {
@@ -191,7 +185,6 @@
     pub fn refuse_found_full(&self) -> Option<Refusal> {
         let limited = self.limited.as_ref()?;
         limited.service.rate.borrow_mut().record_found_full();
-        limited.record_short();
         limited.adjust();
         let now = limited.gateway.now();
         Some(limited.service.queue.borrow_mut().refuse_admitted(now, &limited.call))
@@ -214,14 +207,6 @@
         }
     }
 
-    /// Records that the call was refused, and starts to share the limit if that is enabled.
-    fn record_short(&self) {
-        if sharing::is_enabled(&self.gateway) {
-            demand_exchange::record_short(&self.gateway, &self.service.name);
-            sharing::start(&self.gateway, &self.service);
-        }
-    }
-
     fn change_waiting(&self, difference: i64) {
         let priority = self.call.priority;
         let count = self.gateway.call_admission.count_waiting(priority, difference);
@@ -231,9 +216,6 @@
 
 impl ServiceQueue {
     fn apply(&self, gateway: &Gateway, adjustment: &Adjustment) {
-        if self.is_sharing.get() {
-            return;
-        }
         let share = |value: Option<f64>| value.map_or("none".to_owned(), |v| format!("{v:.2}"));
         let rate = rate_text(adjustment.rate);
         log::info!(
@@ -245,7 +227,9 @@
             share(adjustment.usual_share),
             share(adjustment.mean_share)
         );
-        self.set_rate(gateway, adjustment.rate);
+        if !self.is_sharing.get() {
+            self.set_rate(gateway, adjustment.rate);
+        }
     }
 
     fn set_rate(&self, gateway: &Gateway, rate: Option<f64>) {
@@ -297,10 +281,8 @@
     let now = gateway.now();
     let call = describe(gateway, now, request);
     service.rate.borrow_mut().record_offered();
-    if sharing::is_enabled(gateway) {
-        let tenant = tenant_hash(&tenant_name(request));
-        service.demand.borrow_mut().record(now, call.priority, tenant, call.weight);
-    }
+    service.demand.borrow_mut().record(now, call.priority);
+    service.objective.set(call.objective);
     sharing::start(gateway, &service);
     let decision = service.queue.borrow_mut().offer(now, call);
     let limited = LimitedCall { gateway: gateway.clone(), service, call };
@@ -317,22 +299,11 @@
     };
     if admitted.is_err() {
         limited.service.rate.borrow_mut().record_refused();
-        limited.record_short();
     }
     limited.adjust();
     admitted.map(|waited| AdmittedCall { waited, limited: Some(limited) })
 }
 
-/// Handles the report of another daemon's load on a service. Daemons without calls report too, so
-/// that others may use what they leave.
-pub fn handle_report(gateway: &Rc<Gateway>, report: &DemandReport) {
-    demand_exchange::receive(gateway, report);
-    if sharing::is_enabled(gateway) && demand_exchange::is_under_pressure(gateway, &report.service)
-    {
-        sharing::start(gateway, &gateway.call_admission.service(&report.service));
-    }
-}
-
 fn describe(gateway: &Gateway, now: Moment, request: &CallRequest) -> Call {
     let settings = gateway.admission_settings();
     let weight =
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -27,7 +27,6 @@
 use crate::directory::Server;
 use crate::gateway::Gateway;
 use crate::http::client::FullResponse;
-use crate::load_reports;
 use crate::permits;
 use crate::quarantine;
 use crate::quarantine::admitted_request;
@@ -337,15 +336,12 @@
             deadline: self.limits.deadline,
             target: self.limits.target_latency,
             was_sent: !self.history.tried.is_empty(),
-            bytes: self.outgoing.body.len(),
         };
         let decision = {
             let mut directory = gateway.directory.borrow_mut();
             let pool = &gateway.server_connections;
             directory.place_call(gateway.now(), pool, &self.requirements, &self.history, &wait)
         };
-        let used = gateway.directory.borrow_mut().placer.take_report_use();
-        load_reports::log_use(gateway, ("id", &self.outgoing.id), used);
         permits::request_permits(gateway);
         decision
     }
@@ -464,7 +460,7 @@
             Ok(_) => {
                 let latency = guard.elapsed();
                 self.admitted_call.record_answer(latency);
-                guard.end_call(latency);
+                guard.end(AttemptOutcome::Succeeded(latency));
             }
             Err(failure) => guard.fail(failure),
         }
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -18,7 +18,6 @@
 use heronbend::membership::Candidate;
 use heronbend::overlay::Tree;
 use heronbend::placement::share;
-use heronbend::placement::RankOptions;
 use heronbend::quarantine::Limits;
 use heronbend::Moment;
 use rand::Rng;
@@ -43,7 +42,6 @@
 use crate::http::client::ConnectionPool;
 use crate::lease_state::LeaseName;
 use crate::lease_state::LeaseState;
-use crate::load_reports::LoadReports;
 use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -125,10 +123,6 @@
     pub quarantine: Limits,
     /// Whether batch items are placed by the slack of their step.
     pub by_slack: bool,
-    /// Whether loads of versions are ordered by the need of steps.
-    pub versions_by_need: bool,
-    /// Which optional parts of the ranking of servers are enabled.
-    pub rank_options: RankOptions,
 }
 
 /// Shared state of one daemon.
@@ -169,8 +163,6 @@
     pub slot_queue: SlotQueue,
     /// Calls that wait for a service whose servers cannot run all of them.
     pub call_admission: CallAdmission,
-    /// What was logged about the load that servers report.
-    pub load_reports: LoadReports,
     /// Permits for sending requests to cold servers.
     pub permits: Permits,
     /// Exchange of the demand for services with other daemons.
@@ -257,7 +249,6 @@
         directory.placer.set_region(&identity.zone, &identity.region);
         directory.placer.set_local_zone(&identity.zone);
         directory.placer.set_slack_scheduling(tuning.by_slack);
-        directory.placer.set_rank_options(tuning.rank_options);
         let usage = tuning.usage.filter(|_| provider.is_some());
         let usage = usage.map(|schedule| {
             Rc::new(UsageTracker::new(identity.node.clone(), schedule, Moment::ZERO))
@@ -288,7 +279,6 @@
             splitter: RefCell::new(TrafficSplitter::new(rand::rng().random())),
             slot_queue: SlotQueue::default(),
             call_admission: CallAdmission::default(),
-            load_reports: LoadReports::default(),
             permits,
             demand_exchange: DemandExchange::default(),
             quarantine: Quarantine::new(tuning.quarantine),
@@ -345,11 +335,7 @@
     /// Replaces the limits and timeouts.
     pub fn set_tuning(&self, tuning: Tuning) {
         self.quarantine.set_limits(tuning.quarantine);
-        {
-            let placer = &mut self.directory.borrow_mut().placer;
-            placer.set_slack_scheduling(tuning.by_slack);
-            placer.set_rank_options(tuning.rank_options);
-        }
+        self.directory.borrow_mut().placer.set_slack_scheduling(tuning.by_slack);
         self.tuning.set(tuning);
     }
 
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -55,7 +55,6 @@
 pub mod interner;
 pub mod lease_manager;
 pub mod lease_state;
-pub mod load_reports;
 pub mod load_summary;
 pub mod logging;
 pub mod memory;
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -176,14 +176,6 @@
     pub shares_told: Count,
     /// Shares of a service's capacity that this daemon adopted as its limit.
     pub shares_used: Count,
-    /// Reports of their load that servers sent.
-    pub load_reports: Count,
-    /// Reports of load that could not be parsed.
-    pub load_reports_malformed: Count,
-    /// Choices of a server that reports of load changed.
-    pub choices_by_load: Count,
-    /// Age of the reports that changed a choice, in seconds.
-    pub used_report_age: Histogram,
     /// Bytes of responses held for clients.
     pub response_bytes_held: Gauge,
     /// Maximum of `response_bytes_held`.
@@ -240,10 +232,6 @@
             admission_rate: Family::default(),
             shares_told: Count::default(),
             shares_used: Count::default(),
-            load_reports: Count::default(),
-            load_reports_malformed: Count::default(),
-            choices_by_load: Count::default(),
-            used_report_age: histogram(),
             response_bytes_held: Gauge::default(),
             response_bytes_limit: Gauge::default(),
             slow_readers_cut: Count::default(),
@@ -411,7 +399,6 @@
         registry.register("cold_servers", "Servers that are cold", cold);
         registry.register("zone_evacuated", "Whether a zone is evacuated", evacuated);
         self.register_admission(&mut registry);
-        self.register_load_reports(&mut registry);
         let held = self.response_bytes_held.clone();
         registry.register("answers_held_bytes", "Bytes of answers held for clients", held);
         let limit = self.response_bytes_limit.clone();
@@ -427,17 +414,6 @@
         page
     }
 
-    fn register_load_reports(&self, registry: &mut Registry) {
-        let reports = self.load_reports.clone();
-        registry.register("load_reports", "Reports of their load that servers sent", reports);
-        let malformed = self.load_reports_malformed.clone();
-        registry.register("load_reports_malformed", "Reports of load not understood", malformed);
-        let choices = self.choices_by_load.clone();
-        registry.register("choices_by_load", "Servers chosen by reports of load", choices);
-        let age = self.used_report_age.clone();
-        registry.register("used_report_age_seconds", "Age of the reports used", age);
-    }
-
     fn register_admission(&self, registry: &mut Registry) {
         let waiting = self.calls_waiting.clone();
         registry.register("calls_waiting", "Calls in the queue", waiting);
--- a/crates/heronbend-gateway/src/peers/membership.rs
+++ b/crates/heronbend-gateway/src/peers/membership.rs
@@ -19,10 +19,10 @@
 use super::membership_log::MembershipLog;
 use super::messages::{Datagram, Hint, PeerReply, PeerRequest};
 use super::{bootstrap, store_relay, Command};
-use crate::batch::{ownership_manager, results_reader, step_report, submission};
-use crate::call_admission;
+use crate::batch::{ownership_manager, results_reader, submission};
 use crate::clock::monotonic_now;
 use crate::clock::SuspensionDetector;
+use crate::demand_exchange;
 use crate::dissemination;
 use crate::gateway::Gateway;
 use crate::http::server::{read_body, BodyLimits};
@@ -262,8 +262,7 @@
             }
         }
         Hint::RequestsSuspected { reports } => gossip::merge_reports(gateway, reports),
-        Hint::DemandReported(report) => call_admission::handle_report(gateway, &report),
-        Hint::StepReported(report) => step_report::receive(gateway, report),
+        Hint::DemandReported(report) => demand_exchange::receive(gateway, &report),
         Hint::UsageReported { window } => {
             if let Some(usage) = &gateway.usage {
                 usage.mark_reported(window);
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -87,45 +87,6 @@
     },
     /// A daemon's demand for a service under pressure.
     DemandReported(DemandReport),
-    /// What a pending step needs, from the owner of its job. Sent only if loads are planned by
-    /// need.
-    StepReported(StepReport),
-}
-
-/// What a pending step needs.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
-pub struct StepReport {
-    /// The job.
-    pub job: String,
-    /// The model.
-    pub model: String,
-    /// Oldest version that the step may use.
-    pub min_version: u64,
-    /// Time until its texts should be complete, in milliseconds; 0 once it has passed.
-    pub due_millis: u64,
-    /// The same, as of its submission.
-    pub target_millis: u64,
-    /// Number of items without a result.
-    pub unfinished: u32,
-    /// Expected remaining events of the longest of them.
-    pub longest: u32,
-    /// Expected remaining events of some items that wait for a slot, longest first: one entry for
-    /// every eight items.
-    pub waiting: Vec<u32>,
-    /// Expected events of some items of the step, in the same way.
-    pub lengths: Vec<u32>,
-    /// Paces of servers.
-    #[musli(default)]
-    pub paces: Vec<ServerPace>,
-}
-
-/// Pace of a server.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
-pub struct ServerPace {
-    /// The server.
-    pub server: String,
-    /// Mean time between two events of a text, in microseconds.
-    pub micros: u64,
 }
 
 /// Demand of a daemon for a service.
@@ -142,39 +103,6 @@
     /// The tenants with the largest demand.
     #[musli(default)]
     pub tenants: Vec<ReportedTenant>,
-    /// What the daemon observed; absent in reports of earlier builds.
-    #[musli(default)]
-    pub load: Option<ReportedLoad>,
-}
-
-/// What a daemon observed of its calls to a service. Counters start with the daemon.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
-pub struct ReportedLoad {
-    /// Calls that callers asked for.
-    pub offered: u64,
-    /// Calls refused without being sent.
-    pub refused: u64,
-    /// Answers of servers.
-    pub answered: u64,
-    /// Attempts that servers rejected because they were full.
-    pub rejected: u64,
-    /// Calls that found all servers full.
-    pub found_full: u64,
-    /// Sum of the latencies of the answers, in thousandths of the objectives of their calls.
-    pub latency_millishares: u64,
-    /// Rate that the servers run in thousandths of a request per second; 0 if it is unknown.
-    #[musli(default)]
-    pub capacity_millirequests_per_second: u64,
-    /// Rate that is divided among the daemons in thousandths of a request per second.
-    #[musli(default)]
-    pub divided_millirequests_per_second: u64,
-    /// Mean latency outside of overload, in thousandths of the calls' objectives; 0 if it is
-    /// unknown.
-    #[musli(default)]
-    pub usual_millishare: u64,
-    /// Whether the daemon refused calls recently.
-    #[musli(default)]
-    pub is_short: bool,
 }
 
 /// Demand of a tenant at one daemon.
--- a/crates/heronbend-gateway/src/ports/dialect.rs
+++ b/crates/heronbend-gateway/src/ports/dialect.rs
@@ -2,8 +2,7 @@
 
 use bytes::Bytes;
 use heronbend::access::KeyHasher;
-use heronbend::placement::LoadReport;
-use http::{HeaderMap, HeaderName, Method};
+use http::{HeaderName, Method};
 use serde_json::Value;
 use thiserror::Error;
 
@@ -141,11 +140,6 @@
     fn report_call(&self) -> ServerCall;
     /// Parses a server's report.
     fn report(&self, body: &[u8]) -> Result<EngineReport, DialectError>;
-    /// Parses the load that a server reports in the headers of a response; `None` if it reports
-    /// none.
-    fn load_report(&self, _headers: &HeaderMap) -> Option<Result<LoadReport, DialectError>> {
-        None
-    }
     /// Builds the request that makes a server load a version.
     fn command_call(&self, order: &VersionCommand) -> ServerCall;
     /// The status of a retired machine, which stores no more data.
--- a/crates/heronbend-gateway/src/reload.rs
+++ b/crates/heronbend-gateway/src/reload.rs
@@ -135,8 +135,6 @@
         ("cold", old.cold_margin != new.cold_margin, true),
         ("admission", old.admission != new.admission, true),
         ("scheduling.by_slack", old.by_slack != new.by_slack, true),
-        ("scheduling.versions_by_need", old.versions_by_need != new.versions_by_need, true),
-        ("placement", old.rank_options != new.rank_options, true),
         ("configuration_notice_ms", old.configuration_notice != new.configuration_notice, false),
     ];
     let differing = fields.into_iter().filter(|(_, differs, _)| *differs);
@@ -151,8 +149,6 @@
         max_configuration_age: settings.tuning().max_configuration_age,
         cold_margin: settings.cold_margin,
         by_slack: settings.by_slack,
-        versions_by_need: settings.versions_by_need,
-        rank_options: settings.rank_options,
         ..gateway.tuning()
     };
     gateway.set_tuning(tuning);
--- a/crates/heronbend-gateway/src/settings.rs
+++ b/crates/heronbend-gateway/src/settings.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use heronbend::identity::{Incarnation, NodeId, NodeName};
-use heronbend::placement::RankOptions;
 use heronbend::quarantine::Limits;
 use thiserror::Error;
 use toml::{Table, Value};
@@ -130,10 +129,6 @@
     pub admission: Option<AdmissionSettings>,
     /// Whether batch items are placed by the slack of their step.
     pub by_slack: bool,
-    /// Whether loads of versions are ordered by the need of steps.
-    pub versions_by_need: bool,
-    /// Which optional parts of the ranking of servers are enabled.
-    pub rank_options: RankOptions,
 }
 
 /// A duty of the daemons towards the machine provider.
@@ -411,15 +406,6 @@
         weights
     }
 
-    /// Reads which optional parts of the ranking of servers are enabled.
-    fn rank_options(&mut self) -> RankOptions {
-        RankOptions {
-            server_load: self.boolean("placement.server_load"),
-            two_speeds: self.boolean("placement.two_speeds"),
-            spill_by_need: self.boolean("placement.spill_by_need"),
-        }
-    }
-
     /// Reads the duties towards the provider.
     fn duties(&mut self, field: &str) -> Vec<Duty> {
         let Some(value) = self.optional(field) else {
@@ -493,8 +479,6 @@
             quarantine: reader.quarantine(),
             admission: reader.admission(),
             by_slack: reader.boolean("scheduling.by_slack"),
-            versions_by_need: reader.boolean("scheduling.versions_by_need"),
-            rank_options: reader.rank_options(),
             usage: reader.usage(&duties),
             fail_closed: reader.boolean("access.fail_closed"),
             revocation_notice: reader.optional_millis("access.revocation_notice_ms"),
@@ -598,8 +582,6 @@
             cold_margin: self.cold_margin,
             quarantine: self.quarantine,
             by_slack: self.by_slack,
-            versions_by_need: self.versions_by_need,
-            rank_options: self.rank_options,
         }
     }
 }
--- a/crates/heronbend-gateway/src/slot_queue.rs
+++ b/crates/heronbend-gateway/src/slot_queue.rs
@@ -12,7 +12,6 @@
 use heronbend::placement::AttemptHistory;
 use heronbend::placement::Choice;
 use heronbend::placement::Exclusion;
-use heronbend::placement::ReportUse;
 use heronbend::placement::Requirements;
 use heronbend::placement::Run;
 use heronbend::placement::RunKey;
@@ -29,7 +28,6 @@
 use crate::attempt::AttemptGuard;
 use crate::directory::Server;
 use crate::gateway::Gateway;
-use crate::load_reports;
 use crate::permits;
 use crate::wait;
 
@@ -47,8 +45,6 @@
     pub key: ServerKey,
     /// Whether the server is known to hold the required version.
     pub version_status: VersionStatus,
-    /// Effect of the load that servers report on the choice.
-    pub report_use: Option<ReportUse>,
     /// Counts the item as in flight on the server.
     pub guard: AttemptGuard,
 }
@@ -149,13 +145,11 @@
     loop {
         let (ticket, assigned) = enqueue(gateway, requirements, urgency, history.clone(), work);
         if let Ok(assigned) = assigned.try_recv() {
-            load_reports::log_use(gateway, ("item", item), assigned.report_use);
             return assigned;
         }
         let delay_cause = delay_cause(gateway, &requirements, ticket.key);
         if let Ok(assigned) = assigned.recv().await {
             log_wait(gateway, item, &assigned, started_at, delay_cause);
-            load_reports::log_use(gateway, ("item", item), assigned.report_use);
             return assigned;
         }
         // The chosen server is unknown, which has been logged; try again.
@@ -268,15 +262,9 @@
         log::error!("event=place_without_taker server={:?}", choice.server);
         return;
     };
-    let report_use = gateway.directory.borrow_mut().placer.take_report_use();
     let guard = AttemptGuard::start(gateway, &server);
-    let assigned = AssignedSlot {
-        server,
-        key: choice.server,
-        version_status: choice.version_status,
-        report_use,
-        guard,
-    };
+    let assigned =
+        AssignedSlot { server, key: choice.server, version_status: choice.version_status, guard };
     // If the item was cancelled, dropping the slot frees it.
     let _ = sender.try_send(assigned);
 }
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -595,7 +595,6 @@
             deadline: self.limits.deadline,
             target: self.limits.target_latency,
             was_sent: true,
-            bytes: self.outgoing.body.len(),
         };
         let decision = {
             let placer = &mut gateway.directory.borrow_mut().placer;
--- a/crates/heronbend-gateway/src/versions/dispatcher.rs
+++ b/crates/heronbend-gateway/src/versions/dispatcher.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -18,14 +17,11 @@
 use smol::Timer;
 
 use super::lease::LEASE_DURATION;
-use super::need;
 use super::plan::{self, EngineState, Load, ModelState, Urgency};
-use super::step_reports::KnownStep;
 use super::takeover::Holder;
 use super::takeover::TakeoverView;
 use super::watch::{is_candidate, newest_job, takeover_order};
 use super::{EngineReport, SwapMode, VersionCommand};
-use crate::batch::registry::Job;
 use crate::configuration::{Destination, RouteKind};
 use crate::directory::{Server, ServerState};
 use crate::gateway::Gateway;
@@ -116,21 +112,6 @@
     gateway.members.send_to(recipients.into_iter().collect(), hint);
 }
 
-/// The steps that this daemon knows.
-fn known_steps(gateway: &Gateway) -> Vec<KnownStep> {
-    let step = |job: Rc<Job>| {
-        let model = job.ownership.borrow().0.model.clone()?;
-        Some(KnownStep {
-            job: job.id.clone(),
-            model,
-            items: job.total,
-            first_seen: job.first_seen,
-            ended: job.ended.get(),
-        })
-    };
-    gateway.jobs.all().into_iter().filter_map(step).collect()
-}
-
 /// A load that this daemon is commanding or has commanded.
 #[derive(Debug, Clone)]
 struct StartedLoad {
@@ -228,25 +209,12 @@
                 (model, state)
             })
             .collect();
-        let due = if self.gateway.tuning().versions_by_need {
-            self.loads_by_need(&models)
-        } else {
-            plan::loads_due(&models, &self.engines())
-        };
+        let due = plan::loads_due(&models, &self.engines());
         let elapsed = self.gateway.now().saturating_sub(now);
         self.planning_time.set(self.planning_time.get() + elapsed);
         due
     }
 
-    fn loads_by_need(&self, models: &BTreeMap<String, ModelState>) -> Vec<Load> {
-        let gateway = &self.gateway;
-        let newest = models.iter().map(|(model, state)| (model.clone(), state.version)).collect();
-        let steps = known_steps(gateway);
-        let needs = gateway.versions.step_reports.needs(gateway.now(), &newest, steps);
-        let directory = gateway.directory.borrow();
-        need::loads_due(models, &needs, &self.engines(), &|server| directory.placer.pace(server))
-    }
-
     fn engines(&self) -> Vec<EngineState> {
         let now = self.gateway.now();
         let directory = self.gateway.directory.borrow();
--- a/crates/heronbend-gateway/src/versions/mod.rs
+++ b/crates/heronbend-gateway/src/versions/mod.rs
@@ -2,8 +2,6 @@
 //!
 //! - [`published`]: the published versions and the last accepted command.
 //! - [`plan`]: which servers load which version, without I/O.
-//! - [`need`]: the order of loads by the need of steps, without I/O.
-//! - [`step_reports`]: what owners of jobs report about their steps, without I/O.
 //! - [`lease`]: which daemon may issue commands, without I/O.
 //! - [`takeover`]: which daemon takes over the lease, without I/O.
 //! - [`watch`]: watches published versions at candidates for the lease.
@@ -11,10 +9,8 @@
 
 pub mod dispatcher;
 pub mod lease;
-pub mod need;
 pub mod plan;
 pub mod published;
-pub mod step_reports;
 pub mod takeover;
 pub mod watch;
 
--- a/crates/heronbend-gateway/src/versions/plan.rs
+++ b/crates/heronbend-gateway/src/versions/plan.rs
@@ -57,18 +57,18 @@
 }
 
 impl EngineState {
-    pub(super) fn id(&self) -> &str {
+    fn id(&self) -> &str {
         &self.server.id
     }
 
     /// The registered version of a model, or 0 if the server does not have it.
-    pub(super) fn loaded(&self, model: &str) -> u64 {
+    fn loaded(&self, model: &str) -> u64 {
         self.server.models.get(model).copied().unwrap_or(0)
     }
 
     /// The version of a model that the server is loading, or has loaded while its registration is
     /// out of date.
-    pub(super) fn loading(&self, model: &str) -> Option<u64> {
+    fn loading(&self, model: &str) -> Option<u64> {
         let loading = self.loading.as_ref().filter(|(loading, _)| loading == model);
         loading.map(|(_, version)| *version)
     }
@@ -190,7 +190,7 @@
 }
 
 /// The due loads of a model's newest version. Servers with the oldest versions come first.
-pub(super) fn due_for_model(model: &str, state: &ModelState, hosts: &[&EngineState]) -> Vec<Load> {
+fn due_for_model(model: &str, state: &ModelState, hosts: &[&EngineState]) -> Vec<Load> {
     let version = state.version;
     let loaded = |engine: &EngineState| engine.loaded(model);
     let is_loading_version =
@@ -236,7 +236,7 @@
 
 /// Assigns servers to models in proportion to demand, but no more than each model needs. Each
 /// server is assigned to at most one model, preferably the one it lags behind least.
-pub(super) fn assign<'a>(
+fn assign<'a>(
     models: &BTreeMap<String, ModelState>,
     engines: &'a [EngineState],
 ) -> BTreeMap<&'a str, Vec<&'a EngineState>> {
--- a/crates/heronbend-gateway/src/versions/published.rs
+++ b/crates/heronbend-gateway/src/versions/published.rs
@@ -9,7 +9,6 @@
 use heronbend::identity::NodeName;
 use heronbend::Moment;
 
-use super::step_reports::StepReports;
 use crate::lease_state::LeaseState;
 
 /// Steps that take longer, including training, need more than half of the model's servers.
@@ -27,8 +26,6 @@
     listed_at: Cell<Option<Moment>>,
     /// Durations of the newest steps by model, from submission to the publication of the version.
     step_times: RefCell<HashMap<String, VecDeque<Duration>>>,
-    /// What owners report about pending steps.
-    pub step_reports: StepReports,
     /// The lease for commands.
     pub lease: LeaseState,
     /// Notified when a version is published or a command is accepted.
--- a/crates/heronbend-gateway/src/versions/watch.rs
+++ b/crates/heronbend-gateway/src/versions/watch.rs
@@ -103,7 +103,7 @@
 }
 
 /// The takeover order of the lease, as known to this daemon.
-pub(crate) fn takeover_order(gateway: &Gateway) -> TakeoverOrder {
+pub(super) fn takeover_order(gateway: &Gateway) -> TakeoverOrder {
     let mut live = gateway.members.successors();
     let (node, is_draining) = (gateway.identity.node.clone(), gateway.draining.get());
     live.push(Successor { node, is_draining });
--- a/crates/heronbend/src/admission/return_schedule.rs
+++ b/crates/heronbend/src/admission/return_schedule.rs
@@ -40,9 +40,8 @@
         let spacing = rate.map_or(UNKNOWN_SPACING, |rate| {
             Duration::try_from_secs_f64(1.0 / (rate * RETURN_SHARE)).unwrap_or(MAX_DELAY)
         });
-        let earliest = now.saturating_add(earliest);
-        let told = self.latest.range(..=priority);
-        let scheduled = told.map(|(_, latest)| latest.saturating_add(spacing)).max();
+        let earliest = now + earliest;
+        let scheduled = self.latest.range(..=priority).map(|(_, latest)| *latest + spacing).max();
         let at = scheduled.map_or(earliest, |scheduled| scheduled.max(earliest));
         let at = at.min(now + MAX_DELAY);
         self.latest.retain(|_, latest| *latest > now);
--- a/crates/heronbend/src/admission/shares.rs
+++ b/crates/heronbend/src/admission/shares.rs
@@ -32,7 +32,7 @@
 /// Number of priority classes.
 pub const CLASSES: usize = 4;
 /// Largest number of tenants in a report.
-pub const MAX_TENANTS: usize = 6;
+pub const MAX_TENANTS: usize = 8;
 /// Largest number of daemons that exchange reports; larger fleets use equal shares.
 pub const MAX_DAEMONS: usize = 128;
 /// How long a report is used after the earliest time at which it could have arrived.
--- a/crates/heronbend/src/placement/decisions.rs
+++ b/crates/heronbend/src/placement/decisions.rs
@@ -17,11 +17,9 @@
 use super::keys::ServerKey;
 use super::keys::ServiceKey;
 use super::keys::ZoneKey;
-use super::options::RankOptions;
 use super::placer::Choice;
 use super::placer::EligibleServers;
 use super::placer::Placer;
-use super::placer::ReportUse;
 use super::queue::TicketKey;
 use super::queue::Urgency;
 use super::rank;
@@ -165,7 +163,6 @@
         wait: &WaitState,
         is_connected: impl Fn(ServerKey) -> bool,
     ) -> Decision {
-        self.report_use = None;
         let (mut eligible, mut exclusions) = self.find_eligible(now, requirements);
         exclude_tried(&mut eligible, history, &mut exclusions);
         let available = self.available_for_call(now, requirements, &eligible, &mut exclusions);
@@ -179,7 +176,6 @@
             self.record_permit_demand(now, requirements, &eligible, 1);
             return wait_policy::wait_or_reject(now, wait, exclusions.dominant());
         }
-        let available = self.select_by_zone(now, available, wait);
         let best = self.cheapest(now, &available, rank::CALL, is_connected);
         match best.and_then(|key| self.choice(now, requirements, key)) {
             Some(choice) => Decision::Place(choice),
@@ -282,7 +278,6 @@
         now: Moment,
         is_connected: impl Fn(ServerKey) -> bool,
     ) -> Option<(TicketKey, Choice)> {
-        self.report_use = None;
         for requirements in self.queue.lanes_by_urgency() {
             if let Some(placed) = self.place_first_in_lane(now, &requirements, &is_connected) {
                 self.queue.remove(placed.0);
@@ -491,10 +486,9 @@
             let servers = self.servers_of(service).map(|(_, server)| server);
             servers.filter(|server| server.is_ready())
         };
-        let is_known = peers().any(|peer| peer.health.mean_millis().is_some());
+        let is_known = peers().any(|peer| peer.health.mean_millis.is_some());
         let best = rank::best_millis(peers(), None, rank::BATCH_ITEM);
-        let parameters = CostParameters::new(now, best, rank::BATCH_ITEM, self.rank_options);
-        let millis = rank::mean_millis(self.get(key)?, &parameters);
+        let millis = self.get(key)?.health.decayed_mean_millis(now, best);
         is_known.then(|| Duration::from_secs_f64(millis / 1e3))
     }
 
@@ -625,15 +619,14 @@
         profile: Profile,
         is_connected: impl Fn(ServerKey) -> bool,
     ) -> Option<ServerKey> {
-        let mut parameters = self.cost_parameters(now, keys, profile);
-        let options = RankOptions { server_load: false, ..parameters.options };
-        let without_reports = CostParameters { options, ..parameters };
+        let servers = || keys.iter().filter_map(|key| self.get(*key));
+        let service = servers().next().map(|server| server.registration.service);
+        let baseline =
+            service.and_then(|service| self.service_states.get(&service)?.baseline_millis);
+        let best_millis = rank::best_millis(servers(), baseline, profile);
+        let parameters = CostParameters::new(now, best_millis, profile);
         let ignores_connections = self.random.random_range(0..rank::EXPLORE_EVERY) == 0;
-        if ignores_connections {
-            // A server whose last report has no effect any more is asked again.
-            parameters.others_per_slot = 0.0;
-        }
-        let (mut best, mut otherwise) = (Cheapest::default(), Cheapest::default());
+        let mut best: Option<(bool, f64, ServerKey)> = None;
         for key in keys {
             let jitter = self.random.random::<f64>();
             let Some(server) = self.get(*key) else {
@@ -641,44 +634,16 @@
             };
             let latency_millis = self.zone_latency(server.registration.zone).as_secs_f64() * 1e3;
             let is_connected = ignores_connections || is_connected(*key);
-            let in_backoff = server.health.is_in_backoff(now);
-            let cost = |parameters: &CostParameters| {
-                rank::cost(server, parameters, latency_millis, is_connected) + jitter
-            };
-            best.offer(in_backoff, cost(&parameters), *key);
-            if parameters.options.server_load {
-                otherwise.offer(in_backoff, cost(&without_reports), *key);
-            }
-        }
-        let (chosen, otherwise) = (best.key(), otherwise.key());
-        self.report_use = chosen
-            .zip(otherwise)
-            .filter(|(chosen, otherwise)| chosen != otherwise)
-            .map(|(chosen, otherwise)| ReportUse {
-                chosen,
-                otherwise,
-                report: self.last_report(otherwise),
+            let cost = rank::cost(server, &parameters, latency_millis, is_connected) + jitter;
+            let candidate = (server.health.is_in_backoff(now), cost, *key);
+            let is_better = best.is_none_or(|(in_backoff, known, _)| {
+                candidate.0.cmp(&in_backoff).then(candidate.1.total_cmp(&known)).is_lt()
             });
-        chosen
-    }
-
-    /// Parameters of the cost of requests on these servers.
-    pub(super) fn cost_parameters(
-        &self,
-        now: Moment,
-        keys: &[ServerKey],
-        profile: Profile,
-    ) -> CostParameters {
-        let servers = || keys.iter().filter_map(|key| self.get(*key));
-        let service = servers().next().map(|server| server.registration.service);
-        let baseline =
-            service.and_then(|service| self.service_states.get(&service)?.baseline_millis);
-        let best_millis = rank::best_millis(servers(), baseline, profile);
-        let parameters = CostParameters::new(now, best_millis, profile, self.rank_options);
-        if !self.rank_options.server_load {
-            return parameters;
+            if is_better {
+                best = Some(candidate);
+            }
         }
-        CostParameters { others_per_slot: rank::mean_others_per_slot(now, servers()), ..parameters }
+        best.map(|(_, _, key)| key)
     }
 
     pub(super) fn choice(
@@ -706,26 +671,6 @@
     }
 }
 
-/// The server with the lowest cost so far.
-#[derive(Debug, Default)]
-struct Cheapest(Option<(bool, f64, ServerKey)>);
-
-impl Cheapest {
-    /// Keeps the server if it costs less; one in backoff only if all are.
-    fn offer(&mut self, in_backoff: bool, cost: f64, key: ServerKey) {
-        let is_better = self.0.is_none_or(|(known_in_backoff, known, _)| {
-            in_backoff.cmp(&known_in_backoff).then(cost.total_cmp(&known)).is_lt()
-        });
-        if is_better {
-            self.0 = Some((in_backoff, cost, key));
-        }
-    }
-
-    fn key(&self) -> Option<ServerKey> {
-        self.0.map(|(_, _, key)| key)
-    }
-}
-
 /// Removes servers that must not be sent the request again.
 fn exclude_tried(
     eligible: &mut Vec<ServerKey>,
--- a/crates/heronbend/src/placement/health.rs
+++ b/crates/heronbend/src/placement/health.rs
@@ -5,9 +5,6 @@
 
 use std::time::Duration;
 
-use super::server_load::LoadReport;
-use super::server_load::ReportHistory;
-use super::speed::Speed;
 use crate::Moment;
 
 /// Weight of a new sample in a server's mean latency.
@@ -49,56 +46,16 @@
     pub in_flight: u32,
     /// Number of those requests that may crash the server.
     pub suspects: u32,
-    /// Boxed, since a daemon of a large fleet uses few of its servers.
-    observations: Option<Box<Observations>>,
+    /// Mean time of a response, or of an event of a batch item, in milliseconds.
+    pub mean_millis: Option<f64>,
+    last_sample_at: Moment,
     consecutive_failures: u32,
     backoff_until: Moment,
     /// Whether the current backoff began because the process exited.
     exited: bool,
 }
 
-/// What is known of a server that has been used.
-#[derive(Debug, Clone, Default)]
-struct Observations {
-    /// Mean time of a response, or of an event of a batch item, in milliseconds.
-    mean_millis: Option<f64>,
-    last_sample_at: Moment,
-    /// The mean by two time scales.
-    speed: Speed,
-    /// What the server reports about its load, if it does.
-    reports: Option<ReportHistory>,
-}
-
-impl Observations {
-    fn record_latency(&mut self, now: Moment, latency: Duration) {
-        let millis = latency.as_secs_f64() * 1e3;
-        let old = self.mean_millis.unwrap_or(millis);
-        self.mean_millis = Some(old + (millis - old) * SAMPLE_WEIGHT);
-        self.speed.record(now, millis);
-        self.last_sample_at = now;
-    }
-}
-
 impl ServerHealth {
-    /// Mean time of a response, or of an event of a batch item, in milliseconds.
-    pub fn mean_millis(&self) -> Option<f64> {
-        self.observations.as_ref()?.mean_millis
-    }
-
-    /// The mean latency by two time scales, if the server has been used.
-    pub fn speed(&self) -> Option<&Speed> {
-        self.observations.as_ref().map(|observations| &observations.speed)
-    }
-
-    /// What the server reports about its load, if it does.
-    pub fn reports(&self) -> Option<&ReportHistory> {
-        self.observations.as_ref()?.reports.as_ref()
-    }
-
-    fn reports_mut(&mut self) -> Option<&mut ReportHistory> {
-        self.observations.as_mut()?.reports.as_mut()
-    }
-
     /// Whether the server is in backoff.
     pub fn is_in_backoff(&self, now: Moment) -> bool {
         self.backoff_until > now
@@ -113,57 +70,21 @@
     /// Mean latency in milliseconds, which decays towards `best`, the mean latency of the fastest
     /// server.
     pub fn decayed_mean_millis(&self, now: Moment, best: f64) -> f64 {
-        let Some(observations) = &self.observations else {
-            return best;
-        };
-        let age = now.saturating_sub(observations.last_sample_at).as_secs_f64();
+        let age = now.saturating_sub(self.last_sample_at).as_secs_f64();
         let remaining = 0.5_f64.powf(age / DECAY_HALF_LIFE.as_secs_f64());
-        let known = observations.mean_millis.unwrap_or(best);
+        let known = self.mean_millis.unwrap_or(best);
         best + (known - best) * remaining
     }
 
-    /// Records a report of the load of the server, which has `slots`.
-    pub fn record_report(&mut self, now: Moment, report: LoadReport, slots: u32) {
-        let observations = self.observations.get_or_insert_default();
-        let reports = observations.reports.get_or_insert_with(|| ReportHistory::new(now));
-        reports.record(now, report, self.in_flight, slots);
-    }
-
-    /// Counts a request that is sent to the server, which has `slots`.
-    pub fn request_started(&mut self, now: Moment, slots: u32) {
-        let in_flight = self.in_flight;
-        if let Some(reports) = self.reports_mut() {
-            reports.in_flight_changes(now, in_flight);
-            reports.request_sent(now, slots);
-        }
-        self.in_flight += 1;
-    }
-
-    /// Counts a request that is not in flight any more.
-    pub fn request_finished(&mut self, now: Moment) {
-        let in_flight = self.in_flight;
-        if let Some(reports) = self.reports_mut() {
-            reports.in_flight_changes(now, in_flight);
-            reports.request_finished();
-        }
-        self.in_flight = self.in_flight.saturating_sub(1);
-    }
-
-    /// Compares the latency of a response with the wait that the reports implied.
-    /// `baseline_millis` is the usual latency of the service.
-    pub fn compare_with_reports(&mut self, now: Moment, latency: Duration, baseline_millis: f64) {
-        let usual = self.speed().and_then(Speed::usual_millis);
-        if let Some((usual, reports)) = usual.zip(self.reports_mut()) {
-            reports.response_received(now, latency, usual.min(baseline_millis));
-        }
-    }
-
     /// Records the outcome of an attempt.
     pub fn record_outcome(&mut self, now: Moment, outcome: AttemptOutcome) {
         self.exited = self.has_exited(now);
         match outcome {
             AttemptOutcome::Succeeded(latency) => {
-                self.observations.get_or_insert_default().record_latency(now, latency);
+                let millis = latency.as_secs_f64() * 1e3;
+                let old = self.mean_millis.unwrap_or(millis);
+                self.mean_millis = Some(old + (millis - old) * SAMPLE_WEIGHT);
+                self.last_sample_at = now;
                 self.consecutive_failures = 0;
                 self.backoff_until = Moment::ZERO;
                 self.exited = false;
--- a/crates/heronbend/src/placement/mod.rs
+++ b/crates/heronbend/src/placement/mod.rs
@@ -8,10 +8,6 @@
 //! - [`health`]: load and health of a server as observed by this daemon.
 //! - [`eligibility`]: which servers may run a request.
 //! - [`rank`]: which of the eligible servers is the best.
-//! - [`options`]: which parts of the ranking are enabled.
-//! - [`server_load`]: what servers report about their load, and how much of it still holds.
-//! - [`speed`]: the speed of a server by two time scales.
-//! - [`spill`]: which calls leave their zone.
 //! - [`queue`]: queue of batch items, in order of urgency.
 //! - [`slack`]: which batch items need fast servers.
 //! - [`running`], [`moves`]: batch items in progress, and which of them move to a faster server.
@@ -26,21 +22,15 @@
 pub mod health;
 pub mod keys;
 pub mod moves;
-pub mod options;
 pub mod placer;
 pub mod queue;
 pub mod rank;
 pub mod running;
 pub mod server;
-pub mod server_load;
-#[cfg(test)]
-mod server_load_tests;
 pub mod share;
 pub mod slack;
 #[cfg(test)]
 mod slack_tests;
-pub mod speed;
-pub mod spill;
 #[cfg(test)]
 mod tests;
 pub mod wait_policy;
@@ -57,11 +47,9 @@
 pub use keys::ServiceKey;
 pub use keys::ZoneKey;
 pub use moves::Assignment;
-pub use options::RankOptions;
 pub use placer::Choice;
 pub use placer::PermitDemand;
 pub use placer::Placer;
-pub use placer::ReportUse;
 pub use queue::TicketKey;
 pub use queue::Urgency;
 pub use running::Run;
@@ -69,7 +57,6 @@
 pub use server::ColdStartLimit;
 pub use server::PendingLoad;
 pub use server::Registration;
-pub use server_load::LoadReport;
 pub use slack::Work;
 pub use wait_policy::Decision;
 pub use wait_policy::Rejection;
--- a/crates/heronbend/src/placement/moves.rs
+++ b/crates/heronbend/src/placement/moves.rs
@@ -97,7 +97,6 @@
         min_gain: Duration,
         is_connected: impl Fn(ServerKey) -> bool,
     ) -> Option<Assignment> {
-        self.report_use = None;
         let moves = self.next_moves(now, min_gain);
         if let Some(late) = moves.late {
             if !self.is_needed_more(now, late.need, late.choice.server) {
--- a/crates/heronbend/src/placement/placer.rs
+++ b/crates/heronbend/src/placement/placer.rs
@@ -21,7 +21,6 @@
 use super::keys::ServerKey;
 use super::keys::ServiceKey;
 use super::keys::ZoneKey;
-use super::options::RankOptions;
 use super::queue::Queue;
 use super::running::Runs;
 use super::server::ColdStartLimit;
@@ -29,8 +28,6 @@
 use super::server::Registration;
 use super::server::Server;
 use super::server::DEREGISTRATION_GRACE;
-use super::server_load::LoadReport;
-use super::server_load::ReceivedReport;
 use super::slack::Paces;
 use crate::Moment;
 
@@ -61,17 +58,6 @@
     pub permits: u32,
 }
 
-/// A choice that was made by reports of load.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ReportUse {
-    /// The server that was chosen.
-    pub chosen: ServerKey,
-    /// The server that would have been chosen without reports.
-    pub otherwise: ServerKey,
-    /// The last report of the server that was not chosen, if it has sent any.
-    pub report: Option<ReceivedReport>,
-}
-
 /// Limits and latency of a service.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct ServiceState {
@@ -127,9 +113,6 @@
     pub(super) runs: Runs,
     pub(super) paces: Paces,
     pub(super) schedules_by_slack: bool,
-    pub(super) rank_options: RankOptions,
-    /// Effect of reports on the last choice.
-    pub(super) report_use: Option<ReportUse>,
     /// Number of requests in flight that may crash their server.
     pub(super) suspects: u32,
     /// Cold servers for which permits have been requested. The value is `None` while a request is
@@ -170,8 +153,6 @@
             runs: Runs::default(),
             paces: Paces::default(),
             schedules_by_slack: false,
-            rank_options: RankOptions::default(),
-            report_use: None,
             suspects: 0,
             permit_requests: HashMap::new(),
             permit_demand: BTreeMap::new(),
@@ -264,34 +245,6 @@
         self.schedules_by_slack
     }
 
-    /// Enables optional parts of the ranking.
-    pub fn set_rank_options(&mut self, options: RankOptions) {
-        self.rank_options = options;
-    }
-
-    /// Which optional parts of the ranking are enabled.
-    pub fn rank_options(&self) -> RankOptions {
-        self.rank_options
-    }
-
-    /// Takes the effect of reports on the last choice; `None` if they did not change it.
-    pub fn take_report_use(&mut self) -> Option<ReportUse> {
-        self.report_use.take()
-    }
-
-    /// Records the load that a server reports.
-    pub fn record_report(&mut self, now: Moment, id: &str, report: LoadReport) {
-        if let Some(server) = self.key(id).and_then(|key| self.get_mut(key)) {
-            let slots = server.registration.slots;
-            server.health.record_report(now, report, slots);
-        }
-    }
-
-    /// The last report of a server, if it has sent any.
-    pub fn last_report(&self, key: ServerKey) -> Option<ReceivedReport> {
-        self.get(key)?.health.reports()?.last()
-    }
-
     /// Sets the limits of a service: the number of requests this daemon may have in flight per
     /// server, and the rate limit of cold servers, if there is one.
     pub fn set_service_limits(
@@ -511,8 +464,7 @@
         let key = self.key(id)?;
         let is_bounded = self.cold_start_limit(key).is_some();
         let server = self.get_mut(key)?;
-        let slots = server.registration.slots;
-        server.health.request_started(now, slots);
+        server.health.in_flight += 1;
         if is_bounded && server.is_cold(now) {
             server.use_permit(now);
         }
@@ -522,22 +474,11 @@
     /// Records the outcome of a request.
     pub fn request_finished(&mut self, now: Moment, key: ServerKey, outcome: AttemptOutcome) {
         if let Some(server) = self.get_mut(key) {
-            server.health.request_finished(now);
+            server.health.in_flight = server.health.in_flight.saturating_sub(1);
         }
         self.record_outcome_at(now, key, outcome);
     }
 
-    /// Compares the latency of a call with the wait that the server's reports implied. The caller
-    /// then reports the call with [`Self::request_finished`].
-    pub fn compare_with_report(&mut self, now: Moment, key: ServerKey, latency: Duration) {
-        let service = self.get(key).map(|server| server.registration.service);
-        let baseline =
-            service.and_then(|service| self.service_states.get(&service)?.baseline_millis);
-        if let Some((baseline, server)) = baseline.zip(self.get_mut(key)) {
-            server.health.compare_with_reports(now, latency, baseline);
-        }
-    }
-
     /// Whether the process of a server is believed to have exited.
     pub fn has_exited(&self, now: Moment, id: &str) -> bool {
         let server = self.key(id).and_then(|key| self.get(key));
--- a/crates/heronbend/src/placement/rank.rs
+++ b/crates/heronbend/src/placement/rank.rs
@@ -1,8 +1,6 @@
 //! Ranks eligible servers by the expected time of a request.
 
-use super::options::RankOptions;
 use super::server::Server;
-use super::server_load::ReportedLoad;
 use crate::Moment;
 
 /// Latency assumed if none is known, in milliseconds.
@@ -13,8 +11,8 @@
 /// daemon with few calls reuses its connections, and is less than [the latency of another
 /// zone](super::Placer::zone_latency), so that calls return to their own zone.
 const CONNECT_MILLIS: f64 = 1.5;
-/// Open connections and the assumed load are ignored in one of this many choices on average, so that
-/// unused servers get traffic again.
+/// Open connections are ignored in one of this many choices on average, so that unused servers get
+/// traffic again.
 pub const EXPLORE_EVERY: u32 = 16;
 /// Weight of the network latency for an event of a batch item. It is low because the latency is
 /// paid once per item of some twenty events, and a higher weight would fill nearby servers before
@@ -45,10 +43,9 @@
 impl CostParameters {
     /// Creates the parameters for requests at `now`, where the fastest server has a mean latency of
     /// `best_millis`.
-    pub fn new(now: Moment, best_millis: f64, profile: Profile, options: RankOptions) -> Self {
+    pub fn new(now: Moment, best_millis: f64, profile: Profile) -> Self {
         let Profile { load_penalty, tolerance, latency_weight } = profile;
-        let others_per_slot = 0.0;
-        Self { now, best_millis, load_penalty, tolerance, latency_weight, others_per_slot, options }
+        Self { now, best_millis, load_penalty, tolerance, latency_weight }
     }
 }
 
@@ -71,10 +68,6 @@
     pub tolerance: f64,
     /// Weight of the network latency.
     pub latency_weight: f64,
-    /// Load of a server by other callers that is assumed without a report, by slot.
-    pub others_per_slot: f64,
-    /// Which optional parts are enabled.
-    pub options: RankOptions,
 }
 
 /// Mean latency of the fastest server, in milliseconds. For calls it is at most the service's
@@ -84,7 +77,7 @@
     baseline: Option<f64>,
     profile: Profile,
 ) -> f64 {
-    let known = servers.filter_map(|server| server.health.mean_millis());
+    let known = servers.filter_map(|server| server.health.mean_millis);
     let best = known.reduce(f64::min);
     let baseline = baseline.filter(|_| profile == CALL);
     match (best, baseline) {
@@ -93,19 +86,6 @@
     }
 }
 
-/// Expected time of one more request on a server, in milliseconds, without the network.
-pub fn server_millis(server: &Server, parameters: &CostParameters) -> f64 {
-    let mean = ranked_millis(server, parameters).max(MIN_MILLIS);
-    let is_as_fast = mean <= parameters.best_millis * parameters.tolerance;
-    let mean = if is_as_fast { parameters.best_millis.max(MIN_MILLIS) } else { mean };
-    let slots = server.registration.slots;
-    let own = server.health.in_flight;
-    let load = reported_load(server, parameters);
-    let utilization = load.utilization(own, slots);
-    let wait = load.expected_wait(own, slots);
-    mean * load.slowdown * (1.0 + parameters.load_penalty * utilization + wait)
-}
-
 /// Expected time of one more request on a server, in milliseconds. `network_millis` is the network
 /// latency of its zone.
 pub fn cost(
@@ -114,46 +94,13 @@
     network_millis: f64,
     is_connected: bool,
 ) -> f64 {
+    let mean =
+        server.health.decayed_mean_millis(parameters.now, parameters.best_millis).max(MIN_MILLIS);
+    let is_as_fast = mean <= parameters.best_millis * parameters.tolerance;
+    let mean = if is_as_fast { parameters.best_millis.max(MIN_MILLIS) } else { mean };
+    let utilization =
+        f64::from(server.health.in_flight) / f64::from(server.registration.slots.max(1));
     let connecting = if is_connected { 0.0 } else { CONNECT_MILLIS };
     let network_cost = network_millis * parameters.latency_weight;
-    server_millis(server, parameters) + network_cost + connecting
-}
-
-/// The load of other callers, if reports are taken into account.
-fn reported_load(server: &Server, parameters: &CostParameters) -> ReportedLoad {
-    if !parameters.options.server_load {
-        return ReportedLoad::NONE;
-    }
-    let slots = server.registration.slots;
-    let others = parameters.others_per_slot * f64::from(slots);
-    let reported =
-        server.health.reports().and_then(|reports| reports.current(parameters.now, slots, others));
-    reported.unwrap_or(ReportedLoad { others, ..ReportedLoad::NONE })
-}
-
-/// Mean load of servers by other callers, by slot, as far as they report it.
-pub fn mean_others_per_slot<'a>(now: Moment, servers: impl Iterator<Item = &'a Server>) -> f64 {
-    let reported: Vec<f64> =
-        servers.filter_map(|server| server.health.reports()?.mean_others_per_slot(now)).collect();
-    reported.iter().sum::<f64>() / reported.len().max(1) as f64
-}
-
-/// Mean latency by which a server is ranked, in milliseconds. A server that is due for a probe is
-/// ranked as the fastest one.
-fn ranked_millis(server: &Server, parameters: &CostParameters) -> f64 {
-    let is_due = server.health.speed().is_some_and(|speed| speed.is_probe_due(parameters.now));
-    if parameters.options.two_speeds && server.health.in_flight == 0 && is_due {
-        return parameters.best_millis;
-    }
-    mean_millis(server, parameters)
-}
-
-/// Mean latency of a server as known by this daemon, in milliseconds.
-pub fn mean_millis(server: &Server, parameters: &CostParameters) -> f64 {
-    let CostParameters { now, best_millis, options, .. } = *parameters;
-    let health = &server.health;
-    if !options.two_speeds {
-        return health.decayed_mean_millis(now, best_millis);
-    }
-    health.speed().and_then(|speed| speed.current_millis(now)).unwrap_or(best_millis)
+    mean * (1.0 + parameters.load_penalty * utilization) + network_cost + connecting
 }
--- a/crates/heronbend/src/placement/tests.rs
+++ b/crates/heronbend/src/placement/tests.rs
@@ -81,7 +81,7 @@
 }
 
 fn wait(since: Moment) -> WaitState {
-    WaitState { since, deadline: since + SECOND, target: 200 * MILLI, was_sent: false, bytes: 0 }
+    WaitState { since, deadline: since + SECOND, target: 200 * MILLI, was_sent: false }
 }
 
 fn urgency(deadline: Moment, remaining_tokens: u64) -> Urgency {
--- a/crates/heronbend/src/placement/wait_policy.rs
+++ b/crates/heronbend/src/placement/wait_policy.rs
@@ -41,8 +41,6 @@
     pub target: Duration,
     /// Whether the call has been sent to a server before.
     pub was_sent: bool,
-    /// Bytes of the call that a server in another zone would get over the network.
-    pub bytes: usize,
 }
 
 /// Rejection of a call.
--- a/spec/src/capacity_shares.rs
+++ b/spec/src/capacity_shares.rs
@@ -4,8 +4,7 @@
 //! reports and computes its share. A report arrives in the same tick, in the next one, at any later
 //! one, or never. Daemons change their demand, restart and join; a daemon learns of one that joined
 //! at any time within the start wait of that one. The state holds ages instead of times, so the
-//! number of ticks is not bounded. A daemon has no share while it starts; what it uses in place of
-//! one is no part of the sum.
+//! number of ticks is not bounded.
 //!
 //! Invariant: the shares in use never add up to more than the capacity. Liveness: once messages
 //! flow and demand stays, the whole capacity is in use after [`CONVERGENCE_TICKS`].
