--- a/review/3/run.py
+++ b/review/3/run.py
@@ -12,6 +12,7 @@
 
 CONTACT_S = BOUNDS["contact_ms"] / 1000
 SETTLE_S = BOUNDS["settle_ms"] / 1000
+LATE_S = 0.4  # How much later the store does the write whose answer is lost.
 SHORT, LONG = 20, 400  # Events of a text; 40 ms each.
 JOB, OTHER = "7c41e09b52d6a3f8", "7c41e09b52d6a3f9"
 
@@ -139,8 +140,8 @@
             is_takeover = request.method == "PUT" and request.path.endswith(f"/heronbend-work/{JOB}")
             if is_takeover and address == first.store_address:
                 store.fault = lambda address, request: None
-                trouble_at.append(("store", now()))
-                return 0.4
+                trouble_at.append(("store", now() + LATE_S))
+                return LATE_S
             return None
 
         store.fault = lose
