--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,63 +1,82 @@
-"""A batch job goes from daemon A to B and back to A; the answer to A's takeover is lost."""
+"""The service that scores texts is down to one slow server for some seconds; calls that outlast the
+deadline which the daemon hands to it are answered 504 there, and their items are given up."""
 
 import asyncio
 import json
 import os
-import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
-from standins import BOUNDS, Engine, Fleet, HOST, call, configuration, main, now  # noqa: E402
-
-CONTACT_S = BOUNDS["contact_ms"] / 1000
-SETTLE_S = BOUNDS["settle_ms"] / 1000
-LATE_S = 0.4  # How much later the store does the write whose answer is lost.
-SHORT, LONG = 20, 400  # Events of a text; 40 ms each.
-JOB, OTHER = "7c41e09b52d6a3f8", "7c41e09b52d6a3f9"
-
-
-def job_body(job, lengths):
-    requests = [{"id": f"{job[-4:]}{number:04}{length:04}", "path": f"/lots/{number}",
-                 "headers": {"Model": "m0", "Token-Count": "20,400"}, "body": "cHJvbXB0",
-                 "tokens": 420} for number, length in enumerate(lengths)]
-    return json.dumps({"requests": requests}).encode()
-
-
-class Reader:
-    """Reads results and checks them: a position that was read is there again."""
-
-    def __init__(self, record, trouble_at):
-        self.record, self.trouble_at = record, trouble_at
-        self.read_at, self.content, self.broken = {}, {}, []
-
-    def in_touch(self, daemon, at):
-        struck = [when for name, when in self.trouble_at if name in (daemon.name, "store")]
-        return all(at - when > CONTACT_S for when in struck)
-
-    async def read(self, daemon, position, quiet=False):
-        sent = now()
-        answer = await call(daemon.front, "GET", f"/api/lots/{JOB}?after_rev={position}",
-                            [("Host", HOST)], timeout=2)
-        at = now()
-        status = answer.status if answer else None
-        results = answer.json()["results"] if status == 200 else []
-        if not quiet or status != 200:
-            self.record(f"client: reads from {position} at {daemon.name}: {status}, "
-                        f"{len(results)} results")
-        for offset, result in enumerate(results):
-            known = self.content.setdefault(position + offset, result)
-            if known != result:
-                self.broken.append(f"TWICE: position {position + offset} holds another result")
-            self.read_at.setdefault(position + offset, at)
-        first_read = self.read_at.get(position)
-        if first_read is not None and sent - first_read > SETTLE_S and self.in_touch(daemon, sent):
-            if status in (404, 410) or (status == 200 and not results):
-                self.broken.append(
-                    f"LOST: {daemon.name}, in touch, has nothing at position {position} at "
-                    f"{at:.3f} (status {status}); that position was read at {first_read:.3f}")
-                self.record(self.broken[-1])
-        return status, results
+from standins import (App, Engine, Fleet, HOST, MODEL, call, configuration, main, now,  # noqa: E402
+                      response)
+
+GROUPS, SIZE, EVENTS = 6, 4, 15  # 40 ms an event.
+WORK_S = 0.03  # SYSTEM.md, `etalonnage`
+HEAVY, HEAVY_WORK_S = 4, 0.1  # Some calls take longer; the site's longest take 0.22 s.
+SLOW_X, SLOW_S = 8, 14  # The site's largest: x 4.2 and 8 s; doubled 8.4 and 16 s.
+DOWN_S = 9  # The site's longest crash: 4.9 s; doubled 9.8 s.
+JOB = "7c41e09b52d6a3f8"
+
+
+class Scorer(App):
+    """An application server. At the deadline that it is handed it stops work and answers 504."""
+
+    slow_x = 1
+    is_down = False
+
+    async def connection(self, reader, writer):
+        if not self.is_down:
+            self.writers.add(writer)
+            await super().connection(reader, writer)
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.writers, self.statuses = set(), {}
+
+    async def crash(self):
+        self.is_down = True
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    def refusal(self, request):
+        self.deadline_s = int(request.header("deadline-ms", "60000")) / 1000
+        return super().refusal(request)
+
+    async def run(self, request_id):
+        arrived, limit = asyncio.get_running_loop().time(), self.deadline_s
+        self.count(request_id)
+        self.running += 1
+        number = int(request_id[-4:])
+        work = (HEAVY_WORK_S if number < HEAVY else WORK_S) * self.slow_x
+        if work < limit:
+            await asyncio.sleep(work)
+            status = 200
+        else:
+            await asyncio.sleep(limit - 0.004)
+            while asyncio.get_running_loop().time() < arrived + limit:
+                pass  # A timer of the event loop would be up to a millisecond late.
+            status = 504
+        self.running -= 1
+        self.statuses.setdefault(request_id, []).append(status)
+        if status != 200 or number < HEAVY:
+            self.record(f"scorer {self.id}: {request_id} runs, {limit:.3f} s are handed to it, "
+                        f"{status} after {asyncio.get_running_loop().time() - arrived:.4f} s")
+        stamp = f"{self.id}.{request_id}"
+        return response(status, [("Request-Id", request_id), ("Server-Stamp", stamp)], b"x" * 100)
+
+
+def step_body():
+    requests = []
+    for number in range(GROUPS * SIZE):
+        requests.append({
+            "id": f"{JOB[-4:]}{number:04}", "path": f"/lots/{number}",
+            "headers": {"Model": MODEL, "Token-Count": "20,60", "Length-Hint": str(EVENTS)},
+            "body": "cHJvbXB0", "tokens": 80, "group": f"g{number // SIZE}",
+            "scorer": {"id": f"5c0e{number:04}", "host": HOST, "path": "/score/x", "body": "3q2+7w=="}})
+    return json.dumps({"step": 0, "model": MODEL, "min_version": 1, "desired": GROUPS,
+                       "requests": requests}).encode()
 
 
 async def scenario(record, trouble):
@@ -68,103 +87,84 @@
         fleet.stop(os.environ.get("KEEP_LOGS"))
 
 
-async def until(condition, limit_s, what):
-    end = now() + limit_s
-    while now() < end:
-        if condition():
-            return
-        await asyncio.sleep(0.02)
-    raise RuntimeError(f"waited in vain until {what}")
-
-
 async def play(fleet, record, trouble):
     store = fleet.store
-    route = {"name": "lots", "host": HOST, "path_prefix": "/lots/", "kind": "rollout",
-             "service": "llm", "timeout_ms": 10000, "target_latency_ms": 400, "priority": 1,
-             "max_attempts": 3, "result_deadline_ms": 60000, "max_queue_s": 120}
-    services = [{"name": "llm", "health_path": "/health", "max_conns": 150, "engine": {}}]
-    store.put("config", "main", spec=configuration(1, [route], services))
-    engines = [Engine(record, store, number) for number in range(3)]
-    for engine in engines:
-        engine.events = lambda item: int(item[-4:])
-        await engine.start()
+    lots = {"name": "lots", "host": HOST, "path_prefix": "/lots/", "kind": "rollout",
+            "service": "llm", "timeout_ms": 10000, "target_latency_ms": 400, "priority": 1,
+            "max_attempts": 3, "result_deadline_ms": 7500, "max_queue_s": 12}
+    score = {"name": "score", "host": HOST, "path_prefix": "/score/", "kind": "safe",
+             "service": "app", "timeout_ms": 1500, "target_latency_ms": 150, "priority": 2,
+             "max_attempts": 4}
+    services = [{"name": "llm", "health_path": "/health", "max_conns": 150, "engine": {}},
+                {"name": "app", "health_path": "/health", "max_conns": 110}]
+    store.put("config", "main", spec=configuration(1, [lots, score], services))
+    engines = [Engine(record, store, number) for number in range(4)]
+    scorers = [Scorer(record, store, number) for number in range(3)]
+    for server in engines + scorers:
+        server.events = lambda item: EVENTS
+        await server.start()
     await fleet.start()
     record("3 daemons are ready")
-    await asyncio.sleep(6)  # The daemons' first loads of all jobs are over.
-    trouble_at = []
-    reader = Reader(record, trouble_at)
-
-    def owner():
-        spec = store.spec("heronbend-work", JOB)
-        return spec and spec["owner"]["name"]
-
-    async def hand_in(job, lengths, daemon):
-        answer = await call(daemon.front, "POST", "/lots/job",
-                            [("Host", HOST), ("Request-Id", job), ("Content-Type", "application/json")],
-                            job_body(job, lengths))
-        record(f"client: hands in {job} at {daemon.name}: {answer and answer.status}")
-        if not answer or answer.status != 202:
-            raise RuntimeError("the batch job was not accepted")
-
-    await hand_in(JOB, [SHORT] * 4 + [LONG] * 4, fleet.daemons[0])
-    await until(lambda: owner() and sum(engine.running for engine in engines) == 8, 5, "it runs")
-    first = fleet.by_name(owner())
-    record(f"{first.name} runs {JOB}")
-    others = [daemon for daemon in fleet.daemons if daemon is not first]
-
     if trouble:
-        first.signal(signal.SIGSTOP)
-        record(f"{first.name} is frozen")
-        await until(lambda: owner() != first.name, 8, "another daemon takes the job over")
-        second = fleet.by_name(owner())
-        third = next(daemon for daemon in others if daemon is not second)
-        record(f"{second.name} has taken {JOB} over")
+        left, crashed, remaining = scorers
+        store.put("servers", left.id, spec=dict(left.entry(), state="draining"))
+        record(f"scorer {left.id} drains")
+        await asyncio.sleep(3)
+        store.remove("servers", left.id)
+        record(f"scorer {left.id} has left")
+        remaining.slow_x = SLOW_X
+        record(f"scorer {remaining.id} is {SLOW_X} times as slow")
     else:
-        second, third = others
-    end = now() + 6
-    while len(reader.content) < 4 and now() < end:
-        await reader.read(third, len(reader.content))
-        await asyncio.sleep(0.5)
-    record(f"{len(reader.content)} results were read")
-    if len(reader.content) < 4:
-        raise RuntimeError("the short texts were not listed")
-    if trouble:
-        first.signal(signal.SIGCONT)
-        trouble_at.append((first.name, now()))
-        record(f"{first.name} is thawed")
-        await asyncio.sleep(2.5)
-
-        def lose(address, request):
-            """The answer to the first write of the ownership by the first daemon is lost."""
-            # Done a little late: after the load of all ownerships that follows a lost daemon.
-            is_takeover = request.method == "PUT" and request.path.endswith(f"/heronbend-work/{JOB}")
-            if is_takeover and address == first.store_address:
-                store.fault = lambda address, request: None
-                trouble_at.append(("store", now() + LATE_S))
-                return LATE_S
-            return None
-
-        store.fault = lose
-        second.kill()
-        trouble_at.append((second.name, now()))
-        record(f"{second.name} is killed; it stays away")
-        await until(lambda: owner() != second.name, 10, "another daemon takes the job over")
-        record(f"{owner()} has taken {JOB} over in the store")
-        if owner() != first.name:
-            raise RuntimeError("the third daemon took the job over")
-    # Readers elsewhere go on; nobody reads this job at the first daemon until it is in touch.
-    quiet_until = max([when for _, when in trouble_at], default=now()) + CONTACT_S + 0.3
-    while now() < quiet_until:
-        await reader.read(third, 0)
+        await asyncio.sleep(3)
+    asked = now()
+    answer = await call(fleet.daemons[0].front, "POST", "/lots/step",
+                        [("Host", HOST), ("Request-Id", JOB), ("Content-Type", "application/json")],
+                        step_body())
+    record(f"trainer: asks for a step at front-1: {answer and answer.status}")
+    if not answer or answer.status != 202:
+        raise RuntimeError("the batch job was not accepted")
+
+    async def disrupt():
+        await asyncio.sleep(0.3)
+        await crashed.crash()
+        record(f"scorer {crashed.id} crashes")
+        await asyncio.sleep(3.6)
+        store.remove("servers", crashed.id)  # Three heartbeats of silence.
+        await asyncio.sleep(DOWN_S - 3.6)
+        following = Scorer(record, store, 3)
+        scorers.append(following)
+        await following.start()
+        record(f"scorer {following.id} has started")
+        await asyncio.sleep(max(0, asked + SLOW_S - 3 - now()))
+        remaining.slow_x = 1
+        record(f"scorer {remaining.id} is as fast as before")
+
+    disruption = asyncio.ensure_future(disrupt()) if trouble else None
+    results = []
+    while now() < asked + 12 and len(results) < GROUPS * SIZE:
+        daemon = fleet.daemons[len(results) % 3]
+        answer = await call(daemon.front, "GET", f"/api/lots/{JOB}?after_rev={len(results)}",
+                            [("Host", HOST)], timeout=1.5)
+        if answer and answer.status == 200:
+            page = answer.json()["results"]
+            results += page
+            for result in page:
+                record(f"trainer: reads {result['id']}: {result['state']}, score {result.get('score')}")
         await asyncio.sleep(0.5)
-    await hand_in(OTHER, [SHORT], third)
-    end = now() + 8
-    while now() < end:
-        await reader.read(first, 0, quiet=True)
-        await asyncio.sleep(0.05)
-    await reader.read(first, 0)
-    record(f"empty answers: {len(reader.broken)}")
-    return bool(reader.broken)
+    if disruption:
+        disruption.cancel()
+    broken = 0
+    for result in results:
+        if result["state"] != "terminated":
+            continue
+        call_id = "5c0e" + result["id"][-4:]
+        answers = [status for scorer in scorers for status in scorer.statuses.get(call_id, [])]
+        record(f"MIXED: {result['id']} is terminated; its text was made without a failure, its reward "
+               f"call was answered {answers}: {answers.count(500)} answers of 500, max_attempts is 4; "
+               f"the job is open, {now() - asked:.1f} s of its 12 s have passed")
+        broken += answers.count(500) < 4
+    record(f"results: {len(results)} of {GROUPS * SIZE}, terminated without cause: {broken}")
+    return broken > 0
 
 
 main(FOLDER, scenario)
