--- a/crates/heronbend-gateway/src/attempt.rs
+++ b/crates/heronbend-gateway/src/attempt.rs
@@ -122,7 +122,16 @@
         log::info!("event=server_replaced server={} id={}", server.id, outgoing.id);
         crash_detection::note_server_gone(gateway, &server.id);
     }
-    validate_head(gateway, outgoing, exchange)
+    let (connection, request) = (exchange.connection_number(), exchange.request_number());
+    let validated = validate_head(gateway, outgoing, exchange);
+    if let Err(failure @ (AttemptFailure::NotRun | AttemptFailure::Misdirected)) = &validated {
+        log::info!(
+            "event=attempt_rejected id={} server={} reason={failure:?} connection={connection} request={request}",
+            outgoing.id,
+            server.id
+        );
+    }
+    validated
 }
 
 /// Whether a response shows that another server now uses the address: a server only misdirects a
--- a/crates/heronbend-gateway/src/batch/ownership_manager.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_manager.rs
@@ -280,6 +280,14 @@
         reason.name(),
         written.as_ref().map_or_else(ToString::to_string, |_| "done".to_owned())
     );
+    if let Err(StoreError::Conflict(Some(object))) = &written {
+        log::info!(
+            "event=job_owner_found job={} owner={} revision={}",
+            job.id,
+            object.content["owner"],
+            object.revision
+        );
+    }
     match written {
         Ok(object) => {
             gateway.metrics.record_adoption(reason.name());
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -28,6 +28,12 @@
 
 /// Runs a job until it is complete, is ended by its caller or changes owner.
 async fn run_job(gateway: Rc<Gateway>, job: Rc<Job>) {
+    log::info!(
+        "event=job_run_started job={} revision={} reads_log={}",
+        job.id,
+        job.ownership.borrow().1,
+        !job.is_new.get()
+    );
     let stopped = async {
         loop {
             let stopping = job.stopping.listen();
--- a/crates/heronbend-gateway/src/http/client.rs
+++ b/crates/heronbend-gateway/src/http/client.rs
@@ -3,6 +3,7 @@
 //! An exchange owns the driver task of its connection: dropping the exchange closes the socket,
 //! which signals cancellation to the server.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -68,6 +69,10 @@
 }
 
 struct Connection {
+    /// Number of the connection in its pool, counted from 1.
+    number: u64,
+    /// Requests that were sent on the connection.
+    requests: u64,
     sender: SendRequest<BufferedBody>,
     _driver: Task<()>,
 }
@@ -124,6 +129,8 @@
 
 struct PoolState {
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    /// Connections that were opened.
+    opened: Cell<u64>,
     /// Called for each connection that is opened.
     on_open: Box<dyn Fn(OpenReason)>,
 }
@@ -149,7 +156,11 @@
         connect_timeout: Duration,
         on_open: impl Fn(OpenReason) + 'static,
     ) -> Self {
-        let state = PoolState { idle: RefCell::default(), on_open: Box::new(on_open) };
+        let state = PoolState {
+            idle: RefCell::default(),
+            opened: Cell::new(0),
+            on_open: Box::new(on_open),
+        };
         Self { executor, state: Rc::new(state), connect_timeout }
     }
 
@@ -206,6 +217,7 @@
         let mut reason = self.open_reason(address);
         while let Some(mut connection) = self.take_idle(address) {
             reason = OpenReason::Expired;
+            connection.requests += 1;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.exchange(address, connection, response)),
                 Err(mut error) => match error.take_message() {
@@ -217,6 +229,7 @@
         }
         (self.state.on_open)(reason);
         let mut connection = self.connect(address).await?;
+        connection.requests += 1;
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.exchange(address, connection, response)),
             Err(mut error) => {
@@ -303,7 +316,9 @@
             // The exchange receives the same error.
             let _ = driver.await;
         });
-        Ok(Connection { sender, _driver: driver })
+        let number = self.state.opened.get() + 1;
+        self.state.opened.set(number);
+        Ok(Connection { number, requests: 0, sender, _driver: driver })
     }
 }
 
@@ -388,6 +403,16 @@
 }
 
 impl Exchange {
+    /// Number of the connection in its pool.
+    pub fn connection_number(&self) -> u64 {
+        self.pooled.connection.number
+    }
+
+    /// Requests sent on the connection so far, including this one.
+    pub fn request_number(&self) -> u64 {
+        self.pooled.connection.requests
+    }
+
     /// The value of a header, if it is present and valid text.
     pub fn header(&self, name: &http::HeaderName) -> Option<&str> {
         self.headers.get(name).and_then(|value| value.to_str().ok())
