Bind a job's run to one revision of its ownership

Cause: whether the stored log has to be read was a flag of the job, set when the job was handed in and cleared only where the answer to an adoption arrived. A daemon that learnt of its adoption from a conflict started with the flag still set, neither read nor sealed the log, and counted as the confirmed owner.

A job that is handed in records the revision of its ownership; only the first run under that revision starts with an empty log. A run ends when a newer ownership is known, whoever it names.

--- a/crates/heronbend-gateway/src/batch/ownership_manager.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_manager.rs
@@ -159,7 +159,7 @@
     is_new: bool,
 ) {
     let job = gateway.jobs.upsert(job, ownership, revision);
-    if is_new && job.owner() == gateway.identity.node && !job.running.get() {
+    if is_new && job.owner() == gateway.identity.node && !job.is_running() {
         job.handoff_deadline.set(Some(gateway.now() + HANDOFF_TIMEOUT));
         let late = gateway.clone();
         let start = async move {
@@ -247,7 +247,7 @@
 pub fn confirm_owner(gateway: &Gateway, job: &str, revision: Revision) -> PeerReply {
     let runs = gateway.jobs.get(job).is_some_and(|job| {
         let is_newest = job.ownership.borrow().1 >= revision;
-        job.running.get() && is_newest && job.owner() == gateway.identity.node
+        job.is_running() && is_newest && job.owner() == gateway.identity.node
     });
     if runs {
         PeerReply::Running
@@ -291,7 +291,6 @@
     match written {
         Ok(object) => {
             gateway.metrics.record_adoption(reason.name());
-            job.is_new.set(false);
             gateway.jobs.upsert_object(&object);
             announce(gateway, &job.id, &job.ownership.borrow().0, object.revision, false);
             start_owned_jobs(gateway);
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -15,6 +15,7 @@
 use super::ownership::Ownership;
 use super::result_log::ResultLog;
 use super::specification::JobSpecification;
+use super::tenure::Tenure;
 use crate::ports::{Object, Revision};
 
 /// Object kind of job specifications.
@@ -66,18 +67,16 @@
     pub result_pending: Event,
     /// Whether the job has ended.
     pub ended: Cell<bool>,
-    /// Notified when the job ends or its owner changes.
+    /// Notified when the job ends or a newer ownership becomes known.
     pub stopping: Event,
-    /// Whether the job runs here.
-    pub running: Cell<bool>,
+    /// The runs of the job here.
+    pub tenure: RefCell<Tenure>,
     /// When the store last confirmed that this daemon is the owner; set only while the log is
     /// complete.
     pub ownership_confirmed_at: Cell<Option<Moment>>,
     /// Whether a chunk by another writer was found, which may be a newer owner. Nothing is appended
     /// until the store has confirmed the owner.
     pub owner_unconfirmed: Cell<bool>,
-    /// Whether the job was just submitted, so that the store has no results for it.
-    pub is_new: Cell<bool>,
     /// Until when the owner waits for the handoff from the daemon that accepted the job.
     pub handoff_deadline: Cell<Option<Moment>>,
     /// When this daemon first learned of the job.
@@ -105,10 +104,9 @@
             long_poll_until: Cell::new(Moment::ZERO),
             result_pending: Event::new(),
             stopping: Event::new(),
-            running: Cell::new(false),
+            tenure: RefCell::default(),
             ownership_confirmed_at: Cell::new(None),
             owner_unconfirmed: Cell::new(false),
-            is_new: Cell::new(false),
             handoff_deadline: Cell::new(None),
             first_seen: now,
             orphaned_since: Cell::new(None),
@@ -120,6 +118,16 @@
         self.ownership.borrow().0.owner.clone()
     }
 
+    /// Revision of the newest known ownership.
+    pub fn revision(&self) -> Revision {
+        self.ownership.borrow().1
+    }
+
+    /// Whether the job runs here.
+    pub fn is_running(&self) -> bool {
+        self.tenure.borrow().is_running()
+    }
+
     /// Whether a caller may see the job.
     pub fn is_visible_to(&self, caller: &Caller) -> bool {
         caller.can_access(self.ownership.borrow().0.tenant.as_deref())
@@ -131,9 +139,7 @@
     pub fn is_authoritative(&self, now: Moment) -> bool {
         let confirmed_at = self.ownership_confirmed_at.get();
         let knows_all = !self.log.borrow().is_in_doubt();
-        self.running.get()
-            && knows_all
-            && confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TTL)
+        self.is_running() && knows_all && confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TTL)
     }
 
     /// Whether every item has a committed result.
@@ -193,15 +199,12 @@
             return job;
         };
         if revision > job.ownership.borrow().1 {
-            let owner_changed = job.owner() != ownership.owner;
             let ended = ownership.ended;
             *job.ownership.borrow_mut() = (ownership, revision);
             if ended {
                 job.end(now);
             }
-            if owner_changed {
-                job.stopping.notify(usize::MAX);
-            }
+            job.stopping.notify(usize::MAX);
         }
         job
     }
--- a/crates/heronbend-gateway/src/batch/results_reader.rs
+++ b/crates/heronbend-gateway/src/batch/results_reader.rs
@@ -150,7 +150,7 @@
         let log_changed = job.log_changed.listen();
         let remaining = until.saturating_sub(gateway.now());
         let has_new_results = job.log.borrow().len() > from;
-        if has_new_results || remaining.is_zero() || job.ended.get() || !job.running.get() {
+        if has_new_results || remaining.is_zero() || job.ended.get() || !job.is_running() {
             break;
         }
         job.long_poll_until.set(until);
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -9,6 +9,7 @@
 use super::registry::{Job, SPECIFICATIONS};
 use super::schedule::start_order;
 use super::specification::JobSpecification;
+use super::tenure::InitialLog;
 use super::{appender, checkpoint, item_run, ownership_manager};
 use crate::gateway::Gateway;
 use crate::ports::{ObjectStore, StoreError};
@@ -20,31 +21,34 @@
         let is_owned = job.owner() == gateway.identity.node;
         let has_work = !job.ended.get() && !job.is_complete();
         let awaits_handoff = job.handoff_deadline.get().is_some_and(|until| gateway.now() < until);
-        if is_owned && has_work && !awaits_handoff && !job.running.replace(true) {
-            gateway.executor.spawn(run_job(gateway.clone(), job)).detach();
+        if !is_owned || !has_work || awaits_handoff {
+            continue;
+        }
+        let revision = job.revision();
+        let started = job.tenure.borrow_mut().start(revision);
+        if let Some(initial_log) = started {
+            log::info!(
+                "event=job_run_started job={} revision={revision} log={initial_log:?}",
+                job.id
+            );
+            gateway.executor.spawn(run_job(gateway.clone(), job, initial_log)).detach();
         }
     }
 }
 
-/// Runs a job until it is complete, is ended by its caller or changes owner.
-async fn run_job(gateway: Rc<Gateway>, job: Rc<Job>) {
-    log::info!(
-        "event=job_run_started job={} revision={} reads_log={}",
-        job.id,
-        job.ownership.borrow().1,
-        !job.is_new.get()
-    );
+/// Runs a job until it is complete, is ended by its caller or its ownership changes.
+async fn run_job(gateway: Rc<Gateway>, job: Rc<Job>, initial_log: InitialLog) {
     let stopped = async {
         loop {
             let stopping = job.stopping.listen();
-            if job.ended.get() || job.owner() != gateway.identity.node {
+            if job.ended.get() || !job.tenure.borrow().runs_under(job.revision()) {
                 return "stopped";
             }
             stopping.await;
         }
     };
     let work = async {
-        run_items(&gateway, &job).await;
+        run_items(&gateway, &job, initial_log).await;
         "complete"
     };
     let ended_elsewhere = async {
@@ -59,14 +63,16 @@
         job.total,
         job.ended.get()
     );
-    job.running.set(false);
+    job.tenure.borrow_mut().end();
     job.ownership_confirmed_at.set(None);
     // Committed results are in the log; a later run restores the rest from checkpoints.
     job.texts.take();
+    // The job may have left this daemon and returned meanwhile.
+    start_owned_jobs(&gateway);
 }
 
-async fn run_items(gateway: &Rc<Gateway>, job: &Rc<Job>) {
-    let specification = load_job(gateway, job).await;
+async fn run_items(gateway: &Rc<Gateway>, job: &Rc<Job>, initial_log: InitialLog) {
+    let specification = load_job(gateway, job, initial_log).await;
     gateway.jobs.record_required_items(job, &specification);
     job.ownership_confirmed_at.set(Some(gateway.now()));
     let _appender = gateway.executor.spawn(appender::run(gateway.clone(), job.clone()));
@@ -99,14 +105,13 @@
 }
 
 /// Loads a job's specification, committed results and checkpoints. Retries until it succeeds.
-async fn load_job(gateway: &Gateway, job: &Job) -> Rc<JobSpecification> {
+async fn load_job(gateway: &Gateway, job: &Job, initial_log: InitialLog) -> Rc<JobSpecification> {
     let mut failures = 0;
     loop {
         let loaded = async {
             let specification = load_specification(gateway, job).await?;
             *job.texts.borrow_mut() = JobTexts::new(specification.items.len());
-            // A newly submitted job has no results to load.
-            if !job.is_new.get() {
+            if initial_log == InitialLog::Stored {
                 appender::catch_up(gateway, job).await?;
                 appender::seal(gateway, job).await?;
                 checkpoint::restore(gateway, job).await?;
--- a/crates/heronbend-gateway/src/batch/submission.rs
+++ b/crates/heronbend-gateway/src/batch/submission.rs
@@ -235,7 +235,7 @@
     }
     let job = gateway.jobs.upsert(&specification.id, ownership, revision);
     *job.specification.borrow_mut() = Some(Rc::new(specification));
-    job.is_new.set(true);
+    job.tenure.borrow_mut().submitted(revision);
     job.handoff_deadline.set(None);
     start_owned_jobs(gateway);
     PeerReply::Running
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -557,5 +557,5 @@
 }
 
 fn has_running_jobs(gateway: &Gateway) -> bool {
-    gateway.jobs.all().iter().any(|job| job.running.get())
+    gateway.jobs.all().iter().any(|job| job.is_running())
 }
--- a/crates/heronbend-gateway/tests/adoption.rs
+++ b/crates/heronbend-gateway/tests/adoption.rs
@@ -65,7 +65,7 @@
             let ownership = Ownership::new(&job("j", 1), gateway.identity.node.clone(), None);
             let job = gateway.jobs.upsert("j", ownership.clone(), 1);
             assert_eq!(ownership_manager::confirm_owner(&gateway, "j", 1), PeerReply::NotOwner);
-            job.running.set(true);
+            job.tenure.borrow_mut().start(job.revision());
             assert_eq!(ownership_manager::confirm_owner(&gateway, "j", 1), PeerReply::Running);
             // The caller knows a newer revision than this daemon.
             assert_eq!(ownership_manager::confirm_owner(&gateway, "j", 2), PeerReply::NotOwner);
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -322,7 +322,7 @@
         Box::pin(async move {
             let owner = gateway("a", &store, &executor);
             let (own_job, task) = start_appender(&store, &owner, &executor);
-            own_job.running.set(true);
+            own_job.tenure.borrow_mut().start(own_job.revision());
             own_job.ownership_confirmed_at.set(Some(owner.now()));
             assert!(own_job.is_authoritative(owner.now()));
             store.fail_writes(&[WriteFault::ResponseLost]);
@@ -453,7 +453,7 @@
             executor.spawn(ownership_manager::refresh_ownerships(gateway.clone())).detach();
             let is_resumed = || {
                 let job = gateway.jobs.get("j");
-                job.is_some_and(|job| job.owner() == gateway.identity.node && job.running.get())
+                job.is_some_and(|job| job.owner() == gateway.identity.node && job.is_running())
             };
             wait_until("the job runs on the restarted daemon", is_resumed).await;
         })
@@ -499,7 +499,7 @@
             let reply = submission::run_here(&owner, ownership, 7, job("j", 1), false);
             assert_eq!(reply, PeerReply::Running);
             smol::Timer::after(Duration::from_millis(50)).await;
-            assert!(owner.jobs.get("j").is_some_and(|job| job.running.get()));
+            assert!(owner.jobs.get("j").is_some_and(|job| job.is_running()));
             assert!(
                 store.object(&results_kind("j"), &chunk_name(0)).is_none(),
                 "the log was not sealed"
@@ -516,7 +516,7 @@
             store.put(SPECIFICATIONS, "j", json!(job("j", 1)));
             let ownership = Ownership::new(&job("j", 1), owner.identity.node.clone(), None);
             ownership_manager::apply_hint(&owner, "j", ownership, 7, true);
-            wait_until("the job runs", || owner.jobs.get("j").is_some_and(|j| j.running.get()))
+            wait_until("the job runs", || owner.jobs.get("j").is_some_and(|j| j.is_running()))
                 .await;
         })
     });
