Run a job whose adoption was written without an answer

Cause: ownership_manager::adopt did nothing after an unknown outcome and left the rest to the next attempt. That one gets a conflict which names this very daemon; it was recorded, but the job was not started, and every other daemon saw an owner that is alive. Ruled out: a run that hangs while it loads; a conflict that does not come. A restarted daemon came to its next attempt only with the list of all ownerships (20 s), or after 4 s as the orphan of an unknown owner.

Change: what the store holds after the write decides, not whether the answer to it arrived: if it names this daemon, the job is announced and started. An adoption of unknown outcome is repeated with its condition in each pass until the store answers, whatever the former owner's state is by then; the pass also adopts jobs of this daemon's earlier runs, and starts whatever this daemon owns.

--- a/crates/heronbend-gateway/src/batch/adoption.rs
+++ b/crates/heronbend-gateway/src/batch/adoption.rs
@@ -26,6 +26,8 @@
     EarlierRun,
     /// The selected owner refused the job.
     Refused,
+    /// The outcome of an earlier adoption by this daemon is unknown.
+    OutcomeUnknown,
 }
 
 impl AdoptionReason {
@@ -37,6 +39,7 @@
             Self::Unknown => "unknown",
             Self::EarlierRun => "earlier_run",
             Self::Refused => "refused",
+            Self::OutcomeUnknown => "outcome_unknown",
         }
     }
 
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -14,7 +14,7 @@
 //! - [`result_log`]: the log of results.
 //! - [`ownership`]: the owner of a job and whether the job has ended.
 //! - [`owner_selection`], [`adoption`]: which daemon runs a job, and when a lost owner is replaced.
-//! - [`tenure`]: the runs of a job at one daemon.
+//! - [`tenure`]: the runs of a job at one daemon, and adoptions whose outcome is unknown.
 //! - [`schedule`]: the order in which items are started.
 //! - [`length_estimate`], [`throughput`], [`migration`]: whether an item should move to a faster
 //!   server.
--- a/crates/heronbend-gateway/src/batch/ownership_manager.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_manager.rs
@@ -19,6 +19,7 @@
 use super::ownership::{successor, takeover_position, Ownership};
 use super::registry::{Job, OWNERSHIPS};
 use super::runner::start_owned_jobs;
+use super::tenure::AdoptionOutcome;
 use crate::dissemination;
 use crate::gateway::Gateway;
 use crate::peers::{bootstrap, client, Hint, PeerReply, PeerRequest, PeerStatus, MEMBERSHIP_GRACE};
@@ -117,15 +118,17 @@
 async fn adopt_from_earlier_run(gateway: &Rc<Gateway>) {
     let this_node = &gateway.identity.node;
     for job in gateway.jobs.all() {
-        let owner = job.owner();
-        let is_open = !job.ended.get() && !job.is_complete();
-        if is_open && owner.name == this_node.name && owner != *this_node && !gateway.draining.get()
-        {
+        if job.is_open() && is_earlier_run(&job.owner(), this_node) && !gateway.draining.get() {
             adopt(gateway, &job, AdoptionReason::EarlierRun).await;
         }
     }
 }
 
+/// Whether `owner` is another run of the daemon `this_node`.
+fn is_earlier_run(owner: &NodeId, this_node: &NodeId) -> bool {
+    owner.name == this_node.name && owner != this_node
+}
+
 /// Requests a load of the ownerships after a daemon is lost, as its jobs may be unknown here.
 pub fn on_member_lost(gateway: &Gateway) {
     let mut order = gateway.members.alive();
@@ -189,10 +192,12 @@
     }
 }
 
-/// Periodically takes over jobs whose owner is lost and for which it is this daemon's turn.
+/// Periodically takes over jobs whose owner is lost and for which it is this daemon's turn, and
+/// starts jobs that this daemon turns out to own.
 pub async fn adopt_orphans(gateway: Rc<Gateway>) {
     Timer::after(MEMBERSHIP_GRACE).await;
     loop {
+        start_owned_jobs(&gateway);
         for job in gateway.jobs.all() {
             let Some(reason) = adoption_reason(&gateway, &job) else {
                 continue;
@@ -211,9 +216,14 @@
 /// Returns why this daemon should take over a job now, if it should.
 fn adoption_reason(gateway: &Gateway, job: &Job) -> Option<AdoptionReason> {
     let (owner, this_node) = (job.owner(), &gateway.identity.node);
-    let is_open = !job.ended.get() && !job.is_complete();
+    if job.is_open() && job.tenure.borrow().is_adoption_in_doubt(job.revision()) {
+        return Some(AdoptionReason::OutcomeUnknown);
+    }
+    if job.is_open() && is_earlier_run(&owner, this_node) {
+        return Some(AdoptionReason::EarlierRun).filter(|_| !gateway.draining.get());
+    }
     let standing = gateway.members.status_of(&owner);
-    if !is_open || owner == *this_node || standing == PeerStatus::Alive {
+    if !job.is_open() || owner == *this_node || standing == PeerStatus::Alive {
         job.orphaned_since.set(None);
         return None;
     }
@@ -263,6 +273,8 @@
 }
 
 /// Takes over a job unless its ownership has changed concurrently.
+///
+/// If the outcome is unknown, [`adopt_orphans`] repeats the write.
 pub async fn adopt(gateway: &Rc<Gateway>, job: &Rc<Job>, reason: AdoptionReason) {
     let (former, revision) = job.ownership.borrow().clone();
     if !region_policy::allows(former.homes.as_ref(), &gateway.identity.region) {
@@ -280,27 +292,47 @@
         reason.name(),
         written.as_ref().map_or_else(ToString::to_string, |_| "done".to_owned())
     );
-    if let Err(StoreError::Conflict(Some(object))) = &written {
-        log::info!(
-            "event=job_owner_found job={} owner={} revision={}",
-            job.id,
-            object.content["owner"],
-            object.revision
-        );
+    let current = current_ownership(gateway, job, written).await;
+    let outcome = match &current {
+        Ok(_) | Err(StoreError::NotFound) => AdoptionOutcome::Answered,
+        Err(error) if error.is_not_done() => AdoptionOutcome::NotDone,
+        Err(_) => AdoptionOutcome::Unknown,
+    };
+    job.tenure.borrow_mut().record_adoption(revision, outcome);
+    let Ok(object) = current else {
+        return;
+    };
+    gateway.jobs.upsert_object(&object);
+    // A conflict names this daemon if an earlier write took effect whose answer was lost.
+    if job.owner() == gateway.identity.node {
+        gateway.metrics.record_adoption(reason.name());
+        announce(gateway, &job.id, &job.ownership.borrow().0, object.revision, false);
+        start_owned_jobs(gateway);
     }
-    match written {
-        Ok(object) => {
-            gateway.metrics.record_adoption(reason.name());
-            gateway.jobs.upsert_object(&object);
-            announce(gateway, &job.id, &job.ownership.borrow().0, object.revision, false);
-            start_owned_jobs(gateway);
-        }
-        Err(StoreError::Conflict(Some(object))) => {
-            gateway.jobs.upsert_object(&object);
+}
+
+/// Returns the ownership that the store holds after a write.
+async fn current_ownership(
+    gateway: &Gateway,
+    job: &Job,
+    written: Result<Object, StoreError>,
+) -> Result<Object, StoreError> {
+    let object = match written {
+        Ok(object) => return Ok(object),
+        Err(StoreError::Conflict(Some(object))) => *object,
+        Err(StoreError::Conflict(None)) => {
+            let read = gateway.store.get(OWNERSHIPS, &job.id).await?;
+            read.ok_or(StoreError::NotFound)?
         }
-        // The next attempt finds out whether the write took effect.
-        Err(_) => {}
-    }
+        Err(error) => return Err(error),
+    };
+    log::info!(
+        "event=job_owner_found job={} owner={} revision={}",
+        job.id,
+        object.content["owner"],
+        object.revision
+    );
+    Ok(object)
 }
 
 /// Removes ended jobs whose retention time has passed.
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -69,7 +69,7 @@
     pub ended: Cell<bool>,
     /// Notified when the job ends or a newer ownership becomes known.
     pub stopping: Event,
-    /// The runs of the job here.
+    /// The runs of the job here, and its adoption if the outcome of that is unknown.
     pub tenure: RefCell<Tenure>,
     /// When the store last confirmed that this daemon is the owner; set only while the log is
     /// complete.
@@ -147,6 +147,11 @@
         self.log.borrow().len() >= self.total
     }
 
+    /// Whether the job has neither ended nor completed.
+    pub fn is_open(&self) -> bool {
+        !self.ended.get() && !self.is_complete()
+    }
+
     /// Marks the job as ended.
     pub fn end(&self, now: Moment) {
         if !self.ended.replace(true) {
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -19,9 +19,8 @@
 pub fn start_owned_jobs(gateway: &Rc<Gateway>) {
     for job in gateway.jobs.all() {
         let is_owned = job.owner() == gateway.identity.node;
-        let has_work = !job.ended.get() && !job.is_complete();
         let awaits_handoff = job.handoff_deadline.get().is_some_and(|until| gateway.now() < until);
-        if !is_owned || !has_work || awaits_handoff {
+        if !is_owned || !job.is_open() || awaits_handoff {
             continue;
         }
         let revision = job.revision();
--- a/crates/heronbend-gateway/src/batch/tenure.rs
+++ b/crates/heronbend-gateway/src/batch/tenure.rs
@@ -1,7 +1,9 @@
-//! Runs of one job at one daemon, without I/O.
+//! Runs and adoptions of one job at one daemon, without I/O.
 //!
 //! Each run belongs to one revision of the job's ownership, so that a job that leaves this daemon
-//! and returns starts again from the stored log.
+//! and returns starts again from the stored log. An adoption whose write got no answer is repeated
+//! with the same condition until the store answers: it either takes effect or conflicts with a
+//! newer ownership, which may be this daemon's own.
 
 use crate::ports::Revision;
 
@@ -14,13 +16,26 @@
     Stored,
 }
 
-/// State of a job's runs.
+/// Outcome of a write that makes this daemon the owner of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum AdoptionOutcome {
+    /// The store answered with the current ownership.
+    Answered,
+    /// The write had no effect.
+    NotDone,
+    /// The write may have taken effect, or may still do so.
+    Unknown,
+}
+
+/// State of a job's runs and adoptions.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Tenure {
     /// Revision of the ownership under which the job runs.
     run: Option<Revision>,
     /// Revision of the ownership with which the job was submitted, until a run has started.
     submitted_at: Option<Revision>,
+    /// Revision on which an adoption of unknown outcome is conditional.
+    in_doubt: Option<Revision>,
 }
 
 impl Tenure {
@@ -53,4 +68,20 @@
     pub fn runs_under(&self, revision: Revision) -> bool {
         self.run == Some(revision)
     }
+
+    /// Records the outcome of an adoption that was conditional on `revision`.
+    pub fn record_adoption(&mut self, revision: Revision, outcome: AdoptionOutcome) {
+        match outcome {
+            AdoptionOutcome::Answered => self.in_doubt = None,
+            // An earlier write with the same condition may still take effect.
+            AdoptionOutcome::NotDone => {}
+            AdoptionOutcome::Unknown => self.in_doubt = Some(revision),
+        }
+    }
+
+    /// Whether an adoption has to be repeated. `known` is the newest known revision: if it is newer
+    /// than the one that the adoption replaces, the adoption has no further effect.
+    pub fn is_adoption_in_doubt(&self, known: Revision) -> bool {
+        self.in_doubt == Some(known)
+    }
 }
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`capacity_shares`]: shares of a service's capacity that daemons work out from reports.
 //! - [`checkpoints`]: checkpoints of the output of batch items.
 //! - [`command_lease`]: the lease under which one daemon at a time sends commands.
+//! - [`job_ownership`]: which daemon runs a batch job, and that an owned job runs.
 //! - [`quarantine`]: quarantine of requests that crash their servers.
 //! - [`result_log`]: the result log of a batch job, with concurrent writers.
 //! - [`shared_rate_limit`]: a rate limit that daemons share by issuing permits.
@@ -37,6 +38,7 @@
 pub mod command_lease;
 pub mod explore;
 pub mod interner;
+pub mod job_ownership;
 pub mod model;
 pub mod quarantine;
 pub mod result_log;
--- a/spec/tests/gateway_protocols.rs
+++ b/spec/tests/gateway_protocols.rs
@@ -8,6 +8,8 @@
 use heronbend_spec::checkpoints::Checkpoints;
 use heronbend_spec::command_lease::{self, Bounds, CommandLease};
 use heronbend_spec::explore::{explore, System};
+use heronbend_spec::job_ownership;
+use heronbend_spec::job_ownership::JobOwnership;
 use heronbend_spec::quarantine;
 use heronbend_spec::quarantine::Quarantine;
 use heronbend_spec::result_log::{self, SharedLog};
@@ -39,6 +41,24 @@
 /// Repeated takeovers.
 const REPEATED_TAKEOVERS: SharedLog =
     SharedLog { writes: 2, restarts: 0, takeovers: 3, has_ownership: true, ..CONCURRENT_WRITERS };
+/// Two daemons that adopt a job from each other, by writes without responses.
+const TWO_OWNERS: JobOwnership = JobOwnership {
+    daemons: 2,
+    adoptions: 3,
+    crashes: 1,
+    lost_responses: 2,
+    results: 2,
+    mutation: job_ownership::Mutation::None,
+};
+/// Three daemons, two of which crash.
+const THREE_OWNERS: JobOwnership = JobOwnership {
+    daemons: 3,
+    adoptions: 2,
+    crashes: 2,
+    lost_responses: 2,
+    results: 1,
+    ..TWO_OWNERS
+};
 /// Two daemons that may run the job concurrently.
 const CHECKPOINTS: Checkpoints = Checkpoints {
     daemons: 2,
@@ -199,6 +219,23 @@
     }
 }
 
+/// Guards against a job that is owned by a daemon which does not run it, or which answers readers
+/// from a log that lacks results.
+#[test]
+fn an_owned_job_runs_with_the_whole_log() {
+    for system in [TWO_OWNERS, THREE_OWNERS] {
+        assert_invariants_hold(&system);
+    }
+}
+
+#[test]
+fn every_guard_of_the_job_ownership_is_needed() {
+    use job_ownership::Mutation::{ForgetsDoubt, IgnoresOwnConflict, KeepsEmptyLog};
+    for mutation in [IgnoresOwnConflict, ForgetsDoubt, KeepsEmptyLog] {
+        assert_counterexample(&JobOwnership { mutation, ..TWO_OWNERS });
+    }
+}
+
 #[test]
 fn restored_texts_are_consistent_sequences_of_runs() {
     assert_invariants_hold(&CHECKPOINTS);
