Never send a request id twice over one connection

Such a request goes to servers that are full, then to the same ones again over the same connections; a server that sends its first rejection a second time, in the place of the next response, and meanwhile runs the request, is taken to have rejected it again.

Cause: a response was matched to a send by the request id alone, and the pool gave a resend the connection that had carried the id before. Ruled out: a request that the client library gives back as unsent; a retry after an unknown outcome (there is none in these attempts).

Change: a connection remembers the requests that it has carried (http::carried_requests) and is not used for one of them again; the reason shows as connections=repeated.

--- a/crates/heronbend-gateway/src/attempt.rs
+++ b/crates/heronbend-gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::duties::billing::Billing;
 use crate::gateway::Gateway;
 use crate::headers;
+use crate::http::carried_requests::RequestKey;
 use crate::http::client::{Exchange, ExchangeError, FullResponse};
 use crate::memory::Reservation;
 use crate::ports::HeaderNames;
@@ -110,7 +111,8 @@
         headers.insert(names.expected_server.clone(), id);
     }
     gateway.metrics.attempts.inc();
-    let exchange = match gateway.server_connections.send(server.address, request).await {
+    let key = RequestKey::of(&outgoing.id);
+    let exchange = match gateway.server_connections.send(server.address, request, Some(key)).await {
         Ok(exchange) => exchange,
         Err(error) if error.is_not_sent() => {
             crash_detection::probe_server(gateway, server);
--- a/crates/heronbend-gateway/src/http/client.rs
+++ b/crates/heronbend-gateway/src/http/client.rs
@@ -26,6 +26,8 @@
 use thiserror::Error;
 
 use super::body::BufferedBody;
+use super::carried_requests::CarriedRequests;
+use super::carried_requests::RequestKey;
 use crate::memory::Reservation;
 
 /// Idle time after which a connection is not reused, unless its server advertises another one.
@@ -73,10 +75,26 @@
     number: u64,
     /// Requests that were sent on the connection.
     requests: u64,
+    /// Those of them that have a request id.
+    carried: CarriedRequests,
     sender: SendRequest<BufferedBody>,
     _driver: Task<()>,
 }
 
+impl Connection {
+    /// Whether the connection may carry a request.
+    fn accepts(&self, request: Option<RequestKey>) -> bool {
+        self.sender.is_ready() && !request.is_some_and(|request| self.carried.contains(request))
+    }
+
+    fn record(&mut self, request: Option<RequestKey>) {
+        self.requests += 1;
+        if let Some(request) = request {
+            self.carried.add(request);
+        }
+    }
+}
+
 struct IdleConnection {
     connection: Connection,
     /// When it must no longer be reused, on the clock that includes time in suspension.
@@ -92,6 +110,8 @@
     Busy,
     /// The idle connections have expired, or were closed by the server.
     Expired,
+    /// The idle connections have carried the same request before.
+    Repeated,
 }
 
 impl OpenReason {
@@ -101,6 +121,7 @@
             Self::First => "first",
             Self::Busy => "busy",
             Self::Expired => "expired",
+            Self::Repeated => "repeated",
         }
     }
 }
@@ -205,6 +226,9 @@
 
     /// Sends a request and waits for the head of the response.
     ///
+    /// A request with a key is sent on a connection that has not carried that key before, so that a
+    /// response with its id is the response to this send.
+    ///
     /// # Errors
     ///
     /// Fails if no connection can be opened, or it breaks before the head has arrived.
@@ -212,12 +236,13 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        key: Option<RequestKey>,
     ) -> Result<Exchange, ExchangeError> {
         let mut request = buffered(request).await;
         let mut reason = self.open_reason(address);
-        while let Some(mut connection) = self.take_idle(address) {
+        while let Some(mut connection) = self.take_idle(address, key) {
             reason = OpenReason::Expired;
-            connection.requests += 1;
+            connection.record(key);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.exchange(address, connection, response)),
                 Err(mut error) => match error.take_message() {
@@ -229,7 +254,7 @@
         }
         (self.state.on_open)(reason);
         let mut connection = self.connect(address).await?;
-        connection.requests += 1;
+        connection.record(key);
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.exchange(address, connection, response)),
             Err(mut error) => {
@@ -244,7 +269,7 @@
         }
     }
 
-    /// Sends a request and reads the complete response within `timeout`.
+    /// Sends a request without an id and reads the complete response within `timeout`.
     ///
     /// # Errors
     ///
@@ -257,7 +282,7 @@
         max_bytes: usize,
     ) -> Result<FullResponse, ExchangeError> {
         with_timeout(timeout, async {
-            let exchange = self.send(address, request).await?;
+            let exchange = self.send(address, request, None).await?;
             exchange.read_full(max_bytes).await
         })
         .await
@@ -284,16 +309,17 @@
         match self.state.idle.borrow().get(&address) {
             None => OpenReason::First,
             Some(connections) if connections.is_empty() => OpenReason::Busy,
+            Some(_) if self.has_idle(address) => OpenReason::Repeated,
             Some(_) => OpenReason::Expired,
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    fn take_idle(&self, address: SocketAddr, key: Option<RequestKey>) -> Option<Connection> {
         let mut idle = self.state.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         let now = since_boot();
         connections.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
-        let position = connections.iter().rposition(|idle| idle.connection.sender.is_ready())?;
+        let position = connections.iter().rposition(|idle| idle.connection.accepts(key))?;
         Some(connections.swap_remove(position).connection)
     }
 
@@ -318,7 +344,8 @@
         });
         let number = self.state.opened.get() + 1;
         self.state.opened.set(number);
-        Ok(Connection { number, requests: 0, sender, _driver: driver })
+        let carried = CarriedRequests::default();
+        Ok(Connection { number, requests: 0, carried, sender, _driver: driver })
     }
 }
 
@@ -499,7 +526,8 @@
     /// Returns the connection to the pool. The body must have been read to its end.
     pub fn return_to_pool(self) {
         let PooledConnection { pool, address, connection, idle_timeout } = self.pooled;
-        if idle_timeout.is_zero() || connection.sender.is_closed() {
+        let is_reusable = !connection.carried.is_full() && !connection.sender.is_closed();
+        if idle_timeout.is_zero() || !is_reusable {
             return;
         }
         let mut idle = pool.state.idle.borrow_mut();
--- a/crates/heronbend-gateway/src/http/mod.rs
+++ b/crates/heronbend-gateway/src/http/mod.rs
@@ -5,11 +5,13 @@
 //! the standalone daemon uses, supports none of this; see docs/DESIGN.md.
 //!
 //! - [`body`]: response bodies.
+//! - [`carried_requests`]: the requests that a connection has carried.
 //! - [`client`]: a client with pooled connections to servers and peers.
 //! - [`server`]: a server for callers and peers.
 //! - [`socket`]: the socket of a connection to a client.
 
 pub mod body;
+pub mod carried_requests;
 pub mod client;
 pub mod server;
 pub mod socket;
