Hand a job over whose ownership was created without an answer

Cause: submission::create_ownership took the conflict with its own earlier write for somebody else's hand-in. It answered 202 and told the chosen owner nothing, which learns of the job from the next list of all ownerships.

Change: after a conflict the stored ownership is handed to its owner, which starts the job or runs it already; if it refuses, the job is adopted. As the job may have results by then, the handoff says so (RunJob::has_results; false where an earlier build sends it) and the owner reads the log.

--- a/crates/heronbend-gateway/src/batch/submission.rs
+++ b/crates/heronbend-gateway/src/batch/submission.rs
@@ -18,9 +18,10 @@
 use super::owner_selection::ModelOwner;
 use super::ownership::Ownership;
 use super::ownership_manager;
-use super::registry::{OWNERSHIPS, SPECIFICATIONS};
+use super::registry::{Job, OWNERSHIPS, SPECIFICATIONS};
 use super::runner::start_owned_jobs;
 use super::specification::{is_base64, JobSpecification};
+use super::tenure::InitialLog;
 use crate::access;
 use crate::gateway::Gateway;
 use crate::peers::{client, PeerReply, PeerRequest};
@@ -164,13 +165,13 @@
                     object.revision,
                     true,
                 );
-                dispatch(gateway, ownership, object.revision, specification);
+                let (revision, initial_log) = (object.revision, InitialLog::Empty);
+                dispatch(gateway, Handoff { ownership, revision, specification, initial_log });
                 return Ok(());
             }
             Err(StoreError::Conflict(object)) => {
-                if let Some(object) = object {
-                    gateway.jobs.upsert_object(&object);
-                    start_owned_jobs(gateway);
+                if let Some(job) = object.and_then(|object| gateway.jobs.upsert_object(&object)) {
+                    hand_over_stored(gateway, &job, specification);
                 }
                 return Ok(());
             }
@@ -190,17 +191,39 @@
     }
 }
 
-/// Starts a newly submitted job on its owner, which may be a peer.
-fn dispatch(
-    gateway: &Rc<Gateway>,
-    ownership: Ownership,
-    revision: Revision,
-    specification: Rc<JobSpecification>,
-) {
-    if ownership.owner == gateway.identity.node {
-        run_here(gateway, ownership, revision, Rc::unwrap_or_clone(specification), true);
+/// Hands over a job whose ownership was found in the store.
+///
+/// An earlier write without an answer may have created it, of which the owner knows nothing, or
+/// another daemon, which may have failed before it told the owner. The job may have results.
+fn hand_over_stored(gateway: &Rc<Gateway>, job: &Job, specification: Rc<JobSpecification>) {
+    let (ownership, revision) = job.ownership.borrow().clone();
+    if ownership.ended {
+        return;
+    }
+    log::info!("event=job_found_owned job={} owner={}", job.id, ownership.owner);
+    let initial_log = InitialLog::Stored;
+    dispatch(gateway, Handoff { ownership, revision, specification, initial_log });
+}
+
+/// A job that is handed to its owner.
+pub struct Handoff {
+    /// The ownership.
+    pub ownership: Ownership,
+    /// The store's revision of the ownership.
+    pub revision: Revision,
+    /// The specification.
+    pub specification: Rc<JobSpecification>,
+    /// What the store may hold of the job's log.
+    pub initial_log: InitialLog,
+}
+
+/// Starts a submitted job on its owner, which may be a peer.
+fn dispatch(gateway: &Rc<Gateway>, handoff: Handoff) {
+    if handoff.ownership.owner == gateway.identity.node {
+        run_here(gateway, handoff, true);
         return;
     }
+    let Handoff { ownership, revision, specification, initial_log } = handoff;
     let job = gateway.jobs.upsert(&specification.id, ownership.clone(), revision);
     *job.specification.borrow_mut() = Some(specification.clone());
     let executor = gateway.executor.clone();
@@ -209,7 +232,8 @@
         let owner = ownership.owner.clone();
         let specification = JobSpecification::clone(&specification);
         let ownership = Box::new(ownership);
-        let request = PeerRequest::RunJob { ownership, revision, specification };
+        let has_results = initial_log == InitialLog::Stored;
+        let request = PeerRequest::RunJob { ownership, revision, specification, has_results };
         let reply = client::call(&gateway, &owner, &request, Duration::ZERO).await;
         log::info!("event=job_passed_on job={} owner={owner} reply={reply:?}", job.id);
         if reply != Some(PeerReply::Running) {
@@ -219,23 +243,20 @@
     executor.spawn(request_run).detach();
 }
 
-/// Starts a newly submitted job on this daemon.
+/// Starts a submitted job on this daemon.
 ///
 /// Refuses jobs of peers while this daemon is draining or cannot reach the store.
-pub fn run_here(
-    gateway: &Rc<Gateway>,
-    ownership: Ownership,
-    revision: Revision,
-    specification: JobSpecification,
-    is_submitted_here: bool,
-) -> PeerReply {
+pub fn run_here(gateway: &Rc<Gateway>, handoff: Handoff, is_submitted_here: bool) -> PeerReply {
+    let Handoff { ownership, revision, specification, initial_log } = handoff;
     let accepts_jobs = !gateway.draining.get() && gateway.store.is_reachable();
     if ownership.owner != gateway.identity.node || !(accepts_jobs || is_submitted_here) {
         return PeerReply::NotOwner;
     }
     let job = gateway.jobs.upsert(&specification.id, ownership, revision);
-    *job.specification.borrow_mut() = Some(Rc::new(specification));
-    job.tenure.borrow_mut().submitted(revision);
+    *job.specification.borrow_mut() = Some(specification);
+    if initial_log == InitialLog::Empty {
+        job.tenure.borrow_mut().submitted(revision);
+    }
     job.handoff_deadline.set(None);
     start_owned_jobs(gateway);
     PeerReply::Running
--- a/crates/heronbend-gateway/src/peers/membership.rs
+++ b/crates/heronbend-gateway/src/peers/membership.rs
@@ -19,7 +19,9 @@
 use super::membership_log::MembershipLog;
 use super::messages::{Datagram, Hint, PeerReply, PeerRequest};
 use super::{bootstrap, store_relay, Command};
-use crate::batch::{ownership_manager, results_reader, submission};
+use crate::batch::submission::{self, Handoff};
+use crate::batch::tenure::InitialLog;
+use crate::batch::{ownership_manager, results_reader};
 use crate::clock::monotonic_now;
 use crate::clock::SuspensionDetector;
 use crate::demand_exchange;
@@ -306,8 +308,11 @@
         return text_response(StatusCode::BAD_REQUEST, "malformed");
     };
     let reply = match request {
-        PeerRequest::RunJob { ownership, revision, specification } => {
-            submission::run_here(&gateway, *ownership, revision, specification, false)
+        PeerRequest::RunJob { ownership, revision, specification, has_results } => {
+            let (ownership, specification) = (*ownership, Rc::new(specification));
+            let initial_log = if has_results { InitialLog::Stored } else { InitialLog::Empty };
+            let handoff = Handoff { ownership, revision, specification, initial_log };
+            submission::run_here(&gateway, handoff, false)
         }
         PeerRequest::Store(call) => PeerReply::Store(store_relay::handle(&gateway, call).await),
         PeerRequest::Follow { kind, since, wait_millis, checks } => {
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -169,6 +169,10 @@
         revision: u64,
         /// The job's specification.
         specification: JobSpecification,
+        /// Whether the store may hold results of the job. Daemons of an earlier build send only
+        /// jobs without results.
+        #[musli(default)]
+        has_results: bool,
     },
     /// Asks the peer to relay a call to the store.
     Store(StoreCall),
--- a/crates/heronbend-gateway/tests/builds_side_by_side.rs
+++ b/crates/heronbend-gateway/tests/builds_side_by_side.rs
@@ -122,6 +122,7 @@
         ownership: Box::new(ownership()),
         revision: 6,
         specification: job("j1", 2),
+        has_results: false,
     };
     let replace = StoreCall::Replace {
         kind: "k".to_owned(),
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -15,7 +15,8 @@
 use heronbend_gateway::batch::event_stream::EventReader;
 use heronbend_gateway::batch::job_texts::JobTexts;
 use heronbend_gateway::batch::ownership::Ownership;
-use heronbend_gateway::batch::submission::{self, SubmitError};
+use heronbend_gateway::batch::submission::{self, Handoff, SubmitError};
+use heronbend_gateway::batch::tenure::InitialLog;
 
 use heronbend_gateway::batch::registry::{
     chunk_name, results_kind, Job, OWNERSHIPS, SPECIFICATIONS,
@@ -488,6 +489,12 @@
     });
 }
 
+/// The handoff of a new job of one item.
+fn handoff(ownership: Ownership, revision: Revision) -> Handoff {
+    let specification = Rc::new(job("j", 1));
+    Handoff { ownership, revision, specification, initial_log: InitialLog::Empty }
+}
+
 #[test]
 fn an_earlier_hint_does_not_load_a_forwarded_job_from_the_store() {
     with_store(|store, executor| {
@@ -496,7 +503,7 @@
             let ownership = Ownership::new(&job("j", 1), owner.identity.node.clone(), None);
             ownership_manager::apply_hint(&owner, "j", ownership.clone(), 7, true);
             smol::Timer::after(Duration::from_millis(50)).await;
-            let reply = submission::run_here(&owner, ownership, 7, job("j", 1), false);
+            let reply = submission::run_here(&owner, handoff(ownership, 7), false);
             assert_eq!(reply, PeerReply::Running);
             smol::Timer::after(Duration::from_millis(50)).await;
             assert!(owner.jobs.get("j").is_some_and(|job| job.is_running()));
