Treat a relayed call without an answer as unknown

A daemon that the store turns away relays a write through a peer; the peer gives no answer, and the daemon's own call is refused. The write was then reported as not done: a hand-in was answered 503, which promises that nothing runs, and a chunk of the result log counted as not written, so that its owner went on to answer readers as if it knew the whole log.

Cause: FailoverStore::relay returned nothing both for a peer that made no call and for one that gave no answer.

Change: relay tells the two apart (peers::client::try_call knows what was not sent); a refusal of the direct call proves nothing while a relayed one is in doubt. Calls to a server's management interface, which bear no request id, no longer take a response that bears one: it belongs to a request sent on that connection before.

The response with a foreign id has no test of its own.

--- a/crates/heronbend-gateway/src/failover_store.rs
+++ b/crates/heronbend-gateway/src/failover_store.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
+use crate::peers::client::CallError;
 use crate::peers::store_messages::{StoreCall, StoreReply};
 use crate::peers::{client, PeerReply, PeerRequest};
 use crate::ports::{Changes, Condition, Listing, Object, ObjectStore, Revision, StoreError};
@@ -31,6 +32,16 @@
 /// Peers that are tried for one call.
 const RELAY_ATTEMPTS: usize = 2;
 
+/// Result of relaying a call through peers.
+enum Relayed {
+    /// A peer made the call.
+    Done(StoreReply),
+    /// No peer made the call.
+    NotDone,
+    /// A peer may have made the call, or may still make it.
+    Unknown,
+}
+
 /// An object store with a direct path and a fallback through peers.
 pub struct FailoverStore {
     direct: Rc<dyn ObjectStore>,
@@ -110,9 +121,11 @@
         self.last_response.get().map_or(Duration::MAX, |at| self.elapsed_since(at))
     }
 
-    /// Relays a call through peers; `None` if none of them could make it.
-    async fn relay(&self, call: StoreCall) -> Option<StoreReply> {
-        let gateway = self.gateway.borrow().upgrade()?;
+    /// Relays a call through peers.
+    async fn relay(&self, call: &StoreCall) -> Relayed {
+        let Some(gateway) = self.gateway.borrow().upgrade() else {
+            return Relayed::NotDone;
+        };
         // The call may contain a request's body, which may be restricted to this region.
         let alive = if gateway.restricts_regions() {
             gateway.members.alive_in_region(&gateway.identity.region)
@@ -123,19 +136,23 @@
             let mut random = rand::rng();
             alive.choose_multiple(&mut random, RELAY_ATTEMPTS).cloned().collect()
         };
+        let mut is_in_doubt = false;
         for peer in candidates {
             let request = PeerRequest::Store(call.clone());
-            let reply = client::call(&gateway, &peer, &request, RELAY_TIMEOUT).await;
-            match reply {
-                Some(PeerReply::Store(StoreReply::NotDone(_))) | None => {}
-                Some(PeerReply::Store(reply)) => {
+            match client::try_call(&gateway, &peer, &request, RELAY_TIMEOUT).await {
+                Ok(PeerReply::Store(StoreReply::NotDone(_))) | Err(CallError::NotSent) => {}
+                Ok(PeerReply::Store(reply)) => {
                     log::info!("event=store_relayed peer={peer}");
-                    return Some(reply);
+                    return Relayed::Done(reply);
                 }
-                Some(_) => return None,
+                Ok(_) | Err(CallError::Unknown) => is_in_doubt = true,
             }
         }
-        None
+        if is_in_doubt {
+            Relayed::Unknown
+        } else {
+            Relayed::NotDone
+        }
     }
 
     /// Makes a call directly, or through a peer if the direct path fails without a result.
@@ -147,9 +164,12 @@
         convert: impl FnOnce(StoreReply) -> Result<T, StoreError>,
     ) -> Result<T, StoreError> {
         let was_reachable = self.is_reachable();
+        let mut is_relay_in_doubt = false;
         if !was_reachable {
-            if let Some(reply) = self.relay(call.clone()).await {
-                return convert(reply);
+            match self.relay(&call).await {
+                Relayed::Done(reply) => return convert(reply),
+                Relayed::NotDone => {}
+                Relayed::Unknown => is_relay_in_doubt = true,
             }
         }
         let result = direct.await;
@@ -159,11 +179,19 @@
             Err(StoreError::Unknown(_) | StoreError::NotDone(_) | StoreError::Throttled)
         );
         if is_inconclusive && was_reachable && !self.is_reachable() {
-            if let Some(reply) = self.relay(call).await {
-                return convert(reply);
+            match self.relay(&call).await {
+                Relayed::Done(reply) => return convert(reply),
+                Relayed::NotDone => {}
+                Relayed::Unknown => is_relay_in_doubt = true,
             }
         }
-        result
+        match result {
+            // A peer may still make the call.
+            Err(error) if is_inconclusive && is_relay_in_doubt => {
+                Err(StoreError::Unknown(format!("relayed without an answer; directly: {error}")))
+            }
+            result => result,
+        }
     }
 }
 
--- a/crates/heronbend-gateway/src/versions/dispatcher.rs
+++ b/crates/heronbend-gateway/src/versions/dispatcher.rs
@@ -456,6 +456,9 @@
     }
 
     /// Calls a server's management API. Returns `None` without a complete response.
+    ///
+    /// The call has no request id, so a response with one belongs to a request that was sent on the
+    /// connection before.
     async fn call(&self, server: &Server, call: ServerCall) -> Option<FullResponse> {
         let names = self.gateway.dialect.headers();
         let mut request = Request::new(Full::new(call.body));
@@ -467,6 +470,13 @@
         headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
         headers.insert(names.expected_server.clone(), HeaderValue::from_str(&server.id).ok()?);
         let pool = &self.gateway.server_connections;
-        pool.fetch(server.address, request, CALL_TIMEOUT, MAX_REPORT_BYTES).await.ok()
+        let response =
+            pool.fetch(server.address, request, CALL_TIMEOUT, MAX_REPORT_BYTES).await.ok()?;
+        let is_foreign = response.headers.contains_key(&names.request_id);
+        if is_foreign {
+            self.gateway.metrics.invalid_responses.inc();
+            log::warn!("event=foreign_response server={} status={}", server.id, response.status);
+        }
+        Some(response).filter(|_| !is_foreign)
     }
 }
