Serve readers of a handed-over job only after the store confirmed its owner

A daemon that is frozen when a new job is handed to it gets the handoff when it wakes; by then another daemon may have taken the job over and listed results.

Cause: the time of confirmation was that of the start, not that at which the store had said so.

Change: a run whose job was submitted at this daemon is confirmed from the moment the write was sent; one that a peer handed over from its first look at the store, which it takes at once (one read a job); one that sealed the log from the moment at which it began to load. Whether the log is whole is kept apart from that (Tenure::has_whole_log). A failed look at the ownership is logged.

Test: an_owner_that_got_its_job_late_shows_the_results_of_its_successor fails with the time of the start (0 results for 1), passes now.

--- a/crates/heronbend-gateway/src/batch/ownership_manager.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_manager.rs
@@ -175,19 +175,39 @@
 }
 
 /// Polls the ownership of a running job until the job has ended or changed owner.
+///
+/// A job that a peer handed over is checked at once: the handoff may have been delivered late.
 pub async fn watch_ownership(gateway: &Rc<Gateway>, job: &Job) {
+    let is_handed_over =
+        job.tenure.borrow().has_whole_log() && job.ownership_confirmed_at.get().is_none();
+    if is_handed_over && !check_ownership(gateway, job).await {
+        return;
+    }
     loop {
         // If peers suspected this daemon, its jobs may have been adopted.
         wait::at_most(OWNERSHIP_CHECK_INTERVAL, gateway.members.suspicion_refuted.listen()).await;
-        let checked_at = gateway.now();
-        if let Ok(Some(object)) = gateway.store.get(OWNERSHIPS, &job.id).await {
+        if !check_ownership(gateway, job).await {
+            return;
+        }
+    }
+}
+
+/// Reads the ownership of a running job. Returns false if the job has ended or changed owner.
+async fn check_ownership(gateway: &Rc<Gateway>, job: &Job) -> bool {
+    let checked_at = gateway.now();
+    match gateway.store.get(OWNERSHIPS, &job.id).await {
+        Ok(Some(object)) => {
             gateway.jobs.upsert_object(&object);
-            if job.ownership_confirmed_at.get().is_some() {
+            let is_owner = !job.ended.get() && job.owner() == gateway.identity.node;
+            if is_owner {
                 job.ownership_confirmed_at.set(Some(checked_at));
             }
-            if job.ended.get() || job.owner() != gateway.identity.node {
-                return;
-            }
+            is_owner
+        }
+        Ok(None) => true,
+        Err(error) => {
+            log::warn!("event=owner_not_checked job={} error=\"{error}\"", job.id);
+            true
         }
     }
 }
--- a/crates/heronbend-gateway/src/batch/registry.rs
+++ b/crates/heronbend-gateway/src/batch/registry.rs
@@ -71,8 +71,7 @@
     pub stopping: Event,
     /// The runs of the job here, and its adoption if the outcome of that is unknown.
     pub tenure: RefCell<Tenure>,
-    /// When the store last confirmed that this daemon is the owner; set only while the log is
-    /// complete.
+    /// When the store last confirmed that this daemon is the owner.
     pub ownership_confirmed_at: Cell<Option<Moment>>,
     /// Whether a chunk by another writer was found, which may be a newer owner. Nothing is appended
     /// until the store has confirmed the owner.
@@ -138,8 +137,8 @@
     /// another one.
     pub fn is_authoritative(&self, now: Moment) -> bool {
         let confirmed_at = self.ownership_confirmed_at.get();
-        let knows_all = !self.log.borrow().is_in_doubt();
-        self.is_running() && knows_all && confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TTL)
+        let knows_all = self.tenure.borrow().has_whole_log() && !self.log.borrow().is_in_doubt();
+        knows_all && confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TTL)
     }
 
     /// Whether every item has a committed result.
--- a/crates/heronbend-gateway/src/batch/runner.rs
+++ b/crates/heronbend-gateway/src/batch/runner.rs
@@ -73,7 +73,6 @@
 async fn run_items(gateway: &Rc<Gateway>, job: &Rc<Job>, initial_log: InitialLog) {
     let specification = load_job(gateway, job, initial_log).await;
     gateway.jobs.record_required_items(job, &specification);
-    job.ownership_confirmed_at.set(Some(gateway.now()));
     let _appender = gateway.executor.spawn(appender::run(gateway.clone(), job.clone()));
     let _checkpoints = gateway.executor.spawn(checkpoint::run(gateway.clone(), job.clone()));
     let mut tasks: Vec<Task<()>> = Vec::new();
@@ -107,6 +106,7 @@
 async fn load_job(gateway: &Gateway, job: &Job, initial_log: InitialLog) -> Rc<JobSpecification> {
     let mut failures = 0;
     loop {
+        let started = gateway.now();
         let loaded = async {
             let specification = load_specification(gateway, job).await?;
             *job.texts.borrow_mut() = JobTexts::new(specification.items.len());
@@ -114,6 +114,9 @@
                 appender::catch_up(gateway, job).await?;
                 appender::seal(gateway, job).await?;
                 checkpoint::restore(gateway, job).await?;
+                job.tenure.borrow_mut().log_sealed();
+                // The seal shows that nobody else had sealed the log since.
+                job.ownership_confirmed_at.set(Some(started));
             }
             Ok::<_, StoreError>(specification)
         };
--- a/crates/heronbend-gateway/src/batch/submission.rs
+++ b/crates/heronbend-gateway/src/batch/submission.rs
@@ -155,6 +155,7 @@
     let content = json!(ownership);
     let mut failures = 0;
     loop {
+        let sent_at = gateway.now();
         match gateway.store.create(OWNERSHIPS, &specification.id, content.clone()).await {
             Ok(object) => {
                 gateway.metrics.jobs_accepted.inc();
@@ -165,8 +166,14 @@
                     object.revision,
                     true,
                 );
-                let (revision, initial_log) = (object.revision, InitialLog::Empty);
-                dispatch(gateway, Handoff { ownership, revision, specification, initial_log });
+                let handoff = Handoff {
+                    ownership,
+                    revision: object.revision,
+                    specification,
+                    initial_log: InitialLog::Empty,
+                    confirmed_at: Some(sent_at),
+                };
+                dispatch(gateway, handoff);
                 return Ok(());
             }
             Err(StoreError::Conflict(object)) => {
@@ -201,8 +208,9 @@
         return;
     }
     log::info!("event=job_found_owned job={} owner={}", job.id, ownership.owner);
-    let initial_log = InitialLog::Stored;
-    dispatch(gateway, Handoff { ownership, revision, specification, initial_log });
+    let (initial_log, confirmed_at) = (InitialLog::Stored, None);
+    let handoff = Handoff { ownership, revision, specification, initial_log, confirmed_at };
+    dispatch(gateway, handoff);
 }
 
 /// A job that is handed to its owner.
@@ -215,6 +223,8 @@
     pub specification: Rc<JobSpecification>,
     /// What the store may hold of the job's log.
     pub initial_log: InitialLog,
+    /// When the store confirmed the ownership; `None` if that is not known.
+    pub confirmed_at: Option<Moment>,
 }
 
 /// Starts a submitted job on its owner, which may be a peer.
@@ -223,7 +233,7 @@
         run_here(gateway, handoff, true);
         return;
     }
-    let Handoff { ownership, revision, specification, initial_log } = handoff;
+    let Handoff { ownership, revision, specification, initial_log, .. } = handoff;
     let job = gateway.jobs.upsert(&specification.id, ownership.clone(), revision);
     *job.specification.borrow_mut() = Some(specification.clone());
     let executor = gateway.executor.clone();
@@ -247,15 +257,16 @@
 ///
 /// Refuses jobs of peers while this daemon is draining or cannot reach the store.
 pub fn run_here(gateway: &Rc<Gateway>, handoff: Handoff, is_submitted_here: bool) -> PeerReply {
-    let Handoff { ownership, revision, specification, initial_log } = handoff;
+    let Handoff { ownership, revision, specification, initial_log, confirmed_at } = handoff;
     let accepts_jobs = !gateway.draining.get() && gateway.store.is_reachable();
     if ownership.owner != gateway.identity.node || !(accepts_jobs || is_submitted_here) {
         return PeerReply::NotOwner;
     }
     let job = gateway.jobs.upsert(&specification.id, ownership, revision);
     *job.specification.borrow_mut() = Some(specification);
-    if initial_log == InitialLog::Empty {
+    if initial_log == InitialLog::Empty && !job.is_running() {
         job.tenure.borrow_mut().submitted(revision);
+        job.ownership_confirmed_at.set(confirmed_at);
     }
     job.handoff_deadline.set(None);
     start_owned_jobs(gateway);
--- a/crates/heronbend-gateway/src/batch/tenure.rs
+++ b/crates/heronbend-gateway/src/batch/tenure.rs
@@ -32,6 +32,8 @@
 pub struct Tenure {
     /// Revision of the ownership under which the job runs.
     run: Option<Revision>,
+    /// Whether the run knows all results of former owners.
+    has_whole_log: bool,
     /// Revision of the ownership with which the job was submitted, until a run has started.
     submitted_at: Option<Revision>,
     /// Revision on which an adoption of unknown outcome is conditional.
@@ -50,8 +52,18 @@
             return None;
         }
         self.run = Some(revision);
-        let is_first = self.submitted_at.take() == Some(revision);
-        Some(if is_first { InitialLog::Empty } else { InitialLog::Stored })
+        self.has_whole_log = self.submitted_at.take() == Some(revision);
+        Some(if self.has_whole_log { InitialLog::Empty } else { InitialLog::Stored })
+    }
+
+    /// Records that the run has read and sealed the stored log.
+    pub fn log_sealed(&mut self) {
+        self.has_whole_log = true;
+    }
+
+    /// Whether the run knows all results of former owners.
+    pub fn has_whole_log(&self) -> bool {
+        self.is_running() && self.has_whole_log
     }
 
     /// Ends the run.
--- a/crates/heronbend-gateway/src/peers/membership.rs
+++ b/crates/heronbend-gateway/src/peers/membership.rs
@@ -311,7 +311,8 @@
         PeerRequest::RunJob { ownership, revision, specification, has_results } => {
             let (ownership, specification) = (*ownership, Rc::new(specification));
             let initial_log = if has_results { InitialLog::Stored } else { InitialLog::Empty };
-            let handoff = Handoff { ownership, revision, specification, initial_log };
+            let confirmed_at = None;
+            let handoff = Handoff { ownership, revision, specification, initial_log, confirmed_at };
             submission::run_here(&gateway, handoff, false)
         }
         PeerRequest::Store(call) => PeerReply::Store(store_relay::handle(&gateway, call).await),
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -29,7 +29,7 @@
 use serde_json::json;
 use smol::LocalExecutor;
 use support::memory_store::{MemoryStore, WatchFault, WriteFault};
-use support::{gateway, job, result, run, wait_until};
+use support::{gateway, job, node, result, run, wait_until};
 
 const KIND: &str = "things";
 const BATCH_DELAY: Duration = Duration::from_millis(5);
@@ -324,6 +324,7 @@
             let owner = gateway("a", &store, &executor);
             let (own_job, task) = start_appender(&store, &owner, &executor);
             own_job.tenure.borrow_mut().start(own_job.revision());
+            own_job.tenure.borrow_mut().log_sealed();
             own_job.ownership_confirmed_at.set(Some(owner.now()));
             assert!(own_job.is_authoritative(owner.now()));
             store.fail_writes(&[WriteFault::ResponseLost]);
@@ -490,9 +491,10 @@
 }
 
 /// The handoff of a new job of one item.
-fn handoff(ownership: Ownership, revision: Revision) -> Handoff {
+fn handoff(ownership: Ownership, revision: u64) -> Handoff {
     let specification = Rc::new(job("j", 1));
-    Handoff { ownership, revision, specification, initial_log: InitialLog::Empty }
+    let initial_log = InitialLog::Empty;
+    Handoff { ownership, revision, specification, initial_log, confirmed_at: None }
 }
 
 #[test]
@@ -515,6 +517,26 @@
     });
 }
 
+/// Guards against a daemon that gets a handoff late, when another daemon has taken the job over and
+/// listed results, and answers readers from an empty log.
+#[test]
+fn an_owner_that_got_its_job_late_shows_the_results_of_its_successor() {
+    with_store(|store, executor| {
+        Box::pin(async move {
+            let owner = gateway("a", &store, &executor);
+            let ownership = Ownership::new(&job("j", 1), owner.identity.node.clone(), None);
+            let adopted = Ownership { owner: node("b"), ..ownership.clone() };
+            store.put(OWNERSHIPS, "j", json!(adopted));
+            store.put(&results_kind("j"), &chunk_name(0), json!({ "results": [result("item-0")] }));
+            let reply = submission::run_here(&owner, handoff(ownership, 0), false);
+            assert_eq!(reply, PeerReply::Running);
+            smol::Timer::after(Duration::from_millis(50)).await;
+            let read = results_reader::results(&owner, "j", &Caller::AuthDisabled, 0, owner.now());
+            assert_eq!(read.await.unwrap().results.len(), 1);
+        })
+    });
+}
+
 #[test]
 fn a_hinted_owner_starts_a_job_that_is_never_forwarded() {
     with_store(|store, executor| {
