Count only answers of 500 as failures of a reward call

Cause: batch::reward counted every answer that is no signed success, so also a 504 at the deadline that the round had set, four times the target latency. Evidence: event=reward_failed with status=504 and failures rising. Ruled out: the daemon's own time-out, after which failures stays.

Change: only 500 counts. The timeout of a round doubles up to three times after rounds that exceeded theirs, so that a slow server completes the call; a call that its server rejects with 4xx is repeated once a second.

Test: deadlines_of_reward_calls_do_not_count_as_failures (real processes) failed on (terminated), passes now.

--- a/crates/heronbend-gateway/src/batch/reward.rs
+++ b/crates/heronbend-gateway/src/batch/reward.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderValue, Method};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use smol::Timer;
 
 use super::registry::Job;
@@ -21,12 +21,14 @@
 
 /// Maximum number of servers tried in one round.
 const ATTEMPTS_PER_ROUND: u32 = 2;
-/// Minimum timeout of a round.
+/// Minimum timeout of the first round.
 const MIN_ROUND_TIMEOUT: Duration = Duration::from_millis(600);
-/// Timeout of a round as a multiple of the route's target latency.
+/// Timeout of the first round as a multiple of the route's target latency.
 const ROUND_TARGET_MULTIPLE: u32 = 4;
+/// Number of times that the timeout is doubled after rounds that exceeded it.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 3;
 const RETRY_DELAY: Duration = Duration::from_millis(40);
-/// Longest delay before a quarantined call is tried again.
+/// Longest delay before a call is tried again.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Outcome of a reward call.
@@ -41,6 +43,7 @@
 /// Repeats a reward call until it succeeds or reaches the failure limit of its route.
 pub async fn score(gateway: &Rc<Gateway>, job: &Job, item: &str, call: &RewardCall) -> Score {
     let mut failures = 0;
+    let mut exceeded = 0;
     loop {
         let Some((outgoing, service, mut limits, max_failures)) = prepare_call(gateway, job, call)
         else {
@@ -53,8 +56,7 @@
             continue;
         }
         let _permit = reward_limit::acquire(gateway, &service).await;
-        let round_timeout = (limits.target_latency * ROUND_TARGET_MULTIPLE).max(MIN_ROUND_TIMEOUT);
-        limits.deadline = gateway.now() + round_timeout;
+        limits.deadline = gateway.now() + round_timeout(limits.target_latency, exceeded);
         limits.is_idempotent = true;
         limits.max_attempts = ATTEMPTS_PER_ROUND;
         let answer = forward(gateway, &service, outgoing, limits, AdmittedCall::unlimited()).await;
@@ -65,9 +67,12 @@
                 Some(signature) if answer.status.is_success() => {
                     return Score::Signed(signature.to_owned());
                 }
-                _ => failures += 1,
+                // Only this status means that a server tried and failed. Others may be due to the
+                // deadline of the round.
+                _ => failures += u32::from(answer.status == StatusCode::INTERNAL_SERVER_ERROR),
             }
         }
+        exceeded += u32::from(has_exceeded_timeout(&answer));
         let retry_delay = retry_delay(&answer);
         log::info!(
             "event=reward_failed job={} item={item} reward={} failures={failures} status={}",
@@ -82,9 +87,25 @@
     }
 }
 
-/// Delay before the next round, longer for a quarantined call.
+/// Timeout of a round after a number of rounds that exceeded theirs. Grows, as slow servers would
+/// otherwise never complete the call.
+fn round_timeout(target_latency: Duration, exceeded: u32) -> Duration {
+    let first = (target_latency * ROUND_TARGET_MULTIPLE).max(MIN_ROUND_TIMEOUT);
+    first * 2_u32.pow(exceeded.min(MAX_TIMEOUT_DOUBLINGS))
+}
+
+/// Whether a round ended at its deadline, at this daemon or at the server.
+fn has_exceeded_timeout(answer: &Result<FullResponse, ForwardError>) -> bool {
+    match answer {
+        Ok(answer) => answer.status == StatusCode::GATEWAY_TIMEOUT,
+        Err(error) => *error == ForwardError::TimedOut,
+    }
+}
+
+/// Delay before the next round, longer for a quarantined call and for one that its server rejects.
 fn retry_delay(answer: &Result<FullResponse, ForwardError>) -> Duration {
     match answer {
+        Ok(answer) if answer.status.is_client_error() => MAX_RETRY_DELAY,
         Err(ForwardError::Quarantined(refused)) => {
             refused.retry_after.clamp(RETRY_DELAY, MAX_RETRY_DELAY)
         }
