Remove ended jobs once, and forget them

The pass stands before each look for lost owners. Specification and results stay in memory.

Cause: JobRegistry::remove had no caller, so that a removed job stayed expired.

Change: batch::expiry, a task of its own.

Test: an_expired_job_is_removed_once_and_forgotten times out without the two calls of remove, passes with them.

--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -29,6 +29,7 @@
 //! - [`submission`], [`results_reader`]: operations for callers.
 //! - [`runner`], [`item_run`], [`reward`], [`reward_limit`], [`appender`], [`checkpoint`]: run by
 //!   the owner of a job.
+//! - [`expiry`]: removes ended jobs.
 //! - [`ownership_manager`]: tracks ownerships and takes over jobs of lost daemons.
 
 pub mod adoption;
@@ -37,6 +38,7 @@
 pub mod checkpoint;
 pub mod digest;
 pub mod event_stream;
+pub mod expiry;
 pub mod in_flight;
 pub mod item_run;
 pub mod job_texts;
--- a/crates/heronbend-gateway/src/batch/ownership_manager.rs
+++ b/crates/heronbend-gateway/src/batch/ownership_manager.rs
@@ -14,9 +14,8 @@
 use smol::Timer;
 
 use super::adoption::{self, AdoptionReason};
-use super::appender;
 use super::owner_selection;
-use super::ownership::{successor, takeover_position, Ownership};
+use super::ownership::{takeover_position, Ownership};
 use super::registry::{Job, OWNERSHIPS};
 use super::runner::start_owned_jobs;
 use super::tenure::AdoptionOutcome;
@@ -228,7 +227,6 @@
             }
             adopt(&gateway, &job, reason).await;
         }
-        remove_expired_jobs(&gateway).await;
         Timer::after(ORPHAN_CHECK_INTERVAL).await;
     }
 }
@@ -286,12 +284,6 @@
     }
 }
 
-fn local_successor(gateway: &Gateway, job: &str) -> NodeId {
-    let mut alive = gateway.members.alive();
-    alive.push(gateway.identity.node.clone());
-    successor(job, alive.iter()).cloned().unwrap_or_else(|| gateway.identity.node.clone())
-}
-
 /// Takes over a job unless its ownership has changed concurrently.
 ///
 /// If the outcome is unknown, [`adopt_orphans`] repeats the write.
@@ -354,16 +346,3 @@
     );
     Ok(object)
 }
-
-/// Removes ended jobs whose retention time has passed.
-async fn remove_expired_jobs(gateway: &Gateway) {
-    let now = gateway.now();
-    let retention = gateway.tuning().result_retention;
-    for job in gateway.jobs.all() {
-        let is_expired = job.ended_at.get().is_some_and(|since| now > since + retention);
-        if is_expired && local_successor(gateway, &job.id) == gateway.identity.node {
-            let removed = appender::remove_all(gateway, &job.id).await;
-            log::info!("event=job_removed job={} outcome={removed:?}", job.id);
-        }
-    }
-}
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -13,6 +13,7 @@
 use smol::{LocalExecutor, Timer};
 use thiserror::Error;
 
+use crate::batch::expiry;
 use crate::batch::ownership_manager;
 use crate::configuration::Configuration;
 use crate::configuration::Finding;
@@ -252,6 +253,7 @@
     spawn(Box::pin(log_counters_periodically(gateway.clone())));
     spawn(Box::pin(ownership_manager::refresh_ownerships(gateway.clone())));
     spawn(Box::pin(ownership_manager::adopt_orphans(gateway.clone())));
+    spawn(Box::pin(expiry::run(gateway.clone())));
     spawn(Box::pin(versions::watch::watch_versions(gateway.clone())));
     spawn(Box::pin(versions::dispatcher::run(gateway.clone())));
     start_provider_duties(gateway);
--- a/crates/heronbend-gateway/tests/store_port.rs
+++ b/crates/heronbend-gateway/tests/store_port.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::future::Future;
@@ -13,6 +14,7 @@
 use heronbend_gateway::batch::adoption::AdoptionReason;
 use heronbend_gateway::batch::checkpoint;
 use heronbend_gateway::batch::event_stream::EventReader;
+use heronbend_gateway::batch::expiry;
 use heronbend_gateway::batch::job_texts::JobTexts;
 use heronbend_gateway::batch::ownership::Ownership;
 use heronbend_gateway::batch::submission::{self, Handoff, SubmitError};
@@ -22,6 +24,7 @@
     chunk_name, results_kind, Job, OWNERSHIPS, SPECIFICATIONS,
 };
 use heronbend_gateway::batch::{appender, ownership_manager, results_reader};
+use heronbend_gateway::clock::Clock;
 use heronbend_gateway::gateway::Gateway;
 use heronbend_gateway::peers::PeerReply;
 use heronbend_gateway::ports::{Object, ObjectStore};
@@ -29,7 +32,7 @@
 use serde_json::json;
 use smol::LocalExecutor;
 use support::memory_store::{MemoryStore, WatchFault, WriteFault};
-use support::{gateway, job, node, result, run, wait_until};
+use support::{gateway, gateway_with_clock, job, node, result, run, wait_until};
 
 const KIND: &str = "things";
 const BATCH_DELAY: Duration = Duration::from_millis(5);
@@ -537,6 +540,30 @@
     });
 }
 
+/// Guards against ended jobs that are removed from the store again and again, and kept in memory.
+#[test]
+fn an_expired_job_is_removed_once_and_forgotten() {
+    with_store(|store, executor| {
+        Box::pin(async move {
+            let offset = Rc::new(Cell::new(Duration::ZERO));
+            let (shared, system) = (offset.clone(), Clock::system());
+            let clock = Clock::from_fn(move || system.now() + shared.get());
+            let gateway = gateway_with_clock("a", &store, &executor, clock);
+            let deadline = gateway.now() + SUBMIT_TIMEOUT;
+            submission::submit(&gateway, job("j", 1), deadline).await.unwrap();
+            submission::end(&gateway, "j", &Caller::AuthDisabled, deadline).await.unwrap();
+            executor.spawn(expiry::run(gateway.clone())).detach();
+            offset.set(gateway.tuning().result_retention + Duration::from_secs(1));
+            wait_until("the job is forgotten", || gateway.jobs.get("j").is_none()).await;
+            assert!(store.object(OWNERSHIPS, "j").is_none());
+            assert!(store.object(SPECIFICATIONS, "j").is_none());
+            let calls = store.calls.get();
+            smol::Timer::after(Duration::from_millis(1200)).await;
+            assert_eq!(store.calls.get(), calls, "calls for a removed job");
+        })
+    });
+}
+
 #[test]
 fn a_hinted_owner_starts_a_job_that_is_never_forwarded() {
     with_store(|store, executor| {
