--- a/crates/heronbend-gateway/src/http/client.rs
+++ b/crates/heronbend-gateway/src/http/client.rs
@@ -32,6 +32,8 @@
 
 /// Idle time after which a connection is not reused, unless its server advertises another one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Longest idle time that a server can advertise.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3600);
 /// Margin before the server's idle timeout at which a connection is no longer reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Time without acknowledgement after which the kernel closes a connection (`TCP_USER_TIMEOUT`).
@@ -380,7 +382,8 @@
         let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
         seconds.trim().parse::<u64>().ok()
     });
-    advertised.map_or(DEFAULT_IDLE_TIMEOUT, Duration::from_secs).saturating_sub(IDLE_MARGIN)
+    let timeout = advertised.map_or(DEFAULT_IDLE_TIMEOUT, Duration::from_secs);
+    timeout.min(MAX_IDLE_TIMEOUT).saturating_sub(IDLE_MARGIN)
 }
 
 /// Runs a future with a timeout.
