Serve connections that are taken while the listener closes before exiting

Cause: drain asked for open connections at once after Listener::close, while closing::close goes on taking established connections for 100 ms. Ruled out: the SYN filter, since the connections were established before it.

Change: the listener says whether its socket is open, and drain waits for that too.

--- a/crates/heronbend-gateway/src/http/server.rs
+++ b/crates/heronbend-gateway/src/http/server.rs
@@ -55,6 +55,8 @@
 pub struct Listener {
     exchanges: Cell<usize>,
     connections: Cell<usize>,
+    /// Whether its socket is open.
+    accepting: Cell<bool>,
     draining: Cell<bool>,
     closing: Event,
     limits: RefCell<Option<ListenerLimits>>,
@@ -92,6 +94,12 @@
         self.connections.get()
     }
 
+    /// Whether connections may still be accepted. Holds for some time after [`Listener::close`], until
+    /// all established connections have been taken.
+    pub fn is_accepting(&self) -> bool {
+        self.accepting.get()
+    }
+
     /// Closes every connection after its next response. New connections are still accepted.
     pub fn start_draining(&self) {
         self.draining.set(true);
@@ -114,6 +122,7 @@
         F: Future<Output = HttpResponse> + 'static,
     {
         let close_requested = self.closing.listen();
+        self.accepting.set(true);
         let spawn_connection = |connection: smol::net::TcpStream| {
             let _ = connection.set_nodelay(true);
             let open = ConnectionGuard::new(&self);
@@ -136,6 +145,7 @@
         };
         accept.or(close_requested).await;
         closing::close(socket, spawn_connection).await;
+        self.accepting.set(false);
     }
 
     async fn serve_connection<H, F>(self: Rc<Self>, socket: smol::net::TcpStream, handler: H)
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -541,7 +541,8 @@
     Timer::after(READINESS_DELAY).await;
     callers.close();
     let limit = started_at + gateway.tuning().stop_limit.saturating_sub(STOP_MARGIN);
-    while gateway.now() < limit && (callers.connections() > 0 || has_running_jobs(gateway)) {
+    let has_callers = || callers.is_accepting() || callers.connections() > 0;
+    while gateway.now() < limit && (has_callers() || has_running_jobs(gateway)) {
         Timer::after(STOP_POLL_INTERVAL).await;
     }
     if let Some(usage) = &gateway.usage {
