Owe items: crashes are never held against accepted requests

Here it rested 5 s after three crashes, and 57 s more after a probe.

Cause: items and their reward calls went through the quarantine of calls. Evidence: event=request_quarantined endings=3, quarantine_recorded probes=1 and event=request_cleared after 60 s.

Change: OutgoingRequest::is_owed. The quarantine admits such a request always, isolates it from nothing, and takes no evidence from it; a server it lost is still looked at. Attempts are delayed by 1, 2, then 3 s after three lost servers in a row. Nothing of it outlives the run: a later job and the next owner start anew.

--- a/crates/heronbend-gateway/src/attempt.rs
+++ b/crates/heronbend-gateway/src/attempt.rs
@@ -42,6 +42,9 @@
     pub reservation: Option<Rc<Reservation>>,
     /// Usage record of the request, if a tenant is billed for it.
     pub billing: Option<Rc<Billing>>,
+    /// Whether the request belongs to an accepted job, so that it has to run in the end. Crashes of
+    /// servers are not held against it.
+    pub is_owed: bool,
     /// Computed on first use, since most requests never need it.
     pub fingerprint: OnceCell<Fingerprint>,
 }
--- a/crates/heronbend-gateway/src/batch/reward.rs
+++ b/crates/heronbend-gateway/src/batch/reward.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use heronbend::rollout::pace::Pace;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use smol::Timer;
 
@@ -19,7 +20,7 @@
 use crate::memory::SMALL_RESERVATION_BYTES;
 use crate::region_policy;
 
-/// Maximum number of servers tried in one round.
+/// Maximum number of servers tried in one round, unless the call keeps losing its servers.
 const ATTEMPTS_PER_ROUND: u32 = 2;
 /// Minimum timeout of the first round.
 const MIN_ROUND_TIMEOUT: Duration = Duration::from_millis(600);
@@ -28,8 +29,8 @@
 /// Number of times that the timeout is doubled after rounds that exceeded it.
 const MAX_TIMEOUT_DOUBLINGS: u32 = 3;
 const RETRY_DELAY: Duration = Duration::from_millis(40);
-/// Longest delay before a call is tried again.
-const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Delay before a call that its server rejects is tried again.
+const REJECTED_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Outcome of a reward call.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -44,6 +45,7 @@
 pub async fn score(gateway: &Rc<Gateway>, job: &Job, item: &str, call: &RewardCall) -> Score {
     let mut failures = 0;
     let mut exceeded = 0;
+    let mut pace = Pace::default();
     loop {
         let Some((outgoing, service, mut limits, max_failures)) = prepare_call(gateway, job, call)
         else {
@@ -58,7 +60,7 @@
         let _permit = reward_limit::acquire(gateway, &service).await;
         limits.deadline = gateway.now() + round_timeout(limits.target_latency, exceeded);
         limits.is_idempotent = true;
-        limits.max_attempts = ATTEMPTS_PER_ROUND;
+        limits.max_attempts = attempts_per_round(pace);
         let answer = forward(gateway, &service, outgoing, limits, AdmittedCall::unlimited()).await;
         if let Ok(answer) = &answer {
             let signature = gateway.dialect.headers().signature.clone();
@@ -73,7 +75,12 @@
             }
         }
         exceeded += u32::from(has_exceeded_timeout(&answer));
-        let retry_delay = retry_delay(&answer);
+        match &answer {
+            Ok(_) => pace.record_answer(),
+            Err(ForwardError::Unknown) => pace.record_loss(),
+            Err(_) => {}
+        }
+        let retry_delay = retry_delay(&answer).max(pace.delay());
         log::info!(
             "event=reward_failed job={} item={item} reward={} failures={failures} status={}",
             job.id,
@@ -87,6 +94,15 @@
     }
 }
 
+/// Maximum number of servers tried in the next round.
+fn attempts_per_round(pace: Pace) -> u32 {
+    if pace.delay().is_zero() {
+        ATTEMPTS_PER_ROUND
+    } else {
+        1
+    }
+}
+
 /// Timeout of a round after a number of rounds that exceeded theirs. Grows, as slow servers would
 /// otherwise never complete the call.
 fn round_timeout(target_latency: Duration, exceeded: u32) -> Duration {
@@ -102,13 +118,10 @@
     }
 }
 
-/// Delay before the next round, longer for a quarantined call and for one that its server rejects.
+/// Delay before the next round, longer for a call that its server rejects.
 fn retry_delay(answer: &Result<FullResponse, ForwardError>) -> Duration {
     match answer {
-        Ok(answer) if answer.status.is_client_error() => MAX_RETRY_DELAY,
-        Err(ForwardError::Quarantined(refused)) => {
-            refused.retry_after.clamp(RETRY_DELAY, MAX_RETRY_DELAY)
-        }
+        Ok(answer) if answer.status.is_client_error() => REJECTED_RETRY_DELAY,
         _ => RETRY_DELAY,
     }
 }
@@ -134,6 +147,7 @@
         body: call.decoded_body(),
         reservation: None,
         billing: None,
+        is_owed: true,
         fingerprint: OnceCell::new(),
     };
     let owner = access::job_caller(&configuration, job.ownership.borrow().0.tenant.as_deref());
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -288,6 +288,7 @@
         body,
         reservation: Some(Rc::new(reservation)),
         billing: billing(gateway, &caller).map(Rc::new),
+        is_owed: false,
         fingerprint: OnceCell::new(),
     };
     if route.kind == RouteKind::Stream {
--- a/crates/heronbend-gateway/src/quarantine/admitted_request.rs
+++ b/crates/heronbend-gateway/src/quarantine/admitted_request.rs
@@ -22,8 +22,12 @@
 }
 
 impl AdmittedRequest {
-    /// Admits a request, or returns when to retry it.
+    /// Admits a request, or returns when to retry it. A request of an accepted job is always
+    /// admitted.
     pub async fn admit(gateway: &Rc<Gateway>, outgoing: &OutgoingRequest) -> Result<Self, Refused> {
+        if outgoing.is_owed {
+            return Ok(Self { mode: SendMode::Normal, was_sent: false });
+        }
         let fingerprint = || outgoing.fingerprint(gateway.dialect.headers());
         let mode = super::admit(gateway, fingerprint).await?;
         Ok(Self { mode, was_sent: false })
@@ -35,7 +39,8 @@
         if self.mode == SendMode::Probe {
             return !self.was_sent;
         }
-        super::may_retry(gateway, || outgoing.fingerprint(gateway.dialect.headers()))
+        outgoing.is_owed
+            || super::may_retry(gateway, || outgoing.fingerprint(gateway.dialect.headers()))
     }
 
     /// Sets in `history` how the request must be isolated from others.
@@ -45,6 +50,9 @@
         outgoing: &OutgoingRequest,
         history: &mut AttemptHistory,
     ) {
+        if outgoing.is_owed {
+            return;
+        }
         let fingerprint = || outgoing.fingerprint(gateway.dialect.headers());
         super::set_isolation(gateway, self.mode, fingerprint, history);
     }
--- a/crates/heronbend-gateway/src/quarantine/crash_detection.rs
+++ b/crates/heronbend-gateway/src/quarantine/crash_detection.rs
@@ -26,7 +26,8 @@
 const PROBE_DELAYS: [Duration; 3] =
     [Duration::ZERO, Duration::from_millis(60), Duration::from_millis(400)];
 
-/// Records that a request's connection to a server broke after `events` response events.
+/// Records that a request's connection to a server broke after `events` response events. If it is
+/// the request of an accepted job, only looks whether the server is gone.
 ///
 /// Only an attempt without events counts. Other requests resume after the events they received, so
 /// a request that crashes servers at a later event receives none in its next attempt.
@@ -46,11 +47,13 @@
     if events > 0 {
         return;
     }
-    gateway.quarantine.table.borrow_mut().note_broken_connection(
-        gateway.now(),
-        request,
-        &server.id,
-    );
+    if !outgoing.is_owed {
+        gateway.quarantine.table.borrow_mut().note_broken_connection(
+            gateway.now(),
+            request,
+            &server.id,
+        );
+    }
     probe_server(gateway, server);
 }
 
@@ -65,7 +68,7 @@
 ) -> impl FnOnce() + 'static {
     let (gateway, server) = (gateway.clone(), server.clone());
     move || {
-        if is_answered() {
+        if is_answered() || outgoing.borrow().is_owed {
             return;
         }
         let request = outgoing.borrow().fingerprint(gateway.dialect.headers());
--- a/crates/heronbend-gateway/tests/quarantine.rs
+++ b/crates/heronbend-gateway/tests/quarantine.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use heronbend::identity::Incarnation;
+use heronbend::placement::AttemptHistory;
 use heronbend::quarantine::Crash;
 use heronbend::quarantine::Refused;
 use heronbend::quarantine::Report;
@@ -20,6 +21,7 @@
 use heronbend_gateway::quarantine::crash_detection;
 use heronbend_gateway::quarantine::gossip;
 use heronbend_gateway::quarantine::record;
+use heronbend_gateway::quarantine::AdmittedRequest;
 use http::Method;
 use http::StatusCode;
 use smol::Timer;
@@ -61,6 +63,7 @@
         body: Default::default(),
         reservation: None,
         billing: None,
+        is_owed: false,
         fingerprint: Default::default(),
     }
 }
@@ -250,3 +253,31 @@
         })
     });
 }
+
+/// Guards against holding crashes against the request of an accepted job, or refusing it for those
+/// of an equal request of a caller.
+#[test]
+fn crashes_are_never_held_against_an_owed_request() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            let owed = OutgoingRequest { is_owed: true, ..outgoing() };
+            for number in 0..4 {
+                let server = server(&format!("s{number}"));
+                crash_detection::note_broken_connection(&gateway, &server, &owed, 0);
+                crash_detection::disconnect_handler(&gateway, &server, owed.clone(), || false)();
+                crash_detection::note_server_gone(&gateway, &server.id);
+            }
+            assert_eq!(admit(&gateway).await, Ok(SendMode::Normal));
+            crash_servers(&gateway, 3);
+            wait_until("the record is written", || has_record(&store, &gateway)).await;
+            assert!(admit(&gateway).await.is_err());
+            let admitted = AdmittedRequest::admit(&gateway, &owed).await.ok().unwrap();
+            assert!(admitted.may_send(&gateway, &owed));
+            let mut history = AttemptHistory::default();
+            admitted.set_isolation(&gateway, &owed, &mut history);
+            assert_eq!(history, AttemptHistory::default());
+        })
+    });
+}
--- a/crates/heronbend-gateway/tests/suspension.rs
+++ b/crates/heronbend-gateway/tests/suspension.rs
@@ -93,6 +93,7 @@
                 body: Default::default(),
                 reservation: None,
                 billing: None,
+                is_owed: false,
                 fingerprint: Default::default(),
             };
             let limits = RequestLimits {
--- a/crates/heronbend/src/rollout/mod.rs
+++ b/crates/heronbend/src/rollout/mod.rs
@@ -9,11 +9,13 @@
 //! - [`step_record`]: the replicated register of a step. The contents of a batch are sealed there
 //!   before the batch is first returned, so each slot is delivered once even if several daemons
 //!   coordinate the step.
+//! - [`pace`]: delays of requests that keep losing their servers.
 //! - [`coordinator`]: scheduling of samples. Its state is volatile; after a failover it is rebuilt
 //!   from the register.
 
 pub mod api;
 pub mod coordinator;
+pub mod pace;
 pub mod sample;
 pub mod slots;
 pub mod step_record;
--- a/crates/heronbend/src/rollout/tests.rs
+++ b/crates/heronbend/src/rollout/tests.rs
@@ -1,5 +1,6 @@
 use assert_matches::assert_matches;
 
+use super::pace::{Pace, MAX_DELAY};
 use super::sample::append_segment;
 use super::*;
 use crate::identity::{Incarnation, NodeId};
@@ -186,3 +187,21 @@
     let mut coordinator = StepCoordinator::new(plan(2, 1), delivered);
     assert_eq!(started_slots(&coordinator.schedule(Moment::ZERO, 9)), [1]);
 }
+
+/// Guards against an accepted request that rests ever longer because its servers crash.
+#[test]
+fn attempts_are_delayed_after_three_lost_servers_by_a_bounded_time() {
+    let mut pace = Pace::default();
+    let mut delays = Vec::new();
+    for _ in 0..6 {
+        delays.push(pace.delay().as_secs());
+        pace.record_loss();
+    }
+    assert_eq!(delays, [0, 0, 0, 1, 2, 3]);
+    for _ in 0..1000 {
+        pace.record_loss();
+        assert!(pace.delay() <= MAX_DELAY);
+    }
+    pace.record_answer();
+    assert!(pace.delay().is_zero());
+}
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -26,6 +26,7 @@
 //! - [`checkpoints`]: checkpoints of the output of batch items.
 //! - [`command_lease`]: the lease under which one daemon at a time sends commands.
 //! - [`job_ownership`]: which daemon runs a batch job, and that an owned job runs.
+//! - [`owed_item`]: when an accepted item under which servers crash is placed again.
 //! - [`quarantine`]: quarantine of requests that crash their servers.
 //! - [`result_log`]: the result log of a batch job, with concurrent writers.
 //! - [`shared_rate_limit`]: a rate limit that daemons share by issuing permits.
@@ -40,6 +41,7 @@
 pub mod interner;
 pub mod job_ownership;
 pub mod model;
+pub mod owed_item;
 pub mod quarantine;
 pub mod result_log;
 pub mod scenario;
--- a/spec/tests/gateway_protocols.rs
+++ b/spec/tests/gateway_protocols.rs
@@ -10,6 +10,8 @@
 use heronbend_spec::explore::{explore, System};
 use heronbend_spec::job_ownership;
 use heronbend_spec::job_ownership::JobOwnership;
+use heronbend_spec::owed_item;
+use heronbend_spec::owed_item::OwedItem;
 use heronbend_spec::quarantine;
 use heronbend_spec::quarantine::Quarantine;
 use heronbend_spec::result_log::{self, SharedLog};
@@ -119,6 +121,10 @@
 const QUARANTINE_OF_THREE: Quarantine =
     Quarantine { daemons: 3, sends: 4, lost_responses: 0, ..QUARANTINE };
 
+/// More crashes than the quarantine threshold and all probes of a call.
+const OWED_ITEM: OwedItem =
+    OwedItem { crashes: 12, takeovers: 2, mutation: owed_item::Mutation::None };
+
 /// Two daemons whose demand changes.
 const CHANGED_DEMAND: CapacityShares = CapacityShares {
     daemons: 2,
@@ -316,6 +322,20 @@
     }
 }
 
+/// Guards against an accepted item that no server runs because servers crashed under it.
+#[test]
+fn an_owed_item_is_placed_in_the_end() {
+    assert_invariants_hold(&OWED_ITEM);
+}
+
+#[test]
+fn every_guard_of_an_owed_item_is_needed() {
+    use owed_item::Mutation::{GrowsForever, Quarantines};
+    for mutation in [Quarantines, GrowsForever] {
+        assert_counterexample(&OwedItem { mutation, ..OWED_ITEM });
+    }
+}
+
 #[test]
 fn shares_of_a_capacity_never_exceed_it_while_demand_changes() {
     for system in [CHANGED_DEMAND, LATE_REPORT, THREE_DAEMONS] {
