Return probes that no server ran

Cause: the record is raised when a probe is granted, and nothing took it back; a rejected attempt also ended the probe's call at once (AdmittedRequest counted only NotSent and Held as not run).

Change: a granted probe is a value (quarantine::probe::Probe). Unless an attempt may have run it, dropping it replaces the record at the granted revision, so that a probe granted since stays counted; the request is due after the same delay again. What is not known to have run nowhere is spent: an attempt in flight at the caller's disconnect, a daemon that ends, a refused return.

Tests: a_probe_that_ran_nowhere_is_returned fails without the return (tried by a mutation, as the old code has no such call), a_returned_probe_does_not_change_a_newer_record. spec: at most three probes run with returns; a return after a run has a counterexample.

--- a/crates/heronbend-gateway/src/attempt.rs
+++ b/crates/heronbend-gateway/src/attempt.rs
@@ -94,6 +94,13 @@
     Unknown(&'static str),
 }
 
+impl AttemptFailure {
+    /// Whether the server did not run the request.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::NotRun | Self::Misdirected | Self::NotSent | Self::Held)
+    }
+}
+
 /// Sends `outgoing` to `server` and returns once the response head has arrived and been validated.
 ///
 /// The caller tracks the attempt with an [`AttemptGuard`].
--- a/crates/heronbend-gateway/src/forward.rs
+++ b/crates/heronbend-gateway/src/forward.rs
@@ -307,6 +307,7 @@
         };
         self.history.tried.push(choice.server);
         self.attempts_used += 1;
+        self.admitted_request.note_start();
         // Counted before the task is spawned, so that the next placement decision includes this
         // attempt.
         let guard = AttemptGuard::start(&self.gateway, &server);
@@ -359,12 +360,7 @@
                 None
             }
             Ok(response) => Some(response),
-            Err(
-                failure @ (AttemptFailure::NotRun
-                | AttemptFailure::Misdirected
-                | AttemptFailure::NotSent
-                | AttemptFailure::Held),
-            ) => {
+            Err(failure) if failure.is_not_run() => {
                 self.attempts_used -= 1;
                 if matches!(failure, AttemptFailure::NotRun) {
                     self.rejections += 1;
@@ -376,7 +372,7 @@
                 self.is_response_refused = true;
                 None
             }
-            Err(AttemptFailure::BrokenOff | AttemptFailure::Unknown(_)) => None,
+            Err(_) => None,
         }
     }
 
@@ -496,20 +492,9 @@
         };
         match result {
             Ok(_) => billing.mark_started(started_at),
-            Err(
-                AttemptFailure::NotRun
-                | AttemptFailure::Misdirected
-                | AttemptFailure::NotSent
-                | AttemptFailure::Held,
-            ) => {
-                billing.mark_not_run(started_at);
-            }
+            Err(failure) if failure.is_not_run() => billing.mark_not_run(started_at),
             // Another attempt may succeed, which bills the request once.
-            Err(
-                AttemptFailure::BrokenOff
-                | AttemptFailure::ResponseRefused
-                | AttemptFailure::Unknown(_),
-            ) => {}
+            Err(_) => {}
         }
     }
 }
--- a/crates/heronbend-gateway/src/quarantine/admitted_request.rs
+++ b/crates/heronbend-gateway/src/quarantine/admitted_request.rs
@@ -7,6 +7,7 @@
 use heronbend::quarantine::SendMode;
 
 use super::isolation::Busy;
+use super::probe::Probe;
 use super::Isolation;
 use crate::attempt::AttemptFailure;
 use crate::attempt::OutgoingRequest;
@@ -14,30 +15,42 @@
 use crate::gateway::Gateway;
 
 /// A request that the quarantine has admitted.
-#[derive(Debug, Clone, Copy)]
 pub struct AdmittedRequest {
     mode: SendMode,
-    /// Whether any attempt was sent to a server. A probe permits only one.
-    was_sent: bool,
+    /// The granted probe, which permits only one attempt.
+    probe: Option<Probe>,
 }
 
 impl AdmittedRequest {
+    /// A request that needs no probe.
+    pub(super) fn new(mode: SendMode) -> Self {
+        Self { mode, probe: None }
+    }
+
+    /// A request that is sent as a probe.
+    pub(super) fn as_probe(probe: Probe) -> Self {
+        Self { mode: SendMode::Probe, probe: Some(probe) }
+    }
+
     /// Admits a request, or returns when to retry it. A request of an accepted job is always
     /// admitted.
     pub async fn admit(gateway: &Rc<Gateway>, outgoing: &OutgoingRequest) -> Result<Self, Refused> {
         if outgoing.is_owed {
-            return Ok(Self { mode: SendMode::Normal, was_sent: false });
+            return Ok(Self::new(SendMode::Normal));
         }
-        let fingerprint = || outgoing.fingerprint(gateway.dialect.headers());
-        let mode = super::admit(gateway, fingerprint).await?;
-        Ok(Self { mode, was_sent: false })
+        super::admit(gateway, || outgoing.fingerprint(gateway.dialect.headers())).await
+    }
+
+    /// How the request may be sent.
+    pub fn mode(&self) -> SendMode {
+        self.mode
     }
 
     /// Whether the request may be sent to another server, given the current state of its
     /// fingerprint.
     pub fn may_send(&self, gateway: &Gateway, outgoing: &OutgoingRequest) -> bool {
-        if self.mode == SendMode::Probe {
-            return !self.was_sent;
+        if let Some(probe) = &self.probe {
+            return !probe.may_have_run();
         }
         outgoing.is_owed
             || super::may_retry(gateway, || outgoing.fingerprint(gateway.dialect.headers()))
@@ -57,10 +70,18 @@
         super::set_isolation(gateway, self.mode, fingerprint, history);
     }
 
-    /// Records an attempt; `failure` is `None` if it succeeded.
+    /// Records that an attempt is about to be sent. If its outcome stays unknown, it may have run.
+    pub fn note_start(&mut self) {
+        if let Some(probe) = &mut self.probe {
+            probe.set_may_have_run(true);
+        }
+    }
+
+    /// Records the outcome of an attempt; `failure` is `None` if it succeeded.
     pub fn note_attempt(&mut self, failure: Option<&AttemptFailure>) {
-        let never_sent = matches!(failure, Some(AttemptFailure::NotSent | AttemptFailure::Held));
-        self.was_sent |= !never_sent;
+        if let Some(probe) = &mut self.probe {
+            probe.set_may_have_run(!failure.is_some_and(AttemptFailure::is_not_run));
+        }
     }
 }
 
--- a/crates/heronbend-gateway/src/quarantine/mod.rs
+++ b/crates/heronbend-gateway/src/quarantine/mod.rs
@@ -8,12 +8,14 @@
 //! - [`isolation`]: runs suspect requests isolated from others.
 //! - [`gossip`]: exchanges reports between daemons.
 //! - [`admitted_request`]: the quarantine state of a call or stream across its attempts.
+//! - [`probe`]: a granted probe, which is returned if it ran nowhere.
 //! - [`record`]: the records of quarantined requests in the store.
 
 pub mod admitted_request;
 pub mod crash_detection;
 pub mod gossip;
 pub mod isolation;
+pub mod probe;
 pub mod record;
 
 use std::cell::RefCell;
@@ -82,10 +84,14 @@
 pub async fn admit(
     gateway: &Rc<Gateway>,
     request: impl Fn() -> Fingerprint,
-) -> Result<SendMode, Refused> {
+) -> Result<AdmittedRequest, Refused> {
     let admitted = match admission(gateway, &request).send_mode() {
-        Ok(SendMode::Probe) => record::grant_probe(gateway, request()).await,
-        admitted => admitted,
+        Ok(SendMode::Probe) => {
+            let granted = record::grant_probe(gateway, request()).await;
+            granted.map(AdmittedRequest::as_probe)
+        }
+        Ok(mode) => Ok(AdmittedRequest::new(mode)),
+        Err(refused) => Err(refused),
     };
     if admitted.is_err() {
         gateway.metrics.quarantine_refusals.inc();
--- a/crates/heronbend-gateway/src/quarantine/record.rs
+++ b/crates/heronbend-gateway/src/quarantine/record.rs
@@ -14,7 +14,6 @@
 use heronbend::quarantine::Fingerprint;
 use heronbend::quarantine::Record;
 use heronbend::quarantine::Refused;
-use heronbend::quarantine::SendMode;
 use rand::Rng;
 use serde::Deserialize;
 use serde::Serialize;
@@ -22,6 +21,7 @@
 use smol::Timer;
 
 use super::on_change;
+use super::probe::Probe;
 use super::Origin;
 use crate::gateway::Gateway;
 use crate::ports::Condition;
@@ -45,6 +45,8 @@
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 /// Attempts to delete a record before giving up.
 const MAX_REMOVE_ATTEMPTS: u32 = 8;
+/// Attempts to return a probe before it counts as spent.
+const MAX_RETURN_ATTEMPTS: u32 = 5;
 
 /// Contents of a record in the store.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -166,7 +168,7 @@
 pub(super) async fn grant_probe(
     gateway: &Rc<Gateway>,
     request: Fingerprint,
-) -> Result<SendMode, Refused> {
+) -> Result<Probe, Refused> {
     let refused = Refused { retry_after: DENIED_RETRY_AFTER };
     let record = gateway.quarantine.table.borrow().record(request).ok_or(refused)?;
     let content = json!(RecordContent::new(gateway, request, record.probes + 1));
@@ -189,7 +191,8 @@
     match granted {
         Ok(object) => {
             apply_record(gateway, &object);
-            Ok(SendMode::Probe)
+            let granted = Record { revision: object.revision, probes: record.probes + 1 };
+            Ok(Probe::new(gateway, request, granted))
         }
         Err(StoreError::Conflict(Some(object))) => {
             apply_record(gateway, &object);
@@ -199,6 +202,39 @@
     }
 }
 
+/// Takes a granted probe back in the background. Without effect if the record has changed since
+/// `granted`.
+pub(super) fn return_probe(gateway: &Rc<Gateway>, request: Fingerprint, granted: Record) {
+    let gateway = gateway.clone();
+    let executor = gateway.executor.clone();
+    let returning = async move {
+        for failures in 0..MAX_RETURN_ATTEMPTS {
+            let content = json!(RecordContent::new(&gateway, request, granted.probes - 1));
+            let condition = Condition::At(granted.revision);
+            match gateway.store.replace(KIND, &request.to_string(), content, condition).await {
+                Ok(object) => {
+                    log::info!(
+                        "event=quarantine_probe_returned request={request} probe={}",
+                        granted.probes
+                    );
+                    apply_record(&gateway, &object);
+                    return;
+                }
+                Err(error) => {
+                    log::info!(
+                        "event=quarantine_probe_not_returned request={request} error=\"{error}\""
+                    );
+                    if matches!(error, StoreError::Conflict(_) | StoreError::NotFound) {
+                        return;
+                    }
+                }
+            }
+            Timer::after(backoff(failures)).await;
+        }
+    };
+    executor.spawn(returning).detach();
+}
+
 /// Deletes a record, which releases the request at all daemons.
 pub(super) fn remove(gateway: &Rc<Gateway>, request: Fingerprint) {
     let gateway = gateway.clone();
--- a/crates/heronbend-gateway/src/stream.rs
+++ b/crates/heronbend-gateway/src/stream.rs
@@ -459,6 +459,7 @@
                 self.outgoing.clone(),
                 || false,
             ));
+            self.admitted_request.note_start();
             let sent = self.send(&server, version_status).await;
             self.admitted_request.note_attempt(sent.as_ref().err());
             match sent {
--- a/crates/heronbend-gateway/tests/quarantine.rs
+++ b/crates/heronbend-gateway/tests/quarantine.rs
@@ -10,13 +10,17 @@
 use heronbend::identity::Incarnation;
 use heronbend::placement::AttemptHistory;
 use heronbend::quarantine::Crash;
+use heronbend::quarantine::Limits;
 use heronbend::quarantine::Refused;
 use heronbend::quarantine::Report;
 use heronbend::quarantine::SendMode;
+use heronbend_gateway::attempt::AttemptFailure;
 use heronbend_gateway::attempt::OutgoingRequest;
 use heronbend_gateway::directory::Server;
 use heronbend_gateway::directory::ServerState;
 use heronbend_gateway::gateway::Gateway;
+use heronbend_gateway::ports::Condition;
+use heronbend_gateway::ports::ObjectStore;
 use heronbend_gateway::quarantine;
 use heronbend_gateway::quarantine::crash_detection;
 use heronbend_gateway::quarantine::gossip;
@@ -70,7 +74,7 @@
 
 async fn admit(gateway: &Rc<Gateway>) -> Result<SendMode, Refused> {
     let fingerprint = || outgoing().fingerprint(gateway.dialect.headers());
-    quarantine::admit(gateway, fingerprint).await
+    quarantine::admit(gateway, fingerprint).await.map(|admitted| admitted.mode())
 }
 
 /// Simulates the crash of `count` servers while they run the request.
@@ -254,6 +258,90 @@
     });
 }
 
+/// Number of granted probes that the record counts.
+fn probe_count(store: &MemoryStore, gateway: &Gateway) -> Option<u64> {
+    let name = outgoing().fingerprint(gateway.dialect.headers()).to_string();
+    store.object(record::KIND, &name)?.content["probes"].as_u64()
+}
+
+/// Waits until the quarantined request is admitted as a probe.
+async fn admit_probe(gateway: &Rc<Gateway>) -> AdmittedRequest {
+    loop {
+        match AdmittedRequest::admit(gateway, &outgoing()).await {
+            Ok(admitted) => return admitted,
+            Err(_) => Timer::after(Duration::from_millis(10)).await,
+        };
+    }
+}
+
+/// Guards against spending a probe on an attempt that no server ran, which prolongs the quarantine
+/// of a sound request.
+#[test]
+fn a_probe_that_ran_nowhere_is_returned() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            let first_probe_delay = Duration::from_millis(100);
+            gateway.quarantine.set_limits(Limits { first_probe_delay, ..Limits::default() });
+            crash_servers(&gateway, 3);
+            wait_until("the record is written", || has_record(&store, &gateway)).await;
+            for failure in [
+                AttemptFailure::NotRun,
+                AttemptFailure::Misdirected,
+                AttemptFailure::NotSent,
+                AttemptFailure::Held,
+            ] {
+                let mut admitted = admit_probe(&gateway).await;
+                assert_eq!(probe_count(&store, &gateway), Some(1), "{failure:?}");
+                admitted.note_start();
+                admitted.note_attempt(Some(&failure));
+                assert!(admitted.may_send(&gateway, &outgoing()), "{failure:?}");
+                drop(admitted);
+                wait_until("the probe is returned", || probe_count(&store, &gateway) == Some(0))
+                    .await;
+            }
+            // No server was available.
+            drop(admit_probe(&gateway).await);
+            wait_until("the probe is returned", || probe_count(&store, &gateway) == Some(0)).await;
+            // Its caller disconnects while a server may be running it.
+            let mut admitted = admit_probe(&gateway).await;
+            admitted.note_start();
+            assert!(!admitted.may_send(&gateway, &outgoing()));
+            drop(admitted);
+            Timer::after(Duration::from_millis(300)).await;
+            assert_eq!(probe_count(&store, &gateway), Some(1));
+        })
+    });
+}
+
+/// Guards against returning a probe that another daemon was granted since.
+#[test]
+fn a_returned_probe_does_not_change_a_newer_record() {
+    run(|executor| {
+        Box::pin(async move {
+            let store = Rc::new(MemoryStore::default());
+            let gateway = gateway("a", &store, &executor);
+            let first_probe_delay = Duration::from_millis(100);
+            gateway.quarantine.set_limits(Limits { first_probe_delay, ..Limits::default() });
+            crash_servers(&gateway, 3);
+            wait_until("the record is written", || has_record(&store, &gateway)).await;
+            let admitted = admit_probe(&gateway).await;
+            let name = outgoing().fingerprint(gateway.dialect.headers()).to_string();
+            let record = store.object(record::KIND, &name).unwrap();
+            let mut content = record.content.clone();
+            content["probes"] = 2.into();
+            store
+                .replace(record::KIND, &name, content, Condition::At(record.revision))
+                .await
+                .unwrap();
+            drop(admitted);
+            Timer::after(Duration::from_millis(300)).await;
+            assert_eq!(probe_count(&store, &gateway), Some(2));
+        })
+    });
+}
+
 /// Guards against holding crashes against the request of an accepted job, or refusing it for those
 /// of an equal request of a caller.
 #[test]
--- a/spec/src/quarantine.rs
+++ b/spec/src/quarantine.rs
@@ -2,7 +2,8 @@
 //! crashes, which may be lost, delayed or duplicated; daemons restart, and responses of the store
 //! are lost.
 //!
-//! A daemon may send the request whenever its state admits it, and a probe is always due. A report
+//! A daemon may send the request whenever its state admits it, and a probe is always due. A probe
+//! that no server ran is returned. A report
 //! of a crash may reach any daemon at any later time, any number of times, or never.
 //!
 //! Invariants: all daemons together run at most the maximum number of probes, and between restarts
@@ -38,6 +39,8 @@
     ProbesWithoutGrant,
     /// The store grants a probe regardless of the record's revision.
     GrantsUnconditionally,
+    /// A probe is returned although a server ran it.
+    ReturnsAfterRun,
 }
 
 /// The system and its bounds.
@@ -51,6 +54,8 @@
     pub restarts: u8,
     /// Lost responses of the store in total.
     pub lost_responses: u8,
+    /// Probes that are returned in total.
+    pub returns: u8,
     /// The removed guard.
     pub mutation: Mutation,
 }
@@ -59,7 +64,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum InFlight {
     Normal,
-    Probe,
+    /// A probe, granted by the record at this revision.
+    Probe(u64),
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
@@ -88,6 +94,7 @@
     sends: u8,
     restarts: u8,
     lost_responses: u8,
+    returns: u8,
 }
 
 fn request() -> Fingerprint {
@@ -141,7 +148,7 @@
         let (revision, probes) = next.daemons[index].record?;
         if self.mutation == Mutation::ProbesWithoutGrant {
             next.daemons[index].record = Some((revision, probes + 1));
-            next.daemons[index].in_flight = Some(InFlight::Probe);
+            next.daemons[index].in_flight = Some(InFlight::Probe(revision));
             return Some(next);
         }
         let stored = next.store?;
@@ -157,7 +164,7 @@
             return Some(next);
         }
         next.daemons[index].record = granted;
-        next.daemons[index].in_flight = Some(InFlight::Probe);
+        next.daemons[index].in_flight = Some(InFlight::Probe(stored.0 + 1));
         Some(next)
     }
 
@@ -171,15 +178,41 @@
         daemon.in_flight = None;
         match in_flight {
             InFlight::Normal => daemon.crashed += 1,
-            InFlight::Probe => next.finished_probes += 1,
+            InFlight::Probe(_) => next.finished_probes += 1,
         }
         if self.mutation != Mutation::ForgetsCrashes {
             daemon.known_crashes.insert(server);
             next.reported.insert(server);
         }
+        if let (InFlight::Probe(granted), Mutation::ReturnsAfterRun) = (in_flight, self.mutation) {
+            Self::take_probe_back(&mut next, index, granted);
+        }
         Some(next)
     }
 
+    /// A daemon returns a probe that no server ran.
+    fn return_probe(&self, state: &State, index: usize) -> Option<State> {
+        let Some(InFlight::Probe(granted)) = state.daemons[index].in_flight else {
+            return None;
+        };
+        let mut next = state.clone();
+        next.returns = state.returns.checked_sub(1)?;
+        next.daemons[index].in_flight = None;
+        Self::take_probe_back(&mut next, index, granted);
+        Some(next)
+    }
+
+    /// Replaces the record, unless it has changed since the probe was granted.
+    fn take_probe_back(next: &mut State, index: usize, granted: u64) {
+        let Some((revision, probes)) = next.store else {
+            return;
+        };
+        if revision == granted {
+            next.store = Some((revision + 1, probes.saturating_sub(1)));
+            next.daemons[index].merge_record(next.store);
+        }
+    }
+
     /// A report of a crash arrives.
     fn receive_report(&self, state: &State, index: usize, server: u8) -> Option<State> {
         let mut next = state.clone();
@@ -216,7 +249,7 @@
             None => {}
             Some(in_flight) => {
                 next.crashed += 1;
-                next.finished_probes += u8::from(in_flight == InFlight::Probe);
+                next.finished_probes += u8::from(in_flight != InFlight::Normal);
             }
         }
         next.daemons[index] = Daemon::default();
@@ -237,6 +270,7 @@
             sends: self.sends,
             restarts: self.restarts,
             lost_responses: self.lost_responses,
+            returns: self.returns,
         }
     }
 
@@ -247,6 +281,7 @@
                 (self.send(state, index, false), "sends the request"),
                 (self.send(state, index, true), "sends the request, response of the store lost"),
                 (self.crash(state, index), "detects a crash"),
+                (self.return_probe(state, index), "returns a probe"),
                 (self.record(state, index), "records the quarantine"),
                 (self.receive_record(state, index), "receives the record"),
                 (self.restart(state, index), "restarts"),
--- a/spec/tests/gateway_protocols.rs
+++ b/spec/tests/gateway_protocols.rs
@@ -112,15 +112,18 @@
     sends: 8,
     restarts: 0,
     lost_responses: 1,
+    returns: 0,
     mutation: quarantine::Mutation::None,
 };
 /// One of the daemons restarts.
 const RESTARTED_QUARANTINE: Quarantine =
     Quarantine { sends: 5, restarts: 1, lost_responses: 0, ..QUARANTINE };
+/// A probe ran nowhere and is returned.
+const RETURNED_PROBE: Quarantine =
+    Quarantine { sends: 7, lost_responses: 0, returns: 1, ..QUARANTINE };
 /// Three daemons.
 const QUARANTINE_OF_THREE: Quarantine =
     Quarantine { daemons: 3, sends: 4, lost_responses: 0, ..QUARANTINE };
-
 /// More crashes than the quarantine threshold and all probes of a call.
 const OWED_ITEM: OwedItem =
     OwedItem { crashes: 12, takeovers: 2, mutation: owed_item::Mutation::None };
@@ -309,17 +312,20 @@
 
 #[test]
 fn quarantine_bounds_the_crashes_of_a_request() {
-    for system in [QUARANTINE, RESTARTED_QUARANTINE, QUARANTINE_OF_THREE] {
+    for system in [QUARANTINE, RESTARTED_QUARANTINE, RETURNED_PROBE, QUARANTINE_OF_THREE] {
         assert_invariants_hold(&system);
     }
 }
 
 #[test]
 fn every_guard_of_the_quarantine_is_needed() {
-    use quarantine::Mutation::{ForgetsCrashes, GrantsUnconditionally, ProbesWithoutGrant};
+    use quarantine::Mutation::{
+        ForgetsCrashes, GrantsUnconditionally, ProbesWithoutGrant, ReturnsAfterRun,
+    };
     for mutation in [ForgetsCrashes, GrantsUnconditionally, ProbesWithoutGrant] {
         assert_counterexample(&Quarantine { mutation, ..QUARANTINE });
     }
+    assert_counterexample(&Quarantine { mutation: ReturnsAfterRun, ..RETURNED_PROBE });
 }
 
 /// Guards against an accepted item that no server runs because servers crashed under it.
