Standalone daemon: owe the samples of steps, return probes that no backend ran

A crash under the score request of a step's sample is held against it, so that the slot's next attempts are refused; a probe that finds no back end counts as spent, and the request is refused for 60 s more.

Cause: generate and send_to_application know no accepted work, and a probe was counted before a back end was chosen.

Change: requests of steps are owed: admitted always, and only the back end is probed. Slots that keep losing their back ends are delayed as items are (rollout::pace). An admitted attempt is a value that returns its probe on drop unless it may have run.

--- a/crates/heronbend-daemon/src/dispatch.rs
+++ b/crates/heronbend-daemon/src/dispatch.rs
@@ -84,6 +84,9 @@
     pub caller_request: String,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Whether the request belongs to an accepted step, so that it has to run in the end. Crashes of
+    /// backends are not held against it.
+    pub is_owed: bool,
 }
 
 impl ApplicationRequest {
@@ -162,6 +165,34 @@
     }
 }
 
+/// An admitted attempt. If it is a probe, it is returned on drop unless a backend may have run it.
+pub struct AdmittedAttempt {
+    dispatcher: Dispatcher,
+    probe: Option<Fingerprint>,
+    may_have_run: bool,
+}
+
+impl AdmittedAttempt {
+    /// Records that the attempt is about to be sent. If its outcome stays unknown, it may have run.
+    pub fn note_start(&mut self) {
+        self.may_have_run = true;
+    }
+
+    /// Records that the backend did not run the attempt.
+    pub fn note_not_run(&mut self) {
+        self.may_have_run = false;
+    }
+}
+
+impl Drop for AdmittedAttempt {
+    fn drop(&mut self) {
+        if let Some(request) = self.probe.filter(|_| !self.may_have_run) {
+            let inner = &self.dispatcher.inner;
+            inner.quarantine.return_probe(inner.shared.now(), request);
+        }
+    }
+}
+
 impl Dispatcher {
     /// Creates a dispatcher without backends; the first selection loads them.
     pub fn new(shared: Arc<Shared>, executor: Executor) -> Self {
@@ -263,14 +294,24 @@
         self.inner.budget.borrow_mut().deposit(ratio);
     }
 
-    /// Checks a request against the quarantine.
+    /// Checks an attempt of a request against the quarantine.
     ///
     /// # Errors
     ///
     /// Returns [`DispatchError::Quarantined`] if requests with its fingerprint crashed backends.
-    pub fn admit(&self, request: impl FnOnce() -> Fingerprint) -> Result<(), DispatchError> {
+    pub fn admit(
+        &self,
+        request: impl FnOnce() -> Fingerprint,
+    ) -> Result<AdmittedAttempt, DispatchError> {
         let admitted = self.inner.quarantine.admit(self.inner.shared.now(), request);
-        admitted.map_err(|rejection| DispatchError::Quarantined(rejection.retry_after))
+        let probe =
+            admitted.map_err(|rejection| DispatchError::Quarantined(rejection.retry_after))?;
+        Ok(AdmittedAttempt { dispatcher: self.clone(), probe, may_have_run: false })
+    }
+
+    /// An attempt that needs no admission, as the request is owed.
+    pub fn owed_attempt(&self) -> AdmittedAttempt {
+        AdmittedAttempt { dispatcher: self.clone(), probe: None, may_have_run: false }
     }
 
     /// Records a complete response, which clears the request's fingerprint in the quarantine.
@@ -279,18 +320,23 @@
     }
 
     /// Records a failed attempt in the quarantine and returns the failure's message. The backend is
-    /// probed in the background, so that the request does not wait.
+    /// probed in the background, so that the request does not wait. Without a `request` to hold it
+    /// against, the backend is only probed.
     pub fn record_failure(
         &self,
         failure: AttemptFailure,
-        request: Fingerprint,
+        request: Option<Fingerprint>,
         backend: &Backend,
     ) -> String {
         match failure {
             AttemptFailure::NotRun(message) | AttemptFailure::Unknown(message) => message,
             AttemptFailure::ConnectionBroken(message) => {
                 let now = self.inner.shared.now();
-                let run = self.inner.quarantine.note_broken_connection(now, request, backend);
+                let quarantine = &self.inner.quarantine;
+                let run = match request {
+                    Some(request) => quarantine.note_broken_connection(now, request, backend),
+                    None => quarantine.run_id(backend),
+                };
                 self.probe_in_background(now, backend.clone(), run);
                 message
             }
@@ -343,15 +389,21 @@
             if attempt_number > 1 && !self.prepare_retry(attempt_number - 1).await {
                 break;
             }
-            if let Err(error) = self.admit(|| request.fingerprint()) {
-                return Err(last_error.unwrap_or(error));
-            }
+            let admitted = match request.is_owed {
+                true => Ok(self.owed_attempt()),
+                false => self.admit(|| request.fingerprint()),
+            };
+            let mut admitted = match admitted {
+                Ok(admitted) => admitted,
+                Err(error) => return Err(last_error.unwrap_or(error)),
+            };
             let selected = match self.select_backend(pool, None, None, &tried).await {
                 Ok(selected) => selected,
                 Err(error) => return Err(last_error.unwrap_or(error)),
             };
             let remaining = deadline.saturating_duration_since(Instant::now());
             let name = selected.backend.name.clone();
+            admitted.note_start();
             match self.attempt_full_response(&selected.backend, request, remaining).await {
                 Ok(response) => {
                     let failed = response.status.is_server_error();
@@ -366,6 +418,7 @@
                     return Ok(response);
                 }
                 Err(AttemptFailure::NotRun(message)) => {
+                    admitted.note_not_run();
                     selected.finish(RequestOutcome::Failed);
                     last_error = last_error.or(Some(DispatchError::NotRun(message)));
                 }
@@ -374,7 +427,8 @@
                 ) => {
                     let backend = selected.backend.clone();
                     selected.finish(RequestOutcome::Failed);
-                    let message = self.record_failure(failure, request.fingerprint(), &backend);
+                    let blamed = (!request.is_owed).then(|| request.fingerprint());
+                    let message = self.record_failure(failure, blamed, &backend);
                     last_error = Some(DispatchError::Unknown(message));
                     if !request.idempotent {
                         break;
--- a/crates/heronbend-daemon/src/front/application.rs
+++ b/crates/heronbend-daemon/src/front/application.rs
@@ -55,6 +55,7 @@
             body,
             caller_request: admitted.caller_request(),
             idempotent: route.repeatable && key.is_none(),
+            is_owed: false,
         };
         let response = match key {
             Some(key) => {
--- a/crates/heronbend-daemon/src/front/completions.rs
+++ b/crates/heronbend-daemon/src/front/completions.rs
@@ -154,6 +154,7 @@
             priority: request.priority,
             min_version: None,
             caller_request: admitted.caller_request(),
+            is_owed: false,
         })
     }
 
--- a/crates/heronbend-daemon/src/generation.rs
+++ b/crates/heronbend-daemon/src/generation.rs
@@ -48,9 +48,17 @@
     pub min_version: Option<u64>,
     /// Caller name and the caller's request id.
     pub caller_request: String,
+    /// Whether the request belongs to an accepted step, so that it has to run in the end. Crashes of
+    /// backends are not held against it.
+    pub is_owed: bool,
 }
 
 impl GenerationRequest {
+    /// The fingerprint that crashes are held against, if any.
+    fn blamed(&self) -> Option<Fingerprint> {
+        (!self.is_owed).then(|| self.fingerprint())
+    }
+
     /// Returns the fingerprint that identifies repetitions of this request; the seed is ignored.
     fn fingerprint(&self) -> Fingerprint {
         Fingerprint::of(&FingerprintInput {
@@ -158,9 +166,14 @@
         if attempt_number > 1 && !dispatcher.prepare_retry(attempt_number - 1).await {
             break;
         }
-        if let Err(error) = dispatcher.admit(|| request.fingerprint()) {
-            return Err(failure.unwrap_or(error).into());
-        }
+        let admitted = match request.is_owed {
+            true => Ok(dispatcher.owed_attempt()),
+            false => dispatcher.admit(|| request.fingerprint()),
+        };
+        let mut admitted = match admitted {
+            Ok(admitted) => admitted,
+            Err(error) => return Err(failure.unwrap_or(error).into()),
+        };
         let choice =
             dispatcher.select_backend(pool, Some(prefix), request.min_version, &tried).await;
         let selected = match choice {
@@ -170,12 +183,14 @@
         tried.push(selected.backend.name.clone());
         let outgoing = engine_request(&selected.backend.address.to_string(), request, &output);
         let remaining = deadline.saturating_duration_since(Instant::now());
+        admitted.note_start();
         let attempt = dispatcher
             .attempt(&selected.backend, outgoing, &request.caller_request, remaining)
             .await;
         let (reply, attempt) = match attempt {
             Ok(started) => started,
             Err(AttemptFailure::NotRun(message)) => {
+                admitted.note_not_run();
                 selected.finish(RequestOutcome::Failed);
                 failure = Some(failure.unwrap_or(DispatchError::NotRun(message)));
                 continue;
@@ -183,8 +198,7 @@
             Err(broken @ (AttemptFailure::ConnectionBroken(_) | AttemptFailure::Unknown(_))) => {
                 let backend = selected.backend.clone();
                 selected.finish(RequestOutcome::Failed);
-                let request = request.fingerprint();
-                let message = dispatcher.record_failure(broken, request, &backend);
+                let message = dispatcher.record_failure(broken, request.blamed(), &backend);
                 failure = Some(DispatchError::Unknown(message));
                 continue;
             }
@@ -208,7 +222,7 @@
                 selected.finish(RequestOutcome::Failed);
                 if output.segments.is_empty() {
                     let broken = AttemptFailure::ConnectionBroken(message.clone());
-                    dispatcher.record_failure(broken, request.fingerprint(), &backend);
+                    dispatcher.record_failure(broken, request.blamed(), &backend);
                 }
                 failure = Some(DispatchError::Unknown(message));
             }
--- a/crates/heronbend-daemon/src/quarantine.rs
+++ b/crates/heronbend-daemon/src/quarantine.rs
@@ -39,17 +39,29 @@
 }
 
 impl Quarantine {
-    /// Checks whether a request may be sent; an admitted probe is recorded as sent.
-    pub fn admit(&self, now: Moment, request: impl FnOnce() -> Fingerprint) -> Result<(), Refused> {
+    /// Checks whether a request may be sent. Returns its fingerprint if it is a probe, which is
+    /// recorded as sent.
+    pub fn admit(
+        &self,
+        now: Moment,
+        request: impl FnOnce() -> Fingerprint,
+    ) -> Result<Option<Fingerprint>, Refused> {
         let mut table = self.table.borrow_mut();
         if table.is_empty() {
-            return Ok(());
+            return Ok(None);
         }
         let request = request();
-        if table.admission(now, request).send_mode()? == SendMode::Probe {
-            grant_probe(&mut table, now, request);
+        let is_probe = table.admission(now, request).send_mode()? == SendMode::Probe;
+        if is_probe {
+            change_probes(&mut table, now, request, |probes| probes + 1);
         }
-        Ok(())
+        Ok(is_probe.then_some(request))
+    }
+
+    /// Takes a probe back that no backend ran.
+    pub fn return_probe(&self, now: Moment, request: Fingerprint) {
+        let mut table = self.table.borrow_mut();
+        change_probes(&mut table, now, request, |probes| probes.saturating_sub(1));
     }
 
     /// Records that a backend's connection broke before the response was complete. Returns the
@@ -77,7 +89,7 @@
     }
 
     /// Returns the identifier of a backend's current run.
-    fn run_id(&self, backend: &Backend) -> String {
+    pub fn run_id(&self, backend: &Backend) -> String {
         let exits = self.exit_counts.borrow().get(&backend.name).copied().unwrap_or(0);
         format!("{}#{}/{exits}", backend.name, backend.incarnation)
     }
@@ -106,12 +118,21 @@
     }
 }
 
-/// Records a probe as sent. Each thread grants its own.
-fn grant_probe(table: &mut Table, now: Moment, request: Fingerprint) {
+/// Changes the number of probes of a request. Each thread counts its own.
+fn change_probes(
+    table: &mut Table,
+    now: Moment,
+    request: Fingerprint,
+    change: impl FnOnce(usize) -> usize,
+) {
     let known = table.record(request).unwrap_or(Record { revision: 0, probes: 0 });
-    let record = Record { revision: known.revision + 1, probes: known.probes + 1 };
+    let record = Record { revision: known.revision + 1, probes: change(known.probes) };
     table.set_record(now, request, record);
-    log::info!("event=quarantine_probe request={request} probe={}", record.probes);
+    log::info!(
+        "event=quarantine_probe request={request} before={} probes={}",
+        known.probes,
+        record.probes
+    );
 }
 
 /// Returns whether an address refuses connections; a timeout counts as `false`.
--- a/crates/heronbend-daemon/src/tasks/rollout/sampling.rs
+++ b/crates/heronbend-daemon/src/tasks/rollout/sampling.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use heronbend::rollout::{AttemptId, Effect, Sample, SlotIndex};
+use heronbend::rollout::{AttemptFailure, AttemptId, Effect, Sample, SlotIndex};
 use heronbend_http::http_types::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use smol::Timer;
@@ -13,7 +13,8 @@
 use super::step::Step;
 use super::RolloutManager;
 use crate::dispatch::ApplicationRequest;
-use crate::generation::{generate, GenerationRequest, NullSink};
+use crate::dispatch::DispatchError;
+use crate::generation::{generate, GenerationError, GenerationRequest, NullSink};
 
 /// Interval at which step progress is published to the daemon's status.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
@@ -102,13 +103,13 @@
                 task.detach();
             }
             match sample {
-                Some(sample) => {
+                Ok(sample) => {
                     self.shared.metrics.samples_drawn.inc();
                     state.coordinator.on_completed(attempt, sample)
                 }
-                None => {
+                Err(failure) => {
                     self.shared.metrics.draws_failed.inc();
-                    state.coordinator.on_failed(self.shared.now(), attempt);
+                    state.coordinator.on_failed(self.shared.now(), attempt, failure);
                     Vec::new()
                 }
             }
@@ -117,12 +118,17 @@
         self.schedule(step);
     }
 
-    /// Generates a sample and requests its reward from the scorer pool; returns `None` on failure.
-    async fn generate_and_score(&self, step: &Step, slot: SlotIndex) -> Option<Sample> {
-        let settings = self.shared.settings.load_full()?;
-        let pool = settings.policy.pools.get(&step.policy.pool)?;
-        let scorer = settings.policy.pools.get(&step.policy.scorer)?;
-        let prompt = step.request.prompts.get(step.plan.prompt_of(slot) as usize)?;
+    /// Generates a sample and requests its reward from the scorer pool.
+    async fn generate_and_score(
+        &self,
+        step: &Step,
+        slot: SlotIndex,
+    ) -> Result<Sample, AttemptFailure> {
+        const OTHER: AttemptFailure = AttemptFailure::Other;
+        let settings = self.shared.settings.load_full().ok_or(OTHER)?;
+        let pool = settings.policy.pools.get(&step.policy.pool).ok_or(OTHER)?;
+        let scorer = settings.policy.pools.get(&step.policy.scorer).ok_or(OTHER)?;
+        let prompt = step.request.prompts.get(step.plan.prompt_of(slot) as usize).ok_or(OTHER)?;
         let floor = step.state.borrow().floor;
         let seed = seed_for(&step.name, slot);
         let caller_request = format!("{}:step-{}-{}", step.name.trainer, step.name.step, slot.0);
@@ -134,9 +140,15 @@
             priority: 1,
             min_version: Some(floor),
             caller_request: caller_request.clone(),
+            is_owed: true,
         };
-        let generated = generate(&self.dispatcher, pool, &request, &mut NullSink).await.ok()?;
-        let body = serde_json::to_vec(&ScoreRequest { text: &generated.text }).ok()?;
+        let generated = generate(&self.dispatcher, pool, &request, &mut NullSink).await;
+        let generated = generated.map_err(|error| match error {
+            GenerationError::Dispatch(error) => failure_of(&error),
+            GenerationError::ClientGone => OTHER,
+        })?;
+        let body =
+            serde_json::to_vec(&ScoreRequest { text: &generated.text }).map_err(|_| OTHER)?;
         let score_request = ApplicationRequest {
             method: Method::Post,
             target: "/score".to_owned(),
@@ -144,13 +156,15 @@
             body,
             caller_request,
             idempotent: true,
+            is_owed: true,
         };
-        let response = self.dispatcher.send_to_application(scorer, &score_request).await.ok()?;
+        let response = self.dispatcher.send_to_application(scorer, &score_request).await;
+        let response = response.map_err(|error| failure_of(&error))?;
         if response.status != StatusCode::Ok {
-            return None;
+            return Err(OTHER);
         }
-        let score: Score = serde_json::from_slice(&response.body).ok()?;
-        Some(Sample {
+        let score: Score = serde_json::from_slice(&response.body).map_err(|_| OTHER)?;
+        Ok(Sample {
             slot,
             seed,
             text: generated.text,
@@ -161,6 +175,14 @@
     }
 }
 
+/// Whether an attempt may have lost the backend that ran it.
+fn failure_of(error: &DispatchError) -> AttemptFailure {
+    match error {
+        DispatchError::Unknown(_) => AttemptFailure::BackendLost,
+        _ => AttemptFailure::Other,
+    }
+}
+
 #[derive(Serialize)]
 struct ScoreRequest<'a> {
     text: &'a str,
--- a/crates/heronbend-emulator/src/experiment/rollout.rs
+++ b/crates/heronbend-emulator/src/experiment/rollout.rs
@@ -14,8 +14,8 @@
 use heronbend::identity::Incarnation;
 use heronbend::lifecycle::{Backend, BackendName, Phase};
 use heronbend::rollout::{
-    AttemptId, Effect, FinishReason, NextBatch, Sample, SamplingOrder, Segment, SlotIndex, SlotSet,
-    StepCoordinator, StepPlan,
+    AttemptFailure, AttemptId, Effect, FinishReason, NextBatch, Sample, SamplingOrder, Segment,
+    SlotIndex, SlotSet, StepCoordinator, StepPlan,
 };
 use heronbend::routing::{Query, RequestOutcome, Router};
 use rand::rngs::SmallRng;
@@ -587,7 +587,8 @@
             self.record_waste(engine, &running);
             let moment = self.moment();
             if let Some(step) = self.steps.get_mut(&running.step) {
-                step.coordinator.on_failed(moment, running.attempt);
+                let failure = AttemptFailure::BackendLost;
+                step.coordinator.on_failed(moment, running.attempt, failure);
             }
         }
         self.schedule(self.now + RETRY_DELAY_SECONDS, Event::RetryFailed);
--- a/crates/heronbend/src/rollout/coordinator.rs
+++ b/crates/heronbend/src/rollout/coordinator.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::pace::Pace;
 use super::sample::Sample;
 use super::slots::{SlotIndex, SlotSet};
 use super::waiting::WaitingQueue;
@@ -22,6 +23,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptId(pub u64);
 
+/// Why an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// The backend that ran it was lost, or may have been.
+    BackendLost,
+    /// Any other reason.
+    Other,
+}
+
 /// Order in which waiting slots are generated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -105,6 +115,8 @@
     waiting: WaitingQueue,
     in_flight: BTreeMap<AttemptId, Attempt>,
     longest_by_prompt: BTreeMap<u32, u32>,
+    /// Slots whose last attempts lost their backends.
+    paces: BTreeMap<SlotIndex, Pace>,
     next_attempt: u64,
     wasted_tokens: u64,
 }
@@ -119,6 +131,7 @@
             waiting: WaitingQueue::default(),
             in_flight: BTreeMap::new(),
             longest_by_prompt: BTreeMap::new(),
+            paces: BTreeMap::new(),
             next_attempt: 0,
             wasted_tokens: 0,
         };
@@ -156,17 +169,25 @@
             self.wasted_tokens += u64::from(sample.tokens());
             return Vec::new();
         };
+        self.paces.remove(&slot);
         self.record_length(slot, sample.tokens());
         self.ready.push_back(sample);
         self.cancel_attempts(slot)
     }
 
-    /// Records a failed attempt. Its slot is retried unless another attempt is in flight.
-    pub fn on_failed(&mut self, now: Moment, attempt: AttemptId) {
-        if let Some(Attempt { slot, .. }) = self.in_flight.remove(&attempt) {
-            if !self.in_flight.values().any(|other| other.slot == slot) {
-                self.waiting.push_delayed(now + RETRY_DELAY, slot);
-            }
+    /// Records a failed attempt. Its slot is retried unless another attempt is in flight, later if
+    /// it keeps losing its backends.
+    pub fn on_failed(&mut self, now: Moment, attempt: AttemptId, failure: AttemptFailure) {
+        let Some(Attempt { slot, .. }) = self.in_flight.remove(&attempt) else {
+            return;
+        };
+        let pace = self.paces.entry(slot).or_default();
+        if failure == AttemptFailure::BackendLost {
+            pace.record_loss();
+        }
+        let delay = pace.delay().max(RETRY_DELAY);
+        if !self.in_flight.values().any(|other| other.slot == slot) {
+            self.waiting.push_delayed(now + delay, slot);
         }
     }
 
--- a/crates/heronbend/src/rollout/mod.rs
+++ b/crates/heronbend/src/rollout/mod.rs
@@ -24,7 +24,9 @@
 #[cfg(test)]
 mod tests;
 
-pub use coordinator::{AttemptId, Effect, NextBatch, SamplingOrder, StepCoordinator, StepPlan};
+pub use coordinator::{
+    AttemptFailure, AttemptId, Effect, NextBatch, SamplingOrder, StepCoordinator, StepPlan,
+};
 pub use sample::{FinishReason, Sample, Segment};
 pub use slots::{SlotIndex, SlotSet};
 pub use step_record::{SealedBatch, StepChange, StepRecord, StepRefusal, StepResponse};
--- a/crates/heronbend/src/rollout/tests.rs
+++ b/crates/heronbend/src/rollout/tests.rs
@@ -174,7 +174,7 @@
 fn failed_attempt_is_retried_after_a_delay() {
     let mut coordinator = StepCoordinator::new(plan(1, 1), SlotSet::new());
     coordinator.schedule(Moment::ZERO, 1);
-    coordinator.on_failed(Moment::ZERO, AttemptId(0));
+    coordinator.on_failed(Moment::ZERO, AttemptId(0), AttemptFailure::Other);
     assert!(coordinator.schedule(Moment::ZERO, 1).is_empty());
     let after_delay = Moment::from_secs(1);
     assert_eq!(started_slots(&coordinator.schedule(after_delay, 1)), [0]);
@@ -205,3 +205,21 @@
     pace.record_answer();
     assert!(pace.delay().is_zero());
 }
+
+/// Guards against a sample that takes one backend after the other from the requests of callers.
+#[test]
+fn a_slot_that_keeps_losing_its_backends_is_delayed() {
+    let mut coordinator = StepCoordinator::new(plan(1, 1), SlotSet::new());
+    let mut now = Moment::ZERO;
+    for delay in [1, 1, 1000, 2000, 3000, 3000].map(Moment::from_millis) {
+        let started = loop {
+            match coordinator.schedule(now, 1).as_slice() {
+                [Effect::Start { attempt, .. }] => break *attempt,
+                _ => now += Moment::from_millis(1),
+            }
+        };
+        coordinator.on_failed(now, started, AttemptFailure::BackendLost);
+        assert!(coordinator.schedule(now + delay - Moment::from_millis(1), 1).is_empty());
+        assert!(coordinator.schedule(now, 1).is_empty());
+    }
+}
