Take a route for removed only from a configuration as new as the job's

Cause: an item whose route is missing was given up by time alone. A daemon that the store refuses may be behind for longer. A route without a service in force ended its items at once.

Change: a job carries the version under which it was accepted (0 from older builds); an older configuration says nothing about its route. A route without a service is waited for.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -141,10 +141,7 @@
                 continue;
             };
             let Some(route) = self.route(&configuration) else {
-                // The daemon that accepted the job may have a newer configuration.
-                let missing_since = *self.route_missing_since.get_or_insert(self.gateway.now());
-                let missing_for = self.gateway.now().saturating_sub(missing_since);
-                if missing_for > self.gateway.tuning().configuration_notice * 2 {
+                if self.is_route_removed(&configuration) {
                     return self.terminated("route removed");
                 }
                 Timer::after(CONFIGURATION_POLL_INTERVAL).await;
@@ -152,7 +149,9 @@
             };
             self.route_missing_since = None;
             let Some(service) = self.service(&route) else {
-                return self.terminated("route without a service");
+                // A later configuration may give the route a service again.
+                Timer::after(CONFIGURATION_POLL_INTERVAL).await;
+                continue;
             };
             let requirements = self.requirements(&configuration, &route, &service);
             let urgency = self.urgency(&configuration, &route);
@@ -196,6 +195,18 @@
         self.text.borrow().result(&self.item.id, score)
     }
 
+    /// Whether the route, which `configuration` lacks, has been removed since the job was accepted.
+    /// A daemon that is behind may not have the route yet.
+    fn is_route_removed(&mut self, configuration: &Configuration) -> bool {
+        if configuration.version < self.specification.configuration {
+            self.route_missing_since = None;
+            return false;
+        }
+        let now = self.gateway.now();
+        let missing_since = *self.route_missing_since.get_or_insert(now);
+        now.saturating_sub(missing_since) > self.gateway.tuning().configuration_notice * 2
+    }
+
     async fn acquire_slot(
         &self,
         requirements: Requirements,
--- a/crates/heronbend-gateway/src/batch/specification.rs
+++ b/crates/heronbend-gateway/src/batch/specification.rs
@@ -23,6 +23,10 @@
     #[serde(default)]
     #[musli(default)]
     pub tenant: Option<String>,
+    /// Version of the configuration under which the job was accepted; 0 if it is unknown.
+    #[serde(default)]
+    #[musli(default)]
+    pub configuration: u64,
 }
 
 impl JobSpecification {
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -465,6 +465,7 @@
     specification.host = host.to_owned();
     specification.path = head.uri.path().to_owned();
     specification.tenant = caller.tenant().map(str::to_owned);
+    specification.configuration = gateway.configuration().map_or(0, |known| known.version);
     let (items, step) = (specification.items.len(), specification.step.clone());
     let submitted = submission::submit(gateway, specification, arrived + STORE_TIMEOUT).await;
     log::info!(
--- a/crates/heronbend-gateway/tests/support/mod.rs
+++ b/crates/heronbend-gateway/tests/support/mod.rs
@@ -4,12 +4,14 @@
 pub mod json_dialect;
 pub mod memory_store;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use heronbend::identity::{Incarnation, NodeId, NodeName};
 use heronbend::membership::{Liveness, Member};
 use heronbend::quarantine::Limits;
+use heronbend::Moment;
 use heronbend_gateway::batch::{Item, ItemResult, ItemState, JobSpecification, TrainerStep};
 use heronbend_gateway::clock::Clock;
 use heronbend_gateway::configuration::{Destination, Route, RouteKind};
@@ -117,6 +119,7 @@
             desired_groups: 1,
         }),
         tenant: None,
+        configuration: 0,
     }
 }
 
@@ -191,3 +194,20 @@
     }
     panic!("timed out waiting until {what}");
 }
+
+/// A clock that the test advances.
+#[derive(Clone, Default)]
+pub struct TestClock(Rc<Cell<Moment>>);
+
+impl TestClock {
+    /// The clock as given to a gateway.
+    pub fn clock(&self) -> Clock {
+        let now = self.0.clone();
+        Clock::from_fn(move || now.get())
+    }
+
+    /// Advances the clock.
+    pub fn advance(&self, time: Duration) {
+        self.0.set(self.0.get() + time);
+    }
+}
--- a/crates/heronbend-gateway/tests/suspension.rs
+++ b/crates/heronbend-gateway/tests/suspension.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use std::cell::Cell;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,10 +9,8 @@
 use assert_matches::assert_matches;
 use futures_lite::FutureExt;
 use heronbend::identity::Incarnation;
-use heronbend::Moment;
 use heronbend_gateway::attempt::OutgoingRequest;
 use heronbend_gateway::call_admission::AdmittedCall;
-use heronbend_gateway::clock::Clock;
 use heronbend_gateway::directory::Server;
 use heronbend_gateway::directory::ServerState;
 use heronbend_gateway::forward::forward;
@@ -25,24 +22,10 @@
 use support::gateway_with_clock;
 use support::memory_store::MemoryStore;
 use support::run;
+use support::TestClock;
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// A clock that the test advances.
-#[derive(Clone, Default)]
-struct TestClock(Rc<Cell<Moment>>);
-
-impl TestClock {
-    fn clock(&self) -> Clock {
-        let now = self.0.clone();
-        Clock::from_fn(move || now.get())
-    }
-
-    fn advance(&self, time: Duration) {
-        self.0.set(self.0.get() + time);
-    }
-}
-
 #[test]
 fn a_suspension_counts_towards_the_age_of_store_data() {
     run(|executor| {
