Reject jobs with requests that can never be sent, with all problems

Cause: submission checked the items' bodies and paths alone, and the caller was not told what is wrong.

Change: identifiers, headers and reward calls are checked too; the 400 carries all problems with their places.

--- a/crates/heronbend-gateway/src/batch/submission.rs
+++ b/crates/heronbend-gateway/src/batch/submission.rs
@@ -9,6 +9,8 @@
 use heronbend::access::Caller;
 use heronbend::identity::NodeId;
 use heronbend::Moment;
+use http::HeaderName;
+use http::HeaderValue;
 use http::StatusCode;
 use serde_json::json;
 use smol::Timer;
@@ -123,17 +125,37 @@
     }
 }
 
+/// Checks the parts of a request that has to be sent to servers later.
+fn check_request(name: &str, id: &str, path: &str, body: &str, problems: &mut Vec<String>) {
+    if HeaderValue::from_str(id).is_err() {
+        problems.push(format!("{name}: the identifier is malformed"));
+    }
+    if path.parse::<http::Uri>().is_err() {
+        problems.push(format!("{name}: the path is malformed"));
+    }
+    if !is_base64(body) {
+        problems.push(format!("{name}: the body is not base64"));
+    }
+}
+
 fn validate(specification: &JobSpecification) -> Result<(), SubmitError> {
     let mut problems = Vec::new();
     if specification.items.is_empty() {
         problems.push("there are no items".to_owned());
     }
     for item in &specification.items {
-        if !is_base64(&item.body) {
-            problems.push(format!("item {}: the body is not base64", item.id));
+        let name = format!("item {}", item.id);
+        check_request(&name, &item.id, &item.path, &item.body, &mut problems);
+        for (header, value) in &item.headers {
+            let is_valid = HeaderName::from_bytes(header.as_bytes()).is_ok()
+                && HeaderValue::from_str(value).is_ok();
+            if !is_valid {
+                problems.push(format!("{name}: the header {header:?} is malformed"));
+            }
         }
-        if item.path.parse::<http::Uri>().is_err() {
-            problems.push(format!("item {}: the path is malformed", item.id));
+        if let Some(call) = &item.reward {
+            let name = format!("{name}, reward call");
+            check_request(&name, &call.id, &call.path, &call.body, &mut problems);
         }
     }
     if problems.is_empty() {
--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -483,6 +483,9 @@
     match submitted {
         Ok(()) => text_response(StatusCode::ACCEPTED, "accepted"),
         Err(SubmitError::Unavailable) => not_run("not taken"),
+        Err(SubmitError::Malformed(problems)) => {
+            bytes_response(StatusCode::BAD_REQUEST, "text/plain", problems.into())
+        }
         Err(error) => text_response(error.status(), "not accepted"),
     }
 }
