Delay an owed request once after each lost server

Found in reading the diff: an attempt that a server rejected, or that found none, was delayed again like the loss before it, so that an item could be at no server for 3 s twice in a row, over the 5 s of LOST.

Change: the delay is taken once after each loss. The standalone daemon's slots likewise.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -264,7 +264,7 @@
         self.attempts_without_progress += 1;
         let backoff =
             BACKOFF_BASE * 2_u32.pow(self.attempts_without_progress.min(MAX_BACKOFF_DOUBLINGS));
-        let paced = self.pace.delay();
+        let paced = self.pace.take_delay();
         if !paced.is_zero() {
             log::warn!(
                 "event=item_paced job={} item={} delay_ms={}",
--- a/crates/heronbend-gateway/src/batch/reward.rs
+++ b/crates/heronbend-gateway/src/batch/reward.rs
@@ -80,7 +80,7 @@
             Err(ForwardError::Unknown) => pace.record_loss(),
             Err(_) => {}
         }
-        let retry_delay = retry_delay(&answer).max(pace.delay());
+        let retry_delay = retry_delay(&answer).max(pace.take_delay());
         log::info!(
             "event=reward_failed job={} item={item} reward={} failures={failures} status={}",
             job.id,
@@ -96,10 +96,10 @@
 
 /// Maximum number of servers tried in the next round.
 fn attempts_per_round(pace: Pace) -> u32 {
-    if pace.delay().is_zero() {
-        ATTEMPTS_PER_ROUND
-    } else {
+    if pace.is_delaying() {
         1
+    } else {
+        ATTEMPTS_PER_ROUND
     }
 }
 
--- a/crates/heronbend/src/rollout/coordinator.rs
+++ b/crates/heronbend/src/rollout/coordinator.rs
@@ -185,7 +185,7 @@
         if failure == AttemptFailure::BackendLost {
             pace.record_loss();
         }
-        let delay = pace.delay().max(RETRY_DELAY);
+        let delay = pace.take_delay().max(RETRY_DELAY);
         if !self.in_flight.values().any(|other| other.slot == slot) {
             self.waiting.push_delayed(now + delay, slot);
         }
--- a/crates/heronbend/src/rollout/pace.rs
+++ b/crates/heronbend/src/rollout/pace.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 pub struct Pace {
     losses: u32,
+    /// Whether the delay for the last loss is still to be waited for.
+    is_due: bool,
 }
 
 impl Pace {
@@ -26,15 +28,25 @@
     /// response.
     pub fn record_loss(&mut self) {
         self.losses = self.losses.saturating_add(1);
+        self.is_due = true;
     }
 
     /// Records an attempt that a server answered, in whole or in part.
     pub fn record_answer(&mut self) {
-        self.losses = 0;
+        *self = Self::default();
     }
 
-    /// Delay before the next attempt.
-    pub fn delay(&self) -> Duration {
+    /// Whether attempts are delayed.
+    pub fn is_delaying(&self) -> bool {
+        self.losses >= LOSS_THRESHOLD
+    }
+
+    /// Delay before the next attempt, once after each loss. Attempts that no server ran in between
+    /// are not delayed, as the request would be at no server for too long.
+    pub fn take_delay(&mut self) -> Duration {
+        if !std::mem::take(&mut self.is_due) {
+            return Duration::ZERO;
+        }
         let Some(doublings) = self.losses.checked_sub(LOSS_THRESHOLD) else {
             return Duration::ZERO;
         };
--- a/crates/heronbend/src/rollout/tests.rs
+++ b/crates/heronbend/src/rollout/tests.rs
@@ -193,17 +193,20 @@
 fn attempts_are_delayed_after_three_lost_servers_by_a_bounded_time() {
     let mut pace = Pace::default();
     let mut delays = Vec::new();
-    for _ in 0..6 {
-        delays.push(pace.delay().as_secs());
+    for _ in 0..5 {
         pace.record_loss();
+        delays.push(pace.take_delay().as_secs());
+        // An attempt that no server ran.
+        assert!(pace.take_delay().is_zero());
     }
-    assert_eq!(delays, [0, 0, 0, 1, 2, 3]);
+    assert_eq!(delays, [0, 0, 1, 2, 3]);
     for _ in 0..1000 {
         pace.record_loss();
-        assert!(pace.delay() <= MAX_DELAY);
+        assert!(pace.take_delay() <= MAX_DELAY);
     }
+    assert!(pace.is_delaying());
     pace.record_answer();
-    assert!(pace.delay().is_zero());
+    assert!(!pace.is_delaying());
 }
 
 /// Guards against a sample that takes one backend after the other from the requests of callers.
--- a/spec/src/owed_item.rs
+++ b/spec/src/owed_item.rs
@@ -26,6 +26,8 @@
     Quarantines,
     /// The delay grows without a bound.
     GrowsForever,
+    /// An attempt that no server ran is delayed like one that lost its server.
+    DelaysRejections,
 }
 
 /// The system and its bounds.
@@ -33,6 +35,8 @@
 pub struct OwedItem {
     /// Servers that crash under the item in total.
     pub crashes: u8,
+    /// Attempts that servers reject without running them in total.
+    pub rejections: u8,
     /// Changes of the job's owner in total.
     pub takeovers: u8,
     /// The removed guard.
@@ -52,11 +56,12 @@
     /// Crashes that all daemons know of.
     known_crashes: u8,
     crashes: u8,
+    rejections: u8,
     takeovers: u8,
 }
 
 impl OwedItem {
-    fn delay(&self, pace: Pace, known_crashes: u8) -> Duration {
+    fn delay(&self, pace: &mut Pace, known_crashes: u8) -> Duration {
         let limits = Limits::default();
         let beyond_threshold = usize::from(known_crashes).checked_sub(limits.crash_threshold);
         match (self.mutation, beyond_threshold) {
@@ -64,7 +69,7 @@
                 limits.probe_delay(probes).unwrap_or(limits.retention)
             }
             (Mutation::GrowsForever, _) => TICK * 2_u32.pow(u32::from(known_crashes)),
-            _ => pace.delay(),
+            _ => pace.take_delay(),
         }
     }
 
@@ -86,7 +91,20 @@
         next.is_running = false;
         next.known_crashes += 1;
         next.pace.record_loss();
-        next.wait = self.delay(next.pace, next.known_crashes).as_secs();
+        next.wait = self.delay(&mut next.pace, next.known_crashes).as_secs();
+        Some(next)
+    }
+
+    fn reject(&self, state: &State) -> Option<State> {
+        if state.is_done || state.is_running || state.wait > 0 {
+            return None;
+        }
+        let mut next = state.clone();
+        next.rejections = state.rejections.checked_sub(1)?;
+        if self.mutation == Mutation::DelaysRejections {
+            next.pace.record_loss();
+        }
+        next.wait = next.pace.take_delay().as_secs();
         Some(next)
     }
 
@@ -124,6 +142,7 @@
             unplaced: 0,
             known_crashes: 0,
             crashes: self.crashes,
+            rejections: self.rejections,
             takeovers: self.takeovers,
         }
     }
@@ -133,6 +152,7 @@
             (self.place(state), "a server takes the item"),
             (self.finish(state), "the item is done"),
             (self.crash(state), "the server crashes"),
+            (self.reject(state), "a server rejects the item"),
             (self.take_over(state), "another daemon takes the job over"),
             (self.tick(state), "a second passes"),
         ];
--- a/spec/tests/gateway_protocols.rs
+++ b/spec/tests/gateway_protocols.rs
@@ -126,7 +126,7 @@
     Quarantine { daemons: 3, sends: 4, lost_responses: 0, ..QUARANTINE };
 /// More crashes than the quarantine threshold and all probes of a call.
 const OWED_ITEM: OwedItem =
-    OwedItem { crashes: 12, takeovers: 2, mutation: owed_item::Mutation::None };
+    OwedItem { crashes: 12, rejections: 4, takeovers: 2, mutation: owed_item::Mutation::None };
 
 /// Two daemons whose demand changes.
 const CHANGED_DEMAND: CapacityShares = CapacityShares {
@@ -336,8 +336,8 @@
 
 #[test]
 fn every_guard_of_an_owed_item_is_needed() {
-    use owed_item::Mutation::{GrowsForever, Quarantines};
-    for mutation in [Quarantines, GrowsForever] {
+    use owed_item::Mutation::{DelaysRejections, GrowsForever, Quarantines};
+    for mutation in [Quarantines, GrowsForever, DelaysRejections] {
         assert_counterexample(&OwedItem { mutation, ..OWED_ITEM });
     }
 }
