--- a/crates/heronbend-daemon/src/dispatch.rs
+++ b/crates/heronbend-daemon/src/dispatch.rs
@@ -294,26 +294,24 @@
         self.inner.budget.borrow_mut().deposit(ratio);
     }
 
-    /// Checks an attempt of a request against the quarantine.
+    /// Checks an attempt of a request against the quarantine. An owed request is always admitted.
     ///
     /// # Errors
     ///
     /// Returns [`DispatchError::Quarantined`] if requests with its fingerprint crashed backends.
     pub fn admit(
         &self,
+        is_owed: bool,
         request: impl FnOnce() -> Fingerprint,
     ) -> Result<AdmittedAttempt, DispatchError> {
-        let admitted = self.inner.quarantine.admit(self.inner.shared.now(), request);
+        let quarantine = &self.inner.quarantine;
+        let admitted =
+            if is_owed { Ok(None) } else { quarantine.admit(self.inner.shared.now(), request) };
         let probe =
             admitted.map_err(|rejection| DispatchError::Quarantined(rejection.retry_after))?;
         Ok(AdmittedAttempt { dispatcher: self.clone(), probe, may_have_run: false })
     }
 
-    /// An attempt that needs no admission, as the request is owed.
-    pub fn owed_attempt(&self) -> AdmittedAttempt {
-        AdmittedAttempt { dispatcher: self.clone(), probe: None, may_have_run: false }
-    }
-
     /// Records a complete response, which clears the request's fingerprint in the quarantine.
     pub fn note_response(&self, request: impl FnOnce() -> Fingerprint) {
         self.inner.quarantine.note_response(request);
@@ -389,11 +387,7 @@
             if attempt_number > 1 && !self.prepare_retry(attempt_number - 1).await {
                 break;
             }
-            let admitted = match request.is_owed {
-                true => Ok(self.owed_attempt()),
-                false => self.admit(|| request.fingerprint()),
-            };
-            let mut admitted = match admitted {
+            let mut admitted = match self.admit(request.is_owed, || request.fingerprint()) {
                 Ok(admitted) => admitted,
                 Err(error) => return Err(last_error.unwrap_or(error)),
             };
--- a/crates/heronbend-daemon/src/generation.rs
+++ b/crates/heronbend-daemon/src/generation.rs
@@ -166,11 +166,7 @@
         if attempt_number > 1 && !dispatcher.prepare_retry(attempt_number - 1).await {
             break;
         }
-        let admitted = match request.is_owed {
-            true => Ok(dispatcher.owed_attempt()),
-            false => dispatcher.admit(|| request.fingerprint()),
-        };
-        let mut admitted = match admitted {
+        let mut admitted = match dispatcher.admit(request.is_owed, || request.fingerprint()) {
             Ok(admitted) => admitted,
             Err(error) => return Err(failure.unwrap_or(error).into()),
         };
--- a/crates/heronbend-gateway/src/quarantine/mod.rs
+++ b/crates/heronbend-gateway/src/quarantine/mod.rs
@@ -4,6 +4,8 @@
 //! to all daemons immediately. Quarantined requests are also recorded in the store, which restarted
 //! or partitioned daemons read and which limits the probes of all daemons together.
 //!
+//! Requests of accepted jobs are exempt: they have to run in the end, whatever crashed under them.
+//!
 //! - [`crash_detection`]: detects crashes from broken connections.
 //! - [`isolation`]: runs suspect requests isolated from others.
 //! - [`gossip`]: exchanges reports between daemons.
@@ -100,13 +102,13 @@
 }
 
 /// Whether an admitted request may be sent to another server.
-pub fn may_retry(gateway: &Gateway, request: impl FnOnce() -> Fingerprint) -> bool {
+fn may_retry(gateway: &Gateway, request: impl FnOnce() -> Fingerprint) -> bool {
     matches!(admission(gateway, request), Admission::Allowed | Admission::Isolated)
 }
 
 /// Sets in `history` whether a request must run isolated, and whether it must spare the last
 /// healthy server.
-pub fn set_isolation(
+fn set_isolation(
     gateway: &Gateway,
     mode: SendMode,
     request: impl Fn() -> Fingerprint,
