Tell all daemons of a server that was found gone under an owed request

Cause: the reports of suspect requests also told every daemon which server had ended. Owed requests make no such reports any more, so that each of 71 daemons found a crashed engine out by requests of its own, or by the lapse of its registration.

Change: reports carry the servers that were found gone under requests that are not blamed (appended field; older builds pass over it).

--- a/crates/heronbend-gateway/src/peers/membership.rs
+++ b/crates/heronbend-gateway/src/peers/membership.rs
@@ -263,7 +263,10 @@
                 usage.merge(&daemon, window, &counts.into_iter().collect());
             }
         }
-        Hint::RequestsSuspected { reports } => gossip::merge_reports(gateway, reports),
+        Hint::RequestsSuspected { reports, exited } => {
+            gossip::merge_reports(gateway, reports);
+            gossip::merge_exits(gateway, &exited);
+        }
         Hint::DemandReported(report) => demand_exchange::receive(gateway, &report),
         Hint::UsageReported { window } => {
             if let Some(usage) = &gateway.usage {
--- a/crates/heronbend-gateway/src/peers/messages.rs
+++ b/crates/heronbend-gateway/src/peers/messages.rs
@@ -79,6 +79,9 @@
     RequestsSuspected {
         /// One report for each request.
         reports: Vec<Report>,
+        /// Servers that the daemon found gone under requests that are not blamed for it.
+        #[musli(default)]
+        exited: Vec<String>,
     },
     /// The usage report of a window was accepted by the provider.
     UsageReported {
--- a/crates/heronbend-gateway/src/quarantine/crash_detection.rs
+++ b/crates/heronbend-gateway/src/quarantine/crash_detection.rs
@@ -14,6 +14,7 @@
 use heronbend::placement::AttemptOutcome;
 use smol::Timer;
 
+use super::gossip;
 use super::on_change;
 use super::Origin;
 use crate::attempt::OutgoingRequest;
@@ -27,7 +28,7 @@
     [Duration::ZERO, Duration::from_millis(60), Duration::from_millis(400)];
 
 /// Records that a request's connection to a server broke after `events` response events. If it is
-/// the request of an accepted job, only looks whether the server is gone.
+/// the request of an accepted job, only looks whether the server is gone, and tells the others.
 ///
 /// Only an attempt without events counts. Other requests resume after the events they received, so
 /// a request that crashes servers at a later event receives none in its next attempt.
@@ -47,7 +48,9 @@
     if events > 0 {
         return;
     }
-    if !outgoing.is_owed {
+    if outgoing.is_owed {
+        gateway.quarantine.owed_losses.borrow_mut().insert(server.id.clone());
+    } else {
         gateway.quarantine.table.borrow_mut().note_broken_connection(
             gateway.now(),
             request,
@@ -92,9 +95,13 @@
         log::info!("event=server_looked_at server={server} new_connection={}", reach.name());
         if reach == ProbeResult::Refused {
             note_server_gone(&gateway, &server);
+            if gateway.quarantine.owed_losses.borrow().contains(&server) {
+                gossip::announce_exit(&gateway, &server);
+            }
             break;
         }
     }
+    gateway.quarantine.owed_losses.borrow_mut().remove(&server);
     gateway.quarantine.probing.borrow_mut().remove(&server);
 }
 
--- a/crates/heronbend-gateway/src/quarantine/mod.rs
+++ b/crates/heronbend-gateway/src/quarantine/mod.rs
@@ -53,6 +53,10 @@
     probing: RefCell<BTreeSet<String>>,
     /// Requests with reports that wait to be sent.
     unsent: RefCell<BTreeSet<Fingerprint>>,
+    /// Servers to which an owed request lost its connection, while they are probed.
+    owed_losses: RefCell<BTreeSet<String>>,
+    /// Servers found gone under owed requests, which the other daemons are still to be told.
+    unsent_exits: RefCell<BTreeSet<String>>,
     /// Requests whose records are being written.
     writing: RefCell<BTreeSet<Fingerprint>>,
     reservations: Reservations,
@@ -65,6 +69,8 @@
             table: RefCell::new(Table::new(limits)),
             probing: RefCell::default(),
             unsent: RefCell::default(),
+            owed_losses: RefCell::default(),
+            unsent_exits: RefCell::default(),
             writing: RefCell::default(),
             reservations: Reservations::default(),
         }
--- a/crates/heronbend-gateway/tests/builds_side_by_side.rs
+++ b/crates/heronbend-gateway/tests/builds_side_by_side.rs
@@ -94,6 +94,7 @@
         window: Window(7),
         counts: vec![("t".to_owned(), 3)],
     };
+    let suspected = Hint::RequestsSuspected { reports: Vec::new(), exited: Vec::new() };
     let demand = DemandReport {
         daemon: NodeName("front-1".to_owned()),
         service: "app".to_owned(),
@@ -111,7 +112,7 @@
         ("lease_renewed", Datagram::Hint(renewed)),
         ("job_owned", Datagram::Hint(owned)),
         ("usage_counted", Datagram::Hint(counted)),
-        ("requests_suspected", Datagram::Hint(Hint::RequestsSuspected { reports: Vec::new() })),
+        ("requests_suspected", Datagram::Hint(suspected)),
         ("demand_reported", Datagram::Hint(Hint::DemandReported(demand))),
         ("usage_reported", Datagram::Hint(Hint::UsageReported { window: Window(7) })),
     ]
