--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -250,6 +250,9 @@
                 except asyncio.TimeoutError:
                     pass
 
+    def listener_of(self, caller):
+        return next(each for each in self.listeners if each.caller == caller)
+
     def close(self):
         for listener in self.listeners:
             listener.close()
@@ -259,10 +262,15 @@
     def __init__(self, store, caller):
         super().__init__()
         self.store, self.caller = store, caller
+        self.is_cut = False  # the caller hears nothing any more, and its calls aren't taken
+        self.answered = asyncio.Event()  # set when a call other than a watch is answered
 
     async def serve(self, reader, writer):
         while (message := await read_message(reader)) is not None:
             (method, target, *_), _, body = message
+            if self.is_cut:
+                await reader.read()
+                return
             self.store.calls += 1
             path, query = parse_target(target)
             if "watch" in query:
@@ -291,9 +299,14 @@
             else:
                 await asyncio.sleep(self.store.delay)
                 status, value = await self.store.call(method, target, body)
+            if self.is_cut:
+                await reader.read()
+                return
             text = json.dumps(value).encode()
             writer.write(answer(status, [("Content-Type", "application/json")], text))
             await writer.drain()
+            if "watch" not in query:
+                self.answered.set()
 
 
 # --- Servers ------------------------------------------------------------------------------------
