--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -313,7 +313,8 @@
 
 
 class Server(Service):
-    """A server of an application service, or an engine if `model` is given."""
+    """A server of an application service, or an engine if `model` is given. `work_s` is the time that
+    a request takes, or a function of its path and query."""
 
     def __init__(self, record, store, service, zone, slots, ip="127.0.0.1", model=None, version=1,
                  work_s=0.025, events=18, event_s=0.05, queue=24):
@@ -458,7 +459,7 @@
             stamp = f"stamp.{request_id}.{self.id}"
             common = [("Server-Stamp", stamp), *self.common(request_id)]
             if not self.model:
-                await asyncio.sleep(self.work_s)
+                await asyncio.sleep(self.work_s(target) if callable(self.work_s) else self.work_s)
                 writer.write(answer(200, common, b"done " + body))
             else:
                 after = int(headers.get("last-event-id", 0))
