A page of a list that brings nothing new is asked for once

Callers would see: a store that repeats a page keeps a daemon listing forever, so that it never serves; a full page without a readable name ended the list, and servers behind it counted as gone.

Cause: three loops over pages, each of which went on after its last readable object whatever that brought. list_pages is the only one now. It continues after the last readable name, also of an object that is malformed otherwise, and never twice after the same name. An incomplete list is logged; what it lacks is kept as it is known. Objects among a job's results whose names are no numbers are skipped, and malformed quarantine records no longer end the operators' list.

Evidence: odd_names: a_page_that_brings_nothing_new_ends_the_list and a_page_without_names_ends_the_list failed before (timed out), pass now; servers_are_listed_beyond_entries_without_a_name passed before too.

--- a/crates/heronbend-gateway/src/batch/appender.rs
+++ b/crates/heronbend-gateway/src/batch/appender.rs
@@ -11,6 +11,7 @@
 use super::registry::{chunk_name, results_kind, Job, OWNERSHIPS};
 use super::result_log::{Chunk, ItemResult};
 use crate::gateway::Gateway;
+use crate::list_pages;
 use crate::ports::{Object, ObjectStore, StoreError};
 use crate::reflector::{backoff, list_all};
 use crate::wait;
@@ -232,28 +233,34 @@
     Ok((number, results.into_iter().map(Rc::new).collect()))
 }
 
-/// Reads all chunks from the store that are missing in the local log.
+/// Reads all chunks from the store that are missing in the local log. Objects whose names are not
+/// numbers of chunks are logged and skipped.
 pub async fn catch_up(gateway: &Gateway, job: &Job) -> Result<(), StoreError> {
     let kind = results_kind(&job.id);
-    loop {
-        let chunks = job.log.borrow().chunks();
-        let after = chunks.checked_sub(1).map(chunk_name);
-        let page = gateway.store.list(&kind, after.as_deref()).await?;
-        for object in &page.objects {
-            let (number, results) = parse_chunk(object)?;
-            let is_new = number >= job.log.borrow().chunks();
-            if is_new && writer_of(gateway, object) == Writer::Other {
-                job.owner_unconfirmed.set(true);
-            }
-            job.log.borrow_mut().commit(number, results);
-        }
-        if !page.objects.is_empty() {
-            job.log_changed.notify(usize::MAX);
+    let after = job.log.borrow().chunks().checked_sub(1).map(chunk_name);
+    let commit_page = |page: Vec<Object>| commit_listed(gateway, job, &page);
+    list_pages::read(&gateway.store, &kind, after, commit_page).await?;
+    Ok(())
+}
+
+/// Commits the chunks of a page of the log.
+fn commit_listed(gateway: &Gateway, job: &Job, page: &[Object]) -> Result<(), StoreError> {
+    for object in page {
+        if object.name.parse::<u32>().is_err() {
+            log::warn!("event=chunk_without_number job={} name={}", job.id, object.name);
+            continue;
         }
-        if !page.more || page.objects.is_empty() {
-            return Ok(());
+        let (number, results) = parse_chunk(object)?;
+        let is_new = number >= job.log.borrow().chunks();
+        if is_new && writer_of(gateway, object) == Writer::Other {
+            job.owner_unconfirmed.set(true);
         }
+        job.log.borrow_mut().commit(number, results);
+    }
+    if !page.is_empty() {
+        job.log_changed.notify(usize::MAX);
     }
+    Ok(())
 }
 
 /// Removes all objects of a job from the store.
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -19,7 +19,7 @@
 //! - [`duties`], [`lease_manager`], [`lease_state`]: tasks that one lease holder runs for the
 //!   fleet.
 //! - [`peers`]: membership and messages between daemons.
-//! - [`failover_store`], [`reflector`], [`replica`], [`compressed_update`], [`upstream`],
+//! - [`failover_store`], [`list_pages`], [`reflector`], [`replica`], [`compressed_update`], [`upstream`],
 //!   [`dissemination`], [`configuration`]: access to the store and distribution of its updates.
 //! - [`clock`], [`wait`]: time and timeouts.
 //! - [`memory`]: memory budget for request bodies.
@@ -55,6 +55,7 @@
 pub mod interner;
 pub mod lease_manager;
 pub mod lease_state;
+pub mod list_pages;
 pub mod load_summary;
 pub mod logging;
 pub mod memory;
--- a/crates/heronbend-gateway/src/peers/store_messages.rs
+++ b/crates/heronbend-gateway/src/peers/store_messages.rs
@@ -59,6 +59,9 @@
         more: bool,
         /// Revision at which the page was read.
         at: Revision,
+        /// Last name on the page; `None` from a daemon of an earlier build.
+        #[musli(default)]
+        last_name: Option<String>,
     },
     /// The condition did not hold; with the current object, if known.
     Conflict(Option<EncodedObject>),
@@ -119,10 +122,12 @@
     /// Fails if the call failed, or the reply is malformed.
     pub fn into_listing(self) -> Result<Listing, StoreError> {
         match self {
-            Self::Page { objects, more, at } => {
+            Self::Page { objects, more, at, last_name } => {
+                let last_name =
+                    last_name.or_else(|| objects.last().map(|object| object.name.clone()));
                 let objects: Result<_, _> =
                     objects.into_iter().map(|object: EncodedObject| object.decode()).collect();
-                Ok(Listing { objects: objects?, more, at })
+                Ok(Listing { objects: objects?, last_name, more, at })
             }
             other => Err(other.into_error()),
         }
--- a/crates/heronbend-gateway/src/peers/store_relay.rs
+++ b/crates/heronbend-gateway/src/peers/store_relay.rs
@@ -21,6 +21,7 @@
                 objects: page.objects.iter().map(Into::into).collect(),
                 more: page.more,
                 at: page.at,
+                last_name: page.last_name,
             },
             Err(error) => StoreReply::from_error(&error),
         },
--- a/crates/heronbend-gateway/src/ports/object_store.rs
+++ b/crates/heronbend-gateway/src/ports/object_store.rs
@@ -30,6 +30,8 @@
 pub struct Listing {
     /// The objects.
     pub objects: Vec<Object>,
+    /// Last name on the page, also if its object is malformed; the next page follows it.
+    pub last_name: Option<String>,
     /// Whether more objects follow.
     pub more: bool,
     /// Revision at which the page was read.
--- a/crates/heronbend-gateway/src/quarantine/record.rs
+++ b/crates/heronbend-gateway/src/quarantine/record.rs
@@ -24,6 +24,7 @@
 use super::probe::Probe;
 use super::Origin;
 use crate::gateway::Gateway;
+use crate::list_pages;
 use crate::ports::Condition;
 use crate::ports::Object;
 use crate::ports::ObjectStore;
@@ -267,20 +268,23 @@
     pub probes: usize,
 }
 
-/// Lists all quarantined requests, for operators.
+/// Lists all quarantined requests, for operators. Malformed records are logged and skipped.
 pub async fn list(store: &dyn ObjectStore) -> Result<Vec<QuarantinedRequest>, StoreError> {
     let mut quarantined = Vec::new();
-    let mut after: Option<String> = None;
-    loop {
-        let page = store.list(KIND, after.as_deref()).await?;
-        for object in &page.objects {
-            quarantined.push(parse_record(object)?);
-        }
-        after = page.objects.last().map(|object| object.name.clone());
-        if !page.more || after.is_none() {
-            return Ok(quarantined);
-        }
-    }
+    let collect = |page: Vec<Object>| {
+        quarantined.extend(page.iter().filter_map(ok_or_log));
+        Ok(())
+    };
+    list_pages::read(store, KIND, None, collect).await?;
+    Ok(quarantined)
+}
+
+fn ok_or_log(object: &Object) -> Option<QuarantinedRequest> {
+    parse_record(object)
+        .inspect_err(|error| {
+            log::warn!("event=quarantine_malformed name={} error=\"{error}\"", object.name);
+        })
+        .ok()
 }
 
 fn parse_record(object: &Object) -> Result<QuarantinedRequest, StoreError> {
--- a/crates/heronbend-gateway/src/reflector.rs
+++ b/crates/heronbend-gateway/src/reflector.rs
@@ -12,6 +12,7 @@
 use crate::dissemination;
 use crate::encoded_object::EncodedObject;
 use crate::gateway::Gateway;
+use crate::list_pages;
 use crate::ports::{Change, Changes, Object, ObjectStore, Revision, StoreError};
 use crate::replica::Replica;
 use crate::upstream::Upstream;
@@ -325,39 +326,39 @@
     kind: &str,
 ) -> Result<(Vec<Object>, Revision), StoreError> {
     let mut objects = Vec::new();
-    let at = list_pages(gateway, kind, |page| objects.extend(page)).await?;
-    Ok((objects, at))
+    let collect = |page| {
+        objects.extend(page);
+        Ok(())
+    };
+    let end = list_pages::read(&gateway.store, kind, None, collect).await?;
+    Ok((objects, end.at))
 }
 
-/// Like [`list_all`], but encodes each page on arrival to bound memory use.
+/// Like [`list_all`], but encodes each page on arrival to bound memory use. Objects that an
+/// incomplete list lacks are kept as they are known.
 async fn list_encoded(gateway: &Gateway, kind: &str) -> Result<ObjectList, StoreError> {
     let mut objects = Vec::new();
     let encode = |page: Vec<Object>| {
         objects.extend(page.iter().map(|object| Rc::new(EncodedObject::from(object))));
+        Ok(())
     };
-    let at = list_pages(gateway, kind, encode).await?;
-    Ok((objects, at))
+    let end = list_pages::read(&gateway.store, kind, None, encode).await?;
+    if !end.is_complete {
+        objects.extend(known_besides(gateway, kind, &objects));
+    }
+    Ok((objects, end.at))
 }
 
-/// Passes each page of a list to `handle_page`; returns the revision to watch from.
-async fn list_pages(
+/// Objects in the replica of a kind that are not among those listed.
+fn known_besides(
     gateway: &Gateway,
     kind: &str,
-    mut handle_page: impl FnMut(Vec<Object>),
-) -> Result<Revision, StoreError> {
-    let mut after: Option<String> = None;
-    let mut at = None;
-    loop {
-        let page = gateway.store.list(kind, after.as_deref()).await?;
-        after = page.objects.last().map(|object| object.name.clone());
-        let more = page.more && after.is_some();
-        handle_page(page.objects);
-        // Pages are read at different revisions; a watch from the first one misses no change.
-        let at = *at.get_or_insert(page.at);
-        if !more {
-            return Ok(at);
-        }
-    }
+    listed: &[Rc<EncodedObject>],
+) -> Vec<Rc<EncodedObject>> {
+    let names: BTreeSet<&str> = listed.iter().map(|object| object.name.as_str()).collect();
+    let replicas = gateway.replicas.borrow();
+    let known = replicas.get(kind).into_iter().flat_map(Replica::objects);
+    known.filter(|object| !names.contains(object.name.as_str())).cloned().collect()
 }
 
 fn record_success(gateway: &Gateway, kind: &str, failures: &mut u32) {
--- a/crates/heronbend-gateway/tests/support/memory_store.rs
+++ b/crates/heronbend-gateway/tests/support/memory_store.rs
@@ -210,6 +210,7 @@
         });
         Ok(Listing {
             objects: listed.map(|(_, object)| object.clone()).collect(),
+            last_name: None,
             more: false,
             at: self.revision.get(),
         })
