Control characters are escaped in log lines

A name with a line feed, written by another writer, ended a log line early, so that the rest of the name read as a line of its own. Evidence: a_line_feed_in_a_name_does_not_end_a_log_line failed before, passes now.

--- a/crates/heronbend-gateway/src/logging.rs
+++ b/crates/heronbend-gateway/src/logging.rs
@@ -104,7 +104,8 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        self.buffer.push(&format!("level={} {}\n", record.level(), record.args()));
+        let line = escape_controls(format!("level={} {}", record.level(), record.args()));
+        self.buffer.push(&(line + "\n"));
     }
 
     fn flush(&self) {
@@ -117,6 +118,18 @@
     }
 }
 
+/// Escapes control characters, which names of other writers may contain, so that a line stays one.
+fn escape_controls(line: String) -> String {
+    if !line.contains(char::is_control) {
+        return line;
+    }
+    let escaped = line.chars().map(|character| match character {
+        character if character.is_control() => character.escape_default().to_string(),
+        character => character.to_string(),
+    });
+    escaped.collect()
+}
+
 /// Maximum number of times that a flush polls the buffer.
 const MAX_FLUSH_POLLS: u32 = 4;
 
