A stopping daemon refuses late requests that may outlast it, and answers the rest

Cause: requests on open connections were taken for 3.5 s after the signal whatever they might last, and all that was in flight 6.8 s after it was cut.

Change: from 2.5 s after the signal a request is taken only if its deadline is before the cutoff; others get 503 with Retry-After at once, and have not run (heronbend::shutdown). Calls of any kind that have no response at the cutoff get 502, which promises nothing, and 0.3 s are left to send it. The drain is a module of its own.

The standalone daemon refuses all new requests once it drains and waits for those in flight, by reading: unchanged.

--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use heronbend::access::Caller;
 use heronbend::placement::wait_policy::DEFAULT_RETRY_AFTER;
 use heronbend::placement::Rejection as Unplaced;
@@ -48,14 +49,8 @@
     let (head, body) = request.into_parts();
     let id = headers::text(&head.headers, &gateway.dialect.headers().request_id);
     let id = id.unwrap_or_default().to_owned();
-    let call = gateway.dialect.call(&head.method, head.uri.path(), head.uri.query());
-    let (name, mut response) = match call {
-        Call::Forward => handle_routed_request(&gateway, &id, head, body, arrived).await,
-        Call::Malformed(problem) => {
-            ("malformed".to_owned(), text_response(StatusCode::BAD_REQUEST, problem))
-        }
-        call => handle_job_call(&gateway, call, &head, arrived).await,
-    };
+    let served = dispatch(&gateway, &id, head, body, arrived);
+    let (name, mut response) = served.or(answer_at_cutoff(&gateway, &id, arrived)).await;
     let names = gateway.dialect.headers();
     if let Ok(value) = http::HeaderValue::from_str(&id) {
         if !id.is_empty() && !response.headers().contains_key(&names.request_id) {
@@ -68,6 +63,33 @@
     response
 }
 
+/// Returns the name of a call in metrics, and its response.
+async fn dispatch(
+    gateway: &Rc<Gateway>,
+    id: &str,
+    head: Parts,
+    body: Incoming,
+    arrived: Moment,
+) -> (String, HttpResponse) {
+    match gateway.dialect.call(&head.method, head.uri.path(), head.uri.query()) {
+        Call::Forward => handle_routed_request(gateway, id, head, body, arrived).await,
+        Call::Malformed(problem) => {
+            ("malformed".to_owned(), text_response(StatusCode::BAD_REQUEST, problem))
+        }
+        call => handle_job_call(gateway, call, &head, arrived).await,
+    }
+}
+
+/// Waits until a stopping daemon no longer serves requests, and answers a call that has no response
+/// by then. It may have run.
+async fn answer_at_cutoff(gateway: &Gateway, id: &str, arrived: Moment) -> (String, HttpResponse) {
+    gateway.shutdown.cutoff().await;
+    let millis = gateway.now().saturating_sub(arrived).as_millis();
+    log::warn!("event=call_outlasts_stop id={id} ms={millis}");
+    let response = text_response(StatusCode::BAD_GATEWAY, "the daemon stops");
+    ("outlasts_stop".to_owned(), response)
+}
+
 /// Handles a batch API call for an existing job.
 async fn handle_job_call(
     gateway: &Rc<Gateway>,
@@ -276,6 +298,11 @@
     let client_timeout = headers::millis(&head.headers, &names.deadline_millis);
     let allowed_regions = region_policy::allowed_regions(configuration, route, &caller);
     let limits = RequestLimits::for_route(route, arrived, client_timeout, allowed_regions);
+    if !gateway.shutdown.admits(gateway.now(), limits.deadline) {
+        let millis = limits.deadline.saturating_sub(gateway.now()).as_millis();
+        log::info!("event=refused id={id} reason=\"may outlast the stop\" deadline_ms={millis}");
+        return not_run("the daemon stops");
+    }
     let tenant = caller.tenant().map(str::to_owned);
     let priority = access::priority(configuration, &caller, route);
     let mut headers = headers::end_to_end(&head.headers);
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -51,6 +51,7 @@
 use crate::quarantine::Quarantine;
 use crate::region_policy;
 use crate::replica::Replica;
+use crate::shutdown;
 use crate::slot_queue::SlotQueue;
 use crate::traffic_split::TrafficSplitter;
 use crate::upstream::Upstream;
@@ -173,6 +174,8 @@
     pub evacuated: RefCell<BTreeSet<String>>,
     /// Whether this daemon is draining before it exits.
     pub draining: Cell<bool>,
+    /// Progress of the shutdown.
+    pub shutdown: shutdown::Progress,
     /// Other daemons of the fleet.
     pub members: Peers,
     /// Estimates the output length of batch items.
@@ -284,6 +287,7 @@
             quarantine: Quarantine::new(tuning.quarantine),
             evacuated: RefCell::default(),
             draining: Cell::new(false),
+            shutdown: shutdown::Progress::default(),
             members: Peers::default(),
             length_estimator: RefCell::default(),
             migration_cost: RefCell::default(),
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -23,7 +23,7 @@
 //!   [`dissemination`], [`configuration`]: access to the store and distribution of its updates.
 //! - [`clock`], [`wait`]: time and timeouts.
 //! - [`memory`]: memory budget for request bodies.
-//! - [`service`], [`retirement`], [`settings`], [`reload`]: programs and their settings.
+//! - [`service`], [`shutdown`], [`retirement`], [`settings`], [`reload`]: programs and their settings.
 //! - [`logging`], [`metrics`]: logs and metrics.
 //! - [`explain`], [`call_explanation`], [`steps`], [`fleet_summary`], [`load_summary`],
 //!   [`summary_plot`]: log analysis.
@@ -72,6 +72,7 @@
 pub mod retirement;
 pub mod service;
 pub mod settings;
+pub mod shutdown;
 pub mod slot_queue;
 pub mod steps;
 pub mod stream;
--- a/crates/heronbend-gateway/src/metrics.rs
+++ b/crates/heronbend-gateway/src/metrics.rs
@@ -281,6 +281,13 @@
         ))
     }
 
+    /// Logs the counts since the last call, if there are any.
+    pub fn log_counters(&self) {
+        if let Some(line) = self.take_log_line() {
+            log::info!("{line}");
+        }
+    }
+
     /// Records a batch job taken over from another owner.
     pub fn record_adoption(&self, reason: &str) {
         self.jobs_adopted.get_or_create(&AdoptionLabels { reason: reason.to_owned() }).inc();
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -34,8 +34,8 @@
 use crate::reflector::{self, ObjectHandler, Source};
 use crate::reload;
 use crate::replacements::Replacements;
+use crate::shutdown;
 use crate::versions;
-use crate::wait;
 
 /// Fraction of the drain propagation limit during which server updates are batched. The rest is
 /// left for the store's response and a retry.
@@ -44,16 +44,8 @@
 const CONFIGURATION_BATCHING_RATIO: f64 = 0.15;
 /// Added to the idle timeout of clients before an idle connection is closed.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
-/// Time for the load balancer to stop sending new connections after the daemon reports that it is
-/// not ready.
-const READINESS_DELAY: Duration = Duration::from_millis(3500);
-/// Part of the shutdown limit that is reserved for the exit of the process.
-const STOP_MARGIN: Duration = Duration::from_millis(1200);
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval of the log lines with counters.
 const COUNTER_LOG_INTERVAL: Duration = Duration::from_secs(5);
-/// Timeout for announcing the departure to the other members.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Listening addresses of a daemon.
 #[derive(Debug, Clone)]
@@ -118,7 +110,7 @@
             .spawn(reload::watch_settings(gateway.clone(), source, reload_signal))
             .detach();
         stop.wait().await;
-        drain(&gateway, &callers).await;
+        shutdown::drain(&gateway, &callers).await;
         Ok(())
     }))
 }
@@ -510,7 +502,7 @@
     loop {
         Timer::after(COUNTER_LOG_INTERVAL).await;
         count_cold_servers(&gateway);
-        log_counters(&gateway);
+        gateway.metrics.log_counters();
     }
 }
 
@@ -523,42 +515,3 @@
         gateway.metrics.set_cold_servers(&zone, directory.placer.count_cold_servers(now, key));
     }
 }
-
-fn log_counters(gateway: &Gateway) {
-    if let Some(line) = gateway.metrics.take_log_line() {
-        log::info!("{line}");
-    }
-}
-
-/// Drains the daemon: reports that it is not ready, serves the remaining requests, and returns once
-/// nothing is in flight or the shutdown limit is reached.
-async fn drain(gateway: &Rc<Gateway>, callers: &Rc<Listener>) {
-    let started_at = gateway.now();
-    gateway.draining.set(true);
-    gateway.members.start_draining();
-    callers.start_draining();
-    log::info!("event=draining exchanges={}", callers.exchanges());
-    Timer::after(READINESS_DELAY).await;
-    callers.close();
-    let limit = started_at + gateway.tuning().stop_limit.saturating_sub(STOP_MARGIN);
-    let has_callers = || callers.is_accepting() || callers.connections() > 0;
-    while gateway.now() < limit && (has_callers() || has_running_jobs(gateway)) {
-        Timer::after(STOP_POLL_INTERVAL).await;
-    }
-    if let Some(usage) = &gateway.usage {
-        duties::usage_broadcast::send_final(gateway, usage);
-    }
-    // The other members take over its jobs at once instead of waiting for failed probes.
-    wait::at_most(LEAVE_TIMEOUT, gateway.members.leave()).await;
-    log_counters(gateway);
-    log::info!(
-        "event=stopped exchanges_cut={} connections_cut={}",
-        callers.exchanges(),
-        callers.connections()
-    );
-    log::logger().flush();
-}
-
-fn has_running_jobs(gateway: &Gateway) -> bool {
-    gateway.jobs.all().iter().any(|job| job.is_running())
-}
--- a/crates/heronbend/src/lib.rs
+++ b/crates/heronbend/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`access`]: tenants and their API keys.
 //! - [`admission`]: per-caller concurrency limits and the retry budget.
 //! - [`scaling`]: autoscaling: how many servers to request.
+//! - [`shutdown`]: which requests a stopping daemon still takes.
 //! - [`usage`]: usage metering by tenant and time window.
 //! - [`external`]: message types of external systems.
 
@@ -41,6 +42,7 @@
 pub mod routing;
 pub mod scaling;
 pub mod settings;
+pub mod shutdown;
 pub mod usage;
 pub mod weights;
 
