--- a/crates/heronbend-gateway/src/calls.rs
+++ b/crates/heronbend-gateway/src/calls.rs
@@ -10,6 +10,7 @@
 use heronbend::placement::wait_policy::DEFAULT_RETRY_AFTER;
 use heronbend::placement::Rejection as Unplaced;
 use heronbend::quarantine::Refused;
+use heronbend::shutdown::Repetition;
 use heronbend::Moment;
 use http::request::Parts;
 use http::{Request, StatusCode};
@@ -298,7 +299,11 @@
     let client_timeout = headers::millis(&head.headers, &names.deadline_millis);
     let allowed_regions = region_policy::allowed_regions(configuration, route, &caller);
     let limits = RequestLimits::for_route(route, arrived, client_timeout, allowed_regions);
-    if !gateway.shutdown.admits(gateway.now(), limits.deadline) {
+    let repetition = match route.kind {
+        RouteKind::Safe => Repetition::Allowed,
+        _ => Repetition::Forbidden,
+    };
+    if !gateway.shutdown.admits(gateway.now(), limits.deadline, repetition) {
         let millis = limits.deadline.saturating_sub(gateway.now()).as_millis();
         log::info!("event=refused id={id} reason=\"may outlast the stop\" deadline_ms={millis}");
         return not_run("the daemon stops");
--- a/crates/heronbend-gateway/src/http/server.rs
+++ b/crates/heronbend-gateway/src/http/server.rs
@@ -59,6 +59,7 @@
     accepting: Cell<bool>,
     draining: Cell<bool>,
     closing: Event,
+    closing_idle: Event,
     limits: RefCell<Option<ListenerLimits>>,
     unread: RefCell<Option<UnreadLimit>>,
 }
@@ -105,9 +106,16 @@
         self.draining.set(true);
     }
 
+    /// Closes idle connections, and each other one after its current response. New connections are
+    /// still accepted.
+    pub fn close_idle(&self) {
+        self.draining.set(true);
+        self.closing_idle.notify(usize::MAX);
+    }
+
     /// Stops accepting connections, and closes idle ones.
     pub fn close(&self) {
-        self.draining.set(true);
+        self.close_idle();
         self.closing.notify(usize::MAX);
     }
 
@@ -159,7 +167,7 @@
             builder.header_read_timeout(limits.head_timeout);
             builder.max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES));
         }
-        let closing = self.closing.listen();
+        let closing = self.closing_idle.listen();
         let listener = self.clone();
         let progress = Rc::new(ResponseProgress::default());
         let current = progress.clone();
--- a/crates/heronbend-gateway/src/shutdown.rs
+++ b/crates/heronbend-gateway/src/shutdown.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use event_listener::Event;
+use heronbend::shutdown::Repetition;
 use heronbend::shutdown::Shutdown;
+use heronbend::shutdown::ADMISSION_DELAY;
 use heronbend::Moment;
 use smol::Timer;
 
@@ -14,9 +16,9 @@
 use crate::http::server::Listener;
 use crate::wait;
 
-/// Time for the load balancer to stop sending new connections after the daemon reports that it is
-/// not ready.
-const READINESS_DELAY: Duration = Duration::from_millis(3500);
+/// Time after [`ADMISSION_DELAY`] for which connections are accepted, as the load balancer may take
+/// that long to see that the daemon is not ready.
+const ACCEPT_TIME: Duration = Duration::from_millis(1000);
 /// Part of the shutdown limit that is reserved for the last responses and the exit of the process.
 const STOP_MARGIN: Duration = Duration::from_millis(1200);
 /// Longest time for which the last responses are sent.
@@ -35,8 +37,8 @@
 
 impl Progress {
     /// Whether a request is taken now that may run until `deadline`.
-    pub fn admits(&self, now: Moment, deadline: Moment) -> bool {
-        self.requested.get().is_none_or(|shutdown| shutdown.admits(now, deadline))
+    pub fn admits(&self, now: Moment, deadline: Moment, repetition: Repetition) -> bool {
+        self.requested.get().is_none_or(|shutdown| shutdown.admits(now, deadline, repetition))
     }
 
     /// Waits until requests are no longer served.
@@ -69,7 +71,9 @@
     gateway.members.start_draining();
     callers.start_draining();
     log::info!("event=draining exchanges={}", callers.exchanges());
-    Timer::after(READINESS_DELAY.min(serving_time)).await;
+    Timer::after(ADMISSION_DELAY.min(serving_time)).await;
+    callers.close_idle();
+    Timer::after(ACCEPT_TIME.min(serving_time.saturating_sub(ADMISSION_DELAY))).await;
     callers.close();
     wait_until(gateway, shutdown.cutoff_at(), || is_idle(callers) && !has_running_jobs(gateway))
         .await;
