Followers read from the store while their peers are silent

Cause: silent peers were polled one after another, 1 s or 3 s each, and again after their backoff of 1.5 s, so that the store was asked only when the membership had declared them dead.

A store that is out of reach, or that a peer reports to be, is not called.

--- a/crates/heronbend-gateway/src/dissemination.rs
+++ b/crates/heronbend-gateway/src/dissemination.rs
@@ -74,6 +74,17 @@
 pub struct UpdateAge {
     at: Moment,
     age: Duration,
+    /// When a peer last answered.
+    pub answered_at: Moment,
+}
+
+/// Why upstream peers brought no changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoChanges {
+    /// None of them sent an update.
+    NoUpdate,
+    /// The objects have to be listed.
+    ListNeeded,
 }
 
 /// Selects where this daemon receives the contents of the store from now.
@@ -199,25 +210,27 @@
     logged.insert(kind, upstream.clone());
 }
 
-/// Waits for changes of a kind from the upstream peers; `None` if none of them sends any, or a list
-/// is needed.
+/// Waits for changes of a kind from the upstream peers.
+///
+/// # Errors
+///
+/// Fails once all peers have failed, or if their update cannot be applied as changes.
 pub async fn next_changes(
     gateway: &Gateway,
     kind: &'static str,
     since: Revision,
     peers: &[NodeId],
-) -> Option<Changes> {
-    let update = next_update(gateway, kind, since, peers).await?;
+) -> Result<Changes, NoChanges> {
+    let update = next_update(gateway, kind, since, peers).await.ok_or(NoChanges::NoUpdate)?;
     if update.is_snapshot {
-        // A snapshot cannot be applied as changes: the caller has to list.
-        return None;
+        return Err(NoChanges::ListNeeded);
     }
     let accepts = gateway.replicas.borrow().get(kind).is_some_and(|known| known.accepts(&update));
     if !accepts {
         log::warn!("event=news_incomplete kind={kind} since={since} at={}", update.at);
-        return None;
+        return Err(NoChanges::ListNeeded);
     }
-    Some(update.into_changes())
+    Ok(update.into_changes())
 }
 
 /// Fetches all objects of a kind from the upstream peers; `None` if all failed, or the snapshot is
@@ -347,20 +360,32 @@
 /// Records the age of the data of a kind, as reported by an upstream peer.
 fn record_age(gateway: &Gateway, kind: &'static str, age_millis: u64) {
     let (at, age) = (gateway.now(), Duration::from_millis(age_millis));
-    gateway.update_ages.borrow_mut().insert(kind, UpdateAge { at, age });
+    gateway.update_ages.borrow_mut().insert(kind, UpdateAge { at, age, answered_at: at });
     gateway.last_update_at.set(at);
     if kind == gateway.dialect.kinds().configuration {
         gateway.configuration_confirmed_at.set(at.saturating_sub(age));
     }
 }
 
+/// Records that a kind was read from the store while the peers were silent.
+pub fn record_read_from_store(gateway: &Gateway, kind: &'static str) {
+    let at = gateway.now();
+    let mut ages = gateway.update_ages.borrow_mut();
+    let update = ages.entry(kind).or_insert(UpdateAge { at, age: Duration::ZERO, answered_at: at });
+    (update.at, update.age) = (at, Duration::ZERO);
+    drop(ages);
+    if kind == gateway.dialect.kinds().configuration {
+        gateway.configuration_confirmed_at.set(at);
+    }
+}
+
 /// The age of this daemon's data of a kind; `None` if it is too old to be sent to peers.
 fn servable_age(gateway: &Gateway, kind: &str) -> Option<Duration> {
     if select_upstream(gateway) == Upstream::Store {
         return is_store_current(gateway).then(|| gateway.store.since_last_response());
     }
     let hops = gateway.tree().depth(&gateway.identity.node);
-    let UpdateAge { at, age } = gateway.update_ages.borrow().get(kind).copied()?;
+    let UpdateAge { at, age, .. } = gateway.update_ages.borrow().get(kind).copied()?;
     let age = gateway.now().saturating_sub(at) + age;
     (age < MAX_AGE + MAX_AGE_PER_HOP * hops).then_some(age)
 }
--- a/crates/heronbend-gateway/src/lib.rs
+++ b/crates/heronbend-gateway/src/lib.rs
@@ -20,7 +20,7 @@
 //!   fleet.
 //! - [`peers`]: membership and messages between daemons.
 //! - [`failover_store`], [`list_pages`], [`reflector`], [`replica`], [`compressed_update`], [`upstream`],
-//!   [`dissemination`], [`configuration`]: access to the store and distribution of its updates.
+//!   [`dissemination`], [`silence`], [`configuration`]: access to the store and distribution of its updates.
 //! - [`clock`], [`wait`]: time and timeouts.
 //! - [`memory`]: memory budget for request bodies.
 //! - [`service`], [`shutdown`], [`retirement`], [`settings`], [`reload`]: programs and their settings.
@@ -73,6 +73,7 @@
 pub mod service;
 pub mod settings;
 pub mod shutdown;
+pub mod silence;
 pub mod slot_queue;
 pub mod steps;
 pub mod stream;
--- a/crates/heronbend-gateway/src/reflector.rs
+++ b/crates/heronbend-gateway/src/reflector.rs
@@ -6,20 +6,25 @@
 
 use futures_lite::future;
 use futures_lite::FutureExt;
+use heronbend::identity::NodeId;
 use rand::Rng;
 use smol::Timer;
 
 use crate::dissemination;
+use crate::dissemination::NoChanges;
 use crate::encoded_object::EncodedObject;
 use crate::gateway::Gateway;
 use crate::list_pages;
 use crate::ports::{Change, Changes, Object, ObjectStore, Revision, StoreError};
 use crate::replica::Replica;
+use crate::silence;
 use crate::upstream::Upstream;
 use crate::wait;
 
 /// Timeout of one watch call. Dead connections are detected by keepalive probes, not by this.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(29);
+/// Timeout of a watch while the peers are silent, after which they are selected anew.
+const SILENT_WATCH_TIMEOUT: Duration = Duration::from_millis(1000);
 const BACKOFF_BASE: Duration = Duration::from_millis(80);
 const BACKOFF_CAP: Duration = Duration::from_millis(640);
 /// Time without a response from the store after which it is probed.
@@ -162,7 +167,7 @@
 enum SourceError {
     /// The store failed.
     Store(StoreError),
-    /// None of the upstream peers sent an update.
+    /// None of the upstream peers sent an update that can be applied.
     NoUpdate,
     /// The upstream peers report that they cannot reach the store.
     Unavailable,
@@ -191,13 +196,61 @@
     dissemination::log_upstream_change(gateway, kind, &upstream);
     match upstream {
         Upstream::Store => Ok(list_encoded(gateway, kind).await?),
-        Upstream::Peers(peers) => {
-            dissemination::fetch_snapshot(gateway, kind, &peers).await.ok_or(SourceError::NoUpdate)
-        }
+        Upstream::Peers(peers) => list_from_peers(gateway, kind, &peers).await,
         Upstream::Unavailable => Err(SourceError::Unavailable),
     }
 }
 
+/// Lists all objects of a kind from an upstream peer. A daemon that has listed them before reads
+/// them from the store once the peers are silent; the store could not bear the lists of all daemons
+/// that start.
+async fn list_from_peers(
+    gateway: &Gateway,
+    kind: &'static str,
+    peers: &[NodeId],
+) -> Result<ObjectList, SourceError> {
+    let from_peers = async {
+        match dissemination::fetch_snapshot(gateway, kind, peers).await {
+            Some(list) => Ok(list),
+            None => Err(SourceError::NoUpdate),
+        }
+    };
+    if !gateway.replicas.borrow().contains_key(kind) {
+        return from_peers.await;
+    }
+    let from_store = async {
+        silence::wait_for(gateway, kind).await;
+        let list = list_encoded(gateway, kind).await?;
+        dissemination::record_read_from_store(gateway, kind);
+        Ok(list)
+    };
+    from_peers.or(from_store).await
+}
+
+/// Waits for changes from the upstream peers, and from the store once they are silent.
+async fn watch_peers(
+    gateway: &Gateway,
+    kind: &'static str,
+    at: Revision,
+    peers: &[NodeId],
+) -> Result<Changes, SourceError> {
+    let from_peers = async {
+        match dissemination::next_changes(gateway, kind, at, peers).await {
+            Ok(changes) => Ok(changes),
+            // The store is read as soon as they count as silent.
+            Err(NoChanges::NoUpdate) if silence::may_call_store(gateway) => future::pending().await,
+            Err(_) => Err(SourceError::NoUpdate),
+        }
+    };
+    let from_store = async {
+        silence::wait_for(gateway, kind).await;
+        let changes = gateway.store.watch(kind, at, SILENT_WATCH_TIMEOUT).await?;
+        dissemination::record_read_from_store(gateway, kind);
+        Ok(changes)
+    };
+    from_peers.or(from_store).await
+}
+
 /// Waits for changes, from an upstream peer or from the store.
 async fn watch(
     gateway: &Gateway,
@@ -209,9 +262,7 @@
     dissemination::log_upstream_change(gateway, kind, &upstream);
     match upstream {
         Upstream::Store => Ok(gateway.store.watch(kind, at, WATCH_TIMEOUT).await?),
-        Upstream::Peers(peers) => dissemination::next_changes(gateway, kind, at, &peers)
-            .await
-            .ok_or(SourceError::NoUpdate),
+        Upstream::Peers(peers) => watch_peers(gateway, kind, at, &peers).await,
         Upstream::Unavailable => Err(SourceError::Unavailable),
     }
 }
