Items that wait for a slot look up their route again when it changes

Cause: the wait for a slot ended only with a slot of the service that the item had picked.

Change: it also ends when the configuration no longer gives the item the same requirements.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -25,6 +25,7 @@
 use super::registry::Job;
 use super::result_log::{ItemResult, ItemState};
 use super::reward::{self, Score};
+use super::route_change;
 use super::specification::{Item, JobSpecification};
 use super::throughput::ThroughputMeter;
 use crate::access;
@@ -156,8 +157,11 @@
             let requirements = self.requirements(&configuration, &route, &service);
             let urgency = self.urgency(&configuration, &route);
             let placed = match self.offered_slot.take() {
-                Some(offered) => offered,
-                None => self.acquire_slot(requirements, urgency, &route).await,
+                Some(offered) => Some(offered),
+                None => self.acquire_slot(requirements, urgency, &route, &service).await,
+            };
+            let Some(placed) = placed else {
+                continue;
             };
             let events_before = self.last_event();
             let key = placed.key;
@@ -207,16 +211,30 @@
         now.saturating_sub(missing_since) > self.gateway.tuning().configuration_notice * 2
     }
 
+    /// Waits for a slot; `None` once the route has changed so that the item may not run there.
     async fn acquire_slot(
         &self,
         requirements: Requirements,
         urgency: Urgency,
         route: &Route,
-    ) -> AssignedSlot {
+        service: &str,
+    ) -> Option<AssignedSlot> {
         let work = self.work(route).filter(|work| work.remaining > 0);
         let history = self.history.clone();
         let id = &self.item.id;
-        slot_queue::acquire_slot(self.gateway, id, requirements, urgency, history, work).await
+        let slot = slot_queue::acquire_slot(self.gateway, id, requirements, urgency, history, work);
+        let is_current = |configuration: &Configuration| {
+            self.route(configuration).is_some_and(|route| {
+                route.includes(service)
+                    && self.requirements(configuration, &route, service) == requirements
+            })
+        };
+        let changed = async {
+            route_change::wait(self.gateway, is_current).await;
+            log::info!("event=item_requeued job={} item={id} service={service}", self.job.id);
+            None
+        };
+        async { Some(slot.await) }.or(changed).await
     }
 
     /// Remaining work of the item; `None` unless items are scheduled by slack and have a deadline.
@@ -306,10 +324,7 @@
     /// The service that runs the item. Selected once and again only if the route no longer includes
     /// it.
     fn service(&mut self, route: &Route) -> Option<String> {
-        let is_current = |service: &String| {
-            route.destinations.iter().any(|part| part.service == *service && part.weight > 0)
-        };
-        if !self.service.as_ref().is_some_and(is_current) {
+        if !self.service.as_ref().is_some_and(|service| route.includes(service)) {
             let selected = self.gateway.splitter.borrow_mut().pick(route).map(str::to_owned);
             self.service = selected;
         }
--- a/crates/heronbend-gateway/src/batch/mod.rs
+++ b/crates/heronbend-gateway/src/batch/mod.rs
@@ -27,8 +27,8 @@
 //!
 //! - [`registry`]: the jobs known to this daemon.
 //! - [`submission`], [`results_reader`]: operations for callers.
-//! - [`runner`], [`item_run`], [`reward`], [`reward_limit`], [`appender`], [`checkpoint`]: run by
-//!   the owner of a job.
+//! - [`runner`], [`item_run`], [`reward`], [`reward_limit`], [`route_change`], [`appender`],
+//!   [`checkpoint`]: run by the owner of a job.
 //! - [`expiry`]: removes ended jobs.
 //! - [`ownership_manager`]: tracks ownerships and takes over jobs of lost daemons.
 
@@ -53,6 +53,7 @@
 pub mod results_reader;
 pub mod reward;
 pub mod reward_limit;
+pub mod route_change;
 pub mod runner;
 pub mod schedule;
 pub mod segment;
--- a/crates/heronbend-gateway/src/configuration.rs
+++ b/crates/heronbend-gateway/src/configuration.rs
@@ -75,6 +75,15 @@
     pub fn is_idempotent(&self) -> bool {
         self.kind == RouteKind::Safe
     }
+
+    /// Whether requests may go to a service. Without any weight all go to the first one.
+    pub fn includes(&self, service: &str) -> bool {
+        let total: u64 = self.destinations.iter().map(|part| u64::from(part.weight)).sum();
+        if total == 0 {
+            return self.destinations.first().is_some_and(|part| part.service == service);
+        }
+        self.destinations.iter().any(|part| part.service == service && part.weight > 0)
+    }
 }
 
 /// A pool of interchangeable servers.
--- a/crates/heronbend-gateway/src/gateway.rs
+++ b/crates/heronbend-gateway/src/gateway.rs
@@ -154,6 +154,8 @@
     pub key_hasher: KeyHasher,
     /// Active configuration.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
+    /// Notified after a configuration has become active.
+    pub configuration_changed: Event,
     /// Registered servers and the placement state.
     pub directory: RefCell<Directory>,
     /// Whether the servers have been listed from the store at least once.
@@ -277,6 +279,7 @@
             replica_changed: Event::new(),
             key_hasher: KeyHasher::random(),
             configuration: RefCell::default(),
+            configuration_changed: Event::new(),
             directory: RefCell::new(directory),
             servers_loaded: Cell::new(false),
             splitter: RefCell::new(TrafficSplitter::new(rand::rng().random())),
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -334,6 +334,7 @@
         self.gateway.splitter.borrow_mut().retain(|name| names.contains(name));
         *self.gateway.configuration.borrow_mut() = Some(Rc::new(configuration));
         self.gateway.update_service_limits();
+        self.gateway.configuration_changed.notify(usize::MAX);
         self.gateway.slot_queue.changed.notify(usize::MAX);
     }
 }
