Statuses outside of 200 to 599 are broken answers

Clients saw: a status of 600 or 999 as it came from the server; after 101 their connection closed without an answer. Cause: the HTTP library takes any three digits, and 101 for the end of HTTP. The one client for servers, store, provider and peers checks the range now; such an answer is tried again where the request may be repeated, and is 502 otherwise.

--- a/crates/heronbend-gateway/src/attempt.rs
+++ b/crates/heronbend-gateway/src/attempt.rs
@@ -128,6 +128,15 @@
             crash_detection::probe_server(gateway, server);
             return Err(AttemptFailure::NotSent);
         }
+        Err(ExchangeError::InvalidStatus(status)) => {
+            gateway.metrics.invalid_responses.inc();
+            log::warn!(
+                "event=invalid_status id={} server={} status={status}",
+                outgoing.id,
+                server.id
+            );
+            return Err(AttemptFailure::Unknown("no final status"));
+        }
         Err(_) => return Err(AttemptFailure::BrokenOff),
     };
     if is_replaced_server(gateway, outgoing, &exchange) {
--- a/crates/heronbend-gateway/src/http/client.rs
+++ b/crates/heronbend-gateway/src/http/client.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -43,6 +44,8 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest rest of a discarded response that is read, in bytes.
 const MAX_DRAIN_BYTES: usize = 64 * 1024;
+/// Final statuses of HTTP (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Why an exchange failed.
@@ -54,6 +57,9 @@
     /// The connection failed after at least a part of the request was sent. The outcome is unknown.
     #[error("broken off: {0}")]
     Broken(String),
+    /// The status is not a final one. The outcome is unknown.
+    #[error("{0} is no final status")]
+    InvalidStatus(u16),
     /// The timeout has passed.
     #[error("no answer in time")]
     Timeout,
@@ -246,7 +252,7 @@
             reason = OpenReason::Expired;
             connection.record(key);
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.exchange(address, connection, response)),
+                Ok(response) => return self.exchange(address, connection, response),
                 Err(mut error) => match error.take_message() {
                     // The server closed the idle connection before the request was written.
                     Some(returned_request) => request = returned_request,
@@ -258,7 +264,7 @@
         let mut connection = self.connect(address).await?;
         connection.record(key);
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(self.exchange(address, connection, response)),
+            Ok(response) => self.exchange(address, connection, response),
             Err(mut error) => {
                 let is_not_sent = error.take_message().is_some();
                 let reason = error.into_error().to_string();
@@ -295,15 +301,18 @@
         address: SocketAddr,
         connection: Connection,
         response: Response<Incoming>,
-    ) -> Exchange {
+    ) -> Result<Exchange, ExchangeError> {
         let (head, body) = response.into_parts();
+        if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+            return Err(ExchangeError::InvalidStatus(head.status.as_u16()));
+        }
         let idle_timeout = idle_timeout(&head.headers);
-        Exchange {
+        Ok(Exchange {
             status: head.status,
             headers: head.headers,
             body,
             pooled: PooledConnection { pool: self.clone(), address, connection, idle_timeout },
-        }
+        })
     }
 
     /// The reason for opening a connection if no idle one can be used.
