Responses that are no success are held up to 256 KiB

Four 502 responses of one server whose bodies have no end made the daemon's peak memory grow by 54,892 KiB (platform/tests/broken_answers.rs); it must stay below 16 MiB, a tenth of a small machine, and does now. Cause: the limit was that of a success. A larger one is refused with 502 of our own.

--- a/crates/heronbend-gateway/src/attempt.rs
+++ b/crates/heronbend-gateway/src/attempt.rs
@@ -25,6 +25,10 @@
 /// Maximum size of a complete response, in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
+/// Maximum size of a complete response that is not a success, in bytes. Hundreds of them fit into the
+/// memory of a small machine.
+const MAX_ERROR_RESPONSE_BYTES: usize = 256 * 1024;
+
 /// A request as sent to servers.
 #[derive(Clone)]
 pub struct OutgoingRequest {
@@ -276,7 +280,9 @@
     exchange: Exchange,
 ) -> Result<FullResponse, AttemptFailure> {
     let budget = &gateway.response_memory;
-    let max_bytes = budget.max_reservation().min(MAX_RESPONSE_BYTES);
+    let limit =
+        if exchange.status.is_success() { MAX_RESPONSE_BYTES } else { MAX_ERROR_RESPONSE_BYTES };
+    let max_bytes = budget.max_reservation().min(limit);
     let read = exchange.read_reserved(max_bytes, budget.reserve()).await;
     read.map_err(|error| match error {
         ExchangeError::TooLarge(_) | ExchangeError::OutOfMemory => {
