A stream without end does not hold an item

An engine that sent comments, or events, without end kept an item of a batch job forever. Cause: the time between events was renewed by any bytes, and the number of events was not compared with the item's tokens.

Evidence: a_stream_without_end_does_not_hold_an_item timed out before, passes now for both; gateway tests and the platform's jobs, streams, calls, memory and versions passed.

--- a/crates/heronbend-gateway/src/batch/item_run.rs
+++ b/crates/heronbend-gateway/src/batch/item_run.rs
@@ -511,12 +511,13 @@
         let version = exchange.header(&names.weight_version).and_then(|value| value.parse().ok());
         let field = names.weight_version.as_str();
         let mut reader = EventReader::new(field, version);
-        let mut timeout = FIRST_EVENT_TIMEOUT;
+        let mut next_event_by = self.gateway.now() + FIRST_EVENT_TIMEOUT;
         let mut resume_sent_at = (self.last_event() > 0).then_some(sent_at);
         let _reader = self.gateway.read_pacer.register();
         let outcome = loop {
+            let left = next_event_by.saturating_sub(self.gateway.now());
             let bytes = exchange.next_bytes().or(async {
-                Timer::after(timeout).await;
+                Timer::after(left).await;
                 Err(ExchangeError::Timeout)
             });
             let bytes = async { Ok(bytes.await) }.or(async { Err(offered_slot(&run).await) });
@@ -532,9 +533,14 @@
                 Ok(Some(bytes)) => {
                     let read = reader.read(&bytes, &mut self.text.borrow_mut());
                     match read {
+                        Ok(0) if self.gateway.now() >= next_event_by => break Err("silent"),
                         Ok(0) => {}
+                        Ok(_) if self.exceeds_tokens() => {
+                            *self.text.borrow_mut() = ItemText::default();
+                            break Err("more events than tokens");
+                        }
                         Ok(events) => {
-                            timeout = EVENT_TIMEOUT;
+                            next_event_by = self.gateway.now() + EVENT_TIMEOUT;
                             if let Some(sent_at) = resume_sent_at.take() {
                                 let delay = self.gateway.now().saturating_sub(sent_at);
                                 self.gateway.migration_cost.borrow_mut().record(delay);
@@ -568,6 +574,7 @@
             }
             if let Some(delay) = self.gateway.read_pacer.delay() {
                 Timer::after(delay).await;
+                next_event_by += delay;
             }
         };
         if !self.satisfies_versions(route) {
@@ -579,6 +586,11 @@
         outcome
     }
 
+    /// Whether the text has more events than the item has tokens. An event holds at least one.
+    fn exceeds_tokens(&self) -> bool {
+        self.item.tokens > 0 && self.last_event() > self.item.tokens
+    }
+
     /// Records the pace of the server, and updates the remaining work of the text.
     fn record_pace(
         &self,
