--- a/crates/heronbend-daemon/src/serve.rs
+++ b/crates/heronbend-daemon/src/serve.rs
@@ -9,6 +9,7 @@
 use anyhow::Context;
 use clap::Args;
 use heronbend::identity::{Incarnation, NodeId, NodeName};
+use heronbend_net::binding;
 use serde::Deserialize;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -124,7 +125,8 @@
     let peer = listen(arguments.peer_listen.unwrap_or(unspecified))?;
     let admin = listen(arguments.admin_listen.unwrap_or(unspecified))?;
     let peer_address = peer.local_addr()?;
-    let datagrams = UdpSocket::bind(peer_address).context("binding the peer UDP port")?;
+    let datagrams = smol::block_on(binding::retry(peer_address, UdpSocket::bind));
+    let datagrams = datagrams.context("binding the peer UDP port")?;
     let identity = Identity {
         node: NodeId {
             name: NodeName(arguments.node.unwrap_or_default()),
@@ -269,7 +271,8 @@
 }
 
 fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address).with_context(|| format!("listening on {address}"))
+    let bound = smol::block_on(binding::retry(address, TcpListener::bind));
+    bound.with_context(|| format!("listening on {address}"))
 }
 
 fn into_async(listener: TcpListener) -> std::io::Result<smol::net::TcpListener> {
--- a/crates/heronbend-gateway/src/service.rs
+++ b/crates/heronbend-gateway/src/service.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use heronbend::membership::{Liveness, Member};
+use heronbend_net::binding;
 use http::Request;
 use hyper::body::Incoming;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -104,7 +106,15 @@
     gateway.set_admission_settings(source.settings.admission.clone());
     smol::block_on(executor.run(async move {
         gateway.members.bootstrap.begin(first_start);
-        let callers = start(&gateway, &addresses, ready_path)?;
+        let starting = async { Some(start(&gateway, &addresses, ready_path).await) };
+        let stopped = async {
+            stop.wait().await;
+            None
+        };
+        let Some(callers) = starting.or(stopped).await.transpose()? else {
+            log::info!("event=stopped exchanges_cut=0 connections_cut=0");
+            return Ok(());
+        };
         gateway
             .executor
             .spawn(reload::watch_settings(gateway.clone(), source, reload_signal))
@@ -115,7 +125,9 @@
     }))
 }
 
-fn start(
+/// Starts to listen, and all background tasks. Waits for addresses that are in use; the ready check
+/// fails meanwhile, and the peers do not know this daemon.
+async fn start(
     gateway: &Rc<Gateway>,
     addresses: &Addresses,
     ready_path: ReadyPath,
@@ -123,32 +135,27 @@
     let callers = listen(gateway, addresses.callers, "callers", {
         let gateway = gateway.clone();
         move |request| answer_caller(gateway.clone(), request, ready_path)
-    })?;
+    })
+    .await?;
     if addresses.ready != addresses.callers {
         let gateway = gateway.clone();
         let executor = gateway.clone();
         listen(&executor, addresses.ready, "ready", move |request| {
             answer_ready(gateway.clone(), request, ready_path)
-        })?;
+        })
+        .await?;
     }
     {
         let served = gateway.clone();
         listen(gateway, addresses.peers, "peers", move |request| {
             peers::membership::handle_request(served.clone(), request)
-        })?;
+        })
+        .await?;
     }
     if let Some(address) = addresses.metrics {
-        let served = gateway.clone();
-        let page = move |_| {
-            served.metrics.set_response_memory(&served.response_memory);
-            let page = served.metrics.encode();
-            async move { bytes_response(http::StatusCode::OK, "text/plain", page.into()) }
-        };
-        if let Err(error) = listen(gateway, address, "metrics", page) {
-            log::warn!("event=metrics_not_served error=\"{error}\"");
-        }
+        gateway.executor.spawn(serve_metrics(gateway.clone(), address)).detach();
     }
-    start_membership(gateway, addresses)?;
+    start_membership(gateway, addresses).await?;
     start_background_tasks(gateway, &callers);
     log::info!(
         "event=started node={} zone={} callers={} peers={}",
@@ -160,7 +167,20 @@
     Ok(callers)
 }
 
-fn listen<H, F>(
+/// Serves the metrics page.
+async fn serve_metrics(gateway: Rc<Gateway>, address: SocketAddr) {
+    let served = gateway.clone();
+    let page = move |_| {
+        served.metrics.set_response_memory(&served.response_memory);
+        let page = served.metrics.encode();
+        async move { bytes_response(http::StatusCode::OK, "text/plain", page.into()) }
+    };
+    if let Err(error) = listen(&gateway, address, "metrics", page).await {
+        log::warn!("event=metrics_not_served error=\"{error}\"");
+    }
+}
+
+async fn listen<H, F>(
     gateway: &Rc<Gateway>,
     address: SocketAddr,
     purpose: &'static str,
@@ -171,7 +191,7 @@
     F: std::future::Future<Output = HttpResponse> + 'static,
 {
     let failed = |error| StartError::Listen { address, purpose, error };
-    let socket = TcpListener::bind(address).map_err(failed)?;
+    let socket = binding::retry(address, TcpListener::bind).await.map_err(failed)?;
     let socket = smol::Async::new(socket).map_err(failed)?;
     let listener = Listener::new();
     let (metrics, limited) = (gateway.metrics.clone(), gateway.clone());
@@ -190,10 +210,10 @@
     Ok(listener)
 }
 
-fn start_membership(gateway: &Rc<Gateway>, addresses: &Addresses) -> Result<(), StartError> {
+async fn start_membership(gateway: &Rc<Gateway>, addresses: &Addresses) -> Result<(), StartError> {
     let address = addresses.peers;
     let failed = |error| StartError::Listen { address, purpose: "peers' datagrams", error };
-    let socket = UdpSocket::bind(address).map_err(failed)?;
+    let socket = binding::retry(address, UdpSocket::bind).await.map_err(failed)?;
     let socket = smol::Async::new(socket).map_err(failed)?;
     let local = Member {
         id: gateway.identity.node.clone(),
