What a daemon broadcasts just after its start reaches those that it learns of later

Callers of other daemons saw requests sent to a server that one daemon had found gone, until its registration expired: it had told of the loss before it knew them all. Cause: a broadcast goes to the members known at that moment, and daemons that start together know each other after 0.3 to 1 s.

Change: hints of the first 3 s that are not repeated anyway are sent to daemons that become known within 3 s.

--- a/crates/heronbend-gateway/src/peers/membership.rs
+++ b/crates/heronbend-gateway/src/peers/membership.rs
@@ -18,6 +18,7 @@
 use super::bootstrap::BootstrapOptions;
 use super::membership_log::MembershipLog;
 use super::messages::{Datagram, Hint, PeerReply, PeerRequest};
+use super::recent_hints::RecentHints;
 use super::{bootstrap, store_relay, Command};
 use crate::batch::submission::{self, Handoff};
 use crate::batch::tenure::InitialLog;
@@ -78,6 +79,7 @@
     let mut control_versions = ControlVersions::default();
     let mut membership_log = MembershipLog::default();
     let mut pending = PendingChanges::default();
+    let mut recent_hints = RecentHints::new(gateway.now());
     let mut suspension = SuspensionDetector::new(gateway.clock());
     loop {
         let event = next_event(&gateway, &socket, &mut buffer, &mut ticks).await;
@@ -113,6 +115,7 @@
                 Vec::new()
             }
             Event::Command(Command::Broadcast(hint)) => {
+                recent_hints.record(now, &hint);
                 broadcast(&detector, &socket, hint).await;
                 Vec::new()
             }
@@ -132,6 +135,7 @@
             }
             Event::None => Vec::new(),
         };
+        send_recent_hints(&gateway, &socket, &effects, &mut recent_hints).await;
         apply(&gateway, &socket, effects, &mut membership_log, &mut pending).await;
         if pending.is_due(now) || is_merge {
             pending.publish(now, &gateway, &detector);
@@ -220,6 +224,23 @@
     }
 }
 
+/// Sends recent hints to the daemons that have become known.
+async fn send_recent_hints(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    effects: &[Effect],
+    recent_hints: &mut RecentHints,
+) {
+    for effect in effects {
+        let Effect::Changed(change) = effect else {
+            continue;
+        };
+        for hint in recent_hints.note_member(gateway.now(), &change.member) {
+            send(socket, change.member.address, &Datagram::Hint(hint)).await;
+        }
+    }
+}
+
 async fn broadcast(detector: &Detector, socket: &UdpSocket, hint: Hint) {
     // A daemon that counts as dead may be alive, and has to learn that its job was taken over.
     let includes_dead = matches!(hint, Hint::JobOwned { .. });
--- a/crates/heronbend-gateway/src/peers/mod.rs
+++ b/crates/heronbend-gateway/src/peers/mod.rs
@@ -8,6 +8,7 @@
 pub mod membership;
 pub mod membership_log;
 pub mod messages;
+pub mod recent_hints;
 pub mod store_messages;
 pub mod store_relay;
 
