--- a/crates/heronbend-gateway/src/reflector.rs
+++ b/crates/heronbend-gateway/src/reflector.rs
@@ -1,5 +1,6 @@
 //! Keeps a local view of all objects of a kind current: lists them, then watches for changes.
 
+use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,7 +25,11 @@
 /// Timeout of one watch call. Dead connections are detected by keepalive probes, not by this.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(29);
 /// Timeout of a watch while the peers are silent, after which they are selected anew.
-const SILENT_WATCH_TIMEOUT: Duration = Duration::from_millis(1000);
+const SILENT_WATCH_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time for the store to answer such a watch after its timeout.
+const SILENT_WATCH_MARGIN: Duration = Duration::from_millis(300);
+/// Interval of the checks whether the store can still bring changes while the peers are silent.
+const SILENT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 const BACKOFF_BASE: Duration = Duration::from_millis(80);
 const BACKOFF_CAP: Duration = Duration::from_millis(640);
 /// Time without a response from the store after which it is probed.
@@ -227,24 +232,35 @@
     from_peers.or(from_store).await
 }
 
-/// Waits for changes from the upstream peers, and from the store once they are silent.
+/// Waits for changes from the upstream peers, and from the store once they are silent. Fails once
+/// neither can bring any, so that other peers are tried.
 async fn watch_peers(
     gateway: &Gateway,
     kind: &'static str,
     at: Revision,
     peers: &[NodeId],
 ) -> Result<Changes, SourceError> {
+    let is_store_silent = Cell::new(false);
     let from_peers = async {
         match dissemination::next_changes(gateway, kind, at, peers).await {
-            Ok(changes) => Ok(changes),
-            // The store is read as soon as they count as silent.
-            Err(NoChanges::NoUpdate) if silence::may_call_store(gateway) => future::pending().await,
-            Err(_) => Err(SourceError::NoUpdate),
+            Ok(changes) => return Ok(changes),
+            Err(NoChanges::ListNeeded) => return Err(SourceError::NoUpdate),
+            Err(NoChanges::NoUpdate) => {}
         }
+        while !is_store_silent.get() && silence::may_call_store(gateway) {
+            Timer::after(SILENT_CHECK_INTERVAL).await;
+        }
+        Err(SourceError::NoUpdate)
     };
     let from_store = async {
         silence::wait_for(gateway, kind).await;
-        let changes = gateway.store.watch(kind, at, SILENT_WATCH_TIMEOUT).await?;
+        let watching = gateway.store.watch(kind, at, SILENT_WATCH_TIMEOUT);
+        let timeout = async {
+            Timer::after(SILENT_WATCH_TIMEOUT + SILENT_WATCH_MARGIN).await;
+            is_store_silent.set(true);
+            future::pending().await
+        };
+        let changes = watching.or(timeout).await?;
         dissemination::record_read_from_store(gateway, kind);
         Ok(changes)
     };
--- a/crates/heronbend-gateway/tests/silent_peers.rs
+++ b/crates/heronbend-gateway/tests/silent_peers.rs
@@ -26,6 +26,7 @@
 use smol::LocalExecutor;
 use support::json_dialect::JsonDialect;
 use support::memory_store::MemoryStore;
+use support::memory_store::WatchFault;
 use support::run;
 use support::wait_until;
 
@@ -209,3 +210,18 @@
         })
     });
 }
+
+/// Guards against a daemon that waits for the store alone once its peers have failed, although the
+/// store does not answer it either.
+#[test]
+fn other_peers_are_asked_if_the_store_is_silent_as_well() {
+    run(|executor| {
+        Box::pin(async move {
+            let kind = JsonDialect::default().kinds().servers;
+            let follower = Follower::start(&executor, kind).await;
+            follower.store.fail_watches(&[WatchFault::Hanging; 8]);
+            wait_until("the root of another zone is asked", || follower.far_root.was_called())
+                .await;
+        })
+    });
+}
